--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,159 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestBucketLetsOneLargeCostThroughAndMakesTheNextWait(t *testing.T) {
+	b := NewBucket(100_000, epoch)
+	if ok, _ := b.Take(1_000_000, epoch); !ok {
+		t.Fatal("a million tokens never pass a limit of 100,000 a second")
+	}
+	ok, wait := b.Take(1000, epoch)
+	if ok || wait < 9*time.Second || wait > 10*time.Second {
+		t.Fatalf("got %v, wait %v; want about 9 s", ok, wait)
+	}
+	if ok, _ = b.Take(1000, epoch.Add(wait)); !ok {
+		t.Fatal("refused at the time that it named itself")
+	}
+}
+
+// TestBucketNeverPassesItsRate holds for any arrivals, up to one last cost.
+func TestBucketNeverPassesItsRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(1, 1000).Draw(t, "rate")
+		b := NewBucket(rate, epoch)
+		now := epoch
+		taken, largest := 0.0, 0.0
+		for range rapid.IntRange(1, 100).Draw(t, "n") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			cost := rapid.Float64Range(0, 500).Draw(t, "cost")
+			if ok, _ := b.Take(cost, now); ok {
+				taken += cost
+				largest = max(largest, cost)
+			}
+		}
+		bound := rate*now.Sub(epoch).Seconds() + max(1, rate*burstSeconds) + largest + 1e-6
+		if taken > bound {
+			t.Fatalf("took %f, bound %f", taken, bound)
+		}
+	})
+}
+
+func TestQueueOrder(t *testing.T) {
+	q := NewQueue(5 * time.Second)
+	push := func(id, account string, level int, tokens int64, at time.Duration) {
+		q.Push(&Item{ID: id, Account: account, Level: level, Tokens: tokens, Arrived: epoch.Add(at)})
+	}
+	push("batch", "b", 2, 100, 0)
+	push("hog1", "hog", 0, 1000, 11*time.Second)
+	push("hog2", "hog", 0, 1000, 11*time.Second)
+	push("small", "small", 0, 10, 11*time.Second)
+	order := func(now time.Time) (ids []string) {
+		q.Dispatch(now, func(it *Item) bool {
+			ids = append(ids, it.ID)
+			return true
+		})
+		return ids
+	}
+	got := order(epoch.Add(12 * time.Second))
+	want := "[batch hog1 small hog2]" // batch has aged to level 0 and came first
+	if fmt.Sprint(got) != want {
+		t.Fatalf("got %v, want %s", got, want)
+	}
+	if q.Len() != 0 || q.TokensAhead(9) != 0 {
+		t.Fatalf("the queue still counts %d requests, %d tokens", q.Len(), q.TokensAhead(9))
+	}
+}
+
+func TestLongRequestWithoutRoomDoesNotStopShortOnes(t *testing.T) {
+	q := NewQueue(0)
+	q.Push(&Item{ID: "long", Account: "a", Tokens: 500_000, Long: true, Arrived: epoch})
+	q.Push(&Item{ID: "short", Account: "a", Tokens: 1000, Arrived: epoch.Add(1)})
+	var placed []string
+	q.Dispatch(epoch, func(it *Item) bool {
+		if it.Long {
+			return false
+		}
+		placed = append(placed, it.ID)
+		return true
+	})
+	if fmt.Sprint(placed) != "[short]" || q.Len() != 1 {
+		t.Fatalf("placed %v, %d left", placed, q.Len())
+	}
+}
+
+// TestNoAccountStarvesAnother: whatever one account queues, another one's equal
+// work gets its share of the tokens dispatched.
+func TestNoAccountStarvesAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(0)
+		hog := rapid.IntRange(10, 200).Draw(t, "hog")
+		for i := range hog {
+			q.Push(&Item{ID: fmt.Sprint("h", i), Account: "hog", Tokens: rapid.Int64Range(1, 1000).Draw(t, "tokens"), Arrived: epoch})
+		}
+		for i := range 10 {
+			q.Push(&Item{ID: fmt.Sprint("s", i), Account: "small", Tokens: 1000, Arrived: epoch})
+		}
+		sums := map[string]int64{}
+		for sums["small"] < 10_000 && q.Len() > 0 {
+			one := false
+			q.Dispatch(epoch, func(it *Item) bool {
+				if one {
+					return false
+				}
+				one = true
+				sums[it.Account] += it.Tokens
+				return true
+			})
+			if sums["hog"] > sums["small"]+2000 {
+				t.Fatalf("hog got %d tokens, small %d", sums["hog"], sums["small"])
+			}
+		}
+	})
+}
+
+func TestBreakerOpensProbesAndCloses(t *testing.T) {
+	var b Breaker
+	for range breakerFailures {
+		if b.Open(epoch) {
+			t.Fatal("open too early")
+		}
+		b.Failed(epoch)
+	}
+	if !b.Open(epoch) || b.Open(epoch.Add(breakerPause)) {
+		t.Fatal("want open for one pause")
+	}
+	b.Sent()
+	if !b.Open(epoch.Add(breakerPause)) {
+		t.Fatal("two probes at one time")
+	}
+	b.Failed(epoch.Add(breakerPause))
+	if !b.Open(epoch.Add(2 * breakerPause)) {
+		t.Fatal("the second pause must be longer")
+	}
+	b.Succeeded()
+	if b.Open(epoch.Add(2 * breakerPause)) {
+		t.Fatal("a success closes it")
+	}
+}
+
+func TestRetriesStayAShareOfRequests(t *testing.T) {
+	b := NewRetryBudget()
+	retries := 0
+	for range 1000 {
+		b.Request(0.1)
+		if b.Retry() {
+			retries++
+		}
+	}
+	if retries > 100+retryFloor {
+		t.Fatalf("%d retries for 1000 requests", retries)
+	}
+}
--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,240 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Item is a request that waits.
+type Item struct {
+	// ID is the request id.
+	ID string
+	// Account is the path of its client account.
+	Account string
+	// Level is its priority level; lower goes first.
+	Level int
+	// Tokens is its cost: the prompt tokens to be read.
+	Tokens int64
+	// Long tells whether it counts as a long prompt.
+	Long bool
+	// Retry is true when it has been placed before.
+	Retry bool
+	// Arrived is when the request came to the daemon.
+	Arrived time.Time
+
+	// Owner is the caller's own record of the request; the queue ignores it.
+	Owner any
+
+	start float64 // fair-queueing tag
+}
+
+// Queue is the waiting line of one pool. Requests are served by priority level;
+// within a level, accounts share by tokens (start-time fair queueing), and each
+// account's requests go in order of arrival. Waiting lifts a request by one
+// level each AgeingPerLevel, up to level 0, where the fair order makes sure that
+// its turn comes.
+type Queue struct {
+	// AgeingPerLevel is the wait that lifts a request by one level.
+	AgeingPerLevel time.Duration
+
+	flows   map[flowKey]*flow
+	virtual float64
+	length  int
+	tokens  [levels]int64
+	heads   []*flow
+}
+
+// levels is the number of priority levels.
+const levels = 10
+
+type flowKey struct {
+	account string
+	level   int
+	long    bool
+}
+
+// flow is the line of one account at one level. Long prompts have a line of
+// their own, so that one that waits for memory does not stop the short ones of
+// the same account.
+type flow struct {
+	key        flowKey
+	items      []*Item
+	lastFinish float64
+	skip       bool
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(ageingPerLevel time.Duration) *Queue {
+	return &Queue{AgeingPerLevel: ageingPerLevel, flows: map[flowKey]*flow{}}
+}
+
+// Len is the number of waiting requests.
+func (q *Queue) Len() int { return q.length }
+
+// Push puts a request at the end of its account's line.
+func (q *Queue) Push(it *Item) {
+	key := flowKey{it.Account, it.Level, it.Long}
+	f := q.flows[key]
+	if f == nil {
+		f = &flow{key: key}
+		q.flows[key] = f
+	}
+	it.start = max(q.virtual, f.lastFinish)
+	f.lastFinish = it.start + float64(it.Tokens)
+	if it.Retry {
+		// It has had its turn once; it does not pay for it again.
+		it.start = q.virtual
+		f.items = slices.Insert(f.items, 0, it)
+	} else {
+		f.items = append(f.items, it)
+	}
+	q.length++
+	q.tokens[it.Level] += it.Tokens
+}
+
+// Remove takes out a request that no longer waits. It tells whether it was there.
+func (q *Queue) Remove(it *Item) bool {
+	f := q.flows[flowKey{it.Account, it.Level, it.Long}]
+	if f == nil {
+		return false
+	}
+	at := slices.Index(f.items, it)
+	if at < 0 {
+		return false
+	}
+	f.items = slices.Delete(f.items, at, at+1)
+	q.removed(f, it)
+	return true
+}
+
+func (q *Queue) removed(f *flow, it *Item) {
+	q.length--
+	q.tokens[it.Level] -= it.Tokens
+	if len(f.items) == 0 && f.lastFinish <= q.virtual {
+		delete(q.flows, f.key)
+	}
+}
+
+// TokensAhead is the number of prompt tokens that wait at the level or before it.
+func (q *Queue) TokensAhead(level int) int64 {
+	sum := int64(0)
+	for l := 0; l <= level; l++ {
+		sum += q.tokens[l]
+	}
+	return sum
+}
+
+// Waiting counts the requests of an account that wait.
+func (q *Queue) Waiting(account string) int {
+	n := 0
+	for level := range levels {
+		for _, long := range [...]bool{false, true} {
+			if f := q.flows[flowKey{account, level, long}]; f != nil {
+				n += len(f.items)
+			}
+		}
+	}
+	return n
+}
+
+// maxTries bounds the requests looked at in one pass, so that a pass over a long
+// queue of many accounts stays short; the next event looks again.
+const maxTries = 64
+
+// Dispatch offers requests in order to place, which takes one or says that there
+// is no room. A short request that finds no room stops all short ones that are
+// no smaller, a long one all long ones. It returns the number placed.
+func (q *Queue) Dispatch(now time.Time, place func(*Item) bool) int {
+	placed := 0
+	stopShort, stopLong := int64(-1), int64(-1)
+	q.collectHeads()
+	for range maxTries {
+		f := q.first(now)
+		if f == nil {
+			break
+		}
+		it := f.items[0]
+		stop := &stopShort
+		if it.Long {
+			stop = &stopLong
+		}
+		if *stop >= 0 && it.Tokens >= *stop {
+			f.skip = true
+			continue
+		}
+		if !place(it) {
+			f.skip = true
+			if !it.Retry {
+				*stop = it.Tokens
+			}
+			continue
+		}
+		placed++
+		f.items = f.items[1:]
+		q.virtual = max(q.virtual, it.start)
+		q.removed(f, it)
+	}
+	return placed
+}
+
+func (q *Queue) collectHeads() {
+	q.heads = q.heads[:0]
+	for key, f := range q.flows {
+		if len(f.items) == 0 {
+			if f.lastFinish <= q.virtual {
+				delete(q.flows, key)
+			}
+			continue
+		}
+		f.skip = false
+		q.heads = append(q.heads, f)
+	}
+}
+
+// first finds the head that goes next among those not skipped.
+func (q *Queue) first(now time.Time) *flow {
+	var best *flow
+	for _, f := range q.heads {
+		if f.skip || len(f.items) == 0 {
+			continue
+		}
+		if best == nil || q.before(f, best, now) {
+			best = f
+		}
+	}
+	return best
+}
+
+func (q *Queue) before(a, b *flow, now time.Time) bool {
+	x, y := a.items[0], b.items[0]
+	order := cmp.Or(
+		cmp.Compare(q.agedLevel(x, now), q.agedLevel(y, now)),
+		cmp.Compare(x.start, y.start),
+		x.Arrived.Compare(y.Arrived),
+		cmp.Compare(x.ID, y.ID),
+	)
+	return order < 0
+}
+
+// agedLevel is the item's level less one for each AgeingPerLevel it has waited.
+func (q *Queue) agedLevel(it *Item, now time.Time) int {
+	if q.AgeingPerLevel <= 0 {
+		return it.Level
+	}
+	return max(0, it.Level-int(now.Sub(it.Arrived)/q.AgeingPerLevel))
+}
+
+// Oldest returns the long request that has waited longest, or nil.
+func (q *Queue) Oldest(long bool) *Item {
+	var oldest *Item
+	for _, f := range q.flows {
+		if f.key.long != long || len(f.items) == 0 {
+			continue
+		}
+		if it := f.items[0]; oldest == nil || it.Arrived.Before(oldest.Arrived) {
+			oldest = it
+		}
+	}
+	return oldest
+}
--- /dev/null
+++ b/core/decision/decision.go
@@ -0,0 +1,115 @@
+// Package decision is the record of a choice: what was asked, what was known,
+// what came out and why. A record holds its inputs, so the choice can be made
+// again from the record alone and compared.
+package decision
+
+import (
+	"time"
+
+	"doorstack.dev/core/admission"
+	"doorstack.dev/core/routing"
+)
+
+// Kind names what was decided.
+type Kind string
+
+// The kinds of decision.
+const (
+	KindLimit    Kind = "limit"
+	KindAdmit    Kind = "admit"
+	KindRoute    Kind = "route"
+	KindAttempt  Kind = "attempt"
+	KindClaim    Kind = "claim"
+	KindGroup    Kind = "group"
+	KindAnswer   Kind = "answer"
+	KindSettings Kind = "settings"
+	KindOrder    Kind = "order"
+	KindSweep    Kind = "sweep"
+)
+
+// Record is one decision.
+type Record struct {
+	// Request is the request id; empty for decisions that belong to none.
+	Request string `json:"request,omitempty"`
+	// Daemon made the decision, At that time.
+	Daemon string    `json:"daemon"`
+	At     time.Time `json:"at"`
+	// Kind names what was decided.
+	Kind Kind `json:"kind"`
+	// Account, Route and Pool are the subjects, where there are any.
+	Account string `json:"account,omitempty"`
+	Route   string `json:"route,omitempty"`
+	Pool    string `json:"pool,omitempty"`
+	// Revision is the settings revision that the request keeps to its end.
+	Revision int64 `json:"revision,omitempty"`
+	// Outcome is the choice in a word, Reason says why in a sentence.
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason,omitempty"`
+	// Target is the target concerned, Attempt the id of the call to it.
+	Target  string `json:"target,omitempty"`
+	Attempt string `json:"attempt,omitempty"`
+
+	// The inputs, by kind of decision.
+	Routing  *routing.Decision   `json:"routing,omitempty"`
+	Limit    *admission.Verdict  `json:"limit,omitempty"`
+	Estimate *admission.Estimate `json:"estimate,omitempty"`
+	Claim    *ClaimTally         `json:"claim,omitempty"`
+}
+
+// ClaimTally is how the witnesses of a key answered.
+type ClaimTally struct {
+	Key       string   `json:"key"`
+	Witnesses []string `json:"witnesses"`
+	Needed    int      `json:"needed"`
+	Granted   int      `json:"granted"`
+	Denied    int      `json:"denied"`
+	Silent    int      `json:"silent"`
+}
+
+// Replay is the result of making a recorded decision again.
+type Replay struct {
+	// Possible is false for records that hold no inputs to decide from.
+	Possible bool `json:"possible"`
+	// Same tells whether the outcome is the recorded one.
+	Same bool `json:"same"`
+	// Outcome is what came out this time.
+	Outcome string `json:"outcome,omitempty"`
+}
+
+// Replay makes the decision again from its recorded inputs.
+func (r *Record) Replay() Replay {
+	switch {
+	case r.Routing != nil:
+		again := r.Routing.Replay()
+		same := again.Verdict == r.Routing.Verdict && again.Chosen == r.Routing.Chosen
+		return Replay{Possible: true, Same: same, Outcome: string(again.Verdict) + " " + again.Chosen}
+	case r.Estimate != nil:
+		outcome := OutcomeAdmitted
+		if r.Estimate.Late() {
+			outcome = OutcomeRefused
+		}
+		return Replay{Possible: true, Same: outcome == r.Outcome, Outcome: outcome}
+	case r.Limit != nil:
+		outcome := OutcomeAdmitted
+		if r.Limit.Limit != admission.LimitNone {
+			outcome = OutcomeRefused
+		}
+		return Replay{Possible: true, Same: outcome == r.Outcome, Outcome: outcome}
+	case r.Claim != nil:
+		outcome := OutcomeRefused
+		if r.Claim.Granted >= r.Claim.Needed {
+			outcome = OutcomeAdmitted
+		}
+		return Replay{Possible: true, Same: outcome == r.Outcome, Outcome: outcome}
+	default:
+		return Replay{}
+	}
+}
+
+// Outcomes shared by several kinds.
+const (
+	OutcomeAdmitted = "admitted"
+	OutcomeRefused  = "refused"
+	OutcomeWhole    = "whole"
+	OutcomeFailed   = "failed"
+)
--- /dev/null
+++ b/core/decision/ring.go
@@ -0,0 +1,99 @@
+package decision
+
+import (
+	"unsafe"
+
+	"doorstack.dev/core/routing"
+)
+
+// Ring keeps the last decisions, bounded by memory. It is not safe for
+// concurrent use; the blackboard locks it.
+type Ring struct {
+	limit   int64
+	size    int64
+	records []Record // a queue: the oldest first, from index head on
+	head    int
+	byID    map[string][]int // request id to absolute positions
+	dropped int              // records ever removed; absolute = dropped + index - head
+	evicted int64
+}
+
+// NewRing returns a ring that keeps about limit bytes of records.
+func NewRing(limit int64) *Ring {
+	return &Ring{limit: limit, byID: map[string][]int{}}
+}
+
+// Put adds a record and drops the oldest ones that no longer fit.
+func (r *Ring) Put(rec Record) {
+	absolute := r.dropped + len(r.records) - r.head
+	r.records = append(r.records, rec)
+	r.size += sizeOf(&rec)
+	if rec.Request != "" {
+		r.byID[rec.Request] = append(r.byID[rec.Request], absolute)
+	}
+	for r.size > r.limit && len(r.records)-r.head > 1 {
+		r.dropOldest()
+	}
+	r.compact()
+}
+
+func (r *Ring) dropOldest() {
+	old := &r.records[r.head]
+	r.size -= sizeOf(old)
+	if ids := r.byID[old.Request]; len(ids) > 1 {
+		r.byID[old.Request] = ids[1:]
+	} else {
+		delete(r.byID, old.Request)
+	}
+	*old = Record{}
+	r.head++
+	r.dropped++
+	r.evicted++
+}
+
+// compact moves the records to the front once half of the slice is unused.
+func (r *Ring) compact() {
+	if r.head <= len(r.records)/2 {
+		return
+	}
+	n := copy(r.records, r.records[r.head:])
+	clear(r.records[n:])
+	r.records = r.records[:n]
+	r.head = 0
+}
+
+// Find returns the records of a request, oldest first.
+func (r *Ring) Find(request string) []Record {
+	var found []Record
+	for _, absolute := range r.byID[request] {
+		found = append(found, r.records[absolute-r.dropped+r.head])
+	}
+	return found
+}
+
+// Last returns the newest n records, newest first.
+func (r *Ring) Last(n int) []Record {
+	var last []Record
+	for i := len(r.records) - 1; i >= r.head && len(last) < n; i-- {
+		last = append(last, r.records[i])
+	}
+	return last
+}
+
+// Evicted is the number of records dropped so far.
+func (r *Ring) Evicted() int64 { return r.evicted }
+
+// Size is the estimated memory of the records, in bytes.
+func (r *Ring) Size() int64 { return r.size }
+
+// indexBytes is the estimated cost of a record in the index.
+const indexBytes = 64
+
+func sizeOf(rec *Record) int64 {
+	size := int64(unsafe.Sizeof(*rec)) + indexBytes
+	size += int64(len(rec.Request) + len(rec.Reason) + len(rec.Attempt))
+	if d := rec.Routing; d != nil {
+		size += int64(unsafe.Sizeof(*d)) + int64(cap(d.Candidates))*int64(unsafe.Sizeof(routing.Candidate{}))
+	}
+	return size
+}
--- /dev/null
+++ b/core/group/group.go
@@ -0,0 +1,134 @@
+// Package group plans how a prompt larger than one engine's memory is spread
+// over several.
+//
+// The engines of a group hold one part of the prompt each, in the order of the
+// text. The plan prefers few engines, all in one data centre, and those with the
+// most free memory; it leaves the headroom for short requests free on each.
+package group
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"doorstack.dev/core/routing"
+	"github.com/go-faster/errors"
+)
+
+// Part is a part of a prompt at a target.
+type Part struct {
+	// Target is the id of the target.
+	Target string
+	// PromptTokens is the length of the part; Tokens adds room for the answer on
+	// the last one.
+	PromptTokens, Tokens int64
+}
+
+// ErrTooLarge means that even all engines of a data centre, empty, are too small.
+var ErrTooLarge = errors.New("the prompt is larger than the memory of all engines of a data centre")
+
+// ErrNoRoom means that the engines are too full at the moment.
+var ErrNoRoom = errors.New("the engines of no data centre have room for the prompt at the moment")
+
+// minPart is the least part worth an engine of its own, in tokens.
+const minPart = 8192
+
+// NewPlan spreads a prompt over targets. The home data centre is preferred where
+// it has room.
+func NewPlan(targets []routing.Target, prompt, output int64, headroom float64, home string) ([]Part, error) {
+	usable := slices.DeleteFunc(slices.Clone(targets), func(t routing.Target) bool {
+		return t.State != routing.Live || t.Unloaded || t.MemoryTokens == 0
+	})
+	possible := false
+	for _, centre := range centres(usable, home) {
+		here := slices.DeleteFunc(slices.Clone(usable), func(t routing.Target) bool { return t.DataCentre != centre })
+		possible = possible || total(here, headroom) >= prompt+output
+		if plan := planIn(here, prompt, output, headroom); plan != nil {
+			return plan, nil
+		}
+	}
+	if !possible {
+		return nil, errors.Wrap(ErrTooLarge, fmt.Sprintf("%d tokens", prompt+output))
+	}
+	return nil, ErrNoRoom
+}
+
+// centres lists the data centres of targets, home first.
+func centres(targets []routing.Target, home string) []string {
+	var names []string
+	for i := range targets {
+		if !slices.Contains(names, targets[i].DataCentre) {
+			names = append(names, targets[i].DataCentre)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if (a == home) != (b == home) {
+			if a == home {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+	return names
+}
+
+// room is the memory that a part may take of a target.
+func room(t *routing.Target, headroom float64) int64 {
+	return int64(float64(t.MemoryTokens)*(1-headroom)) - t.Load.MemoryTokens
+}
+
+func total(targets []routing.Target, headroom float64) int64 {
+	sum := int64(0)
+	for i := range targets {
+		sum += int64(float64(targets[i].MemoryTokens) * (1 - headroom))
+	}
+	return sum
+}
+
+// planIn fills the emptiest targets first. Targets that hold a long prefill or
+// whose breaker is open are left out.
+func planIn(targets []routing.Target, prompt, output int64, headroom float64) []Part {
+	free := slices.DeleteFunc(targets, func(t routing.Target) bool {
+		return t.BreakerOpen || t.ReservedFor != "" || t.Load.LongPrefills > 0 || room(&t, headroom) < minPart+output
+	})
+	slices.SortStableFunc(free, func(a, b routing.Target) int {
+		return cmp.Or(cmp.Compare(room(&b, headroom), room(&a, headroom)), cmp.Compare(a.ID, b.ID))
+	})
+	var parts []Part
+	left := prompt
+	for i := range free {
+		have := room(&free[i], headroom)
+		// Each part leaves room for the answer, so that any could be the last.
+		take := min(left, have-output)
+		parts = append(parts, Part{Target: free[i].ID, PromptTokens: take, Tokens: take})
+		left -= take
+		if left == 0 {
+			parts[len(parts)-1].Tokens += output
+			return parts
+		}
+	}
+	return nil
+}
+
+// Backoff is a growing, random pause.
+type Backoff struct {
+	First, Max time.Duration
+	Seed       uint64
+
+	rng  *rand.Rand
+	next time.Duration
+}
+
+// Next returns the next pause: between half and all of a doubling time.
+func (b *Backoff) Next() time.Duration {
+	if b.rng == nil {
+		b.rng = rand.New(rand.NewPCG(b.Seed, b.Seed))
+		b.next = b.First
+	}
+	pause := b.next/2 + time.Duration(b.rng.Int64N(int64(b.next/2)+1))
+	b.next = min(2*b.next, b.Max)
+	return pause
+}
--- /dev/null
+++ b/core/group/group_test.go
@@ -0,0 +1,67 @@
+package group
+
+import (
+	"fmt"
+	"testing"
+
+	"doorstack.dev/core/routing"
+	"github.com/go-faster/errors"
+	"pgregory.net/rapid"
+)
+
+// TestPlanCoversThePromptWithinEveryMemory holds for any state of the targets.
+func TestPlanCoversThePromptWithinEveryMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		targets := make([]routing.Target, rapid.IntRange(1, 12).Draw(t, "n"))
+		for i := range targets {
+			targets[i] = routing.Target{
+				ID: fmt.Sprint("t", i), DataCentre: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "dc"), MemoryTokens: 450_000,
+				Load: routing.Load{
+					MemoryTokens: rapid.Int64Range(0, 450_000).Draw(t, "used"),
+					LongPrefills: rapid.IntRange(0, 1).Draw(t, "long"),
+				},
+			}
+		}
+		prompt := rapid.Int64Range(1, 1_200_000).Draw(t, "prompt")
+		const output, headroom = 1000, 0.2
+		plan, err := NewPlan(targets, prompt, output, headroom, "b")
+		if err != nil {
+			if !errors.Is(err, ErrNoRoom) && !errors.Is(err, ErrTooLarge) {
+				t.Fatal(err)
+			}
+			return
+		}
+		sum := int64(0)
+		centre := ""
+		for i, p := range plan {
+			for _, x := range targets {
+				if x.ID != p.Target {
+					continue
+				}
+				if p.Tokens > room(&x, headroom) || x.Load.LongPrefills > 0 {
+					t.Fatalf("part %d does not fit at %s", i, x.ID)
+				}
+				if centre == "" {
+					centre = x.DataCentre
+				}
+				if x.DataCentre != centre {
+					t.Fatal("the group spans data centres")
+				}
+			}
+			sum += p.PromptTokens
+		}
+		if sum != prompt || plan[len(plan)-1].Tokens != plan[len(plan)-1].PromptTokens+output {
+			t.Fatalf("the parts sum to %d, the prompt has %d", sum, prompt)
+		}
+	})
+}
+
+func TestPlanTellsNeverFromNotNow(t *testing.T) {
+	full := routing.Target{ID: "a", DataCentre: "x", MemoryTokens: 450_000, Load: routing.Load{MemoryTokens: 400_000}}
+	if _, err := NewPlan([]routing.Target{full}, 300_000, 10, 0, "x"); !errors.Is(err, ErrNoRoom) {
+		t.Fatalf("got %v, want no room", err)
+	}
+	if _, err := NewPlan([]routing.Target{full}, 500_000, 10, 0, "x"); !errors.Is(err, ErrTooLarge) {
+		t.Fatalf("got %v, want too large", err)
+	}
+}
--- /dev/null
+++ b/core/routing/pick.go
@@ -0,0 +1,199 @@
+package routing
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+)
+
+// pickWidth is the number of best targets that the picker draws from. Two of
+// them are drawn at random and the better one wins: with one report seen by
+// many daemons, always taking the very best would send them all to one target.
+const pickWidth = 4
+
+// pickSlack bounds how much worse than the best a drawn target may be, as a
+// share of the best score plus a floor in seconds.
+const (
+	pickSlack      = 0.25
+	pickSlackFloor = 0.010
+)
+
+// ranked is a target's index with its total score.
+type ranked struct {
+	index int
+	total float64
+}
+
+// rejected is a target's index with the filter that took it out.
+type rejected struct {
+	index  int
+	filter Filter
+}
+
+// Scratch holds the memory of a decision between calls. It must not be shared
+// between goroutines.
+type Scratch struct {
+	best     []ranked
+	rejected []rejected
+}
+
+// Decide makes a routing decision over the targets of one pool. The result
+// shares no memory with targets.
+func (s *Scratch) Decide(r *Request, p *Params, targets []Target) Decision {
+	holders := 0
+	if p.IsLong(r.PromptTokens) {
+		holders = countLongHolders(targets)
+	}
+	return s.decide(r, p, targets, holders)
+}
+
+func (s *Scratch) decide(r *Request, p *Params, targets []Target, holders int) Decision {
+	d := Decision{Request: *r, Params: *p, Considered: len(targets), LongHolders: holders}
+	long := p.IsLong(r.PromptTokens)
+	largest := s.scan(r, p, long, targets, &d)
+	s.applyCached(r, p, long, holders, targets)
+	d.Candidates = s.record(r, p, long, targets)
+	if len(s.best) == 0 {
+		d.Verdict = emptyVerdict(r, p, long, largest, &d.Rejections)
+		return d
+	}
+	d.Verdict = Place
+	d.Chosen = targets[pick(s.best, r.Seed)].ID
+	return d
+}
+
+// scan filters and scores all targets and returns the largest live memory.
+func (s *Scratch) scan(r *Request, p *Params, long bool, targets []Target, d *Decision) int64 {
+	s.best = s.best[:0]
+	s.rejected = s.rejected[:0]
+	largest := int64(0)
+	for i := range targets {
+		t := &targets[i]
+		if t.State == Live {
+			largest = max(largest, t.MemoryTokens)
+		}
+		if f := filter(r, p, long, d.LongHolders, t); f != "" {
+			if d.Rejections.count(f) <= examplesPerFilter {
+				s.rejected = append(s.rejected, rejected{i, f})
+			}
+			continue
+		}
+		scores := score(r, p, long, t)
+		s.keep(ranked{i, scores.Total()})
+	}
+	return largest
+}
+
+// keep inserts c into the best list, which stays sorted and short.
+func (s *Scratch) keep(c ranked) {
+	if len(s.best) == MaxRecorded/2 {
+		if c.total >= s.best[len(s.best)-1].total {
+			return
+		}
+		s.best = s.best[:len(s.best)-1]
+	}
+	at, _ := slices.BinarySearchFunc(s.best, c, compareRanked)
+	s.best = slices.Insert(s.best, at, c)
+}
+
+func compareRanked(a, b ranked) int {
+	if a.total != b.total {
+		return cmp.Compare(a.total, b.total)
+	}
+	return cmp.Compare(a.index, b.index)
+}
+
+// applyCached ranks again the few targets that hold a prefix of the prompt.
+func (s *Scratch) applyCached(r *Request, p *Params, long bool, holders int, targets []Target) {
+	for _, c := range r.Cached {
+		if c.Target < 0 || c.Target >= len(targets) {
+			continue
+		}
+		t := &targets[c.Target]
+		if filter(r, p, long, holders, t) != "" {
+			continue
+		}
+		s.best = slices.DeleteFunc(s.best, func(b ranked) bool { return b.index == c.Target })
+		scores := score(r, p, long, t)
+		scores.PrefixSaved = prefixSaved(r, p, t, c.Tokens)
+		s.keep(ranked{c.Target, scores.Total()})
+	}
+}
+
+// pick draws two of the best and returns the index of the better one.
+func pick(best []ranked, seed uint64) int {
+	limit := best[0].total*(1+pickSlack) + pickSlackFloor
+	width := 1
+	for width < min(pickWidth, len(best)) && best[width].total <= limit {
+		width++
+	}
+	rng := rand.New(rand.NewPCG(seed, seed))
+	return best[min(rng.IntN(width), rng.IntN(width))].index
+}
+
+func emptyVerdict(r *Request, p *Params, long bool, largest int64, n *Rejections) Verdict {
+	if largest > 0 && r.MemoryTokens() > room(p, long, largest) {
+		return Group
+	}
+	if n.waitable() > 0 {
+		return Wait
+	}
+	return None
+}
+
+func countLongHolders(targets []Target) int {
+	n := 0
+	for i := range targets {
+		if targets[i].Load.LongPrefills > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// examplesPerFilter bounds the rejected targets recorded for each filter.
+const examplesPerFilter = 2
+
+// record copies the best candidates, then examples of rejected ones.
+func (s *Scratch) record(r *Request, p *Params, long bool, targets []Target) []Candidate {
+	list := make([]Candidate, 0, min(len(s.best)+len(s.rejected), MaxRecorded))
+	for _, b := range s.best {
+		t := &targets[b.index]
+		c := Candidate{Target: *t, Scores: score(r, p, long, t), CachedTokens: cachedAt(r, b.index)}
+		c.Scores.PrefixSaved = prefixSaved(r, p, t, c.CachedTokens)
+		list = append(list, c)
+	}
+	for _, x := range s.rejected {
+		if len(list) == MaxRecorded {
+			break
+		}
+		list = append(list, Candidate{Target: targets[x.index], Rejected: x.filter})
+	}
+	return list
+}
+
+func cachedAt(r *Request, index int) int64 {
+	for _, c := range r.Cached {
+		if c.Target == index {
+			return c.Tokens
+		}
+	}
+	return 0
+}
+
+// Replay makes a recorded decision again from its recorded candidates and tells
+// whether the outcome is the same. The targets that were not recorded are known
+// to be worse or rejected; Rejections counts them, Replay cannot see them.
+func (d *Decision) Replay() Decision {
+	targets := make([]Target, len(d.Candidates))
+	r := d.Request
+	r.Cached = nil
+	for i := range d.Candidates {
+		targets[i] = d.Candidates[i].Target
+		if d.Candidates[i].CachedTokens > 0 {
+			r.Cached = append(r.Cached, CachedPrefix{Target: i, Tokens: d.Candidates[i].CachedTokens})
+		}
+	}
+	var s Scratch
+	return s.decide(&r, &d.Params, targets, d.LongHolders)
+}
--- /dev/null
+++ b/core/routing/routing.go
@@ -0,0 +1,201 @@
+// Package routing chooses a target for a request: filters take out targets that
+// cannot serve it now, scorers estimate in seconds what each remaining target
+// would cost its first token, and the picker takes one of the best.
+//
+// All scores have one unit, seconds of time to first token, so that a cached
+// prefix, a queue in front of an engine and a longer way to another data centre
+// can be weighed against each other without invented weights.
+//
+// Everything is a pure function of its inputs. The caller passes the time, the
+// targets with their last reports, and a random seed, so that a recorded
+// decision can be made again.
+package routing
+
+import (
+	"time"
+)
+
+// State is what is known of a target's life.
+type State uint8
+
+// The states of a target.
+const (
+	// Live targets take work.
+	Live State = iota
+	// Leaving targets finish what they have and take nothing new.
+	Leaving
+	// Gone targets are no longer on the host list, or do not answer.
+	Gone
+)
+
+// Load is an amount of work at a target.
+type Load struct {
+	// Requests is the number of calls.
+	Requests int `json:"requests,omitempty"`
+	// MemoryTokens is the KV cache that they take, in tokens.
+	MemoryTokens int64 `json:"memory_tokens,omitempty"`
+	// BacklogTokens are prompt tokens not yet read.
+	BacklogTokens int64 `json:"backlog_tokens,omitempty"`
+	// LongPrefills is the number of long prompts not yet read to the end.
+	LongPrefills int `json:"long_prefills,omitempty"`
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(o Load) Load {
+	return Load{
+		Requests:      l.Requests + o.Requests,
+		MemoryTokens:  l.MemoryTokens + o.MemoryTokens,
+		BacklogTokens: l.BacklogTokens + o.BacklogTokens,
+		LongPrefills:  l.LongPrefills + o.LongPrefills,
+	}
+}
+
+// Sub returns the difference of two loads, no part of it below zero.
+func (l Load) Sub(o Load) Load {
+	return Load{
+		Requests:      max(0, l.Requests-o.Requests),
+		MemoryTokens:  max(0, l.MemoryTokens-o.MemoryTokens),
+		BacklogTokens: max(0, l.BacklogTokens-o.BacklogTokens),
+		LongPrefills:  max(0, l.LongPrefills-o.LongPrefills),
+	}
+}
+
+// Target is a target as this daemon believes it to be.
+type Target struct {
+	// ID names the target; it is its address.
+	ID string `json:"id"`
+	// DataCentre and Region say where it stands.
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region,omitempty"`
+	// State is the worse of what the host list and the target itself say.
+	State State `json:"state,omitempty"`
+	// MemoryTokens is its KV cache, in tokens; zero for plain services.
+	MemoryTokens int64 `json:"memory_tokens,omitempty"`
+	// PrefillRate is the prompt tokens that it reads a second.
+	PrefillRate float64 `json:"prefill_rate,omitempty"`
+	// MaxConcurrent bounds the calls at one time; zero is no bound.
+	MaxConcurrent int `json:"max_concurrent,omitempty"`
+	// Load is the reported load with this daemon's own later work on top.
+	Load Load `json:"load"`
+	// ReportAge is the age of the report in Load.
+	ReportAge time.Duration `json:"report_age_ns,omitempty"`
+	// BreakerOpen is true while calls to the target keep failing.
+	BreakerOpen bool `json:"breaker_open,omitempty"`
+	// ReservedFor is the long request the target is being emptied for, if any.
+	ReservedFor string `json:"reserved_for,omitempty"`
+	// Unloaded is true while the target does not serve the pool's model.
+	Unloaded bool `json:"unloaded,omitempty"`
+}
+
+// CachedPrefix says that a target is believed to hold the start of a prompt.
+type CachedPrefix struct {
+	// Target is the index in the list of targets.
+	Target int `json:"target"`
+	// Tokens is the length of the prefix.
+	Tokens int64 `json:"tokens"`
+}
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	// ID is the request id.
+	ID string `json:"id"`
+	// PromptTokens and OutputTokens are the estimated lengths.
+	PromptTokens int64 `json:"prompt_tokens"`
+	OutputTokens int64 `json:"output_tokens"`
+	// DataCentre is the data centre of the daemon.
+	DataCentre string `json:"data_centre"`
+	// Cached lists targets believed to hold the start of the prompt.
+	Cached []CachedPrefix `json:"cached,omitempty"`
+	// Exclude lists targets that an earlier attempt of the request used.
+	Exclude []string `json:"exclude,omitempty"`
+	// Seed makes the pick; it differs from daemon to daemon.
+	Seed uint64 `json:"seed"`
+}
+
+// MemoryTokens is the KV cache that the request takes when it is done.
+func (r *Request) MemoryTokens() int64 { return r.PromptTokens + r.OutputTokens }
+
+// Params are the policy values of the pool, in plain types.
+type Params struct {
+	// LongPromptTokens is the length from which a prompt counts as long.
+	LongPromptTokens int64 `json:"long_prompt_tokens"`
+	// LongPerTarget is the most long prefills on one target.
+	LongPerTarget int `json:"long_per_target"`
+	// LongTargets is the most targets that hold long prefills at one time.
+	LongTargets int `json:"long_targets"`
+	// MemoryHeadroom is the share of memory that long requests leave free.
+	MemoryHeadroom float64 `json:"memory_headroom"`
+	// PrefixWeight scales the time that a cached prefix saves.
+	PrefixWeight float64 `json:"prefix_weight"`
+	// RemotePenalty is the cost of another data centre, in seconds.
+	RemotePenalty float64 `json:"remote_penalty_s"`
+	// MaxBacklog is the most seconds of prefill queued at a target.
+	MaxBacklog float64 `json:"max_backlog_s"`
+}
+
+// IsLong tells whether a prompt counts as long.
+func (p *Params) IsLong(promptTokens int64) bool { return promptTokens >= p.LongPromptTokens }
+
+// Verdict is the outcome of a decision.
+type Verdict string
+
+// The verdicts.
+const (
+	// Place means that the request goes to the chosen target now.
+	Place Verdict = "place"
+	// Wait means that targets exist but all are full at the moment.
+	Wait Verdict = "wait"
+	// None means that no target can serve the request as things stand.
+	None Verdict = "none"
+	// Group means that the request exceeds one target's memory.
+	Group Verdict = "group"
+)
+
+// Scores are the parts of a target's estimated time to first token, in seconds.
+type Scores struct {
+	Backlog     float64 `json:"backlog_s"`
+	Prefill     float64 `json:"prefill_s"`
+	Batch       float64 `json:"batch_s"`
+	Memory      float64 `json:"memory_s"`
+	LongMix     float64 `json:"long_mix_s"`
+	Locality    float64 `json:"locality_s"`
+	PrefixSaved float64 `json:"prefix_saved_s"`
+}
+
+// Total is the estimated time to first token in seconds.
+func (s *Scores) Total() float64 {
+	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality - s.PrefixSaved
+}
+
+// Candidate is a target with what the filters and scorers said of it.
+type Candidate struct {
+	// Target is the state that the decision was made from.
+	Target Target `json:"target"`
+	// Rejected is the filter that took the target out; empty if none did.
+	Rejected Filter `json:"rejected,omitempty"`
+	// CachedTokens is the believed cached prefix at the target.
+	CachedTokens int64 `json:"cached_tokens,omitempty"`
+	// Scores are set where no filter rejected the target.
+	Scores Scores `json:"scores"`
+}
+
+// Decision is a choice with its inputs and reasons.
+type Decision struct {
+	Request Request `json:"request"`
+	Params  Params  `json:"params"`
+	Verdict Verdict `json:"verdict"`
+	// Chosen is the id of the chosen target.
+	Chosen string `json:"chosen,omitempty"`
+	// Considered is the number of targets looked at.
+	Considered int `json:"considered"`
+	// Rejections counts the targets that each filter took out.
+	Rejections Rejections `json:"rejections"`
+	// LongHolders is the number of targets that held long prefills.
+	LongHolders int `json:"long_holders,omitempty"`
+	// Candidates are the best targets first, then examples of rejected ones, at
+	// most MaxRecorded.
+	Candidates []Candidate `json:"candidates"`
+}
+
+// MaxRecorded bounds the candidates kept in a decision.
+const MaxRecorded = 16
--- /dev/null
+++ b/core/routing/score.go
@@ -0,0 +1,56 @@
+package routing
+
+// The costs below are seconds added to a first token. They come from the shape
+// of continuous batching, not from one engine: every running request adds a
+// little to each step, memory near its end makes an engine evict or queue, and
+// a long prefill beside a short one takes part of the token budget of a step.
+const (
+	// secondsPerRunning is added for each running call at the target.
+	secondsPerRunning = 0.0005
+	// memoryKnee is the share of memory in use from which pressure counts.
+	memoryKnee = 0.8
+	// secondsAtFull is the cost of a target whose memory is full.
+	secondsAtFull = 0.5
+	// secondsPerLong is added to a short request for each long prefill beside it.
+	secondsPerLong = 0.05
+)
+
+// score estimates the time to first token of the request at the target.
+func score(r *Request, p *Params, long bool, t *Target) Scores {
+	s := Scores{Batch: secondsPerRunning * float64(t.Load.Requests)}
+	if t.DataCentre != r.DataCentre {
+		s.Locality = p.RemotePenalty
+	}
+	if t.PrefillRate <= 0 {
+		return s
+	}
+	s.Prefill = float64(r.PromptTokens) / t.PrefillRate
+	s.Backlog = backlog(p, long, t) / t.PrefillRate
+	if !long {
+		s.LongMix = secondsPerLong * float64(t.Load.LongPrefills)
+	}
+	used := float64(t.Load.MemoryTokens) / float64(t.MemoryTokens)
+	if used > memoryKnee {
+		s.Memory = secondsAtFull * (used - memoryKnee) / (1 - memoryKnee)
+	}
+	return s
+}
+
+// backlog is the part of a target's unread prompt tokens that stands before the
+// request. Engines honour priorities, so a short request passes long prefills;
+// what remains before it is bounded by what the daemons let through.
+func backlog(p *Params, long bool, t *Target) float64 {
+	if long || t.Load.LongPrefills == 0 {
+		return float64(t.Load.BacklogTokens)
+	}
+	short := t.Load.BacklogTokens - int64(t.Load.LongPrefills)*p.LongPromptTokens
+	return float64(max(0, min(short, p.LongPromptTokens)))
+}
+
+// prefixSaved is the prefill time that a cached prefix saves.
+func prefixSaved(r *Request, p *Params, t *Target, cached int64) float64 {
+	if t.PrefillRate <= 0 {
+		return 0
+	}
+	return p.PrefixWeight * float64(min(cached, r.PromptTokens)) / t.PrefillRate
+}
--- /dev/null
+++ b/core/stream/stream_test.go
@@ -0,0 +1,79 @@
+package stream
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"pgregory.net/rapid"
+)
+
+func token(i int64) string { return fmt.Sprint("t", i) }
+
+// TestAnyOrderGivesTheWholeAnswerOrAFailure sends the chunks of an answer in any
+// order, with some dropped, doubled or of another attempt.
+func TestAnyOrderGivesTheWholeAnswerOrAFailure(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.Int64Range(0, 50).Draw(t, "total")
+		chunks := []Chunk{{Attempt: "a", End: true, Total: total}}
+		for i := range total {
+			chunks = append(chunks, Chunk{Attempt: "a", Index: i, Text: token(i)})
+		}
+		chunks = append(chunks, Chunk{Attempt: "old", Index: 0, Text: "wrong"})
+		sent := rapid.SliceOf(rapid.SampledFrom(chunks)).Draw(t, "extra")
+		if rapid.Bool().Draw(t, "all") {
+			sent = append(sent, rapid.Permutation(chunks).Draw(t, "order")...)
+		}
+		a := NewAssembler("a", 0)
+		var got []string
+		seen := map[int64]bool{}
+		ended := false
+		for _, c := range sent {
+			if c.Attempt == "a" {
+				ended = ended || c.End
+				seen[c.Index] = seen[c.Index] || !c.End
+			}
+			err := a.Push(c, func(_ int64, text string) error {
+				got = append(got, text)
+				return nil
+			})
+			if err != nil {
+				t.Fatalf("a correct chunk was refused: %v", err)
+			}
+		}
+		for i, text := range got {
+			if text != token(int64(i)) {
+				t.Fatalf("token %d is %q", i, text)
+			}
+		}
+		whole := ended
+		for i := range total {
+			whole = whole && seen[i]
+		}
+		if (a.Close() == nil) != whole {
+			t.Fatalf("close says %v, all chunks came: %v", a.Close(), whole)
+		}
+	})
+}
+
+func TestLyingStreamsAreRefused(t *testing.T) {
+	cases := map[string][]Chunk{
+		"two texts for one index":  {{Attempt: "a", Text: "x"}, {Attempt: "a", Text: "y"}},
+		"two texts while waiting":  {{Attempt: "a", Index: 2, Text: "x"}, {Attempt: "a", Index: 2, Text: "y"}},
+		"two totals":               {{Attempt: "a", End: true, Total: 2}, {Attempt: "a", End: true, Total: 3}},
+		"ends before its own text": {{Attempt: "a", Text: "x"}, {Attempt: "a", End: true, Total: 0}},
+		"goes on after its end":    {{Attempt: "a", End: true, Total: 1}, {Attempt: "a", Index: 1, Text: "x"}},
+	}
+	for name, chunks := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := NewAssembler("a", 0)
+			var err error
+			for _, c := range chunks {
+				err = errors.Join(err, a.Push(c, func(int64, string) error { return nil }))
+			}
+			if !errors.Is(err, ErrConflict) {
+				t.Fatalf("got %v, want a conflict", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/node/api/server.go
@@ -0,0 +1,302 @@
+// Package api is the interface for callers: the OpenAI-compatible endpoints and
+// plain services.
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/requestcontrol"
+	"doorstack.dev/node/target"
+	"doorstack.dev/node/telemetry"
+	"github.com/google/uuid"
+)
+
+// The headers of the interface.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderDeadline is the time that the caller allows, such as "30s".
+	HeaderDeadline = "X-Deadline"
+)
+
+// Limits bound what callers can take of a daemon.
+type Limits struct {
+	// MaxBody is the largest body, in bytes.
+	MaxBody int64
+	// BodyMemory bounds all bodies held at one time, in bytes.
+	BodyMemory int64
+	// ReadStep is the most time for the next part of a body.
+	ReadStep time.Duration
+	// WriteStep is the most time that a caller may take for a part of the answer.
+	WriteStep time.Duration
+}
+
+// DefaultLimits suit prompts of a million tokens on a host with 2 GB.
+func DefaultLimits() Limits {
+	return Limits{MaxBody: 16 << 20, BodyMemory: 512 << 20, ReadStep: 10 * time.Second, WriteStep: 10 * time.Second}
+}
+
+// Server serves callers.
+type Server struct {
+	board    *blackboard.Blackboard
+	director *requestcontrol.Director
+	metrics  *telemetry.Metrics
+	limits   Limits
+	bodies   *budget
+}
+
+// NewServer returns a server that runs requests through the director.
+func NewServer(board *blackboard.Blackboard, director *requestcontrol.Director, metrics *telemetry.Metrics, limits Limits) *Server {
+	return &Server{board: board, director: director, metrics: metrics, limits: limits, bodies: &budget{limit: limits.BodyMemory}}
+}
+
+// BodyBytes is the memory that request bodies hold now.
+func (s *Server) BodyBytes() int64 { return s.bodies.inUse() }
+
+// Handler routes the endpoints.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.endpoint(s.serveChat))
+	mux.HandleFunc("POST /v1/completions", s.endpoint(s.serveCompletion))
+	mux.HandleFunc("GET /v1/models", s.endpoint(s.serveModels))
+	mux.HandleFunc("/v1/services/{route}", s.endpoint(s.serveService))
+	mux.HandleFunc("/v1/services/{route}/{path...}", s.endpoint(s.serveService))
+	mux.HandleFunc("/", s.serveUnknown)
+	return mux
+}
+
+// exchange is one request with what has been found out about it.
+type exchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	arrived time.Time
+	view    *blackboard.SettingsView
+	account *settings.ClientAccount
+	route   string
+	started bool // the answer's status has been sent
+}
+
+// endpoint wraps an endpoint with what all share: the request id, readiness, the
+// account, and the answer to a failure.
+func (s *Server) endpoint(serve func(*exchange) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: w, r: r, id: requestID(r), arrived: time.Now()}
+		w.Header().Set(HeaderRequestID, x.id)
+		err := s.run(x, serve)
+		outcome := "whole"
+		if err != nil {
+			failure := fault.From(err)
+			outcome = string(failure.Kind)
+			s.writeFailure(x, failure)
+		}
+		s.metrics.Requests.WithLabelValues(x.route, outcome).Inc()
+	}
+}
+
+func (s *Server) run(x *exchange, serve func(*exchange) error) error {
+	if !s.board.Begin() {
+		return s.notServing(x)
+	}
+	defer s.board.End()
+	x.view = s.board.Settings.Current()
+	key, found := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return fault.New(fault.Unauthenticated, "there is no API key", "send \"Authorization: Bearer KEY\"")
+	}
+	account, err := x.view.Tree.Authenticate(key)
+	if err != nil {
+		return err
+	}
+	x.account = account
+	return serve(x)
+}
+
+func (s *Server) notServing(x *exchange) error {
+	if s.board.Phase() == blackboard.Draining {
+		// The caller's connection must not come back to this host.
+		x.w.Header().Set("Connection", "close")
+		return fault.New(fault.ShuttingDown, "this host is leaving", "send again; another host takes it").WithRetry(0)
+	}
+	return fault.New(fault.NotReady, "this host has no settings yet", "send again").WithRetry(time.Second)
+}
+
+// maxRequestID bounds a caller's own request id.
+const maxRequestID = 128
+
+// requestID takes over the caller's request id where it is a harmless one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(HeaderRequestID)
+	if id == "" || len(id) > maxRequestID || strings.ContainsFunc(id, unsafeInID) {
+		return uuid.Must(uuid.NewV7()).String()
+	}
+	return id
+}
+
+func unsafeInID(c rune) bool {
+	isLetter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+	isDigit := c >= '0' && c <= '9'
+	return !isLetter && !isDigit && !strings.ContainsRune("-_.:", c)
+}
+
+// writeFailure answers with an error. Once tokens have been sent it can only be
+// told inside the stream; the stream's own code does that.
+func (s *Server) writeFailure(x *exchange, e *fault.Error) {
+	if x.started {
+		return
+	}
+	header := x.w.Header()
+	header.Set("Content-Type", "application/json")
+	if e.Retry {
+		seconds := math.Ceil(e.RetryAfter.Seconds())
+		header.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	x.w.WriteHeader(e.Status())
+	_ = json.NewEncoder(x.w).Encode(errorBody(e, x.id))
+}
+
+func (s *Server) serveUnknown(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{w: w, r: r, id: requestID(r)}
+	w.Header().Set(HeaderRequestID, x.id)
+	s.writeFailure(x, fault.New(fault.NoRoute,
+		"there is no endpoint "+r.Method+" "+r.URL.Path,
+		"use POST /v1/chat/completions, POST /v1/completions, GET /v1/models or /v1/services/{route}"))
+}
+
+// request resolves a route and the deadline into a request.
+func (x *exchange) request(name string, protocol settings.TargetProtocol) (*requestcontrol.Request, error) {
+	route := x.account.Routes[name]
+	if route == nil || route.Pool.Kind.Protocol != protocol {
+		return nil, fault.New(fault.NoRoute,
+			fmt.Sprintf("the account has no route %q to a target of kind %s", name, protocol),
+			"GET /v1/models lists the routes of the account")
+	}
+	x.route = name
+	allowed := route.Rules.Deadline
+	if text := x.r.Header.Get(HeaderDeadline); text != "" {
+		wanted, err := time.ParseDuration(text)
+		if err != nil || wanted <= 0 {
+			return nil, fault.New(fault.BadRequest, fmt.Sprintf("%s %q is not a duration", HeaderDeadline, text), "write a time such as 30s")
+		}
+		allowed = min(allowed, wanted)
+	}
+	return &requestcontrol.Request{
+		ID:             x.id,
+		Account:        x.account,
+		Route:          route,
+		Revision:       x.view.Revision,
+		Arrived:        x.arrived,
+		Deadline:       x.arrived.Add(allowed),
+		IdempotencyKey: x.r.Header.Get(HeaderIdempotencyKey),
+	}, nil
+}
+
+func (s *Server) serveChat(x *exchange) error { return s.serveModel(x, parseChat) }
+
+func (s *Server) serveCompletion(x *exchange) error { return s.serveModel(x, parseCompletion) }
+
+func (s *Server) serveModel(x *exchange, parse func([]byte) (*modelCall, error)) error {
+	b, err := s.readBody(x.w, x.r)
+	if err != nil {
+		return err
+	}
+	defer b.release()
+	call, err := parse(b.data)
+	if err != nil {
+		return err
+	}
+	b.data = nil // The prompt is all that is needed from here on.
+	req, err := x.request(call.model, settings.ProtocolEngine)
+	if err != nil {
+		return err
+	}
+	req.Prompt = call.prompt
+	req.MaxTokens = call.maxTokens
+	if req.MaxTokens == 0 {
+		req.MaxTokens = req.Route.Rules.MaxOutputTokens
+	}
+	if call.stream {
+		return s.serveStream(x, call, req)
+	}
+	return s.serveWhole(x, call, req)
+}
+
+// modelEntry is an entry of GET /v1/models.
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+func (s *Server) serveModels(x *exchange) error {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for name, route := range x.account.Routes {
+		list.Data = append(list.Data, modelEntry{
+			ID:      name,
+			Object:  "model",
+			Created: x.view.Adopted.Unix(),
+			OwnedBy: string(route.Pool.Kind.Protocol),
+		})
+	}
+	x.w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(x.w).Encode(list)
+}
+
+// dropHeaders are the headers that end at the daemon and do not go to services.
+var dropHeaders = []string{"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", HeaderDeadline}
+
+func (s *Server) serveService(x *exchange) error {
+	b, err := s.readBody(x.w, x.r)
+	if err != nil {
+		return err
+	}
+	defer b.release()
+	req, err := x.request(x.r.PathValue("route"), settings.ProtocolService)
+	if err != nil {
+		return err
+	}
+	req.Call = &target.ServiceCall{
+		Method: x.r.Method,
+		Path:   "/" + x.r.PathValue("path"),
+		Header: x.r.Header.Clone(),
+		Body:   b.data,
+	}
+	if x.r.URL.RawQuery != "" {
+		req.Call.Path += "?" + x.r.URL.RawQuery
+	}
+	for _, name := range dropHeaders {
+		req.Call.Header.Del(name)
+	}
+	req.Call.Header.Set(HeaderRequestID, x.id)
+	ctx, cancel := context.WithCancel(x.r.Context())
+	defer cancel()
+	result, err := s.director.Service(ctx, req)
+	if err != nil {
+		return err
+	}
+	for _, name := range []string{"Content-Type", "Location", "Etag", "Cache-Control"} {
+		if value := result.Header.Get(name); value != "" {
+			x.w.Header().Set(name, value)
+		}
+	}
+	x.w.WriteHeader(result.Status)
+	x.started = true
+	_, _ = x.w.Write(result.Body)
+	return nil
+}
--- /dev/null
+++ b/node/blackboard/blackboard.go
@@ -0,0 +1,110 @@
+// Package blackboard is the shared state of a daemon: tables that controllers
+// fill, that workers and requests read, and that decisions are made from.
+//
+// Each table has one lock. The lock order is stated once, by the Rank constants:
+// a goroutine that holds a table's lock takes only locks of a higher rank. The
+// only places where two are held together are a worker that places waiting
+// requests (queues, then targets). Controllers copy out of one table before they
+// write to the next. Settings are read through an atomic pointer without a lock.
+package blackboard
+
+import "sync/atomic"
+
+// Identity is who a daemon is.
+type Identity struct {
+	// Name is the host's id on the platform's list.
+	Name string
+	// Incarnation is the start of the process, in milliseconds since 1970; a
+	// restarted daemon has a higher one.
+	Incarnation int64
+	// DataCentre and Region say where the daemon stands.
+	DataCentre, Region string
+	// Peer is the address of its listener for peers.
+	Peer string
+}
+
+// Phase is how far a daemon is in its life.
+type Phase int32
+
+// The phases of a daemon.
+const (
+	// Starting daemons have no settings that they may trust yet.
+	Starting Phase = iota
+	// Serving daemons take requests.
+	Serving
+	// Draining daemons finish what they have and take nothing new.
+	Draining
+)
+
+// String names the phase.
+func (p Phase) String() string {
+	return [...]string{"starting", "serving", "draining"}[p]
+}
+
+// Blackboard is all the shared state.
+type Blackboard struct {
+	Self      Identity
+	Queues    *QueueTable
+	Targets   *TargetTable
+	Accounts  *AccountTable
+	Prefixes  *PrefixTable
+	Settings  *SettingsTable
+	Members   *MemberTable
+	Decisions *DecisionTable
+
+	phase    atomic.Int32
+	inFlight atomic.Int64
+}
+
+// Limits bound the memory of the blackboard.
+type Limits struct {
+	// DecisionBytes bounds the records kept for explanations.
+	DecisionBytes int64
+	// PrefixEntries bounds the prefixes remembered for routing.
+	PrefixEntries int
+}
+
+// DefaultLimits bounds the tables to some 24 MB.
+func DefaultLimits() Limits {
+	return Limits{DecisionBytes: 16 << 20, PrefixEntries: 100_000}
+}
+
+// New returns an empty blackboard for a daemon that is starting.
+func New(self Identity, limits Limits) *Blackboard {
+	return &Blackboard{
+		Self:      self,
+		Queues:    newQueueTable(),
+		Targets:   newTargetTable(),
+		Accounts:  newAccountTable(),
+		Prefixes:  newPrefixTable(limits.PrefixEntries),
+		Settings:  newSettingsTable(),
+		Members:   newMemberTable(),
+		Decisions: newDecisionTable(limits.DecisionBytes),
+	}
+}
+
+// Phase is the current phase.
+func (b *Blackboard) Phase() Phase { return Phase(b.phase.Load()) }
+
+// Serve moves a starting daemon to Serving. It does nothing once it drains.
+func (b *Blackboard) Serve() { b.phase.CompareAndSwap(int32(Starting), int32(Serving)) }
+
+// Drain moves the daemon to Draining for good.
+func (b *Blackboard) Drain() { b.phase.Store(int32(Draining)) }
+
+// Begin counts a request in, unless the daemon takes nothing new. Each Begin
+// that returned true needs one End.
+func (b *Blackboard) Begin() bool {
+	b.inFlight.Add(1)
+	if b.Phase() == Serving {
+		return true
+	}
+	b.inFlight.Add(-1)
+	return false
+}
+
+// End counts a request out.
+func (b *Blackboard) End() { b.inFlight.Add(-1) }
+
+// InFlight is the number of requests between Begin and End.
+func (b *Blackboard) InFlight() int64 { return b.inFlight.Load() }
--- /dev/null
+++ b/node/blackboard/prefixes.go
@@ -0,0 +1,121 @@
+package blackboard
+
+import (
+	"container/list"
+	"slices"
+
+	"doorstack.dev/core/routing"
+	"doorstack.dev/node/target"
+)
+
+// PrefixTable remembers which targets are believed to hold the start of which
+// prompts: from what this daemon sent there, corrected by the engines' cache
+// events. Both are hints: events come late and with gaps.
+type PrefixTable struct {
+	mu      Mutex
+	limit   int
+	entries map[uint64]*list.Element
+	recent  *list.List // of *prefixEntry, the most recent first
+}
+
+// maxHolders bounds the targets remembered for one prefix.
+const maxHolders = 4
+
+type prefixEntry struct {
+	hash    uint64
+	holders []string
+}
+
+func newPrefixTable(limit int) *PrefixTable {
+	return &PrefixTable{mu: NewMutex(RankPrefixes), limit: limit, entries: map[uint64]*list.Element{}, recent: list.New()}
+}
+
+// Stored records that a target holds prefixes.
+func (t *PrefixTable) Stored(id string, hashes []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range hashes {
+		t.entry(h).add(id)
+	}
+}
+
+func (t *PrefixTable) entry(h uint64) *prefixEntry {
+	if e := t.entries[h]; e != nil {
+		t.recent.MoveToFront(e)
+		return e.Value.(*prefixEntry)
+	}
+	entry := &prefixEntry{hash: h}
+	t.entries[h] = t.recent.PushFront(entry)
+	for len(t.entries) > t.limit {
+		last := t.recent.Back()
+		delete(t.entries, last.Value.(*prefixEntry).hash)
+		t.recent.Remove(last)
+	}
+	return entry
+}
+
+func (e *prefixEntry) add(id string) {
+	e.holders = slices.DeleteFunc(e.holders, func(h string) bool { return h == id })
+	e.holders = append(e.holders, id)
+	if len(e.holders) > maxHolders {
+		e.holders = e.holders[1:]
+	}
+}
+
+// Evicted records that a target no longer holds prefixes.
+func (t *PrefixTable) Evicted(id string, hashes []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range hashes {
+		e := t.entries[h]
+		if e == nil {
+			continue
+		}
+		entry := e.Value.(*prefixEntry)
+		entry.holders = slices.DeleteFunc(entry.holders, func(holder string) bool { return holder == id })
+		if len(entry.holders) == 0 {
+			delete(t.entries, h)
+			t.recent.Remove(e)
+		}
+	}
+}
+
+// Holder is a target believed to hold a prefix of so many tokens.
+type Holder struct {
+	Target string
+	Tokens int64
+}
+
+// Lookup returns the targets believed to hold the longest prefixes of a prompt.
+func (t *PrefixTable) Lookup(hashes []uint64) []Holder {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var holders []Holder
+	for i, h := range slices.Backward(hashes) {
+		e := t.entries[h]
+		if e == nil {
+			continue
+		}
+		for _, id := range e.Value.(*prefixEntry).holders {
+			known := slices.ContainsFunc(holders, func(x Holder) bool { return x.Target == id })
+			if !known {
+				holders = append(holders, Holder{Target: id, Tokens: target.PrefixTokens(i)})
+			}
+		}
+		if len(holders) >= maxHolders {
+			break
+		}
+	}
+	return holders
+}
+
+// cachedPrefixes turns holders into indexes of a list of targets.
+func cachedPrefixes(holders []Holder, index map[string]int) []routing.CachedPrefix {
+	var cached []routing.CachedPrefix
+	for _, h := range holders {
+		if i, ok := index[h.Target]; ok {
+			cached = append(cached, routing.CachedPrefix{Target: i, Tokens: h.Tokens})
+		}
+	}
+	return cached
+}
--- /dev/null
+++ b/node/blackboard/queues.go
@@ -0,0 +1,229 @@
+package blackboard
+
+import (
+	"time"
+
+	"doorstack.dev/core/admission"
+	"doorstack.dev/core/routing"
+	"doorstack.dev/core/settings"
+)
+
+// QueueTable holds the waiting requests of each pool.
+type QueueTable struct {
+	mu    Mutex
+	pools map[string]*poolQueue
+	dirty chan string
+}
+
+type poolQueue struct {
+	queue  *admission.Queue
+	marked bool
+	// reservedFor is the long request that a target is being emptied for.
+	reservedFor string
+}
+
+// Ticket is a waiting request's place in a queue.
+type Ticket struct {
+	Item *admission.Item
+	Pool *settings.ResolvedPool
+	// Request is the input of routing; Attempt names the call to come.
+	Request routing.Request
+	Attempt string
+	Holders []Holder
+	// Params are the pool's policy at the time of the last look.
+	Params routing.Params
+	// placed receives the placement, once.
+	placed chan Placement
+	// waited is the last decision that found no room.
+	waited *routing.Decision
+	looks  int
+	since  time.Time // when the ticket began to find no target at all
+}
+
+// Placed delivers the ticket's placement.
+func (t *Ticket) Placed() <-chan Placement { return t.placed }
+
+// dirtyQueue bounds the pools that wait for a worker; each is in it once.
+const dirtyQueue = 1024
+
+func newQueueTable() *QueueTable {
+	return &QueueTable{mu: NewMutex(RankQueues), pools: map[string]*poolQueue{}, dirty: make(chan string, dirtyQueue)}
+}
+
+// Push puts a request into its pool's queue and calls for a worker.
+func (t *QueueTable) Push(ticket *Ticket) {
+	ticket.placed = make(chan Placement, 1)
+	t.mu.Lock()
+	p := t.pool(ticket.Pool.Name)
+	p.queue.AgeingPerLevel = time.Duration(ticket.Pool.Policy.AgeingPerLevel)
+	ticket.Item.Owner = ticket
+	p.queue.Push(ticket.Item)
+	t.mark(ticket.Pool.Name, p)
+	t.mu.Unlock()
+}
+
+func (t *QueueTable) pool(name string) *poolQueue {
+	p := t.pools[name]
+	if p == nil {
+		p = &poolQueue{queue: admission.NewQueue(0)}
+		t.pools[name] = p
+	}
+	return p
+}
+
+// mark puts a pool on the workers' list, unless it is there; the lock is held.
+func (t *QueueTable) mark(name string, p *poolQueue) {
+	if p.marked || p.queue.Len() == 0 {
+		return
+	}
+	select {
+	case t.dirty <- name:
+		p.marked = true
+	default:
+	}
+}
+
+// Wake calls for a worker, because room may have come free in a pool.
+func (t *QueueTable) Wake(pool string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.pools[pool]; p != nil {
+		t.mark(pool, p)
+	}
+}
+
+// WakeAll calls for a worker for every pool with waiting requests.
+func (t *QueueTable) WakeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.pools {
+		t.mark(name, p)
+	}
+}
+
+// Dirty delivers the pools that a worker should look at.
+func (t *QueueTable) Dirty() <-chan string { return t.dirty }
+
+// Remove takes a request out that no longer waits. It tells whether it waited;
+// if not, its placement is in the ticket's channel.
+func (t *QueueTable) Remove(ticket *Ticket) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pool(ticket.Pool.Name).queue.Remove(ticket.Item)
+}
+
+// Waiting counts the requests of an account and the tokens before a level.
+func (t *QueueTable) Waiting(pool, account string, level int) (requests int, tokensAhead int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := t.pool(pool).queue
+	return q.Waiting(account), q.TokensAhead(level)
+}
+
+// Len is the number of waiting requests of a pool.
+func (t *QueueTable) Len(pool string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pool(pool).queue.Len()
+}
+
+// Lengths is the number of waiting requests by pool.
+func (t *QueueTable) Lengths() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lengths := map[string]int{}
+	for name, p := range t.pools {
+		lengths[name] = p.queue.Len()
+	}
+	return lengths
+}
+
+// noTargetGrace is how long a request waits while its pool has no target at all:
+// longer than a target's restart on the host list usually shows, and short
+// enough that the caller hears of it early.
+const noTargetGrace = 3 * time.Second
+
+// Dispatch offers the waiting requests of a pool to its targets and delivers
+// each placement to its ticket. It holds the queues' lock and takes the
+// targets' lock inside.
+func (t *QueueTable) Dispatch(pool string, targets *TargetTable, at time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pool(pool)
+	p.marked = false
+	t.emptyTargetForOldest(p, pool, targets, at)
+	return p.queue.Dispatch(at, func(it *admission.Item) bool {
+		return place(it.Owner.(*Ticket), targets, at)
+	})
+}
+
+// place asks for a target and tells whether the ticket is done waiting.
+func place(ticket *Ticket, targets *TargetTable, at time.Time) bool {
+	placement := targets.Place(ticket.Pool.Name, ticket.Attempt, &ticket.Request, &ticket.Params, ticket.Holders, at)
+	ticket.looks++
+	switch placement.Decision.Verdict {
+	case routing.Wait:
+		ticket.waited = &placement.Decision
+		ticket.since = time.Time{}
+		return false
+	case routing.None:
+		ticket.waited = &placement.Decision
+		if ticket.since.IsZero() {
+			ticket.since = at
+		}
+		if at.Sub(ticket.since) < noTargetGrace {
+			return false
+		}
+	case routing.Place, routing.Group:
+	}
+	ticket.placed <- placement
+	return true
+}
+
+// patience is how many ageing steps a long request waits before a target is
+// emptied for it.
+const patience = 2
+
+// emptyTargetForOldest keeps a target free of new short requests once the
+// longest-waiting long request has waited too long, so that short ones cannot
+// fill every gap before it for ever. One target a pool is emptied at a time.
+func (t *QueueTable) emptyTargetForOldest(p *poolQueue, pool string, targets *TargetTable, at time.Time) {
+	oldest := p.queue.Oldest(true)
+	if oldest == nil || p.queue.AgeingPerLevel <= 0 || at.Sub(oldest.Arrived) < patience*p.queue.AgeingPerLevel {
+		if p.reservedFor != "" {
+			targets.Unreserve(p.reservedFor, at)
+			p.reservedFor = ""
+		}
+		return
+	}
+	if p.reservedFor == oldest.ID {
+		return
+	}
+	targets.Unreserve(p.reservedFor, at)
+	p.reservedFor = oldest.ID
+	if id := emptiest(targets.Views(pool, at)); id != "" {
+		targets.Reserve(id, oldest.ID, at)
+	}
+}
+
+// emptiest finds the live target with the most free memory.
+func emptiest(views []routing.Target) string {
+	best, free := "", int64(-1)
+	for i := range views {
+		v := &views[i]
+		if v.State != routing.Live || v.BreakerOpen || v.Unloaded {
+			continue
+		}
+		if left := v.MemoryTokens - v.Load.MemoryTokens; left > free {
+			best, free = v.ID, left
+		}
+	}
+	return best
+}
+
+// Waited is the last decision that found no room. It is read by the ticket's
+// owner after the ticket was placed or removed.
+func (t *Ticket) Waited() *routing.Decision { return t.waited }
+
+// Looks is how often targets were looked at for the ticket.
+func (t *Ticket) Looks() int { return t.looks }
--- /dev/null
+++ b/node/blackboard/rank.go
@@ -0,0 +1,43 @@
+package blackboard
+
+import "sync"
+
+// Rank is a table's place in the lock order.
+type Rank int
+
+// The lock order: a goroutine that holds a table's lock may take only locks of
+// a higher rank. Builds with the race detector check this at run time.
+const (
+	RankQueues Rank = iota + 1
+	RankTargets
+	RankAccounts
+	RankPrefixes
+	RankSettings
+	RankMembers
+	RankClaims
+	RankShares
+	RankLeases
+	RankDecisions
+)
+
+// Mutex is a lock with a rank.
+type Mutex struct {
+	rank Rank
+	mu   sync.Mutex
+}
+
+// NewMutex returns an unlocked mutex of a rank.
+func NewMutex(rank Rank) Mutex { return Mutex{rank: rank} }
+
+// Lock locks m. In builds with the race detector it panics when the goroutine
+// already holds a lock of the same or a higher rank.
+func (m *Mutex) Lock() {
+	acquire(m.rank)
+	m.mu.Lock()
+}
+
+// Unlock unlocks m.
+func (m *Mutex) Unlock() {
+	m.mu.Unlock()
+	release(m.rank)
+}
--- /dev/null
+++ b/node/blackboard/rank_off.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package blackboard
+
+func acquire(Rank) {}
+func release(Rank) {}
--- /dev/null
+++ b/node/blackboard/settings.go
@@ -0,0 +1,67 @@
+package blackboard
+
+import (
+	"sync/atomic"
+	"time"
+
+	"doorstack.dev/core/settings"
+)
+
+// SettingsView is one adopted revision. It never changes.
+type SettingsView struct {
+	Tree     *settings.Tree
+	Revision int64
+	// Digest identifies the content, to notice two contents of one revision.
+	Digest uint64
+	// Adopted is when this daemon adopted it.
+	Adopted time.Time
+	// Snapshot is what the tree was read from.
+	Snapshot settings.Snapshot
+}
+
+// SettingsTable holds the settings in force.
+type SettingsTable struct {
+	current atomic.Pointer[SettingsView]
+	mu      Mutex
+	reject  Rejection
+}
+
+// Rejection is the last revision that was not adopted, and why.
+type Rejection struct {
+	Revision int64     `json:"revision,omitempty"`
+	Reason   string    `json:"reason,omitempty"`
+	At       time.Time `json:"at,omitzero"`
+}
+
+func newSettingsTable() *SettingsTable { return &SettingsTable{mu: NewMutex(RankSettings)} }
+
+// Current is the revision in force, or nil before the first.
+func (t *SettingsTable) Current() *SettingsView { return t.current.Load() }
+
+// Adopt puts a revision in force unless one at least as new is.
+func (t *SettingsTable) Adopt(v *SettingsView) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old := t.current.Load(); old != nil && old.Revision >= v.Revision {
+		return false
+	}
+	t.current.Store(v)
+	if t.reject.Revision <= v.Revision {
+		t.reject = Rejection{}
+	}
+	return true
+}
+
+// Reject records why a revision was not adopted.
+func (t *SettingsTable) Reject(r Rejection) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reject = r
+}
+
+// Rejected is the last revision that was not adopted.
+func (t *SettingsTable) Rejected() Rejection {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reject
+}
--- /dev/null
+++ b/node/cmd/doorstack/client.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// adminFlags are shared by commands that ask a daemon.
+type adminFlags struct {
+	Admin string `default:"${admin}" placeholder:"IP:PORT" help:"The admin address of any daemon (default ${admin})."`
+	JSON  bool   `help:"Print JSON."`
+}
+
+// askTimeout bounds a question to a daemon.
+const askTimeout = 10 * time.Second
+
+// ask reads a document of the daemon. With accept404 a body that comes with
+// "not found" is an answer too.
+func (f *adminFlags) ask(path string, into any, accept404 bool) error {
+	client := &http.Client{Timeout: askTimeout}
+	resp, err := client.Get("http://" + f.Admin + path)
+	if err != nil {
+		return errors.Wrap(err, "ask the daemon; give the admin address of a living one with --admin")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "read the daemon's answer")
+	}
+	if resp.StatusCode != http.StatusOK && (!accept404 || resp.StatusCode != http.StatusNotFound) {
+		return errors.New(fmt.Sprintf("the daemon answered %s: %s", resp.Status, body))
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return errors.Wrap(err, "decode the daemon's answer")
+	}
+	return nil
+}
+
+func printJSON(v any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+// table prints aligned columns.
+type table struct {
+	w *tabwriter.Writer
+}
+
+const columnGap = 2
+
+func newTable(out io.Writer, header ...any) *table {
+	t := &table{w: tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)}
+	t.row(header...)
+	return t
+}
+
+func (t *table) row(cells ...any) {
+	for i, c := range cells {
+		if i > 0 {
+			_, _ = fmt.Fprint(t.w, "\t")
+		}
+		_, _ = fmt.Fprint(t.w, c)
+	}
+	_, _ = fmt.Fprintln(t.w)
+}
+
+func (t *table) flush() { _ = t.w.Flush() }
--- /dev/null
+++ b/node/cmd/doorstack/main.go
@@ -0,0 +1,39 @@
+// Command doorstack is the operators' tool.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line; each command has a file of its own.
+type cli struct {
+	Check    checkCommand    `cmd:"" help:"Check settings files whole, and print every problem with its place."`
+	Settings settingsCommand `cmd:"" help:"Look at the settings tree."`
+	Explain  explainCommand  `cmd:"" help:"Tell why a request went where it went, waited or was refused."`
+	Status   statusCommand   `cmd:"" help:"Show a daemon and what it knows of the fleet."`
+	Targets  targetsCommand  `cmd:"" help:"Show the targets as a daemon sees them."`
+	Accounts accountsCommand `cmd:"" help:"Show what client accounts use at a daemon."`
+	HashKey  hashKeyCommand  `cmd:"" help:"Print the hash of an API key read from standard input."`
+	Try      tryCommand      `cmd:"" help:"Run the whole system on loopback with stand-ins, and show what it does."`
+	Version  kong.VersionFlag
+}
+
+// version is the version of this program.
+const version = "0.1.0"
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c,
+		kong.Name("doorstack"),
+		kong.Description("Looks into doorstack and checks its settings."),
+		kong.Vars{"version": version, "admin": "127.0.0.1:8081"},
+		kong.UsageOnError(),
+	)
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "doorstack:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/node/cmd/doorstack/status.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"doorstack.dev/core/routing"
+	"doorstack.dev/node/admin"
+)
+
+// statusCommand shows a daemon and its fleet.
+type statusCommand struct {
+	adminFlags
+	Watch bool          `help:"Show it again and again until interrupted."`
+	Every time.Duration `default:"1s" help:"The pause between two looks with --watch."`
+}
+
+// clearScreen moves the cursor home and clears a terminal.
+const clearScreen = "\x1b[H\x1b[2J"
+
+// Run implements the command.
+func (c *statusCommand) Run() error {
+	for {
+		var s admin.Status
+		if err := c.ask("/v1/status", &s, false); err != nil {
+			return err
+		}
+		if c.Watch {
+			fmt.Print(clearScreen)
+		}
+		if c.JSON {
+			if err := printJSON(s); err != nil {
+				return err
+			}
+		} else {
+			printStatus(os.Stdout, &s)
+		}
+		if !c.Watch {
+			return nil
+		}
+		time.Sleep(c.Every)
+	}
+}
+
+func printStatus(out io.Writer, s *admin.Status) {
+	_, _ = fmt.Fprintf(out, "%s  %s/%s  %s  revision %d (%s), in force since %s\n", s.Name, s.Region, s.DataCentre, s.Phase, s.Revision, s.Digest, s.Adopted.Format(time.TimeOnly))
+	if s.Rejected.Revision != 0 {
+		_, _ = fmt.Fprintf(out, "revision %d was rejected: %s\n", s.Rejected.Revision, s.Rejected.Reason)
+	}
+	waiting := 0
+	for _, n := range s.Waiting {
+		waiting += n
+	}
+	_, _ = fmt.Fprintf(out, "in flight %d, waiting %d, explanations %d KB (%d dropped), keys held %d\n", s.InFlight, waiting, s.Explain.Bytes>>10, s.Explain.Evicted, s.Fleet.Claims.Keys)
+	if len(s.Fleet.Members) > 0 {
+		_, _ = fmt.Fprintln(out)
+		printMembers(out, s)
+	}
+	_, _ = fmt.Fprintln(out)
+	printTargets(out, s.Targets)
+}
+
+func printMembers(out io.Writer, s *admin.Status) {
+	t := newTable(out, "MEMBER", "WHERE", "STATE", "REVISION", "HEARD")
+	for _, m := range s.Fleet.Members {
+		heard := "-"
+		if !m.Heard.IsZero() {
+			heard = time.Since(m.Heard).Round(time.Millisecond).String() + " ago"
+		}
+		revision := fmt.Sprint(m.Revision)
+		if m.Revision != 0 && m.Revision != s.Revision {
+			revision += " (differs)"
+		}
+		t.row(m.Name, m.Region+"/"+m.DataCentre, m.State, revision, heard)
+	}
+	t.flush()
+}
+
+var stateNames = map[routing.State]string{routing.Live: "live", routing.Leaving: "leaving", routing.Gone: "gone"}
+
+func printTargets(out io.Writer, targets []admin.TargetStatus) {
+	t := newTable(out, "POOL", "TARGET", "WHERE", "STATE", "CALLS", "OWN", "MEMORY", "BACKLOG", "LONG", "REPORT AGE", "FAILURES")
+	for i := range targets {
+		v := &targets[i].View
+		state := stateNames[v.State]
+		if v.BreakerOpen {
+			state += ", breaker open"
+		}
+		if v.Unloaded {
+			state += ", model not loaded"
+		}
+		memory := "-"
+		if v.MemoryTokens > 0 {
+			memory = fmt.Sprintf("%d%%", 100*v.Load.MemoryTokens/v.MemoryTokens)
+		}
+		t.row(targets[i].Pool, v.ID, v.DataCentre, state, v.Load.Requests, targets[i].OwnCalls, memory, v.Load.BacklogTokens, v.Load.LongPrefills, v.ReportAge.Round(time.Millisecond), targets[i].Failures)
+	}
+	t.flush()
+}
+
+// targetsCommand shows the targets.
+type targetsCommand struct {
+	adminFlags
+}
+
+// Run implements the command.
+func (c *targetsCommand) Run() error {
+	var s admin.Status
+	if err := c.ask("/v1/status", &s, false); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(s.Targets)
+	}
+	printTargets(os.Stdout, s.Targets)
+	return nil
+}
+
+// accountsCommand shows the use by client accounts.
+type accountsCommand struct {
+	adminFlags
+}
+
+// Run implements the command.
+func (c *accountsCommand) Run() error {
+	var s admin.Status
+	if err := c.ask("/v1/status", &s, false); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(s.Accounts)
+	}
+	slices.SortFunc(s.Accounts, func(a, b admin.AccountUse) int { return b.Running - a.Running })
+	t := newTable(os.Stdout, "ACCOUNT", "RUNNING", "SHARE RUNNING", "SHARE REQUESTS/S", "SHARE TOKENS/S")
+	for _, a := range s.Accounts {
+		t.row(a.Account, a.Running, a.Share.Concurrent, a.Share.RequestsPerSecond, a.Share.PromptTokensPerSecond)
+	}
+	t.flush()
+	return nil
+}
--- /dev/null
+++ b/node/cmd/doorstackd/main.go
@@ -0,0 +1,70 @@
+// Command doorstackd is the daemon of doorstack. It runs on every entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"doorstack.dev/node/config"
+	"doorstack.dev/node/daemon"
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line.
+type cli struct {
+	Config   string           `required:"" type:"path" placeholder:"FILE" help:"The daemon's own file: addresses, data centre, platform, peer keys."`
+	Check    bool             `help:"Check the file and exit."`
+	LogLevel slog.Level       `default:"info" help:"Least level of log lines: debug, info, warn or error."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// version is the version of this program.
+const version = "0.1.0"
+
+func main() {
+	var c cli
+	kong.Parse(&c,
+		kong.Name("doorstackd"),
+		kong.Description("Serves model requests between callers and targets."),
+		kong.Vars{"version": version},
+		kong.UsageOnError(),
+	)
+	if err := run(&c); err != nil {
+		fmt.Fprintln(os.Stderr, "doorstackd:", err)
+		os.Exit(1)
+	}
+}
+
+func run(c *cli) error {
+	file, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		fmt.Println("ok:", c.Config)
+		return nil
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: c.LogLevel}))
+	d, err := daemon.New(file, log)
+	if err != nil {
+		return err
+	}
+	go drainOnSignal(d, log)
+	return d.Run(context.Background())
+}
+
+// drainOnSignal lets the daemon finish its work at the first signal and ends it
+// at the second.
+func drainOnSignal(d *daemon.Daemon, log *slog.Logger) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	d.Drain()
+	<-signals
+	log.Warn("second signal: ending at once", "cut", d.Board.InFlight())
+	os.Exit(1)
+}
--- /dev/null
+++ b/node/config/config.go
@@ -0,0 +1,164 @@
+// Package config reads a daemon's own file: its addresses, where it stands, the
+// platform and the keys of its peers. The file is checked like the settings
+// tree: every problem at once, each with line, column and remedy.
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"doorstack.dev/core/strictyaml"
+	"github.com/go-faster/errors"
+)
+
+// File is a daemon's own file.
+type File struct {
+	strictyaml.Source
+	// Name is the host's id on the platform's host list.
+	Name string `yaml:"name"`
+	// Listen is the address for callers, host:port.
+	Listen string `yaml:"listen"`
+	// Admin is the address for operators and metrics.
+	Admin string `yaml:"admin"`
+	// Peer is the address for the other daemons.
+	Peer string `yaml:"peer"`
+	// DataCentre and Region say where the host stands.
+	DataCentre string `yaml:"data_centre"`
+	Region     string `yaml:"region"`
+	// Platform says where the platform publishes.
+	Platform Platform `yaml:"platform"`
+	// PeerKeys are the shared secrets of the daemons. The first one is used to
+	// sign; all are accepted, so that a key can be replaced without a gap.
+	PeerKeys []string `yaml:"peer_keys"`
+	// Workers is the number of goroutines that place waiting requests.
+	Workers int `yaml:"workers"`
+	// BodyMemoryMB bounds the memory of all request bodies, in megabytes.
+	BodyMemoryMB int64 `yaml:"body_memory_mb"`
+	// ExplainMemoryMB bounds the memory of recorded decisions, in megabytes.
+	ExplainMemoryMB int64 `yaml:"explain_memory_mb"`
+	// ReportPolls bounds the load reports read a second.
+	ReportPolls float64 `yaml:"report_polls_per_second"`
+	// DrainDelay is how long a leaving daemon still accepts connections, to
+	// answer that it leaves, before it closes its listeners.
+	DrainDelay strictyaml.Duration `yaml:"drain_delay"`
+}
+
+// Platform says where the platform publishes.
+type Platform struct {
+	strictyaml.Source
+	// Configuration is the base URL of the configuration service.
+	Configuration string `yaml:"configuration"`
+	// Hosts is the base URL of the host list.
+	Hosts string `yaml:"hosts"`
+	// Prefix selects the keys of this fleet.
+	Prefix string `yaml:"prefix"`
+}
+
+// Default returns the values of keys that a file leaves out.
+func Default() File {
+	return File{
+		Workers:         4,
+		BodyMemoryMB:    512,
+		ExplainMemoryMB: 16,
+		ReportPolls:     50,
+		DrainDelay:      strictyaml.Duration(time.Second),
+		Platform:        Platform{Prefix: "doorstack/"},
+	}
+}
+
+// Load reads and checks a file.
+func Load(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the daemon's file; give its path with --config")
+	}
+	f, err := Parse(data)
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	return f, nil
+}
+
+// Parse checks a file's content. The error is of type strictyaml.Problems.
+func Parse(data []byte) (*File, error) {
+	f := Default()
+	problems := strictyaml.Decode(data, &f)
+	f.check(&problems)
+	if len(problems) > 0 {
+		problems.Sort()
+		return nil, problems
+	}
+	return &f, nil
+}
+
+// minPeerKey is the least length of a peer key, in bytes.
+const minPeerKey = 16
+
+func (f *File) check(problems *strictyaml.Problems) {
+	required := []struct{ key, value, remedy string }{
+		{"name", f.Name, "write the host's id on the platform's host list"},
+		{"data_centre", f.DataCentre, "write the name of the data centre"},
+		{"region", f.Region, "write the name of the region"},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			problems.Add(f.Key(r.key), r.key, "is missing", r.remedy)
+		}
+	}
+	for _, a := range []struct{ key, value string }{{"listen", f.Listen}, {"admin", f.Admin}, {"peer", f.Peer}} {
+		if err := checkAddress(a.value); err != nil {
+			problems.Add(f.Key(a.key), a.key, err.Error(), "write IP:port, such as 10.0.0.5:8080")
+		}
+	}
+	for _, u := range []struct{ key, value string }{{"configuration", f.Platform.Configuration}, {"hosts", f.Platform.Hosts}} {
+		if err := checkURL(u.value); err != nil {
+			problems.Add(f.Platform.Key(u.key), "platform."+u.key, err.Error(), "write a base URL, such as http://10.0.0.1:9000")
+		}
+	}
+	if len(f.PeerKeys) == 0 {
+		problems.Add(f.Key("peer_keys"), "peer_keys", "there is none", "write one secret of at least 16 characters, the same on all daemons")
+	}
+	for i, key := range f.PeerKeys {
+		if len(key) < minPeerKey {
+			problems.Add(f.Key("peer_keys"), fmt.Sprintf("peer_keys[%d]", i), "is too short", "use at least 16 characters")
+		}
+	}
+	for _, n := range []struct {
+		key   string
+		value float64
+	}{
+		{"workers", float64(f.Workers)},
+		{"body_memory_mb", float64(f.BodyMemoryMB)},
+		{"explain_memory_mb", float64(f.ExplainMemoryMB)},
+		{"report_polls_per_second", f.ReportPolls},
+	} {
+		if n.value <= 0 {
+			problems.Add(f.Key(n.key), n.key, "is not above zero", "write a positive number, or remove the key")
+		}
+	}
+}
+
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.New(fmt.Sprintf("%q is not an address", address))
+	}
+	if net.ParseIP(host) == nil {
+		return errors.New(fmt.Sprintf("%q is not an IP number", host))
+	}
+	if _, err := net.LookupPort("tcp", port); err != nil {
+		return errors.New(fmt.Sprintf("%q is not a port", port))
+	}
+	return nil
+}
+
+func checkURL(text string) error {
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return errors.New(fmt.Sprintf("%q is not a URL", text))
+	}
+	return nil
+}
--- /dev/null
+++ b/node/controller/pause.go
@@ -0,0 +1,42 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/telemetry"
+)
+
+// Pause notices that the process stood still. What it believed before is void
+// then: reports, leases and permits are taken as unknown until renewed.
+type Pause struct {
+	Board  *blackboard.Blackboard
+	Record *telemetry.Recorder
+	// Void is called after a pause, with its length.
+	Void func(time.Duration)
+}
+
+// A pause is a gap of pauseGap in ticks that should come every pauseTick.
+const (
+	pauseTick = 100 * time.Millisecond
+	pauseGap  = time.Second
+)
+
+// Run ticks until ctx ends.
+func (c *Pause) Run(ctx context.Context) {
+	last := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, pauseTick)
+		now := time.Now()
+		gap := now.Sub(last)
+		last = now
+		if gap < pauseGap {
+			continue
+		}
+		c.Record.Metrics.Pauses.Inc()
+		c.Record.Log.Warn("the process was paused; what it believed is void", "gap", gap.String())
+		c.Board.Targets.Void(now)
+		c.Void(gap)
+	}
+}
--- /dev/null
+++ b/node/controller/settings.go
@@ -0,0 +1,172 @@
+// Package controller holds the loops that keep the blackboard up to date: each
+// reads something outside, or one table, and writes one table. Every controller
+// has a Run that ends with its context.
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"doorstack.dev/core/decision"
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/platform"
+	"doorstack.dev/node/telemetry"
+	"github.com/go-faster/errors"
+)
+
+// Settings adopts revisions: from the configuration service, if this daemon is
+// one of those that watch it, and from peers.
+type Settings struct {
+	Board    *blackboard.Blackboard
+	Platform *platform.Client
+	Record   *telemetry.Recorder
+	// Watches tells whether this daemon is one of the few that watch the service.
+	Watches func() bool
+	// Adopted is called after each adoption.
+	Adopted func(*blackboard.SettingsView)
+}
+
+// The pace of reads. A watch is held for watchWait; after a failure the daemon
+// waits a random part of a doubling time, so that the end of an outage does not
+// bring all daemons at once. A daemon that does not watch reads once in a while
+// all the same, in case that all its peers are wrong.
+const (
+	watchWait    = 30 * time.Second
+	readTimeout  = 5 * time.Second
+	backoffFirst = 250 * time.Millisecond
+	backoffMax   = 8 * time.Second
+	idleCheck    = time.Second
+	rareRead     = 5 * time.Minute
+)
+
+// Run reads and watches until ctx ends.
+func (c *Settings) Run(ctx context.Context) {
+	backoff := backoffFirst
+	lastRead := time.Time{}
+	for ctx.Err() == nil {
+		if !c.Watches() && time.Since(lastRead) < rareRead && c.Board.Settings.Current() != nil {
+			sleep(ctx, idleCheck)
+			continue
+		}
+		err := c.read(ctx)
+		lastRead = time.Now()
+		if err == nil {
+			backoff = backoffFirst
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		c.Record.Log.Warn("the configuration service could not be read", "error", err.Error(), "retry_in", backoff.String())
+		sleep(ctx, rand.N(backoff))
+		backoff = min(2*backoff, backoffMax)
+	}
+}
+
+// read reads the whole at first, and then watches for what changes.
+func (c *Settings) read(ctx context.Context) error {
+	since, wait := int64(0), time.Duration(0)
+	if view := c.Board.Settings.Current(); view != nil {
+		since = view.Revision
+		if c.Watches() {
+			wait = watchWait
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	changes, err := c.Platform.Config(ctx, since, wait)
+	if err != nil {
+		c.Record.Metrics.PlatformRead.WithLabelValues("configuration", "failed").Inc()
+		return err
+	}
+	c.Record.Metrics.PlatformRead.WithLabelValues("configuration", "read").Inc()
+	err = c.Offer(changes, "configuration service")
+	if errors.Is(err, settings.ErrGap) {
+		return c.readWhole(ctx)
+	}
+	if err != nil && wait == 0 {
+		// Nothing to watch for yet: a first read that is not good is retried.
+		return err
+	}
+	if err == nil || errors.Is(err, settings.ErrOlder) && wait > 0 {
+		return c.paceAfter(ctx, changes, since)
+	}
+	return err
+}
+
+// paceAfter keeps a service that answers watches at once with nothing new, as a
+// stale one does, from being asked without a pause.
+func (c *Settings) paceAfter(ctx context.Context, changes settings.Changes, since int64) error {
+	if changes.Revision <= since {
+		sleep(ctx, idleCheck)
+	}
+	return nil
+}
+
+func (c *Settings) readWhole(ctx context.Context) error {
+	changes, err := c.Platform.Config(ctx, 0, 0)
+	if err != nil {
+		return err
+	}
+	return c.Offer(changes, "configuration service")
+}
+
+// Offer puts changes in force if they lead to a newer revision and the whole of
+// it passes the check. What is in force stays otherwise.
+func (c *Settings) Offer(changes settings.Changes, from string) error {
+	base := settings.Snapshot{}
+	if view := c.Board.Settings.Current(); view != nil {
+		base = view.Snapshot
+	}
+	next, err := base.Apply(changes)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	tree, err := settings.ParseParts(c.contents(next))
+	c.Record.Metrics.SettingsLag.Observe(time.Since(start).Seconds())
+	if err != nil {
+		c.reject(next.Revision, from, err)
+		return err
+	}
+	view := &blackboard.SettingsView{Tree: tree, Revision: next.Revision, Digest: next.Digest(), Adopted: time.Now(), Snapshot: next}
+	if !c.Board.Settings.Adopt(view) {
+		return settings.ErrOlder
+	}
+	c.Record.Metrics.Revision.Set(float64(next.Revision))
+	c.Record.Record(decision.Record{Kind: decision.KindSettings, Outcome: "adopted", Revision: next.Revision,
+		Reason: fmt.Sprintf("from %s, %d parts, %d accounts, checked in %v", from, len(next.Parts), len(tree.Accounts()), time.Since(start).Round(time.Millisecond))})
+	c.Adopted(view)
+	return nil
+}
+
+// reject records a revision that is not adopted, once.
+func (c *Settings) reject(revision int64, from string, err error) {
+	if c.Board.Settings.Rejected().Revision == revision {
+		return
+	}
+	c.Board.Settings.Reject(blackboard.Rejection{Revision: revision, Reason: err.Error(), At: time.Now()})
+	c.Record.Record(decision.Record{Kind: decision.KindSettings, Outcome: "rejected", Revision: revision, Reason: "from " + from + ": " + err.Error()})
+}
+
+func (c *Settings) contents(s settings.Snapshot) map[string][]byte {
+	contents := make(map[string][]byte, len(s.Parts))
+	for key, part := range s.Parts {
+		contents[strings.TrimPrefix(key, c.Platform.Prefix)] = part.Data
+	}
+	return contents
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/node/daemon/daemon.go
@@ -0,0 +1,200 @@
+// Package daemon puts the parts of a daemon together and runs them: listeners,
+// workers, controllers, and the orderly end.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"doorstack.dev/node/admin"
+	"doorstack.dev/node/api"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/config"
+	"doorstack.dev/node/controller"
+	"doorstack.dev/node/platform"
+	"doorstack.dev/node/requestcontrol"
+	"doorstack.dev/node/target"
+	"doorstack.dev/node/telemetry"
+	"doorstack.dev/node/worker"
+	"github.com/go-faster/errors"
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// Daemon is a doorstackd in a process. Several can run in one process.
+type Daemon struct {
+	Config  *config.File
+	Board   *blackboard.Blackboard
+	Metrics *telemetry.Metrics
+	Log     *slog.Logger
+
+	record   *telemetry.Recorder
+	director *requestcontrol.Director
+	settings *controller.Settings
+	hosts    *controller.Hosts
+	callers  *khttp.Server
+	app      *kratos.App
+	loops    []func(context.Context)
+	drained  chan struct{}
+	drainOne sync.Once
+}
+
+// New provisions a daemon from its file. Its listeners are open afterwards, so a
+// busy port is an error here; nothing is served before Run.
+func New(file *config.File, log *slog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		Config:  file,
+		Log:     log.With("daemon", file.Name),
+		Metrics: telemetry.NewMetrics(),
+		drained: make(chan struct{}),
+	}
+	limits := blackboard.DefaultLimits()
+	limits.DecisionBytes = file.ExplainMemoryMB << 20
+	d.Board = blackboard.New(blackboard.Identity{
+		Name:        file.Name,
+		Incarnation: time.Now().UnixMilli(),
+		DataCentre:  file.DataCentre,
+		Region:      file.Region,
+		Peer:        file.Peer,
+	}, limits)
+	d.record = &telemetry.Recorder{Board: d.Board, Log: d.Log, Metrics: d.Metrics}
+	d.provisionControllers()
+	if err := d.provisionServers(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) provisionControllers() {
+	client := target.NewClient()
+	source := &platform.Client{
+		ConfigURL: d.Config.Platform.Configuration,
+		HostsURL:  d.Config.Platform.Hosts,
+		Prefix:    d.Config.Platform.Prefix,
+		HTTP:      &http.Client{},
+	}
+	d.director = &requestcontrol.Director{Board: d.Board, Targets: client, Record: d.record, Retrying: requestcontrol.DefaultRetryPolicy()}
+	d.settings = &controller.Settings{
+		Board:    d.Board,
+		Platform: source,
+		Record:   d.record,
+		Watches:  func() bool { return true },
+		Adopted:  func(*blackboard.SettingsView) { d.adopted() },
+	}
+	d.hosts = &controller.Hosts{Board: d.Board, Platform: source, Record: d.record, Every: controller.HostsEvery}
+	reports := &controller.Reports{Board: d.Board, Client: client, Record: d.record, PollsPerSecond: d.Config.ReportPolls}
+	pause := &controller.Pause{Board: d.Board, Record: d.record, Void: func(time.Duration) {}}
+	workers := &worker.Pool{Board: d.Board, Size: d.Config.Workers}
+	d.loops = []func(context.Context){d.settings.Run, d.hosts.Run, reports.Run, pause.Run, workers.Run}
+}
+
+// adopted takes a new revision to the targets, and opens the doors after the
+// first one.
+func (d *Daemon) adopted() {
+	controller.SyncTargets(d.Board)
+	d.Board.Serve()
+}
+
+// readHeaderTimeout bounds a caller that opens a connection and says nothing.
+const readHeaderTimeout = 10 * time.Second
+
+func (d *Daemon) provisionServers() error {
+	limits := api.DefaultLimits()
+	limits.BodyMemory = d.Config.BodyMemoryMB << 20
+	callers := api.NewServer(d.Board, d.director, d.Metrics, limits)
+	operators := &admin.Server{Board: d.Board, Metrics: d.Metrics}
+	var err error
+	if d.callers, err = newServer("listen", d.Config.Listen, callers.Handler()); err != nil {
+		return err
+	}
+	adminServer, err := newServer("admin", d.Config.Admin, operators.Handler())
+	if err != nil {
+		return err
+	}
+	d.app = kratos.New(
+		kratos.Name("doorstackd"),
+		kratos.ID(d.Config.Name),
+		kratos.Logger(kratosLogger{d.Log}),
+		kratos.Server(d.callers, adminServer),
+		kratos.StopTimeout(stopTimeout),
+		// Draining is done before Stop, so signals are not the library's: it
+		// would stop the listeners at once.
+		kratos.Signal(noSignal),
+	)
+	return nil
+}
+
+// newServer opens a listener. The library's own request timeout of one second is
+// switched off: requests carry their own deadlines.
+func newServer(key, address string, handler http.Handler) (*khttp.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, fmt.Sprintf("open the address of %q; free the port or change the file", key))
+	}
+	server := khttp.NewServer(
+		khttp.Listener(listener),
+		khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
+		khttp.Timeout(0),
+		khttp.StrictSlash(false),
+	)
+	server.HandlePrefix("/", handler)
+	server.ReadHeaderTimeout = readHeaderTimeout
+	return server, nil
+}
+
+// Run serves until ctx ends or Drain has finished, and then stops in order.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var loops sync.WaitGroup
+	for _, loop := range d.loops {
+		loops.Go(func() { loop(ctx) })
+	}
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-d.drained:
+		}
+		_ = d.app.Stop()
+	}()
+	d.Log.Info("started", "listen", d.Config.Listen, "admin", d.Config.Admin, "peer", d.Config.Peer)
+	err := d.app.Run()
+	cancel()
+	loops.Wait()
+	d.Log.Info("stopped")
+	if err != nil {
+		return errors.Wrap(err, "run")
+	}
+	return nil
+}
+
+// stopTimeout bounds the closing of listeners after everything has been drained.
+const stopTimeout = 5 * time.Second
+
+// drainPoll is how often a leaving daemon looks whether all has ended.
+const drainPoll = 20 * time.Millisecond
+
+// Drain takes nothing new, waits for all that is in flight, each bounded by its
+// own deadline, and then lets Run return.
+func (d *Daemon) Drain() {
+	d.drainOne.Do(func() {
+		d.Board.Drain()
+		d.Log.Info("draining", "in_flight", d.Board.InFlight())
+		go d.waitDrained()
+	})
+}
+
+func (d *Daemon) waitDrained() {
+	// The balancer needs a moment to see that this host is not ready.
+	time.Sleep(time.Duration(d.Config.DrainDelay))
+	for d.Board.InFlight() > 0 {
+		time.Sleep(drainPoll)
+	}
+	close(d.drained)
+}
--- /dev/null
+++ b/node/daemon/kratoslog.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"syscall"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+)
+
+// noSignal is a signal that never comes, as a daemon starts no process.
+// listen to every signal if it were given none.
+const noSignal = syscall.SIGCHLD
+
+// kratosLogger passes the library's log lines on to slog.
+type kratosLogger struct {
+	log *slog.Logger
+}
+
+// Log implements the library's interface.
+func (l kratosLogger) Log(level klog.Level, keyvals ...any) error {
+	levels := map[klog.Level]slog.Level{
+		klog.LevelDebug: slog.LevelDebug,
+		klog.LevelInfo:  slog.LevelDebug, // Its start and stop lines say nothing new.
+		klog.LevelWarn:  slog.LevelWarn,
+		klog.LevelError: slog.LevelError,
+		klog.LevelFatal: slog.LevelError,
+	}
+	attrs := make([]any, 0, len(keyvals))
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		attrs = append(attrs, slog.Any(fmt.Sprint(keyvals[i]), keyvals[i+1]))
+	}
+	l.log.Log(context.Background(), levels[level], "kratos", attrs...)
+	return nil
+}
--- /dev/null
+++ b/node/internal/fleet/fleet.go
@@ -0,0 +1,284 @@
+// Package fleet starts stand-ins and daemons in one process on loopback, for
+// tests and for "doorstack try". It holds no logic of doorstack itself.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"doorstack.dev/core/strictyaml"
+	"doorstack.dev/node/config"
+	"doorstack.dev/node/daemon"
+	"doorstack.dev/node/internal/standin"
+	"doorstack.dev/node/platform"
+	"github.com/go-faster/errors"
+)
+
+// Options describe a fleet.
+type Options struct {
+	// Settings is the settings document.
+	Settings []byte
+	// Daemons, Engines and Services are numbers of each.
+	Daemons, Engines, Services int
+	// EnginePool, ServicePool and Model name what the settings route to.
+	EnginePool, ServicePool, Model string
+	// Cost is the engines' cost model.
+	Cost standin.Cost
+	// Log receives the daemons' log lines; nil drops them.
+	Log io.Writer
+	// DataCentres are spread over hosts in turn; by default one.
+	DataCentres []string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Platform       *standin.Platform
+	PlatformServer *standin.Server
+	Engines        []*Engine
+	Services       []*Service
+	Daemons        []*Node
+	options        Options
+}
+
+// Engine is a stand-in engine with its listener.
+type Engine struct {
+	*standin.Engine
+	Host   platform.Host
+	Server *standin.Server
+}
+
+// Service is a stand-in service with its listener.
+type Service struct {
+	*standin.Service
+	Host   platform.Host
+	Server *standin.Server
+}
+
+// Node is a running daemon.
+type Node struct {
+	*daemon.Daemon
+	Host   platform.Host
+	cancel context.CancelFunc
+	done   chan struct{}
+	once   sync.Once
+}
+
+// region is the region of all hosts.
+const region = "r1"
+
+// peerKey is the daemons' shared secret.
+const peerKey = "a-shared-secret-of-the-fleet"
+
+// Start starts everything and waits until the daemons serve.
+func Start(o Options) (*Fleet, error) {
+	if len(o.DataCentres) == 0 {
+		o.DataCentres = []string{"dc1"}
+	}
+	f := &Fleet{Platform: standin.NewPlatform(), options: o}
+	f.Platform.Put(map[string]string{"doorstack/settings": string(o.Settings)})
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	var err error
+	if f.PlatformServer, err = standin.Listen("", f.Platform.Handler(), nil); err != nil {
+		return err
+	}
+	for i := range f.options.Engines {
+		if err := f.addEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.options.Services {
+		if err := f.addService(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.options.Daemons {
+		if err := f.addDaemon(i); err != nil {
+			return err
+		}
+	}
+	f.Publish()
+	for _, d := range f.Daemons {
+		d.start()
+	}
+	for _, d := range f.Daemons {
+		if err := d.WaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) dataCentre(i int) string { return f.options.DataCentres[i%len(f.options.DataCentres)] }
+
+func (f *Fleet) addEngine(i int) error {
+	e := standin.NewEngine(fmt.Sprintf("engine-%d", i+1), f.options.Cost, f.options.Model)
+	server, err := standin.Listen("", e.Handler(), e.Run)
+	if err != nil {
+		return err
+	}
+	f.Engines = append(f.Engines, &Engine{Engine: e, Server: server, Host: platform.Host{
+		ID: e.Name, Role: platform.RoleTarget, Address: server.Address, Pool: f.options.EnginePool,
+		DataCentre: f.dataCentre(i), Region: region, State: platform.HostLive,
+	}})
+	return nil
+}
+
+func (f *Fleet) addService(i int) error {
+	s := standin.NewService(fmt.Sprintf("service-%d", i+1))
+	server, err := standin.Listen("", s.Handler(), nil)
+	if err != nil {
+		return err
+	}
+	f.Services = append(f.Services, &Service{Service: s, Server: server, Host: platform.Host{
+		ID: s.Name, Role: platform.RoleTarget, Address: server.Address, Pool: f.options.ServicePool,
+		DataCentre: f.dataCentre(i), Region: region, State: platform.HostLive,
+	}})
+	return nil
+}
+
+func (f *Fleet) addDaemon(i int) error {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	file := config.Default()
+	file.Name = fmt.Sprintf("daemon-%d", i+1)
+	file.Listen, file.Admin, file.Peer = addresses[0], addresses[1], addresses[2]
+	file.DataCentre, file.Region = f.dataCentre(i), region
+	file.Platform.Configuration = "http://" + f.PlatformServer.Address
+	file.Platform.Hosts = file.Platform.Configuration
+	file.PeerKeys = []string{peerKey}
+	file.DrainDelay = strictyaml.Duration(0)
+	node, err := f.newNode(&file)
+	if err != nil {
+		return err
+	}
+	f.Daemons = append(f.Daemons, node)
+	return nil
+}
+
+func (f *Fleet) newNode(file *config.File) (*Node, error) {
+	out := f.options.Log
+	if out == nil {
+		out = io.Discard
+	}
+	d, err := daemon.New(file, slog.New(slog.NewJSONHandler(out, nil)))
+	if err != nil {
+		return nil, err
+	}
+	return &Node{Daemon: d, done: make(chan struct{}), Host: platform.Host{
+		ID: file.Name, Role: platform.RoleDaemon, Address: file.Peer,
+		DataCentre: file.DataCentre, Region: file.Region, State: platform.HostLive,
+	}}, nil
+}
+
+// freeAddresses finds free ports on loopback.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (n *Node) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		_ = n.Run(ctx)
+		close(n.done)
+	}()
+}
+
+// readyTimeout bounds the start of a daemon; readyPoll is how often it is asked.
+const (
+	readyTimeout = 20 * time.Second
+	readyPoll    = 5 * time.Millisecond
+)
+
+// WaitReady waits until the daemon serves.
+func (n *Node) WaitReady() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Config.Admin+"/readyz", nil)
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(readyPoll)
+	}
+	return errors.New(n.Config.Name + " did not get ready")
+}
+
+// Stop ends the daemon at once and waits until it is gone.
+func (n *Node) Stop() {
+	n.once.Do(func() {
+		if n.cancel == nil {
+			return
+		}
+		n.cancel()
+		<-n.done
+	})
+}
+
+// Done is closed when the daemon has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// URL is the callers' base URL.
+func (n *Node) URL() string { return "http://" + n.Config.Listen }
+
+// Publish puts all hosts on the platform's list.
+func (f *Fleet) Publish() {
+	var hosts []platform.Host
+	for _, d := range f.Daemons {
+		hosts = append(hosts, d.Host)
+	}
+	for _, e := range f.Engines {
+		hosts = append(hosts, e.Host)
+	}
+	for _, s := range f.Services {
+		hosts = append(hosts, s.Host)
+	}
+	f.Platform.SetHosts(hosts)
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	for _, d := range f.Daemons {
+		d.Stop()
+	}
+	for _, e := range f.Engines {
+		e.Server.Close()
+	}
+	for _, s := range f.Services {
+		s.Server.Close()
+	}
+	if f.PlatformServer != nil {
+		f.PlatformServer.Close()
+	}
+}
--- /dev/null
+++ b/node/internal/standin/enginehttp.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+
+	"doorstack.dev/node/target"
+)
+
+// Handler serves the engine's published interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", e.serveGenerate)
+	mux.HandleFunc("POST /v1/resume", e.serveResume)
+	mux.HandleFunc("POST /v1/cancel", handle(func(r target.CancelRequest) *target.ErrorAnswer {
+		e.cancel(r.Attempt)
+		return nil
+	}))
+	mux.HandleFunc("POST /v1/reserve", handle(e.reserve))
+	mux.HandleFunc("POST /v1/release", handle(func(r target.ReleaseRequest) *target.ErrorAnswer {
+		e.release(r.ID)
+		return nil
+	}))
+	mux.HandleFunc("POST /v1/prefill", e.servePrefill)
+	mux.HandleFunc("POST /v1/order", handle(e.order))
+	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Report()) })
+	mux.HandleFunc("GET /v1/events", func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		writeJSON(w, http.StatusOK, e.eventsAfter(after))
+	})
+	return mux
+}
+
+func handle[T any](do func(T) *target.ErrorAnswer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in T
+		if !readJSON(w, r, &in) {
+			return
+		}
+		if answer := do(in); answer != nil {
+			writeJSON(w, http.StatusServiceUnavailable, answer)
+			return
+		}
+		writeJSON(w, http.StatusOK, struct{}{})
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		writeJSON(w, http.StatusBadRequest, target.ErrorAnswer{Code: "bad_json", Message: err.Error()})
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var g target.GenerateRequest
+	if !readJSON(w, r, &g) {
+		return
+	}
+	s, answer := e.start(&g)
+	if answer != nil {
+		writeJSON(w, http.StatusServiceUnavailable, answer)
+		return
+	}
+	e.relay(w, r, s, g.FirstIndex)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	var q target.ResumeRequest
+	if !readJSON(w, r, &q) {
+		return
+	}
+	e.mu.Lock()
+	s := e.sequences[q.Attempt]
+	e.mu.Unlock()
+	if s == nil || q.From < s.first {
+		writeJSON(w, http.StatusNotFound, target.ErrorAnswer{Code: target.CodeUnknown, Message: "there is no such stream"})
+		return
+	}
+	e.relay(w, r, s, q.From)
+}
+
+func (e *Engine) servePrefill(w http.ResponseWriter, r *http.Request) {
+	var p target.PrefillRequest
+	if !readJSON(w, r, &p) {
+		return
+	}
+	s, answer := e.startPrefill(&p)
+	if answer != nil {
+		writeJSON(w, http.StatusServiceUnavailable, answer)
+		return
+	}
+	if !e.waitEnd(r.Context(), s) {
+		e.mu.Lock()
+		e.end(s, "the caller went away")
+		e.mu.Unlock()
+		return
+	}
+	if s.failed != "" {
+		writeJSON(w, http.StatusConflict, target.ErrorAnswer{Code: target.CodeUnknown, Message: s.failed, Ran: true})
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) waitEnd(ctx context.Context, s *sequence) bool {
+	for {
+		e.mu.Lock()
+		ended, changed := s.ended, s.changed
+		e.mu.Unlock()
+		if ended {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// relay writes the tokens of a sequence from an index on until it ends. A caller
+// that goes away does not stop the sequence: it may resume or cancel it.
+func (e *Engine) relay(w http.ResponseWriter, r *http.Request, s *sequence, from int64) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w).Flush
+	_ = flush()
+	lines := json.NewEncoder(w)
+	for {
+		e.mu.Lock()
+		tokens := s.tokens[min(from-s.first, int64(len(s.tokens))):]
+		faults, changed, ended, failed := e.faults, s.changed, s.ended, s.failed
+		e.mu.Unlock()
+		if len(tokens) > 0 {
+			if cut := faults.TruncateAfter; cut > 0 && from+int64(len(tokens)) >= cut {
+				tokens = tokens[:max(0, cut-from)]
+				writeTokens(lines, s, from, tokens, faults)
+				return
+			}
+			writeTokens(lines, s, from, tokens, faults)
+			from += int64(len(tokens))
+			if flush() != nil {
+				return
+			}
+		}
+		if ended && from >= s.first+int64(len(s.tokens)) {
+			writeEnd(lines, s, from, failed)
+			return
+		}
+		if len(tokens) > 0 {
+			continue
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func writeTokens(lines *json.Encoder, s *sequence, from int64, tokens []string, f Faults) {
+	chunks := make([]target.Chunk, 0, len(tokens))
+	for i, text := range tokens {
+		chunks = append(chunks, target.Chunk{Attempt: s.attempt, Index: from + int64(i), Text: text})
+	}
+	if f.ForeignChunks {
+		chunks = append(chunks, target.Chunk{Attempt: "another", Index: from, Text: " WRONG"})
+	}
+	if f.DuplicateChunks {
+		chunks = append(chunks, chunks...)
+	}
+	if f.ReorderChunks {
+		for i := 0; i+1 < len(chunks); i += 2 {
+			chunks[i], chunks[i+1] = chunks[i+1], chunks[i]
+		}
+	}
+	for _, c := range chunks {
+		_ = lines.Encode(c)
+	}
+}
+
+func writeEnd(lines *json.Encoder, s *sequence, total int64, failed string) {
+	if failed != "" {
+		_ = lines.Encode(target.Chunk{Attempt: s.attempt, Error: failed})
+		return
+	}
+	_ = lines.Encode(target.Chunk{Attempt: s.attempt, End: true, Total: total, Finish: "length"})
+}
+
+// Server is a stand-in listening on loopback.
+type Server struct {
+	// Address is its host:port.
+	Address string
+	http    *http.Server
+	cancel  context.CancelFunc
+}
+
+// Listen serves a handler on loopback, on a free port if address is "". run is
+// kept going until the server is closed; it may be nil.
+func Listen(address string, handler http.Handler, run func(context.Context)) (*Server, error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{Address: listener.Addr().String(), http: &http.Server{Handler: handler}, cancel: cancel}
+	if run != nil {
+		go run(ctx)
+	}
+	go func() { _ = s.http.Serve(listener) }()
+	return s, nil
+}
+
+// Close ends the server at once, cutting what is open, as a crash would.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.http.Close()
+}
--- /dev/null
+++ b/node/internal/standin/platform.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/platform"
+)
+
+// Platform is a stand-in for the configuration service and the host list. Each
+// server has its own; several servers of one Platform can be frozen apart.
+type Platform struct {
+	mu       sync.Mutex
+	revision int64
+	values   map[string]settings.Part
+	deleted  map[string]int64
+	hosts    platform.HostList
+	changed  chan struct{}
+	calls    int64
+	faults   PlatformFaults
+	frozen   *settings.Changes
+}
+
+// PlatformFaults are the ways in which the platform misbehaves.
+type PlatformFaults struct {
+	// Down refuses every call.
+	Down bool
+	// Garbage answers with what is not JSON.
+	Garbage bool
+	// Stale answers from the state at the time the fault was set.
+	Stale bool
+}
+
+// NewPlatform returns a platform without values or hosts.
+func NewPlatform() *Platform {
+	return &Platform{
+		values:  map[string]settings.Part{},
+		deleted: map[string]int64{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Put writes values, all in one revision, and returns it.
+func (p *Platform) Put(values map[string]string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	for key, data := range values {
+		p.values[key] = settings.Part{Revision: p.revision, Data: []byte(data)}
+		delete(p.deleted, key)
+	}
+	p.notify()
+	return p.revision
+}
+
+// Delete removes a value.
+func (p *Platform) Delete(key string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	delete(p.values, key)
+	p.deleted[key] = p.revision
+	p.notify()
+	return p.revision
+}
+
+func (p *Platform) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetHosts replaces the host list.
+func (p *Platform) SetHosts(hosts []platform.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts.Revision++
+	p.hosts.Hosts = append([]platform.Host(nil), hosts...)
+}
+
+// SetFaults changes how the platform misbehaves from now on.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.Stale && p.frozen == nil {
+		changes := p.since(0)
+		p.frozen = &changes
+	}
+	if !f.Stale {
+		p.frozen = nil
+	}
+	p.faults = f
+}
+
+// Calls is the number of calls that the platform has counted.
+func (p *Platform) Calls() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// since lists the values that changed after a revision; the lock is held.
+func (p *Platform) since(revision int64) settings.Changes {
+	changes := settings.Changes{Since: revision, Revision: p.revision, Parts: map[string]settings.Part{}}
+	for key, v := range p.values {
+		if v.Revision > revision {
+			changes.Parts[key] = v
+		}
+	}
+	for key, at := range p.deleted {
+		if at > revision {
+			changes.Deleted = append(changes.Deleted, key)
+		}
+	}
+	return changes
+}
+
+// Handler serves the platform's published interface.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/config", p.serveConfig)
+	mux.HandleFunc("GET /v1/hosts", p.serveHosts)
+	return mux
+}
+
+// serveFault answers for a fault that stops the call; the lock is held.
+func (p *Platform) serveFault(w http.ResponseWriter) bool {
+	p.calls++
+	switch {
+	case p.faults.Down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	case p.faults.Garbage:
+		_, _ = w.Write([]byte("<html>it works</html>"))
+		return true
+	}
+	return false
+}
+
+func (p *Platform) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.serveFault(w) {
+		return
+	}
+	list := p.hosts
+	list.AsOf = time.Now()
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (p *Platform) serveConfig(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, _ := strconv.ParseInt(query.Get("since"), 10, 64)
+	wait, _ := time.ParseDuration(query.Get("wait"))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	p.mu.Lock()
+	if p.serveFault(w) {
+		p.mu.Unlock()
+		return
+	}
+	for wait > 0 && p.revision <= since && p.frozen == nil {
+		changed := p.changed
+		p.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+		p.mu.Lock()
+	}
+	changes := p.since(since)
+	if p.frozen != nil {
+		changes = *p.frozen
+	}
+	p.mu.Unlock()
+	writeJSON(w, http.StatusOK, withPrefix(changes, query.Get("prefix")))
+}
+
+// withPrefix keeps the values below a prefix.
+func withPrefix(changes settings.Changes, prefix string) settings.Changes {
+	kept := changes
+	kept.Parts = map[string]settings.Part{}
+	for key, v := range changes.Parts {
+		if strings.HasPrefix(key, prefix) {
+			kept.Parts[key] = v
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/node/requestcontrol/director.go
@@ -0,0 +1,314 @@
+package requestcontrol
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"doorstack.dev/core/admission"
+	"doorstack.dev/core/decision"
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/routing"
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/target"
+	"doorstack.dev/node/telemetry"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+)
+
+// Claimer makes sure that a call with an idempotency key runs at most once in
+// the whole fleet.
+type Claimer interface {
+	// Claim returns nil when this daemon, and no other, may send the call until
+	// the permit ends. An earlier call's answer comes back as a Duplicate.
+	Claim(ctx context.Context, c Claim) (*Permit, error)
+	// Conclude tells how a claimed call ended, for duplicates to come.
+	Conclude(c Claim, o ClaimOutcome)
+}
+
+// Claim asks for the right to send a call.
+type Claim struct {
+	// Key is scoped to the account and the route.
+	Key string
+	// Stamp is the key as the caller wrote it; a UUIDv7 carries its time.
+	Stamp   string
+	Attempt string
+	Request string
+	// Region is the region of the call's targets.
+	Region   string
+	Deadline time.Time
+}
+
+// Permit is the right to send a call once, before it ends.
+type Permit struct {
+	// Ends is on the monotonic clock; it is checked last thing before the send.
+	Ends time.Time
+	// Tally is how the witnesses answered.
+	Tally decision.ClaimTally
+}
+
+// ClaimOutcome is how a claimed call ended.
+type ClaimOutcome struct {
+	Execution fault.Execution       `cbor:"1,keyasint"`
+	Answer    *target.ServiceAnswer `cbor:"2,keyasint,omitempty"`
+}
+
+// Duplicate is the error for a key that an earlier call used; it carries that
+// call's outcome.
+type Duplicate struct {
+	Outcome ClaimOutcome
+}
+
+// Error implements error.
+func (d *Duplicate) Error() string {
+	return "an earlier call used this idempotency key: " + string(d.Outcome.Execution)
+}
+
+// Director runs requests.
+type Director struct {
+	Board    *blackboard.Blackboard
+	Targets  *target.Client
+	Record   *telemetry.Recorder
+	Claims   Claimer
+	Retrying RetryPolicy
+}
+
+// RetryPolicy bounds the attempts of one request.
+type RetryPolicy struct {
+	// MaxAttempts includes the first.
+	MaxAttempts int
+}
+
+// DefaultRetryPolicy gives a request four attempts.
+func DefaultRetryPolicy() RetryPolicy { return RetryPolicy{MaxAttempts: 4} }
+
+// admit takes the request into its account's limits and refuses it early where
+// its deadline cannot be met. Every admitted request needs one call of done.
+func (d *Director) admit(r *Request) (done func(), err error) {
+	r.prepare()
+	if err := checkLength(r); err != nil {
+		return nil, err
+	}
+	rules := &r.Route.Rules
+	verdict := d.Board.Accounts.Admit(r.Account.Path, rules, r.promptTokens, r.Arrived)
+	if verdict.Limit != admission.LimitNone {
+		err := limitError(verdict)
+		d.record(r, decision.Record{Kind: decision.KindLimit, Outcome: decision.OutcomeRefused, Reason: err.Message, Limit: &verdict})
+		return nil, err
+	}
+	done = func() { d.Board.Accounts.Done(r.Account.Path) }
+	if err := d.checkEstimate(r); err != nil {
+		done()
+		return nil, err
+	}
+	return done, nil
+}
+
+func checkLength(r *Request) error {
+	rules := &r.Route.Rules
+	if r.promptTokens > rules.MaxPromptTokens {
+		return fault.New(fault.TooLarge,
+			fmt.Sprintf("the prompt has about %d tokens and the account allows %d", r.promptTokens, rules.MaxPromptTokens),
+			"shorten the prompt, or have max_prompt_tokens raised in the settings")
+	}
+	if r.MaxTokens > rules.MaxOutputTokens {
+		return fault.New(fault.BadRequest,
+			fmt.Sprintf("max_tokens is %d and the account allows %d", r.MaxTokens, rules.MaxOutputTokens),
+			"ask for fewer tokens, or have max_output_tokens raised in the settings")
+	}
+	return nil
+}
+
+func limitError(v admission.Verdict) *fault.Error {
+	message := fmt.Sprintf("the account's limit %s is reached at this daemon", v.Limit)
+	if v.Limit == admission.LimitConcurrent {
+		message = fmt.Sprintf("%d requests of the account run here and its share is %d", v.Running, v.Allowed)
+	}
+	return fault.New(fault.RateLimited, message, "send again after the time in Retry-After, or have the limit raised").
+		WithRetry(v.RetryAfter)
+}
+
+// checkEstimate refuses a request whose deadline passes before its first token
+// can be expected, or whose account already fills its part of the queue.
+func (d *Director) checkEstimate(r *Request) error {
+	pool := r.Route.Pool
+	waiting, ahead := d.Board.Queues.Waiting(pool.Name, r.Account.Path, r.Route.Rules.Level)
+	if waiting >= r.Route.Rules.MaxWaiting {
+		return fault.New(fault.QueueFull,
+			fmt.Sprintf("%d requests of the account wait here already", waiting),
+			"send again later, or have max_waiting raised").WithRetry(time.Second)
+	}
+	capacity := d.Board.Targets.Capacity(pool.Name)
+	rate := capacity.Rate / float64(max(1, d.Board.Members.Sharers()))
+	estimate := admission.NewEstimate(ahead, r.promptTokens, rate, capacity.TargetRate, r.Deadline.Sub(r.Arrived))
+	rec := decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeAdmitted, Estimate: &estimate}
+	if !estimate.Late() {
+		d.record(r, rec)
+		return nil
+	}
+	rec.Outcome = decision.OutcomeRefused
+	rec.Reason = fmt.Sprintf("the first token is expected after %v and the deadline is in %v", (estimate.Wait + estimate.Prefill).Round(time.Millisecond), estimate.Left.Round(time.Millisecond))
+	d.record(r, rec)
+	return fault.New(fault.DeadlineTooShort, rec.Reason, "send again later, or allow more time").
+		WithRetry(estimate.RetryAfter())
+}
+
+// place waits in the queue until the request has a target.
+func (d *Director) place(ctx context.Context, r *Request, attempt string, retry bool, exclude []string) (blackboard.Placement, error) {
+	ticket := d.ticket(r, attempt, retry, exclude)
+	d.Board.Queues.Push(ticket)
+	var placement blackboard.Placement
+	select {
+	case placement = <-ticket.Placed():
+	case <-ctx.Done():
+		if d.Board.Queues.Remove(ticket) {
+			d.recordWait(r, ticket)
+			return placement, waitError(ctx, r)
+		}
+		placement = <-ticket.Placed()
+		d.Board.Targets.Finish(attempt, blackboard.CallCancelled, time.Now())
+		return placement, waitError(ctx, r)
+	}
+	d.recordRoute(r, ticket, placement)
+	if placement.Decision.Verdict == routing.None {
+		return placement, fault.New(fault.NoTarget,
+			fmt.Sprintf("none of the %d targets of pool %s can serve the request", placement.Decision.Considered, r.Route.Pool.Name),
+			"see \"doorstack explain\" for what each target lacks; send again later").WithRetry(time.Second)
+	}
+	return placement, nil
+}
+
+func (d *Director) ticket(r *Request, attempt string, retry bool, exclude []string) *blackboard.Ticket {
+	pool := r.Route.Pool
+	capacity := d.Board.Targets.Capacity(pool.Name)
+	params := ParamsOf(pool, capacity.Live)
+	return &blackboard.Ticket{
+		Pool:    pool,
+		Attempt: attempt,
+		Params:  params,
+		Holders: d.Board.Prefixes.Lookup(r.prefixes),
+		Request: routing.Request{
+			ID:           r.ID,
+			PromptTokens: r.promptTokens,
+			OutputTokens: r.MaxTokens,
+			DataCentre:   d.Board.Self.DataCentre,
+			Exclude:      exclude,
+			Seed:         seedOf(d.Board.Self.Name, attempt),
+		},
+		Item: &admission.Item{
+			ID:      r.ID,
+			Account: r.Account.Path,
+			Level:   r.Route.Rules.Level,
+			Tokens:  max(1, r.promptTokens),
+			Long:    params.IsLong(r.promptTokens),
+			Retry:   retry,
+			Arrived: r.Arrived,
+		},
+	}
+}
+
+// ParamsOf turns a pool's policy into routing parameters for so many live targets.
+func ParamsOf(pool *settings.ResolvedPool, live int) routing.Params {
+	policy := &pool.Policy
+	return routing.Params{
+		LongPromptTokens: policy.LongPromptTokens,
+		LongPerTarget:    policy.LongPerTarget,
+		LongTargets:      max(1, int(policy.LongShare*float64(live))),
+		MemoryHeadroom:   policy.MemoryHeadroom,
+		PrefixWeight:     policy.PrefixWeight,
+		RemotePenalty:    time.Duration(policy.RemotePenalty).Seconds(),
+		MaxBacklog:       time.Duration(policy.MaxBacklog).Seconds(),
+	}
+}
+
+// seedOf makes daemons that see the same reports pick differently.
+func seedOf(daemon, attempt string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(daemon))
+	_, _ = h.Write([]byte(attempt))
+	return h.Sum64()
+}
+
+func waitError(ctx context.Context, r *Request) *fault.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.New(fault.DeadlinePassed,
+			fmt.Sprintf("no target had room for the request within %v", r.Deadline.Sub(r.Arrived).Round(time.Millisecond)),
+			"send again later, or allow more time").WithRetry(0)
+	}
+	return fault.New(fault.Abandoned, "the caller went away while the request waited", "nothing to do")
+}
+
+// newAttempt names a call to a target. A UUIDv7 sorts by time in engines' logs.
+func newAttempt() string { return uuid.Must(uuid.NewV7()).String() }
+
+// mayRetry decides whether a failed attempt is followed by another one.
+func (d *Director) mayRetry(ctx context.Context, r *Request, attempts int, err error) bool {
+	if ctx.Err() != nil || attempts >= d.Retrying.MaxAttempts {
+		return false
+	}
+	if !r.Route.Repeatable && target.ExecutionOf(err) != fault.NotRun {
+		return false
+	}
+	if !d.Board.Accounts.Retry(r.Account.Path) {
+		return false
+	}
+	d.Record.Metrics.Retries.WithLabelValues(r.Route.Pool.Name).Inc()
+	return true
+}
+
+// callError is the caller's view of a call that failed for good.
+func (d *Director) callError(ctx context.Context, r *Request, err error) *fault.Error {
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	execution := target.ExecutionOf(err)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.New(fault.DeadlinePassed,
+			fmt.Sprintf("the answer was not whole within %v", r.Deadline.Sub(r.Arrived).Round(time.Millisecond)),
+			"allow more time, or shorten the prompt").WithExecution(execution)
+	}
+	if ctx.Err() != nil {
+		return fault.New(fault.Abandoned, "the caller went away", "nothing to do").WithExecution(execution)
+	}
+	failure := fault.New(fault.TargetFailed, err.Error(), "see \"doorstack explain\" with the request id").WithExecution(execution)
+	if r.Route.Repeatable || execution == fault.NotRun {
+		return failure.WithRetry(0)
+	}
+	return failure
+}
+
+// record fills in what all records of a request share.
+func (d *Director) record(r *Request, rec decision.Record) {
+	rec.Request = r.ID
+	rec.Account = r.Account.Path
+	rec.Route = r.Route.Name
+	rec.Pool = r.Route.Pool.Name
+	rec.Revision = r.Revision
+	d.Record.Record(rec)
+}
+
+func (d *Director) recordRoute(r *Request, ticket *blackboard.Ticket, p blackboard.Placement) {
+	if ticket.Waited() != nil {
+		d.recordWait(r, ticket)
+	}
+	d.record(r, decision.Record{
+		Kind: decision.KindRoute, At: p.At, Outcome: string(p.Decision.Verdict), Target: p.Decision.Chosen,
+		Attempt: p.Attempt, Routing: &p.Decision,
+		Reason: fmt.Sprintf("waited %v", p.At.Sub(r.Arrived).Round(time.Millisecond)),
+	})
+}
+
+// recordWait records the last look at the targets that found no room.
+func (d *Director) recordWait(r *Request, ticket *blackboard.Ticket) {
+	waited := ticket.Waited()
+	if waited == nil {
+		return
+	}
+	d.record(r, decision.Record{
+		Kind: decision.KindRoute, Outcome: string(waited.Verdict), Attempt: ticket.Attempt, Routing: waited,
+		Reason: fmt.Sprintf("looked %d times without finding room", ticket.Looks()),
+	})
+}
--- /dev/null
+++ b/node/requestcontrol/group.go
@@ -0,0 +1,217 @@
+package requestcontrol
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"doorstack.dev/core/decision"
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/group"
+	"doorstack.dev/core/routing"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/target"
+	"github.com/go-faster/errors"
+)
+
+// groupRun is a prompt larger than one engine, served by several: memory for
+// every part is reserved first, all or nothing; the parts are read in turn, each
+// engine importing the KV cache of the parts before; the last one answers.
+// Whatever way it ends, all that was reserved is released.
+type groupRun struct {
+	director *Director
+	request  *Request
+	attempt  string
+	parts    []groupPart
+}
+
+type groupPart struct {
+	group.Part
+	reservation string
+	address     string
+	text        string
+}
+
+// errNoGroup means that the engines have no room for all parts at the moment.
+var errNoGroup = errors.New("the engines have no room for all parts of the prompt")
+
+// The pause between tries to reserve a whole group. It grows and is random, so
+// that two long prompts that keep taking memory from each other come apart.
+const (
+	groupPauseFirst = 100 * time.Millisecond
+	groupPauseMax   = 2 * time.Second
+)
+
+// releaseTimeout bounds the release of a part; what it misses is found and
+// released by the sweep of reservations without a living owner.
+const releaseTimeout = 3 * time.Second
+
+func (d *Director) generateInGroup(ctx context.Context, g *generation, attempt string) error {
+	run := &groupRun{director: d, request: g.request, attempt: attempt}
+	defer run.release(ctx)
+	if err := run.reserveWhenFree(ctx); err != nil {
+		return err
+	}
+	if err := run.prefill(ctx); err != nil {
+		return err
+	}
+	return run.answer(ctx, g)
+}
+
+// reserveWhenFree tries to reserve a whole group until it has one or the
+// deadline passes.
+func (run *groupRun) reserveWhenFree(ctx context.Context) error {
+	pause := group.Backoff{First: groupPauseFirst, Max: groupPauseMax, Seed: seedOf(run.director.Board.Self.Name, run.attempt)}
+	for tries := 1; ; tries++ {
+		err := run.reserve(ctx)
+		if err == nil {
+			run.record("reserved", fmt.Sprintf("%d parts after %d tries", len(run.parts), tries))
+			return nil
+		}
+		run.release(ctx)
+		if tries == 1 {
+			run.record("waiting", err.Error())
+		}
+		if errors.Is(err, group.ErrTooLarge) {
+			return fault.New(fault.TooLarge, err.Error(), "shorten the prompt, or add engines to the pool")
+		}
+		timer := time.NewTimer(pause.Next())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return waitError(ctx, run.request)
+		case <-timer.C:
+		}
+	}
+}
+
+// reserve plans a group on what is believed to be free and reserves its parts in
+// the order of the engines' names, so that two groups never wait for each other
+// in a circle. An engine that has no room makes the whole group give way.
+func (run *groupRun) reserve(ctx context.Context) error {
+	d, r := run.director, run.request
+	pool := r.Route.Pool
+	views := d.Board.Targets.Views(pool.Name, time.Now())
+	params := ParamsOf(pool, len(views))
+	plan, err := group.NewPlan(views, r.promptTokens, r.MaxTokens, params.MemoryHeadroom, d.Board.Self.DataCentre)
+	if err != nil {
+		return err
+	}
+	run.split(plan)
+	order := slices.Clone(run.parts)
+	slices.SortFunc(order, func(a, b groupPart) int { return compareNames(a.Target, b.Target) })
+	for i := range order {
+		if err := run.reservePart(ctx, &order[i]); err != nil {
+			return errors.Wrap(errNoGroup, order[i].Target+": "+err.Error())
+		}
+	}
+	return nil
+}
+
+func compareNames(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// split cuts the prompt's text into the planned parts.
+func (run *groupRun) split(plan []group.Part) {
+	run.parts = run.parts[:0]
+	text := run.request.Prompt
+	for i, p := range plan {
+		end := min(len(text), int(p.PromptTokens)*target.BytesPerToken)
+		if i == len(plan)-1 {
+			end = len(text)
+		}
+		run.parts = append(run.parts, groupPart{
+			Part:        p,
+			reservation: fmt.Sprintf("%s/%d", run.attempt, i),
+			address:     run.director.Board.Targets.Address(p.Target),
+			text:        text[:end],
+		})
+		text = text[end:]
+	}
+}
+
+func (run *groupRun) reservePart(ctx context.Context, p *groupPart) error {
+	d := run.director
+	load := routing.Load{Requests: 1, MemoryTokens: p.Tokens, BacklogTokens: p.PromptTokens, LongPrefills: 1}
+	d.Board.Targets.Occupy(p.Target, p.reservation, load, time.Now())
+	err := d.Targets.Reserve(ctx, p.address, target.Reservation{
+		ID:          p.reservation,
+		Request:     run.request.ID,
+		Owner:       d.Board.Self.Name,
+		Incarnation: d.Board.Self.Incarnation,
+		Tokens:      p.Tokens,
+		Expires:     run.request.Deadline,
+	})
+	return err
+}
+
+// prefill reads all parts but the last, in turn.
+func (run *groupRun) prefill(ctx context.Context) error {
+	last := len(run.parts) - 1
+	for i := range run.parts[:last] {
+		p := &run.parts[i]
+		err := run.director.Targets.Prefill(ctx, p.address, &target.PrefillRequest{
+			Reservation: p.reservation,
+			Prompt:      p.text,
+			Level:       run.request.Route.Rules.Level,
+			Context:     run.context(i),
+		})
+		if err != nil {
+			return errors.Wrap(err, fmt.Sprintf("read part %d of %d at %s", i+1, len(run.parts), p.Target))
+		}
+		run.director.Board.Targets.PromptRead(p.reservation, time.Now())
+		run.record("read", fmt.Sprintf("part %d of %d at %s, %d tokens", i+1, len(run.parts), p.Target, p.PromptTokens))
+	}
+	return nil
+}
+
+// context names the parts before part i.
+func (run *groupRun) context(i int) []target.KVRef {
+	refs := make([]target.KVRef, 0, i)
+	for k := range run.parts[:i] {
+		p := &run.parts[k]
+		refs = append(refs, target.KVRef{Address: p.address, Reservation: p.reservation, Tokens: p.PromptTokens})
+	}
+	return refs
+}
+
+// answer lets the last engine read its part and generate.
+func (run *groupRun) answer(ctx context.Context, g *generation) error {
+	last := len(run.parts) - 1
+	p := &run.parts[last]
+	return g.ask(ctx, p.Target, p.address, &target.GenerateRequest{
+		Attempt:      run.attempt,
+		Model:        run.request.Route.Pool.Model,
+		Prompt:       p.text,
+		MaxTokens:    run.request.MaxTokens,
+		Level:        run.request.Route.Rules.Level,
+		FirstIndex:   g.next,
+		Continuation: g.given.String(),
+		Reservation:  p.reservation,
+		Context:      run.context(last),
+	})
+}
+
+// release gives every part back, on every way out, also after the caller has
+// gone or the deadline has passed. Releasing twice is harmless.
+func (run *groupRun) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	d := run.director
+	for i := range run.parts {
+		p := &run.parts[i]
+		_ = d.Targets.Release(ctx, p.address, p.reservation)
+		d.Board.Targets.Finish(p.reservation, blackboard.CallCancelled, time.Now())
+	}
+	run.parts = run.parts[:0]
+	d.Board.Queues.Wake(run.request.Route.Pool.Name)
+}
+
+func (run *groupRun) record(outcome, reason string) {
+	run.director.record(run.request, decision.Record{Kind: decision.KindGroup, Outcome: outcome, Attempt: run.attempt, Reason: reason})
+}
--- /dev/null
+++ b/node/requestcontrol/request.go
@@ -0,0 +1,62 @@
+// Package requestcontrol takes a request from admission to its answer: limits,
+// estimate, claim, queue, target, stream, retry. Director reads top to bottom in
+// that order.
+package requestcontrol
+
+import (
+	"time"
+
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/target"
+)
+
+// Request is a request of a caller, resolved against one settings revision that
+// it keeps to its end.
+type Request struct {
+	// ID is the request id that callers and operators know it by.
+	ID string
+	// Account and Route say who asks for what.
+	Account *settings.ClientAccount
+	Route   *settings.ResolvedRoute
+	// Revision is the settings revision.
+	Revision int64
+	// Arrived and Deadline bound its life.
+	Arrived, Deadline time.Time
+	// IdempotencyKey is the caller's key, or empty.
+	IdempotencyKey string
+	// Prompt and MaxTokens are for model engines.
+	Prompt    string
+	MaxTokens int64
+	// Call is for plain services.
+	Call *target.ServiceCall
+
+	promptTokens int64
+	prefixes     []uint64
+}
+
+// PromptTokens is the estimated length of the prompt; zero for plain services.
+func (r *Request) PromptTokens() int64 { return r.promptTokens }
+
+// prepare works out what routing needs from the prompt, once.
+func (r *Request) prepare() {
+	if r.Call != nil {
+		return
+	}
+	r.promptTokens = target.EstimateTokens(len(r.Prompt))
+	r.prefixes = target.PrefixHashes(r.Prompt)
+}
+
+// Sink receives an answer's tokens in order, each exactly once.
+type Sink interface {
+	Token(index int64, text string) error
+}
+
+// Result is the end of a whole answer.
+type Result struct {
+	// Tokens is the number of tokens given.
+	Tokens int64
+	// FinishReason is the engine's.
+	FinishReason string
+	// FirstToken is the time from arrival to the first token.
+	FirstToken time.Duration
+}
--- /dev/null
+++ b/node/requestcontrol/service.go
@@ -0,0 +1,148 @@
+package requestcontrol
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"doorstack.dev/core/decision"
+	"doorstack.dev/core/fault"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/target"
+	"github.com/go-faster/errors"
+)
+
+// Service runs a call of a plain service and returns its whole answer. A call
+// that may not be repeated is sent once; with an idempotency key it is claimed
+// first, so that no other daemon sends it either.
+func (d *Director) Service(ctx context.Context, r *Request) (*target.ServiceAnswer, error) {
+	done, err := d.admit(r)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	answer, err := d.service(ctx, r)
+	d.recordAnswer(r, 0, err)
+	return answer, err
+}
+
+func (d *Director) service(ctx context.Context, r *Request) (*target.ServiceAnswer, error) {
+	if r.Route.Repeatable || r.IdempotencyKey == "" {
+		return d.callService(ctx, r, nil)
+	}
+	if d.Claims == nil {
+		return nil, fault.New(fault.NoQuorum, "this daemon has no peers to claim the key with", "give it peers")
+	}
+	claim := Claim{
+		Key:      r.Account.Path + "|" + r.Route.Name + "|" + r.IdempotencyKey,
+		Stamp:    r.IdempotencyKey,
+		Attempt:  newAttempt(),
+		Request:  r.ID,
+		Region:   d.Board.Self.Region,
+		Deadline: r.Deadline,
+	}
+	permit, err := d.Claims.Claim(ctx, claim)
+	d.recordClaim(r, claim, permit, err)
+	if err != nil {
+		return answerOfDuplicate(err)
+	}
+	answer, err := d.callService(ctx, r, permit)
+	outcome := ClaimOutcome{Execution: fault.Ran, Answer: answer}
+	if err != nil {
+		outcome.Execution = fault.From(err).Execution
+	}
+	d.Claims.Conclude(claim, outcome)
+	return answer, err
+}
+
+// answerOfDuplicate turns an earlier call's outcome into this call's answer.
+func answerOfDuplicate(err error) (*target.ServiceAnswer, error) {
+	var duplicate *Duplicate
+	if !errors.As(err, &duplicate) {
+		return nil, err
+	}
+	if duplicate.Outcome.Answer != nil {
+		return duplicate.Outcome.Answer, nil
+	}
+	return nil, fault.New(fault.DuplicateKey,
+		"an earlier call used this idempotency key and its answer is not known",
+		"find out at the service whether it ran; use a new key only if it did not").
+		WithExecution(duplicate.Outcome.Execution)
+}
+
+func (d *Director) callService(ctx context.Context, r *Request, permit *Permit) (*target.ServiceAnswer, error) {
+	var exclude []string
+	sent := false
+	for attempts := 1; ; attempts++ {
+		attempt := newAttempt()
+		placement, err := d.place(ctx, r, attempt, attempts > 1, exclude)
+		if err != nil {
+			return nil, executionAfter(fault.From(err), sent)
+		}
+		answer, err := d.sendService(ctx, r, permit, placement)
+		d.finishService(ctx, r, placement, err)
+		if err == nil {
+			return answer, nil
+		}
+		sent = sent || target.ExecutionOf(err) != fault.NotRun
+		if !d.mayRetry(ctx, r, attempts, err) {
+			return nil, executionAfter(d.callError(ctx, r, err), sent)
+		}
+		exclude = append(exclude, placement.Decision.Chosen)
+	}
+}
+
+// executionAfter keeps a later attempt from claiming that nothing ran.
+func executionAfter(e *fault.Error, sent bool) *fault.Error {
+	if sent && e.Execution == fault.NotRun {
+		return e.WithExecution(fault.Unknown)
+	}
+	return e
+}
+
+// sendService sends the call. The permit is looked at last thing before: a
+// process that was paused since it got the permit must not act on it.
+func (d *Director) sendService(ctx context.Context, r *Request, permit *Permit, p blackboard.Placement) (*target.ServiceAnswer, error) {
+	call := *r.Call
+	call.Header = r.Call.Header.Clone()
+	if r.IdempotencyKey != "" {
+		call.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	if permit != nil && !time.Now().Before(permit.Ends) {
+		return nil, fault.New(fault.NoQuorum,
+			"the permit to send this call ended before it could be sent",
+			"send again with the same key").WithRetry(0)
+	}
+	return d.Targets.Service(ctx, p.Address, &call)
+}
+
+func (d *Director) finishService(ctx context.Context, r *Request, p blackboard.Placement, err error) {
+	result := blackboard.CallSucceeded
+	if err != nil {
+		result = blackboard.CallFailed
+		if ctx.Err() != nil {
+			result = blackboard.CallCancelled
+		}
+		d.record(r, decision.Record{
+			Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: p.Decision.Chosen,
+			Attempt: p.Attempt, Reason: fmt.Sprintf("%v", err),
+		})
+	}
+	d.Board.Targets.Finish(p.Attempt, result, time.Now())
+	d.Board.Queues.Wake(r.Route.Pool.Name)
+}
+
+func (d *Director) recordClaim(r *Request, c Claim, permit *Permit, err error) {
+	rec := decision.Record{Kind: decision.KindClaim, Outcome: decision.OutcomeAdmitted, Attempt: c.Attempt}
+	if permit != nil {
+		rec.Claim = &permit.Tally
+	}
+	if err != nil {
+		rec.Outcome = decision.OutcomeRefused
+		rec.Reason = err.Error()
+	}
+	d.record(r, rec)
+	d.Record.Metrics.Claims.WithLabelValues(rec.Outcome).Inc()
+}
--- /dev/null
+++ b/node/target/client.go
@@ -0,0 +1,331 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/stream"
+	"github.com/go-faster/errors"
+)
+
+// CallError is a failed call to a target, with what is known of its execution.
+type CallError struct {
+	// Execution is NotRun only where no byte left or the target said so itself.
+	Execution fault.Execution
+	// Code is the target's refusal, where it gave one.
+	Code string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *CallError) Error() string { return fmt.Sprintf("%v (%s)", e.Err, e.Execution) }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Refused tells whether the target itself turned the call away before running it.
+func (e *CallError) Refused() bool { return e.Code != "" && e.Execution == fault.NotRun }
+
+// ExecutionOf reads the execution state of a failed call.
+func ExecutionOf(err error) fault.Execution {
+	var call *CallError
+	if errors.As(err, &call) {
+		return call.Execution
+	}
+	return fault.Unknown
+}
+
+// Client speaks to targets over HTTP. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// dialTimeout bounds the connection to a target.
+const dialTimeout = time.Second
+
+// NewClient returns a client with connections of its own.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+		WriteBufferSize:     64 << 10,
+	}}}
+}
+
+// call is a request on its way, with the moment a connection was taken for it.
+type call struct {
+	connected atomic.Bool
+}
+
+// send makes a request whose execution state can be told afterwards. The body
+// has no GetBody, so net/http never sends it a second time on its own, which it
+// would otherwise do for a request that carries an Idempotency-Key header.
+func (c *Client) send(ctx context.Context, method, address string, header http.Header, body []byte) (*http.Response, error) {
+	sent := &call{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, address, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, &CallError{Execution: fault.NotRun, Err: errors.Wrap(err, "build the call")}
+	}
+	req.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		// An empty body would be taken for none, which may be sent twice.
+		req.ContentLength = -1
+	}
+	if header != nil {
+		req.Header = header
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		execution := fault.NotRun
+		if sent.connected.Load() {
+			execution = fault.Unknown
+		}
+		return nil, &CallError{Execution: execution, Err: err}
+	}
+	return resp, nil
+}
+
+// post sends a JSON message and waits until the target has carried it out.
+func (c *Client) post(ctx context.Context, address, path string, in any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return &CallError{Execution: fault.NotRun, Err: err}
+	}
+	resp, err := c.send(ctx, http.MethodPost, "http://"+address+path, jsonHeader(), body)
+	if err != nil {
+		return err
+	}
+	defer drain(resp)
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
+	}
+	return nil
+}
+
+// get reads a JSON document of a target.
+func (c *Client) get(ctx context.Context, address, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "build the call")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "call the target")
+	}
+	defer drain(resp)
+	if resp.StatusCode != http.StatusOK {
+		return errors.New("the target answered " + resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(out); err != nil {
+		return errors.Wrap(err, "decode the target's report")
+	}
+	return nil
+}
+
+// maxReport bounds a report of a target.
+const maxReport = 4 << 20
+
+// maxDrain bounds what is read to keep a connection for the next call.
+const maxDrain = 64 << 10
+
+func drain(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDrain)
+	_ = resp.Body.Close()
+}
+
+func jsonHeader() http.Header {
+	return http.Header{"Content-Type": {"application/json"}}
+}
+
+// refusal turns an error answer into a CallError. Only the target's own word
+// that nothing ran makes it NotRun.
+func refusal(resp *http.Response) error {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxDrain))
+	e := &CallError{Execution: fault.Unknown, Err: errors.New("the target answered " + resp.Status)}
+	answer := parseRefusal(body)
+	if answer.Code == "" {
+		return e
+	}
+	e.Code = answer.Code
+	e.Err = errors.New(fmt.Sprintf("the target refused: %s (%s)", answer.Message, answer.Code))
+	e.Execution = fault.Ran
+	if !answer.Ran {
+		e.Execution = fault.NotRun
+	}
+	return e
+}
+
+// parseRefusal reads an error answer; one without a code is none.
+func parseRefusal(body []byte) ErrorAnswer {
+	var answer ErrorAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return ErrorAnswer{}
+	}
+	return answer
+}
+
+// Generate asks an engine for an answer and hands each chunk on as it comes. It
+// returns nil when the stream ended, whole or not: the assembler tells which.
+func (c *Client) Generate(ctx context.Context, address string, g *GenerateRequest, emit func(stream.Chunk) error) error {
+	return c.stream(ctx, address, "/v1/generate", g, emit)
+}
+
+// Resume asks an engine for the rest of a stream that broke on the way.
+func (c *Client) Resume(ctx context.Context, address string, r ResumeRequest, emit func(stream.Chunk) error) error {
+	return c.stream(ctx, address, "/v1/resume", r, emit)
+}
+
+func (c *Client) stream(ctx context.Context, address, path string, in any, emit func(stream.Chunk) error) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return &CallError{Execution: fault.NotRun, Err: err}
+	}
+	resp, err := c.send(ctx, http.MethodPost, "http://"+address+path, jsonHeader(), body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
+	}
+	return readChunks(resp.Body, emit)
+}
+
+// maxLine bounds a chunk; readBuffer is what an open stream keeps for it.
+const (
+	maxLine    = 1 << 20
+	readBuffer = 4 << 10
+)
+
+func readChunks(body io.Reader, emit func(stream.Chunk) error) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, readBuffer), maxLine)
+	for lines.Scan() {
+		var c Chunk
+		if err := json.Unmarshal(lines.Bytes(), &c); err != nil {
+			// A line cut short by a dying target is the end of the stream.
+			return &CallError{Execution: fault.Unknown, Err: errors.Wrap(err, "the target's stream is garbled")}
+		}
+		if c.Error != "" {
+			return &CallError{Execution: fault.Ran, Err: errors.New("the target gave up: " + c.Error)}
+		}
+		if err := emit(chunkOf(c)); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return &CallError{Execution: fault.Unknown, Err: errors.Wrap(err, "the target's stream broke")}
+	}
+	return nil
+}
+
+func chunkOf(c Chunk) stream.Chunk {
+	return stream.Chunk{Attempt: c.Attempt, Index: c.Index, Text: c.Text, End: c.End, Total: c.Total, FinishReason: c.Finish}
+}
+
+// Cancel stops a stream.
+func (c *Client) Cancel(ctx context.Context, address, attempt string) error {
+	return c.post(ctx, address, "/v1/cancel", CancelRequest{Attempt: attempt})
+}
+
+// Load reads a target's load report.
+func (c *Client) Load(ctx context.Context, address string) (LoadReport, error) {
+	var r LoadReport
+	err := c.get(ctx, address, "/v1/load", &r)
+	return r, err
+}
+
+// Events reads the cache events after a sequence number.
+func (c *Client) Events(ctx context.Context, address string, after int64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	err := c.get(ctx, address, fmt.Sprintf("/v1/events?after=%d", after), &events)
+	return events, err
+}
+
+// Reserve reserves memory for a part of a long prompt.
+func (c *Client) Reserve(ctx context.Context, address string, r Reservation) error {
+	return c.post(ctx, address, "/v1/reserve", r)
+}
+
+// Release gives reserved memory back.
+func (c *Client) Release(ctx context.Context, address, id string) error {
+	return c.post(ctx, address, "/v1/release", ReleaseRequest{ID: id})
+}
+
+// Prefill reads a part of a prompt into reserved memory.
+func (c *Client) Prefill(ctx context.Context, address string, p *PrefillRequest) error {
+	return c.post(ctx, address, "/v1/prefill", p)
+}
+
+// Order gives an order to an engine.
+func (c *Client) Order(ctx context.Context, address string, o Order) error {
+	return c.post(ctx, address, "/v1/order", o)
+}
+
+// ServiceCall is a call of a plain service.
+type ServiceCall struct {
+	Method string
+	// Path starts with a slash and may hold a query.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// ServiceAnswer is a plain service's whole answer.
+type ServiceAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// maxServiceAnswer bounds an answer of a plain service, which is held whole so
+// that a caller never gets half of one.
+const maxServiceAnswer = 8 << 20
+
+// Service calls a plain service once and returns its whole answer.
+func (c *Client) Service(ctx context.Context, address string, s *ServiceCall) (*ServiceAnswer, error) {
+	resp, err := c.send(ctx, s.Method, "http://"+address+s.Path, s.Header, s.Body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceAnswer+1))
+	if err != nil {
+		return nil, &CallError{Execution: fault.Unknown, Err: errors.Wrap(err, "the service's answer broke off")}
+	}
+	if len(body) > maxServiceAnswer {
+		return nil, &CallError{Execution: fault.Ran, Err: errors.New("the service's answer is over 8 MB")}
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		if err := serviceRefusal(body); err != nil {
+			return nil, err
+		}
+	}
+	return &ServiceAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// serviceRefusal recognizes a service's own word that it did not run the call.
+func serviceRefusal(body []byte) error {
+	answer := parseRefusal(body)
+	if answer.Code == "" || answer.Ran {
+		return nil
+	}
+	return &CallError{Execution: fault.NotRun, Code: answer.Code, Err: errors.New("the service refused: " + answer.Message)}
+}
--- /dev/null
+++ b/node/telemetry/telemetry.go
@@ -0,0 +1,152 @@
+// Package telemetry holds the metrics of a daemon and the log line that each
+// decision leaves behind.
+package telemetry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"doorstack.dev/core/decision"
+	"doorstack.dev/node/blackboard"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// Metrics are the metrics of a daemon. docs/OPERATIONS.md lists them.
+type Metrics struct {
+	Registry     *prometheus.Registry
+	Requests     *prometheus.CounterVec
+	FirstToken   *prometheus.HistogramVec
+	Tokens       prometheus.Counter
+	Retries      *prometheus.CounterVec
+	Decisions    *prometheus.CounterVec
+	Queue        *prometheus.GaugeVec
+	Claims       *prometheus.CounterVec
+	PeerFrames   *prometheus.CounterVec
+	PeerBytes    *prometheus.CounterVec
+	PeerRefused  *prometheus.CounterVec
+	Revision     prometheus.Gauge
+	SettingsLag  prometheus.Histogram
+	PlatformRead *prometheus.CounterVec
+	Pauses       prometheus.Counter
+	Released     prometheus.Counter
+	Orders       *prometheus.CounterVec
+}
+
+// lengthClasses are the bounds of the prompt length label, in tokens.
+var lengthClasses = []struct {
+	below int64
+	label string
+}{
+	{4_000, "under_4k"},
+	{32_000, "4k_32k"},
+	{100_000, "32k_100k"},
+	{400_000, "100k_400k"},
+}
+
+// LengthClass is the label of a prompt length.
+func LengthClass(tokens int64) string {
+	for _, c := range lengthClasses {
+		if tokens < c.below {
+			return c.label
+		}
+	}
+	return "over_400k"
+}
+
+const namespace = "doorstack"
+
+// NewMetrics returns the metrics in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		Registry:     prometheus.NewRegistry(),
+		Requests:     counter("requests_total", "Requests ended, by route and kind of outcome.", "route", "outcome"),
+		FirstToken:   firstToken(),
+		Tokens:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "relayed_tokens_total", Help: "Tokens relayed to callers."}),
+		Retries:      counter("retries_total", "Attempts after the first, by pool.", "pool"),
+		Decisions:    counter("decisions_total", "Decisions, by kind and outcome.", "kind", "outcome"),
+		Queue:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_requests", Help: "Requests that wait, by pool."}, []string{"pool"}),
+		Claims:       counter("claims_total", "Claims of idempotency keys, by outcome.", "outcome"),
+		PeerFrames:   counter("peer_frames_total", "Frames between daemons, by direction and kind.", "direction", "kind"),
+		PeerBytes:    counter("peer_bytes_total", "Bytes between daemons, by direction.", "direction"),
+		PeerRefused:  counter("peer_refused_total", "Peers and frames refused, by reason.", "reason"),
+		Revision:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "settings_revision", Help: "Revision of the settings in force."}),
+		SettingsLag:  prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "settings_parse_seconds", Help: "Time to check and adopt a revision.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
+		PlatformRead: counter("platform_reads_total", "Reads of the platform, by what and result.", "what", "result"),
+		Pauses:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "pauses_total", Help: "Pauses of the process that voided its beliefs."}),
+		Released:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "reservations_released_total", Help: "Reservations released for daemons that are gone."}),
+		Orders:       counter("orders_total", "Orders to targets, by outcome.", "outcome"),
+	}
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Decisions, m.Queue, m.Claims,
+		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
+		m.Orders, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func firstToken() *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "first_token_seconds",
+		Help:      "Time from arrival to the first token, by prompt length.",
+		Buckets:   prometheus.ExponentialBuckets(0.005, 2, 16),
+	}, []string{"length"})
+}
+
+// Recorder puts decisions on the blackboard, in the log and in the metrics.
+type Recorder struct {
+	Board   *blackboard.Blackboard
+	Log     *slog.Logger
+	Metrics *Metrics
+}
+
+// Record records a decision.
+func (r *Recorder) Record(d decision.Record) {
+	d.Daemon = r.Board.Self.Name
+	if d.At.IsZero() {
+		d.At = time.Now()
+	}
+	r.Board.Decisions.Put(d)
+	r.Metrics.Decisions.WithLabelValues(string(d.Kind), d.Outcome).Inc()
+	r.Log.LogAttrs(context.Background(), slog.LevelInfo, "decision", attrs(&d)...)
+}
+
+// attrs are the fields of the log line: everything but the full list of
+// candidates, which "doorstack explain" shows.
+func attrs(d *decision.Record) []slog.Attr {
+	list := make([]slog.Attr, 0, 16)
+	add := func(key, value string) {
+		if value != "" {
+			list = append(list, slog.String(key, value))
+		}
+	}
+	add("kind", string(d.Kind))
+	add("outcome", d.Outcome)
+	add("request", d.Request)
+	add("account", d.Account)
+	add("route", d.Route)
+	add("pool", d.Pool)
+	add("target", d.Target)
+	add("attempt", d.Attempt)
+	add("reason", d.Reason)
+	if d.Revision != 0 {
+		list = append(list, slog.Int64("revision", d.Revision))
+	}
+	if c := d.Routing; c != nil {
+		list = append(list,
+			slog.Int64("prompt_tokens", c.Request.PromptTokens),
+			slog.Int("considered", c.Considered),
+			slog.Any("rejections", c.Rejections))
+		if len(c.Candidates) > 0 && c.Chosen != "" {
+			list = append(list, slog.Float64("best_s", c.Candidates[0].Scores.Total()))
+		}
+	}
+	if c := d.Claim; c != nil {
+		list = append(list, slog.Int("granted", c.Granted), slog.Int("denied", c.Denied), slog.Int("silent", c.Silent), slog.Int("needed", c.Needed))
+	}
+	return list
+}
