At most once: the claim protocol, its state machines and its specification

Cause: calls that may not be repeated must run at most once though hosts keep nothing and any host may take a retry. Ruled out while checking: one witness set for each list revision (majorities of {0,1,2} and {1,2,3} need not meet); fencing numbers counted up from what witnesses remember (the checker found one number used by two owners after a witness restarted), now the number is the time of the claim.

--- /dev/null
+++ b/core/claim/claim_test.go
@@ -0,0 +1,250 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleetModel drives the state machines with the events of model/claim.pml and
+// checks its invariant: a key is sent at most once.
+type fleetModel struct {
+	now       time.Time
+	witnesses map[string]*Witness
+	histories []*History // one for each daemon that claims
+	revision  int64
+	hosts     []string
+	nextHost  int
+	claims    []*modelClaim
+	dated     bool
+	born      time.Time
+	sends     int
+}
+
+type modelClaim struct {
+	claimer *Claimer
+	open    []string
+	ended   bool
+}
+
+func newFleetModel(t *rapid.T) *fleetModel {
+	m := &fleetModel{now: epoch, witnesses: map[string]*Witness{}, dated: rapid.Bool().Draw(t, "dated")}
+	for range 6 {
+		m.addHost()
+	}
+	for range 2 {
+		m.histories = append(m.histories, &History{})
+	}
+	m.publish()
+	// Witnesses are old enough for any key when the test begins.
+	m.now = m.now.Add(RetryWindow + time.Minute)
+	m.born = m.now
+	m.readLists()
+	return m
+}
+
+func (m *fleetModel) addHost() {
+	name := fmt.Sprint("h", m.nextHost)
+	m.nextHost++
+	m.hosts = append(m.hosts, name)
+	m.witnesses[name] = NewWitness(m.now)
+}
+
+func (m *fleetModel) publish() {
+	m.revision++
+	list := List{Revision: m.revision, Changed: m.now, Hosts: append([]string(nil), m.hosts...)}
+	for _, h := range m.histories {
+		h.lists = append(h.lists, list)
+	}
+}
+
+func (m *fleetModel) readLists() {
+	for _, h := range m.histories {
+		h.confirmed = m.now
+	}
+}
+
+// birth is the key's birth as its claimers read it.
+func (m *fleetModel) birth() Birth {
+	return Birth{Dated: m.dated, At: m.born}
+}
+
+func (m *fleetModel) claim(t *rapid.T) {
+	if len(m.claims) >= 5 {
+		return
+	}
+	h := m.histories[rapid.IntRange(0, 1).Draw(t, "daemon")]
+	r := Request{Key: "k", Attempt: fmt.Sprint("a", len(m.claims)), Holder: "d", Birth: m.birth()}
+	if !h.Fresh(m.now) {
+		return
+	}
+	c := NewClaimer(r, h.Sets(r, m.now), m.now)
+	m.claims = append(m.claims, &modelClaim{claimer: c, open: c.Witnesses()})
+}
+
+// deliver lets one witness answer one claim, or loses the message.
+func (m *fleetModel) deliver(t *rapid.T) {
+	if len(m.claims) == 0 {
+		return
+	}
+	c := rapid.SampledFrom(m.claims).Draw(t, "claim")
+	if len(c.open) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(c.open)-1).Draw(t, "witness")
+	name := c.open[at]
+	c.open = append(c.open[:at:at], c.open[at+1:]...)
+	w := m.witnesses[name]
+	if w == nil || rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+		c.claimer.Fail(name)
+		return
+	}
+	c.claimer.Receive(name, w.Claim(c.claimer.Request, m.now))
+}
+
+// act lets a claimer send or give up, at any time after its answers.
+func (m *fleetModel) act(t *rapid.T) {
+	if len(m.claims) == 0 {
+		return
+	}
+	c := rapid.SampledFrom(m.claims).Draw(t, "claim")
+	if c.ended {
+		return
+	}
+	if c.claimer.State() == Won {
+		c.ended = true
+		if c.claimer.MaySend(m.now) {
+			m.sends++
+		}
+		return
+	}
+	if c.claimer.GiveUp() {
+		c.ended = true
+		for _, name := range c.claimer.Witnesses() {
+			if w := m.witnesses[name]; w != nil {
+				w.GiveUp("k", c.claimer.Request.Attempt)
+			}
+		}
+	}
+}
+
+func (m *fleetModel) restart(t *rapid.T) {
+	name := rapid.SampledFrom(m.hosts).Draw(t, "host")
+	m.witnesses[name] = NewWitness(m.now)
+}
+
+func (m *fleetModel) replace(t *rapid.T) {
+	at := rapid.IntRange(0, len(m.hosts)-1).Draw(t, "host")
+	// The old host may live on, cut off: its witness still answers.
+	m.hosts = append(m.hosts[:at:at], m.hosts[at+1:]...)
+	m.addHost()
+	m.publish()
+}
+
+func (m *fleetModel) wait(t *rapid.T) {
+	m.now = m.now.Add(rapid.SampledFrom([]time.Duration{
+		10 * time.Millisecond, time.Second, 20 * time.Second, 4 * time.Minute,
+	}).Draw(t, "wait"))
+	m.readLists()
+}
+
+// TestAKeyIsSentAtMostOnce is the invariant of the specification on the state
+// machines that run in production.
+func TestAKeyIsSentAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newFleetModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"claim":   m.claim,
+			"deliver": m.deliver,
+			"act":     m.act,
+			"restart": m.restart,
+			"replace": m.replace,
+			"wait":    m.wait,
+			"": func(t *rapid.T) {
+				if m.sends > 1 {
+					t.Fatalf("the key was sent %d times", m.sends)
+				}
+			},
+		})
+	})
+}
+
+func history(hosts ...string) *History {
+	h := &History{}
+	h.Add(List{Revision: 1, Changed: epoch, Hosts: hosts}, epoch)
+	return h
+}
+
+func TestALoneDaemonServesAtOnce(t *testing.T) {
+	w := NewWitness(epoch)
+	now := epoch.Add(Skew + time.Second)
+	r := Request{Key: "k", Attempt: "a", Birth: Birth{Dated: true, At: now}}
+	c := NewClaimer(r, history("d1").Sets(r, now), now)
+	c.Receive("d1", w.Claim(r, now))
+	if !c.MaySend(now) {
+		t.Fatal("a lone daemon does not serve a fresh key")
+	}
+	old := Request{Key: "other", Attempt: "a", Birth: Birth{}}
+	if reply := w.Claim(old, now); reply.Answer != Young {
+		t.Fatalf("a young witness says %v to a key without a date", reply.Answer)
+	}
+}
+
+func TestPausedClaimerDoesNotSend(t *testing.T) {
+	w := NewWitness(epoch)
+	now := epoch.Add(time.Hour)
+	r := Request{Key: "k", Attempt: "a"}
+	c := NewClaimer(r, [][]string{{"d1"}}, now)
+	c.Receive("d1", w.Claim(r, now))
+	if c.State() != Won || c.MaySend(now.Add(PermitTTL)) {
+		t.Fatal("an old permit is good for a send")
+	}
+	if c.GiveUp() {
+		t.Fatal("a won claim was given up: it may have been sent")
+	}
+}
+
+func TestBirthOfReadsUUIDv7Only(t *testing.T) {
+	id := uuid.Must(uuid.NewV7())
+	b := BirthOf(id.String())
+	if !b.Dated || time.Since(b.At) > time.Minute {
+		t.Fatalf("got %+v", b)
+	}
+	for _, key := range []string{"booking-1", uuid.NewString(), ""} {
+		if BirthOf(key).Dated {
+			t.Errorf("%q has no date", key)
+		}
+	}
+}
+
+func TestWitnessForgetsAndStaysBounded(t *testing.T) {
+	w := NewWitness(epoch)
+	now := epoch.Add(time.Hour)
+	for i := range 1000 {
+		w.Claim(Request{Key: fmt.Sprint(i), Attempt: "a", Birth: Birth{Dated: true, At: now}}, now)
+	}
+	if w.Counts().Keys != 1000 {
+		t.Fatal(w.Counts())
+	}
+	w.Forget(now.Add(Window + 2*Skew))
+	if w.Counts().Keys != 0 {
+		t.Fatalf("%d keys are kept past their time", w.Counts().Keys)
+	}
+}
+
+func BenchmarkWitnessClaim(b *testing.B) {
+	now := epoch.Add(time.Hour)
+	w := NewWitness(epoch)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		w.Claim(Request{Key: "account|route|01234567-89ab-7def-8123-" + fmt.Sprintf("%012d", i), Attempt: "01234567-89ab-7def-8123-456789abcdef", Holder: "daemon-1", Birth: Birth{Dated: true, At: now}}, now)
+		now = now.Add(time.Millisecond)
+	}
+}
