--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,102 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleetModel drives the state machines with the events of model/lease.pml: two
+// daemons, three witnesses, a target that ignores numbers.
+type fleetModel struct {
+	now       time.Time
+	witnesses [Witnesses]*Witness
+	owners    [2]*Owner
+	flying    []order
+	last      int64
+	users     map[int64]int
+}
+
+type order struct {
+	fence int64
+	sent  time.Time
+}
+
+func (m *fleetModel) round(t *rapid.T) {
+	i := rapid.IntRange(0, 1).Draw(t, "owner")
+	o := m.owners[i]
+	o.Start(Witnesses, m.now)
+	for _, w := range m.witnesses {
+		if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+			continue
+		}
+		m.now = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "delay ms")) * time.Millisecond)
+		if w.Acquire(Request{"t", string(rune('a' + i))}, m.now) {
+			o.Granted(m.now)
+		}
+	}
+}
+
+func (m *fleetModel) send(t *rapid.T) {
+	i := rapid.IntRange(0, 1).Draw(t, "owner")
+	o := m.owners[i]
+	if !o.MayOrder(m.now) {
+		return
+	}
+	if user, used := m.users[o.Fence()]; used && user != i {
+		t.Fatalf("number %d is used by two owners", o.Fence())
+	}
+	m.users[o.Fence()] = i
+	m.flying = append(m.flying, order{o.Fence(), m.now})
+}
+
+func (m *fleetModel) arrive(t *rapid.T) {
+	if len(m.flying) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(m.flying)-1).Draw(t, "order")
+	o := m.flying[at]
+	m.flying = append(m.flying[:at:at], m.flying[at+1:]...)
+	if m.now.Sub(o.sent) > SendTimeout {
+		return // Its connection has been closed.
+	}
+	if o.fence < m.last {
+		t.Fatalf("order %d was carried out after %d", o.fence, m.last)
+	}
+	m.last = o.fence
+}
+
+func TestNoOrderOfAnEarlierOwnerIsCarriedOutLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &fleetModel{now: epoch, users: map[int64]int{}}
+		for i := range m.witnesses {
+			m.witnesses[i] = NewWitness(epoch.Add(-time.Hour))
+		}
+		for i := range m.owners {
+			m.owners[i] = &Owner{}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"round":  m.round,
+			"send":   m.send,
+			"arrive": m.arrive,
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"restart": func(t *rapid.T) {
+				m.witnesses[rapid.IntRange(0, Witnesses-1).Draw(t, "witness")] = NewWitness(m.now)
+			},
+		})
+	})
+}
+
+func TestAnOwnerMayOrderAfterTheWait(t *testing.T) {
+	var o Owner
+	o.Start(1, epoch)
+	o.Granted(epoch)
+	if o.MayOrder(epoch.Add(SendTimeout)) || !o.MayOrder(epoch.Add(SendTimeout+1)) || o.MayOrder(epoch.Add(TTL)) {
+		t.Fatal("want orders between the wait and the end of the lease only")
+	}
+}
--- /dev/null
+++ b/core/share/share_test.go
@@ -0,0 +1,135 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const daemons = 6
+
+// fleetModel is one account at several daemons that may be split in two. Each
+// side that has daemons has an owner of its own.
+type fleetModel struct {
+	now     time.Time
+	holders [daemons]*Holder
+	side    [daemons]int
+	owners  map[int]*Owner // by the daemon that owns
+	demand  [daemons]float64
+}
+
+func newFleetModel() *fleetModel {
+	m := &fleetModel{now: epoch, owners: map[int]*Owner{}}
+	for i := range m.holders {
+		m.holders[i] = &Holder{}
+	}
+	return m
+}
+
+// owner is the first daemon of a side.
+func (m *fleetModel) owner(side int) (owner, alive int) {
+	owner = -1
+	for i, s := range m.side {
+		if s != side {
+			continue
+		}
+		alive++
+		if owner < 0 {
+			owner = i
+		}
+	}
+	return owner, alive
+}
+
+func (m *fleetModel) renew(i int, lost bool) {
+	id, alive := m.owner(m.side[i])
+	o := m.owners[id]
+	if o == nil {
+		o = NewOwner(m.now)
+		m.owners[id] = o
+	}
+	g := o.Renew(m.holders[i].Renewal(fmt.Sprint(i), m.demand[i], m.now), alive, daemons, m.now)
+	if !lost {
+		m.holders[i].Accept(g, m.now)
+	}
+}
+
+func (m *fleetModel) sum() float64 {
+	total := 0.0
+	for _, h := range m.holders {
+		total += h.Leased(m.now) + Floor(daemons)
+	}
+	return total
+}
+
+// TestTheSumStaysUnderTheLimit holds for splits, lost messages, deaths of owners
+// and holders, and any demand.
+func TestTheSumStaysUnderTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newFleetModel()
+		daemon := rapid.IntRange(0, daemons-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"renew": func(t *rapid.T) { m.renew(daemon.Draw(t, "daemon"), rapid.IntRange(0, 4).Draw(t, "lost") == 0) },
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"demand": func(t *rapid.T) { m.demand[daemon.Draw(t, "daemon")] = rapid.Float64Range(0, 3).Draw(t, "demand") },
+			"split": func(t *rapid.T) {
+				// An owner that is on the other side now is a new one there when
+				// it is asked again after all.
+				m.side[daemon.Draw(t, "daemon")] ^= 1
+				m.forgetOwners()
+			},
+			"restart": func(t *rapid.T) {
+				i := daemon.Draw(t, "daemon")
+				m.holders[i] = &Holder{}
+				delete(m.owners, i)
+			},
+			"": func(t *rapid.T) {
+				if s := m.sum(); s > 1+1e-9 {
+					t.Fatalf("the daemons may use %f of the limit", s)
+				}
+			},
+		})
+	})
+}
+
+// forgetOwners drops the state of daemons that no longer own the account.
+func (m *fleetModel) forgetOwners() {
+	for id := range m.owners {
+		if owner, _ := m.owner(m.side[id]); owner != id {
+			delete(m.owners, id)
+		}
+	}
+}
+
+func (m *fleetModel) settle() {
+	for range 20 {
+		for i := range m.holders {
+			m.renew(i, false)
+		}
+		m.now = m.now.Add(RenewEvery)
+	}
+}
+
+func TestUseIsCloseToTheLimit(t *testing.T) {
+	one := newFleetModel()
+	one.demand[3] = 1
+	one.settle()
+	if f := one.holders[3].Leased(one.now.Add(-time.Second)); f < 0.85 {
+		t.Errorf("one daemon with all the traffic may use %.2f of the limit", f)
+	}
+	all := newFleetModel()
+	for i := range all.demand {
+		all.demand[i] = 1.0 / daemons
+	}
+	all.settle()
+	all.now = all.now.Add(-time.Second)
+	if s := all.sum(); s < 0.95 {
+		t.Errorf("all together may use %.2f of the limit", s)
+	}
+}
