--- a/core/admission/bucket.go
+++ b/core/admission/bucket.go
@@ -33,12 +33,17 @@
 	return b
 }
 
-// SetRate changes the rate from now on and keeps what has been used so far.
+// SetRate changes the rate from now on. What is saved up keeps its part of the
+// burst, so that a share that moves from one daemon to another takes its savings
+// along and makes none; a debt stays as it is.
 func (b *Bucket) SetRate(rate float64, now time.Time) {
 	b.advance(now)
+	old := b.burst
 	b.rate = rate
 	b.burst = max(1, rate*burstSeconds)
-	b.level = min(b.level, b.burst)
+	if b.level > 0 && old > 0 {
+		b.level *= b.burst / old
+	}
 }
 
 // Take takes cost units if the bucket is not in debt. Otherwise it takes
--- a/core/admission/usage.go
+++ b/core/admission/usage.go
@@ -117,11 +117,11 @@
 	saved float64
 }
 
-// The budget starts with room for a few retries, so that an account with little
-// traffic can retry at all, and saves up no more than a short burst.
+// The budget starts with room for the calls of one account that a dying target
+// may hold for one daemon, and saves up no more than a few times that.
 const (
-	retryFloor = 3
-	retryBurst = 20
+	retryFloor = 20
+	retryBurst = 100
 )
 
 // NewRetryBudget returns a budget with the starting room.
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -72,6 +72,9 @@
 	Host
 	State       State
 	Incarnation int64
+	// Started is the incarnation that the process began with, as far as heard; a
+	// denial raises Incarnation but not this.
+	Started int64
 	// Revision is the settings revision it told, zero if it is no neighbour.
 	Revision int64
 	// Heard is when it was last heard directly.
@@ -161,14 +164,16 @@
 // NeighbourNames lists the daemons to keep links to.
 func (t *Table) NeighbourNames() []string { return t.neighbours }
 
-// Heard takes a direct sign of life. It returns a rumor to pass on, if it is news.
-func (t *Table) Heard(name string, incarnation, revision int64, now time.Time) (Rumor, bool) {
+// Heard takes a direct sign of life, with the incarnation that the process began
+// with and the one in force. It returns a rumor to pass on, if it is news.
+func (t *Table) Heard(name string, started, incarnation, revision int64, now time.Time) (Rumor, bool) {
 	m := t.members[name]
 	if m == nil {
 		return Rumor{}, false
 	}
 	m.Heard = now
 	m.Revision = revision
+	m.Started = max(m.Started, started)
 	return t.Receive(Rumor{Name: name, Incarnation: incarnation, State: Alive})
 }
 
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -85,7 +85,7 @@
 			}
 			for _, pair := range [][2]string{{name, n}, {n, name}} {
 				to := m.tables[pair[0]]
-				if r, news := to.Heard(pair[1], m.tables[pair[1]].Incarnation(), 1, m.now); news {
+				if r, news := to.Heard(pair[1], 1, m.tables[pair[1]].Incarnation(), 1, m.now); news {
 					m.spread(pair[0], r)
 				}
 				for _, r := range m.tables[pair[1]].News() {
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -30,6 +30,8 @@
 	RenewEvery = 2 * time.Second
 	// Reserve is the part of a limit that is not leased.
 	Reserve = 0.05
+	// headroom is how many times its demand a holder may be given.
+	headroom = 2
 	// minWeight lets a holder with no demand keep a little.
 	minWeight = 0.01
 )
@@ -99,9 +101,25 @@
 }
 
 // NewOwner starts owning an account. The sequence starts at the time, so that
-// the grants of an owner before it count as older.
-func NewOwner(now time.Time) *Owner {
-	return &Owner{since: now, sequence: uint64(now.UnixNano()), holders: map[string]*holder{}}
+// the grants of an owner before it count as older. With settled true the caller
+// vouches that no lease of an owner before can be in use but those that it tells
+// by Adopt; otherwise the owner waits until they have run out.
+func NewOwner(settled bool, now time.Time) *Owner {
+	o := &Owner{since: now, sequence: uint64(now.UnixNano()), holders: map[string]*holder{}}
+	if settled {
+		o.since = now.Add(-TTL)
+	}
+	return o
+}
+
+// Adopt counts a lease that a holder has from an owner before.
+func (o *Owner) Adopt(name string, fraction float64, now time.Time) {
+	h := o.holders[name]
+	if h == nil {
+		h = &holder{heard: now}
+		o.holders[name] = h
+	}
+	h.grants = append(h.grants, grant{o.sequence, fraction, now.Add(TTL)})
 }
 
 // Joined tells the owner that a daemon came to life, or back from the other side
@@ -144,7 +162,11 @@
 		}
 		sum += other.demand + minWeight
 	}
-	return leasable(alive, published) * (h.demand + minWeight) / sum
+	all := leasable(alive, published)
+	// Nobody gets much more than it asks for: what is not leased out can be given
+	// at once to the next daemon that asks, without taking it from anybody first.
+	wanted := headroom*h.demand + all/float64(2*max(1, published))
+	return min(wanted, all*(h.demand+minWeight)/sum)
 }
 
 // available is what no other holder may be using.
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -49,7 +49,7 @@
 	id, alive := m.owner(m.side[i])
 	o := m.owners[id]
 	if o == nil {
-		o = NewOwner(m.now)
+		o = NewOwner(false, m.now)
 		m.owners[id] = o
 	}
 	g := o.Renew(m.holders[i].Renewal(fmt.Sprint(i), m.demand[i], m.now), alive, daemons, m.now)
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -62,10 +62,9 @@
 
 // ShareStatus is an account's share at this daemon.
 type ShareStatus struct {
-	Account  string    `json:"account"`
-	Owner    string    `json:"owner"`
-	Fraction float64   `json:"fraction"`
-	Expires  time.Time `json:"expires"`
+	Account  string  `json:"account"`
+	Fraction float64 `json:"fraction"`
+	Floor    float64 `json:"floor"`
 }
 
 // LeaseStatus is a target's owner.
@@ -238,3 +237,13 @@
 	}
 	writeJSON(w, http.StatusOK, Effective{Revision: view.Revision, Values: values})
 }
+
+// ParseExplanation reads an explanation that another daemon sent; one that
+// cannot be read counts as no answer.
+func ParseExplanation(data []byte) Explanation {
+	var e Explanation
+	if err := json.Unmarshal(data, &e); err != nil {
+		return Explanation{}
+	}
+	return e
+}
--- a/node/api/server.go
+++ b/node/api/server.go
@@ -97,6 +97,10 @@
 		outcome := "whole"
 		if err != nil {
 			failure := fault.From(err)
+			if x.account == nil && failure.Retry && r.Header.Get(HeaderIdempotencyKey) != "" {
+				// Nothing was looked at, so an earlier call with the key may have run.
+				failure = failure.WithExecution(fault.Unknown)
+			}
 			outcome = string(failure.Kind)
 			s.writeFailure(x, failure)
 		}
--- a/node/blackboard/blackboard.go
+++ b/node/blackboard/blackboard.go
@@ -8,7 +8,10 @@
 // write to the next. Settings are read through an atomic pointer without a lock.
 package blackboard
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Identity is who a daemon is.
 type Identity struct {
@@ -50,6 +53,9 @@
 	Prefixes  *PrefixTable
 	Settings  *SettingsTable
 	Members   *MemberTable
+	Claims    *ClaimTable
+	Shares    *ShareTable
+	Leases    *LeaseTable
 	Decisions *DecisionTable
 
 	phase    atomic.Int32
@@ -78,7 +84,10 @@
 		Accounts:  newAccountTable(),
 		Prefixes:  newPrefixTable(limits.PrefixEntries),
 		Settings:  newSettingsTable(),
-		Members:   newMemberTable(),
+		Members:   newMemberTable(self),
+		Claims:    newClaimTable(time.Now()),
+		Shares:    newShareTable(),
+		Leases:    newLeaseTable(time.Now()),
 		Decisions: newDecisionTable(limits.DecisionBytes),
 	}
 }
--- /dev/null
+++ b/node/blackboard/claims.go
@@ -0,0 +1,163 @@
+package blackboard
+
+import (
+	"container/list"
+	"time"
+
+	"doorstack.dev/core/claim"
+	"doorstack.dev/core/fault"
+	"doorstack.dev/node/target"
+)
+
+// Outcome is how a claimed call ended.
+type Outcome struct {
+	Execution fault.Execution       `cbor:"1,keyasint"`
+	Answer    *target.ServiceAnswer `cbor:"2,keyasint,omitempty"`
+}
+
+// ClaimTable is this daemon's memory as a witness, and of the calls that it
+// claimed itself.
+type ClaimTable struct {
+	mu       Mutex
+	witness  *claim.Witness
+	outcomes map[string]*list.Element // by key
+	recent   *list.List               // of *outcomeEntry, the oldest first
+	bytes    int64
+	running  map[string]*runningCall // by attempt
+}
+
+type outcomeEntry struct {
+	key     string
+	attempt string
+	outcome Outcome
+	at      time.Time
+	bytes   int64
+}
+
+// runningCall is a claimed call of this daemon that has not ended.
+type runningCall struct {
+	done chan struct{}
+}
+
+// maxOutcomeBytes bounds the outcomes kept, maxAnswerBytes an answer in one.
+const (
+	maxOutcomeBytes = 32 << 20
+	maxAnswerBytes  = 16 << 10
+	outcomeOverhead = 256
+)
+
+func newClaimTable(now time.Time) *ClaimTable {
+	return &ClaimTable{
+		mu: NewMutex(RankClaims), witness: claim.NewWitness(now),
+		outcomes: map[string]*list.Element{}, recent: list.New(), running: map[string]*runningCall{},
+	}
+}
+
+// Ask answers a claim as a witness, with the outcome where the key is taken and
+// it is known.
+func (t *ClaimTable) Ask(r claim.Request, at time.Time) (claim.Reply, *Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reply := t.witness.Claim(r, at)
+	if reply.Answer != claim.Taken {
+		return reply, nil
+	}
+	return reply, t.outcome(r.Key, reply.Attempt)
+}
+
+func (t *ClaimTable) outcome(key, attempt string) *Outcome {
+	e := t.outcomes[key]
+	if e == nil {
+		return nil
+	}
+	entry := e.Value.(*outcomeEntry)
+	if entry.attempt != attempt {
+		return nil
+	}
+	o := entry.outcome
+	return &o
+}
+
+// GiveUp records, as a witness, that an attempt will never send.
+func (t *ClaimTable) GiveUp(key, attempt string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.witness.GiveUp(key, attempt)
+}
+
+// Conclude keeps an outcome, as its daemon or as a witness.
+func (t *ClaimTable) Conclude(key, attempt string, o Outcome, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entry := &outcomeEntry{key: key, attempt: attempt, outcome: o, at: at, bytes: outcomeOverhead + int64(len(key))}
+	if o.Answer != nil {
+		if len(o.Answer.Body) > maxAnswerBytes {
+			entry.outcome.Answer = nil
+		} else {
+			entry.bytes += int64(len(o.Answer.Body))
+		}
+	}
+	t.drop(t.outcomes[key])
+	t.outcomes[key] = t.recent.PushBack(entry)
+	t.bytes += entry.bytes
+	for front := t.recent.Front(); front != nil; front = t.recent.Front() {
+		old := front.Value.(*outcomeEntry)
+		if t.bytes <= maxOutcomeBytes && at.Sub(old.at) < claim.Window {
+			break
+		}
+		t.drop(front)
+	}
+}
+
+func (t *ClaimTable) drop(e *list.Element) {
+	if e == nil {
+		return
+	}
+	entry := e.Value.(*outcomeEntry)
+	t.recent.Remove(e)
+	delete(t.outcomes, entry.key)
+	t.bytes -= entry.bytes
+}
+
+// Begin records that this daemon may send a claimed call.
+func (t *ClaimTable) Begin(attempt string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running[attempt] = &runningCall{done: make(chan struct{})}
+}
+
+// End records that a claimed call of this daemon has ended.
+func (t *ClaimTable) End(attempt string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.running[attempt]; r != nil {
+		close(r.done)
+		delete(t.running, attempt)
+	}
+}
+
+// Await returns the outcome of an attempt of this daemon, or a channel that is
+// closed when it ends; neither means that this daemon knows nothing of it.
+func (t *ClaimTable) Await(key, attempt string) (*Outcome, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.running[attempt]; r != nil {
+		return nil, r.done
+	}
+	return t.outcome(key, attempt), nil
+}
+
+// ClaimCounts describes the table.
+type ClaimCounts struct {
+	claim.Counts
+	OutcomeBytes int64
+	Running      int
+}
+
+// Counts describes the table and forgets keys whose time is over.
+func (t *ClaimTable) Counts(at time.Time) ClaimCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.witness.Forget(at)
+	return ClaimCounts{Counts: t.witness.Counts(), OutcomeBytes: t.bytes, Running: len(t.running)}
+}
--- a/node/blackboard/members.go
+++ b/node/blackboard/members.go
@@ -1,19 +1,34 @@
 package blackboard
 
 import (
+	"slices"
 	"time"
 
+	"doorstack.dev/core/claim"
+	"doorstack.dev/core/membership"
 	"doorstack.dev/node/platform"
 )
 
-// MemberTable holds the daemons of the fleet.
+// MemberTable holds the daemons of the fleet: the platform's list, what links
+// and rumors say of it, and the lists that were in force before.
 type MemberTable struct {
-	mu    Mutex
-	hosts platform.HostList
-	read  time.Time
+	mu      Mutex
+	self    Identity
+	hosts   platform.HostList
+	read    time.Time
+	members *membership.Table
+	history claim.History
+	partner map[string]time.Time // peers that sent a heartbeat, and when
 }
 
-func newMemberTable() *MemberTable { return &MemberTable{mu: NewMutex(RankMembers)} }
+func newMemberTable(self Identity) *MemberTable {
+	return &MemberTable{
+		mu:      NewMutex(RankMembers),
+		self:    self,
+		members: membership.NewTable(self.Name, self.Incarnation),
+		partner: map[string]time.Time{},
+	}
+}
 
 // SetHosts takes over the platform's list; an older revision is ignored.
 func (t *MemberTable) SetHosts(list platform.HostList, at time.Time) {
@@ -22,7 +37,36 @@
 	if list.Revision < t.hosts.Revision {
 		return
 	}
+	if list.Revision > t.hosts.Revision || t.read.IsZero() {
+		t.members.SetHosts(daemonsOf(list.Hosts), at)
+	}
 	t.hosts, t.read = list, at
+	t.history.Add(claim.List{Revision: list.Revision, Changed: list.Changed, Hosts: t.regional(list.Hosts)}, list.AsOf)
+}
+
+func daemonsOf(hosts []platform.Host) []membership.Host {
+	var list []membership.Host
+	for _, h := range hosts {
+		if h.Role == platform.RoleDaemon {
+			list = append(list, membership.Host{
+				Name: h.ID, Address: h.Address, DataCentre: h.DataCentre, Region: h.Region,
+				Leaving: h.State == platform.HostLeaving,
+			})
+		}
+	}
+	return list
+}
+
+// regional lists the daemons of this one's region, which witness its keys.
+func (t *MemberTable) regional(hosts []platform.Host) []string {
+	var names []string
+	for _, h := range hosts {
+		if h.Role == platform.RoleDaemon && h.Region == t.self.Region {
+			names = append(names, h.ID)
+		}
+	}
+	slices.Sort(names)
+	return names
 }
 
 // Hosts is the platform's list and when it was read.
@@ -32,16 +76,100 @@
 	return t.hosts, t.read
 }
 
-// Sharers is the number of daemons that share the targets with this one, itself
-// included.
+// Sharers is the number of living daemons that share the targets with this one,
+// itself included.
 func (t *MemberTable) Sharers() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for i := range t.hosts.Hosts {
-		if t.hosts.Hosts[i].Role == platform.RoleDaemon {
-			n++
+	return max(1, len(t.members.Living()))
+}
+
+// View runs f on the membership under the table's lock. f must not keep it.
+func (t *MemberTable) View(f func(*membership.Table)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(t.members)
+}
+
+// Living lists the living daemons and counts the listed ones.
+func (t *MemberTable) Living() (living []string, listed int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.members.Living(), t.members.Listed()
+}
+
+// Members lists the daemons on the platform's list.
+func (t *MemberTable) Members() []membership.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.members.Members()
+}
+
+// Address finds a daemon's address for peers; a daemon that is no longer listed
+// may be found in the list before.
+func (t *MemberTable) Address(name string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, _ := t.members.Member(name)
+	return m.Address
+}
+
+// Partner records a heartbeat from a peer.
+func (t *MemberTable) Partner(name string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.partner[name] = at
+}
+
+// Links lists the peers that rumors go to: those that this daemon keeps links to
+// and those that lately kept one to it.
+func (t *MemberTable) Links(at time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := slices.Clone(t.members.NeighbourNames())
+	for name, heard := range t.partner {
+		if at.Sub(heard) > membership.DeadAfter {
+			delete(t.partner, name)
+			continue
+		}
+		if !slices.Contains(names, name) {
+			names = append(names, name)
 		}
 	}
-	return max(1, n)
+	return names
+}
+
+// WitnessSets returns the sets of witnesses for a claim, or nil while the host
+// list is not confirmed recently enough.
+func (t *MemberTable) WitnessSets(r claim.Request, at time.Time) [][]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.history.Fresh(at) {
+		return nil
+	}
+	return t.history.Sets(r, at)
+}
+
+// HostLists returns the lists that were in force lately.
+func (t *MemberTable) HostLists() ([]claim.List, time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.history.Lists()), t.history.Confirmed()
+}
+
+// AddHostLists takes over lists that a peer has read, for what was in force
+// before this daemon started.
+func (t *MemberTable) AddHostLists(lists []claim.List) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range lists {
+		t.history.Add(l, time.Time{})
+	}
+}
+
+// Void gives neighbours their full time again, after a pause of the process.
+func (t *MemberTable) Void(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members.Void(at)
 }
--- /dev/null
+++ b/node/cluster/cluster.go
@@ -0,0 +1,88 @@
+// Package cluster makes the daemons act as one: heartbeats and rumors, settings
+// passed on from peer to peer, claims of idempotency keys, shares of accounts'
+// limits, leases on targets, and explanations from any host. The decisions are
+// made by the state machines in core; this package carries their messages.
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/controller"
+	"doorstack.dev/node/peer"
+	"doorstack.dev/node/target"
+	"doorstack.dev/node/telemetry"
+)
+
+// Cluster is a daemon's part in the fleet.
+type Cluster struct {
+	Board    *blackboard.Blackboard
+	Hub      *peer.Hub
+	Record   *telemetry.Recorder
+	Settings *controller.Settings
+	Targets  *target.Client
+
+	started  time.Time
+	poke     chan struct{}
+	compared map[string]bool // neighbours whose revision has been seen
+	heard    chan heartbeatNews
+
+	seekMu sync.Mutex
+	sought map[string]*seek // the last question for a share out of turn, by account
+}
+
+// New returns a cluster and registers its handlers with the hub.
+func New(board *blackboard.Blackboard, hub *peer.Hub, record *telemetry.Recorder, settings *controller.Settings, targets *target.Client) *Cluster {
+	c := &Cluster{
+		Board: board, Hub: hub, Record: record, Settings: settings, Targets: targets,
+		started: time.Now(), poke: make(chan struct{}, 1), compared: map[string]bool{},
+		heard: make(chan heartbeatNews, heardQueue), sought: map[string]*seek{},
+	}
+	hub.Handle(peer.KindHeartbeat, peer.Serve(c.serveHeartbeat))
+	hub.Handle(peer.KindRumor, peer.Serve(c.serveRumors))
+	hub.Handle(peer.KindSettings, peer.Serve(c.serveSettings))
+	hub.Handle(peer.KindHosts, peer.Serve(c.serveHosts))
+	hub.Handle(peer.KindClaim, peer.Serve(c.serveClaim))
+	hub.Handle(peer.KindGiveUp, peer.Serve(c.serveGiveUp))
+	hub.Handle(peer.KindConclude, peer.Serve(c.serveConclude))
+	hub.Handle(peer.KindOutcome, peer.Serve(c.serveOutcome))
+	hub.Handle(peer.KindRenew, peer.Serve(c.serveRenew))
+	hub.Handle(peer.KindHoldings, peer.Serve(c.serveHoldings))
+	hub.Handle(peer.KindAcquire, peer.Serve(c.serveAcquire))
+	return c
+}
+
+// address finds where a daemon listens for peers.
+func (c *Cluster) address(name string) peer.Address {
+	return peer.Address{Name: name, Address: c.Board.Members.Address(name)}
+}
+
+// ask sends a question to a daemon, with a bound on the time.
+func (c *Cluster) ask(ctx context.Context, name string, kind peer.Kind, in, out any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.Hub.Ask(ctx, c.address(name), kind, in, out)
+}
+
+// done is the empty answer.
+type done struct{}
+
+// Void drops beliefs after a pause of the process.
+func (c *Cluster) Void(time.Duration) {
+	now := time.Now()
+	c.Board.Members.Void(now)
+	c.Board.Shares.Void(now)
+	c.Board.Leases.Void()
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/node/cluster/explain.go
@@ -0,0 +1,109 @@
+package cluster
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"doorstack.dev/core/share"
+	"doorstack.dev/node/admin"
+	"doorstack.dev/node/peer"
+)
+
+// explainRequest asks a daemon for its records of a request.
+type explainRequest struct {
+	Request string `cbor:"1,keyasint"`
+}
+
+// explainAnswer holds the records as JSON, which is their published form.
+type explainAnswer struct {
+	JSON []byte `cbor:"1,keyasint"`
+}
+
+// explainTimeout bounds the search for a request over the fleet.
+const explainTimeout = 2 * time.Second
+
+// Status implements admin.Fleet.
+func (c *Cluster) Status() admin.FleetStatus {
+	now := time.Now()
+	counts := c.Board.Claims.Counts(now)
+	s := admin.FleetStatus{Claims: admin.ClaimStatus{Keys: counts.Keys, Bytes: counts.OutcomeBytes, Granted: counts.Granted, Denied: counts.Denied}}
+	for _, m := range c.Board.Members.Members() {
+		status := admin.MemberStatus{
+			Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, Region: m.Region,
+			State: m.State.String(), Incarnation: m.Incarnation, Revision: m.Revision, Heard: m.Heard,
+		}
+		if m.Leaving {
+			status.State += ", leaving"
+		}
+		if m.Name == c.Board.Self.Name {
+			status.State = "this daemon"
+		}
+		s.Members = append(s.Members, status)
+	}
+	_, listed := c.Board.Members.Living()
+	for _, account := range c.Board.Shares.Leases() {
+		s.Shares = append(s.Shares, admin.ShareStatus{Account: account, Fraction: c.Board.Shares.Fraction(account, now), Floor: share.Floor(listed)})
+	}
+	for _, o := range c.Board.Leases.Owned(now) {
+		s.Leases = append(s.Leases, admin.LeaseStatus{Target: o.Target, Owner: c.Board.Self.Name, Fence: o.Fence, Expires: o.Until})
+	}
+	return s
+}
+
+// HandleExplain lets peers ask for this daemon's records.
+func (c *Cluster) HandleExplain(explain func(request string) ([]byte, error)) {
+	c.Hub.Handle(peer.KindExplain, peer.Serve(func(_ context.Context, _ string, in explainRequest) (explainAnswer, error) {
+		data, err := explain(in.Request)
+		return explainAnswer{JSON: data}, err
+	}))
+}
+
+// Explain implements admin.Fleet: it asks all living daemons at once, a bounded
+// number at a time, and returns the first that knows the request.
+func (c *Cluster) Explain(request string) admin.Explanation {
+	ctx, cancel := context.WithTimeout(context.Background(), explainTimeout)
+	defer cancel()
+	living, listed := c.Board.Members.Living()
+	answers := make(chan admin.Explanation, len(living))
+	slots := make(chan struct{}, explainParallel)
+	for _, name := range living {
+		go func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			answers <- c.explainAt(ctx, name, request)
+		}()
+	}
+	silent := listed - len(living)
+	for range living {
+		e := <-answers
+		if len(e.Records) > 0 {
+			return e
+		}
+		if e.Daemon == "" {
+			silent++
+		}
+	}
+	return admin.Explanation{Request: request, Daemon: c.Board.Self.Name, Note: notFound(silent)}
+}
+
+// explainParallel bounds the daemons asked at one time.
+const explainParallel = 32
+
+func (c *Cluster) explainAt(ctx context.Context, name, request string) admin.Explanation {
+	if name == c.Board.Self.Name {
+		return admin.Explanation{Daemon: name}
+	}
+	var answer explainAnswer
+	if err := c.Hub.Ask(ctx, c.address(name), peer.KindExplain, explainRequest{Request: request}, &answer); err != nil {
+		return admin.Explanation{}
+	}
+	return admin.ParseExplanation(answer.JSON)
+}
+
+func notFound(silent int) string {
+	if silent > 0 {
+		return "no daemon that answered has a record; " + strconv.Itoa(silent) + " daemon(s) did not answer, and their records are gone if they died"
+	}
+	return "no daemon has a record; the id is wrong, or the records have been dropped since"
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -4,19 +4,25 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
+	"doorstack.dev/core/membership"
+	"doorstack.dev/core/rendezvous"
 	"doorstack.dev/node/admin"
 	"doorstack.dev/node/api"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/cluster"
 	"doorstack.dev/node/config"
 	"doorstack.dev/node/controller"
+	"doorstack.dev/node/peer"
 	"doorstack.dev/node/platform"
 	"doorstack.dev/node/requestcontrol"
 	"doorstack.dev/node/target"
@@ -38,6 +44,8 @@
 	director *requestcontrol.Director
 	settings *controller.Settings
 	hosts    *controller.Hosts
+	hub      *peer.Hub
+	cluster  *cluster.Cluster
 	callers  *khttp.Server
 	app      *kratos.App
 	loops    []func(context.Context)
@@ -84,44 +92,69 @@
 		Board:    d.Board,
 		Platform: source,
 		Record:   d.record,
-		Watches:  func() bool { return true },
+		Watches:  d.watches,
 		Adopted:  func(*blackboard.SettingsView) { d.adopted() },
 	}
+	d.hub = peer.NewHub(d.Config.Name, d.Config.PeerKeys, d.Metrics)
+	d.cluster = cluster.New(d.Board, d.hub, d.record, d.settings, client)
+	d.director.Claims, d.director.Shares = d.cluster, d.cluster
+	d.Board.Accounts.SetShares(d.Board.Shares.Share)
 	d.hosts = &controller.Hosts{Board: d.Board, Platform: source, Record: d.record, Every: controller.HostsEvery}
 	reports := &controller.Reports{Board: d.Board, Client: client, Record: d.record, PollsPerSecond: d.Config.ReportPolls}
-	pause := &controller.Pause{Board: d.Board, Record: d.record, Void: func(time.Duration) {}}
+	pause := &controller.Pause{Board: d.Board, Record: d.record, Void: d.cluster.Void}
 	workers := &worker.Pool{Board: d.Board, Size: d.Config.Workers}
-	d.loops = []func(context.Context){d.settings.Run, d.hosts.Run, reports.Run, pause.Run, workers.Run}
+	d.loops = []func(context.Context){d.settings.Run, d.hosts.Run, reports.Run, pause.Run, workers.Run, d.cluster.Run}
 }
 
-// adopted takes a new revision to the targets, and opens the doors after the
-// first one.
+// adopted takes a new revision to the targets and to the neighbours.
 func (d *Daemon) adopted() {
 	controller.SyncTargets(d.Board)
-	d.Board.Serve()
+	d.cluster.Poke()
+}
+
+// watchers is the number of daemons of a data centre that watch the
+// configuration service; the others learn from their neighbours.
+const watchers = 2
+
+// watches tells whether this daemon is one of those that watch: the first of the
+// rendezvous order among the living of its data centre.
+func (d *Daemon) watches() bool {
+	var names []string
+	for _, m := range d.Board.Members.Members() {
+		if m.DataCentre == d.Config.DataCentre && (m.State == membership.Alive || m.Name == d.Config.Name) {
+			names = append(names, m.Name)
+		}
+	}
+	chosen := rendezvous.Top("watch", names, watchers)
+	return len(names) == 0 || slices.Contains(chosen, d.Config.Name)
 }
 
 // readHeaderTimeout bounds a caller that opens a connection and says nothing.
 const readHeaderTimeout = 10 * time.Second
 
 func (d *Daemon) provisionServers() error {
+	setKratosLogger(d.Log)
 	limits := api.DefaultLimits()
 	limits.BodyMemory = d.Config.BodyMemoryMB << 20
 	callers := api.NewServer(d.Board, d.director, d.Metrics, limits)
-	operators := &admin.Server{Board: d.Board, Metrics: d.Metrics}
+	operators := &admin.Server{Board: d.Board, Metrics: d.Metrics, Fleet: d.cluster}
+	d.cluster.HandleExplain(func(request string) ([]byte, error) { return json.Marshal(operators.Explain(request)) })
 	var err error
-	if d.callers, err = newServer("listen", d.Config.Listen, callers.Handler()); err != nil {
+	if d.callers, err = newServer("listen", &d.Config.Listen, callers.Handler()); err != nil {
 		return err
 	}
-	adminServer, err := newServer("admin", d.Config.Admin, operators.Handler())
+	adminServer, err := newServer("admin", &d.Config.Admin, operators.Handler())
+	if err != nil {
+		return err
+	}
+	peerServer, err := newServer("peer", &d.Config.Peer, d.hub.Handler())
 	if err != nil {
 		return err
 	}
 	d.app = kratos.New(
 		kratos.Name("doorstackd"),
 		kratos.ID(d.Config.Name),
-		kratos.Logger(kratosLogger{d.Log}),
-		kratos.Server(d.callers, adminServer),
+		kratos.Server(d.callers, adminServer, peerServer),
 		kratos.StopTimeout(stopTimeout),
 		// Draining is done before Stop, so signals are not the library's: it
 		// would stop the listeners at once.
@@ -130,13 +163,15 @@
 	return nil
 }
 
-// newServer opens a listener. The library's own request timeout of one second is
+// newServer opens a listener and writes the address back, whose port may have been
+// left to the system. The library's own request timeout of one second is
 // switched off: requests carry their own deadlines.
-func newServer(key, address string, handler http.Handler) (*khttp.Server, error) {
-	listener, err := net.Listen("tcp", address)
+func newServer(key string, address *string, handler http.Handler) (*khttp.Server, error) {
+	listener, err := net.Listen("tcp", *address)
 	if err != nil {
 		return nil, errors.Wrap(err, fmt.Sprintf("open the address of %q; free the port or change the file", key))
 	}
+	*address = listener.Addr().String()
 	server := khttp.NewServer(
 		khttp.Listener(listener),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
@@ -148,6 +183,9 @@
 	return server, nil
 }
 
+// Hub is the daemon's links to its peers.
+func (d *Daemon) Hub() *peer.Hub { return d.hub }
+
 // Run serves until ctx ends or Drain has finished, and then stops in order.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -161,6 +199,7 @@
 		case <-ctx.Done():
 		case <-d.drained:
 		}
+		d.hub.Close()
 		_ = d.app.Stop()
 	}()
 	d.Log.Info("started", "listen", d.Config.Listen, "admin", d.Config.Admin, "peer", d.Config.Peer)
@@ -185,6 +224,7 @@
 func (d *Daemon) Drain() {
 	d.drainOne.Do(func() {
 		d.Board.Drain()
+		d.cluster.Poke()
 		d.Log.Info("draining", "in_flight", d.Board.InFlight())
 		go d.waitDrained()
 	})
--- a/node/daemon/kratoslog.go
+++ b/node/daemon/kratoslog.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"syscall"
 
 	klog "github.com/go-kratos/kratos/v2/log"
@@ -13,6 +14,13 @@
 // listen to every signal if it were given none.
 const noSignal = syscall.SIGCHLD
 
+// kratosLoggerOnce guards the library's logger, which is one for the process.
+var kratosLoggerOnce sync.Once
+
+func setKratosLogger(log *slog.Logger) {
+	kratosLoggerOnce.Do(func() { klog.SetLogger(kratosLogger{log}) })
+}
+
 // kratosLogger passes the library's log lines on to slog.
 type kratosLogger struct {
 	log *slog.Logger
--- /dev/null
+++ b/node/internal/fleet/answers_test.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"doorstack.dev/node/internal/standin"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+// TestPublicClientLibrary speaks to a daemon through OpenAI's own client.
+func TestPublicClientLibrary(t *testing.T) {
+	t.Parallel()
+	f := start(t, claraOptions(1, 2))
+	client := openai.NewClient(option.WithBaseURL(f.Daemons[0].URL()+"/v1"), option.WithAPIKey(deskKey))
+	params := openai.ChatCompletionNewParams{
+		Model:     "assistant",
+		MaxTokens: openai.Int(12),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("is there a slot?")},
+	}
+	want := standin.Answer("is there a slot?", 12)
+	whole, err := client.Chat.Completions.New(context.Background(), params)
+	if err != nil || whole.Choices[0].Message.Content != want {
+		t.Fatalf("%v: %+v", err, whole)
+	}
+	stream := client.Chat.Completions.NewStreaming(context.Background(), params)
+	var text strings.Builder
+	for stream.Next() {
+		for _, c := range stream.Current().Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+	if stream.Err() != nil || text.String() != want {
+		t.Fatalf("%v: %q, want %q", stream.Err(), text.String(), want)
+	}
+	models, err := client.Models.List(context.Background())
+	if err != nil || len(models.Data) != 3 {
+		t.Fatalf("%v: %+v", err, models)
+	}
+	wrong := openai.NewClient(option.WithBaseURL(f.Daemons[0].URL()+"/v1"), option.WithAPIKey("no"), option.WithMaxRetries(0))
+	if _, err := wrong.Chat.Completions.New(context.Background(), params); err == nil {
+		t.Fatal("a wrong key is taken")
+	}
+}
+
+// TestMisbehavingEngines gives the whole answer or a failure whatever an engine
+// does to its stream.
+func TestMisbehavingEngines(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		faults standin.Faults
+		whole  bool
+	}{
+		"reordered":  {standin.Faults{ReorderChunks: true}, true},
+		"duplicated": {standin.Faults{DuplicateChunks: true}, true},
+		"foreign":    {standin.Faults{ForeignChunks: true}, true},
+		"truncated":  {standin.Faults{TruncateAfter: 5}, true}, // the second engine takes over
+		"refusing":   {standin.Faults{Refuse: "busy"}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, claraOptions(1, 2))
+			f.Engines[0].SetFaults(c.faults)
+			for range 6 {
+				r := chat(t, f.Daemons[0], deskKey, "hello "+name, 20)
+				wholeOrFailed(t, r, "hello "+name, 20)
+				if c.whole && r.err != nil {
+					t.Fatalf("failed: %s", r.err.Message)
+				}
+			}
+			nothingHeld(t, f)
+			memoryBack(t, f)
+		})
+	}
+}
+
+// TestEngineDiesInTheMiddle: the answer goes on elsewhere, no token twice.
+func TestEngineDiesInTheMiddle(t *testing.T) {
+	t.Parallel()
+	o := claraOptions(1, 3)
+	f := start(t, o)
+	const tokens = 400
+	var wg sync.WaitGroup
+	replies := make([]reply, 8)
+	for i := range replies {
+		wg.Go(func() { replies[i] = chat(t, f.Daemons[0], appKey, "long talk", tokens) })
+	}
+	eventually(t, "an engine generates", func() bool { return f.Engines[0].UsedTokens() > 0 })
+	f.Engines[0].Server.Close()
+	wg.Wait()
+	for _, r := range replies {
+		wholeOrFailed(t, r, "long talk", tokens)
+		if r.err != nil {
+			t.Errorf("failed though two engines live: %s", r.err.Message)
+		}
+	}
+	nothingHeld(t, f)
+}
+
+// TestBadCallers get a clear error, and hold nothing afterwards.
+func TestBadCallers(t *testing.T) {
+	t.Parallel()
+	f := start(t, claraOptions(1, 1))
+	d := f.Daemons[0]
+	cases := map[string]struct {
+		call   call
+		status int
+		code   string
+	}{
+		"no json":        {call{path: "/v1/chat/completions", key: deskKey, body: []byte("{")}, 400, "bad_request"},
+		"no messages":    {call{path: "/v1/chat/completions", key: deskKey, body: []byte(`{"model":"assistant"}`)}, 400, "bad_request"},
+		"an image":       {call{path: "/v1/chat/completions", key: deskKey, body: []byte(`{"model":"assistant","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`)}, 400, "bad_request"},
+		"no such route":  {call{path: "/v1/chat/completions", key: deskKey, body: []byte(`{"model":"x","messages":[{"role":"user","content":"a"}]}`)}, 404, "no_route"},
+		"service as llm": {call{path: "/v1/completions", key: deskKey, body: []byte(`{"model":"slots","prompt":"a"}`)}, 404, "no_route"},
+		"wrong key":      {call{path: "/v1/completions", key: "x", body: []byte(`{}`)}, 401, "unauthenticated"},
+		"too many asked": {call{path: "/v1/completions", key: deskKey, body: []byte(`{"model":"assistant","prompt":"a","max_tokens":99999}`)}, 400, "bad_request"},
+		"too long":       {call{path: "/v1/chat/completions", key: deskKey, body: chatBody(text(1_200_000), 1, false)}, 413, "too_large"},
+		"huge":           {call{path: "/v1/chat/completions", key: deskKey, body: make([]byte, 17<<20)}, 413, "too_large"},
+		"no endpoint":    {call{path: "/v2/x", key: deskKey}, 404, "no_route"},
+	}
+	for name, c := range cases {
+		r := do(t, d, c.call)
+		if r.status != c.status || r.err == nil || string(r.err.Code) != c.code {
+			t.Errorf("%s: got %s, want %d %s", name, describe(r), c.status, c.code)
+			continue
+		}
+		if r.err.Execution != "not_run" || r.err.Remedy == "" || r.id == "" {
+			t.Errorf("%s: %+v, id %q", name, r.err, r.id)
+		}
+	}
+	if got := do(t, d, call{method: http.MethodGet, path: "/v1/models", key: deskKey}); got.status != 200 {
+		t.Errorf("models: %s", describe(got))
+	}
+	nothingHeld(t, f)
+}
+
+// TestAbandonedCallersFreeTheEngine: a caller that goes away costs nothing more.
+func TestAbandonedCallersFreeTheEngine(t *testing.T) {
+	t.Parallel()
+	o := claraOptions(1, 1)
+	o.Cost.Base = 0 // The engine waits for nothing but its stall.
+	f := start(t, o)
+	f.Engines[0].SetFaults(standin.Faults{Stall: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.Daemons[0].URL()+"/v1/chat/completions", strings.NewReader(string(chatBody("x", 10, true))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+deskKey)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	eventually(t, "the engine has the call", func() bool { return len(f.Engines[0].Executed()) == 1 })
+	cancel()
+	<-ended
+	nothingHeld(t, f)
+	f.Engines[0].SetFaults(standin.Faults{})
+	memoryBack(t, f)
+}
--- a/node/internal/fleet/fleet.go
+++ b/node/internal/fleet/fleet.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -72,6 +71,9 @@
 // region is the region of all hosts.
 const region = "r1"
 
+// anyPort lets the system choose a port on loopback.
+const anyPort = "127.0.0.1:0"
+
 // peerKey is the daemons' shared secret.
 const peerKey = "a-shared-secret-of-the-fleet"
 
@@ -150,13 +152,9 @@
 }
 
 func (f *Fleet) addDaemon(i int) error {
-	addresses, err := freeAddresses(3)
-	if err != nil {
-		return err
-	}
 	file := config.Default()
 	file.Name = fmt.Sprintf("daemon-%d", i+1)
-	file.Listen, file.Admin, file.Peer = addresses[0], addresses[1], addresses[2]
+	file.Listen, file.Admin, file.Peer = anyPort, anyPort, anyPort
 	file.DataCentre, file.Region = f.dataCentre(i), region
 	file.Platform.Configuration = "http://" + f.PlatformServer.Address
 	file.Platform.Hosts = file.Platform.Configuration
@@ -185,20 +183,6 @@
 	}}, nil
 }
 
-// freeAddresses finds free ports on loopback.
-func freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
 func (n *Node) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/node/internal/standin/engine.go
+++ b/node/internal/standin/engine.go
@@ -232,7 +232,7 @@
 		return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.order, b.order))
 	})
 	for _, s := range e.queue {
-		if !s.waiting {
+		if !s.waiting || s.ended {
 			continue
 		}
 		need := s.prompt + s.max
--- a/node/internal/standin/platform.go
+++ b/node/internal/standin/platform.go
@@ -78,6 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts.Revision++
+	p.hosts.Changed = time.Now()
 	p.hosts.Hosts = append([]platform.Host(nil), hosts...)
 }
 
--- a/node/internal/tryout/tryout.go
+++ b/node/internal/tryout/tryout.go
@@ -18,6 +18,7 @@
 	"doorstack.dev/node/internal/fleet"
 	"doorstack.dev/node/internal/standin"
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 )
 
 // cost is an engine twenty times as fast as a real one, so that a try is short.
@@ -207,7 +208,7 @@
 // book confirms a slot twice with one key, through both daemons.
 func book(ctx context.Context, out io.Writer, f *fleet.Fleet) error {
 	const key = "clara-santa-maria"
-	const confirmation = "try-booking-1"
+	confirmation := uuid.Must(uuid.NewV7()).String()
 	for _, node := range f.Daemons {
 		resp, err := post(ctx, node.URL()+"/v1/services/confirm/slots/17", key, confirmation, []byte(`{"slot":17}`))
 		if err != nil {
--- /dev/null
+++ b/node/peer/hub.go
@@ -0,0 +1,340 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"doorstack.dev/node/telemetry"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// Handler serves a kind of message. The answer is not sent where none is wanted.
+type Handler func(ctx context.Context, from string, body cbor.RawMessage) (any, error)
+
+// Hub holds the links of a daemon.
+type Hub struct {
+	self     string
+	keys     [][]byte
+	metrics  *telemetry.Metrics
+	handlers map[Kind]Handler
+
+	mu      sync.Mutex
+	links   map[string]*link
+	dialing map[string]chan struct{}
+	blocked map[string]bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// NewHub returns a hub without links. The first key signs, all are accepted.
+func NewHub(self string, keys []string, metrics *telemetry.Metrics) *Hub {
+	h := &Hub{
+		self: self, metrics: metrics, handlers: map[Kind]Handler{}, links: map[string]*link{},
+		dialing: map[string]chan struct{}{}, blocked: map[string]bool{},
+	}
+	for _, k := range keys {
+		h.keys = append(h.keys, []byte(k))
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	return h
+}
+
+// Handle sets the handler of a kind. All are set before the hub is used.
+func (h *Hub) Handle(kind Kind, serve Handler) { h.handlers[kind] = serve }
+
+// Serve wraps a typed function as a handler.
+func Serve[In, Out any](serve func(ctx context.Context, from string, in In) (Out, error)) Handler {
+	return func(ctx context.Context, from string, body cbor.RawMessage) (any, error) {
+		var in In
+		if err := cbor.Unmarshal(body, &in); err != nil {
+			return nil, errors.Wrap(err, "decode the message")
+		}
+		return serve(ctx, from, in)
+	}
+}
+
+func (h *Hub) count(direction string, kind Kind, bytes int) {
+	h.metrics.PeerFrames.WithLabelValues(direction, kind.String()).Inc()
+	h.metrics.PeerBytes.WithLabelValues(direction).Add(float64(bytes))
+}
+
+func (h *Hub) refused(reason string) { h.metrics.PeerRefused.WithLabelValues(reason).Inc() }
+
+// handshakeTimeout bounds the proof of both sides.
+const handshakeTimeout = 2 * time.Second
+
+// Handler accepts links of peers.
+func (h *Hub) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			h.refused("not_a_websocket")
+			return
+		}
+		conn.SetReadLimit(MaxFrame)
+		name, err := h.acceptHandshake(conn)
+		if err != nil {
+			h.refused("bad_proof")
+			_ = conn.Close(websocket.StatusPolicyViolation, "bad proof")
+			return
+		}
+		if h.isBlocked(name) {
+			_ = conn.CloseNow()
+			return
+		}
+		l := newLink(h, name, conn)
+		h.add(l)
+		l.run(h.ctx)
+	})
+}
+
+func (h *Hub) acceptHandshake(conn *websocket.Conn) (string, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, handshakeTimeout)
+	defer cancel()
+	nonce := newNonce()
+	if err := writeFrame(ctx, conn, KindChallenge, challenge{Name: h.self, Nonce: nonce}); err != nil {
+		return "", err
+	}
+	var in hello
+	if err := readFrame(ctx, conn, KindHello, &in); err != nil {
+		return "", err
+	}
+	key, err := knownKey(h.keys, func(key []byte) []byte {
+		return proof(key, proofOfClient, in.Name, h.self, in.Nonce, nonce)
+	}, in.Proof)
+	if err != nil {
+		return "", err
+	}
+	return in.Name, writeFrame(ctx, conn, KindWelcome, welcome{Proof: proof(key, proofOfServer, in.Name, h.self, in.Nonce, nonce)})
+}
+
+func (h *Hub) dialHandshake(ctx context.Context, conn *websocket.Conn, name string) error {
+	var c challenge
+	if err := readFrame(ctx, conn, KindChallenge, &c); err != nil {
+		return err
+	}
+	if c.Name != name {
+		return errors.New("another daemon answers at the peer's address: " + c.Name)
+	}
+	nonce := newNonce()
+	out := hello{Name: h.self, Nonce: nonce, Proof: proof(h.keys[0], proofOfClient, h.self, name, nonce, c.Nonce)}
+	if err := writeFrame(ctx, conn, KindHello, out); err != nil {
+		return err
+	}
+	var in welcome
+	if err := readFrame(ctx, conn, KindWelcome, &in); err != nil {
+		return err
+	}
+	_, err := knownKey(h.keys[:1], func(key []byte) []byte {
+		return proof(key, proofOfServer, h.self, name, nonce, c.Nonce)
+	}, in.Proof)
+	return err
+}
+
+func writeFrame(ctx context.Context, conn *websocket.Conn, kind Kind, body any) error {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	data, err := cbor.Marshal(Frame{Kind: kind, Body: raw})
+	if err != nil {
+		return err
+	}
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func readFrame(ctx context.Context, conn *websocket.Conn, kind Kind, into any) error {
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return err
+	}
+	var f Frame
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return err
+	}
+	if f.Kind != kind {
+		return errors.New("want " + kind.String() + ", got " + f.Kind.String())
+	}
+	return cbor.Unmarshal(f.Body, into)
+}
+
+func (h *Hub) add(l *link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// The newest link wins: a peer that dials again has lost the one before. Two
+	// daemons may dial each other at once; both links work, and one is used.
+	h.links[l.peer] = l
+}
+
+func (h *Hub) forget(l *link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.links[l.peer] == l {
+		delete(h.links, l.peer)
+	}
+}
+
+// Address is a peer and where it listens.
+type Address struct {
+	Name, Address string
+}
+
+// link returns an open link, dialing if there is none. One goroutine dials, the
+// others wait for it.
+func (h *Hub) link(ctx context.Context, to Address) (*link, error) {
+	for {
+		h.mu.Lock()
+		if h.blocked[to.Name] {
+			h.mu.Unlock()
+			return nil, errClosed
+		}
+		if l := h.links[to.Name]; l != nil {
+			h.mu.Unlock()
+			return l, nil
+		}
+		pending := h.dialing[to.Name]
+		if pending == nil {
+			h.dialing[to.Name] = make(chan struct{})
+			h.mu.Unlock()
+			return h.dial(ctx, to)
+		}
+		h.mu.Unlock()
+		select {
+		case <-pending:
+			if !h.linked(to.Name) {
+				return nil, errClosed
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (h *Hub) linked(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.links[name] != nil
+}
+
+func (h *Hub) dial(ctx context.Context, to Address) (*link, error) {
+	defer func() {
+		h.mu.Lock()
+		close(h.dialing[to.Name])
+		delete(h.dialing, to.Name)
+		h.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn, resp, err := websocket.Dial(ctx, "ws://"+to.Address+"/", nil)
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "dial "+to.Name)
+	}
+	conn.SetReadLimit(MaxFrame)
+	if err := h.dialHandshake(ctx, conn, to.Name); err != nil {
+		h.refused("bad_proof")
+		_ = conn.Close(websocket.StatusPolicyViolation, "bad proof")
+		return nil, errors.Wrap(err, "greet "+to.Name)
+	}
+	l := newLink(h, to.Name, conn)
+	h.add(l)
+	go l.run(h.ctx)
+	return l, nil
+}
+
+// Ask sends a question to a peer and decodes its answer into out.
+func (h *Hub) Ask(ctx context.Context, to Address, kind Kind, in, out any) error {
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return err
+	}
+	l, err := h.link(ctx, to)
+	if err != nil {
+		return err
+	}
+	answer, err := l.ask(ctx, kind, body)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(answer, out)
+}
+
+// Tell sends news to a peer over an open link, or over a new one.
+func (h *Hub) Tell(ctx context.Context, to Address, kind Kind, in any) error {
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return err
+	}
+	l, err := h.link(ctx, to)
+	if err != nil {
+		return err
+	}
+	return l.send(Frame{Kind: kind, Body: body})
+}
+
+// Linked lists the peers with an open link.
+func (h *Hub) Linked() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	names := make([]string, 0, len(h.links))
+	for name := range h.links {
+		names = append(names, name)
+	}
+	return names
+}
+
+// idleLink is how long an unused link is kept.
+const idleLink = 5 * time.Minute
+
+// CloseIdle closes links that carried no question for long and are not wanted.
+func (h *Hub) CloseIdle(wanted func(name string) bool) {
+	limit := time.Now().Add(-idleLink).Unix()
+	h.mu.Lock()
+	var idle []*link
+	for name, l := range h.links {
+		if !wanted(name) && l.used.Load() < limit {
+			idle = append(idle, l)
+		}
+	}
+	h.mu.Unlock()
+	for _, l := range idle {
+		l.close(websocket.StatusNormalClosure, "idle")
+	}
+}
+
+// Block cuts a peer off, as a network partition would; tests use it.
+func (h *Hub) Block(name string, blocked bool) {
+	h.mu.Lock()
+	h.blocked[name] = blocked
+	l := h.links[name]
+	h.mu.Unlock()
+	if blocked && l != nil {
+		l.close(websocket.StatusGoingAway, "blocked")
+	}
+}
+
+func (h *Hub) isBlocked(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.blocked[name]
+}
+
+// Close ends all links.
+func (h *Hub) Close() {
+	h.mu.Lock()
+	links := make([]*link, 0, len(h.links))
+	for _, l := range h.links {
+		links = append(links, l)
+	}
+	h.mu.Unlock()
+	for _, l := range links {
+		l.close(websocket.StatusGoingAway, "this daemon stops")
+	}
+	h.cancel()
+}
--- /dev/null
+++ b/node/peer/link.go
@@ -0,0 +1,192 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// link is an open connection to a peer. Both ends may ask.
+type link struct {
+	peer string
+	hub  *Hub
+	conn *websocket.Conn
+	out  chan []byte
+	done chan struct{}
+	once sync.Once
+	used atomic.Int64 // when it last carried a question, in Unix seconds
+
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]chan Frame
+}
+
+// outQueue bounds the frames that wait for a slow peer; when it is full the link
+// is closed, so that a slow peer holds nobody up.
+const outQueue = 256
+
+// writeTimeout bounds the time to write a frame.
+const writeTimeout = 5 * time.Second
+
+var (
+	errClosed = errors.New("the link to the peer is closed")
+	errSlow   = errors.New("the peer does not read fast enough")
+)
+
+func newLink(h *Hub, peer string, conn *websocket.Conn) *link {
+	l := &link{peer: peer, hub: h, conn: conn, out: make(chan []byte, outQueue), done: make(chan struct{}), waiting: map[uint64]chan Frame{}}
+	l.touch()
+	return l
+}
+
+func (l *link) touch() { l.used.Store(time.Now().Unix()) }
+
+// run serves the link until it breaks.
+func (l *link) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.write(ctx)
+	for {
+		_, data, err := l.conn.Read(ctx)
+		if err != nil {
+			l.close(websocket.StatusNormalClosure, "done")
+			return
+		}
+		var f Frame
+		if err := cbor.Unmarshal(data, &f); err != nil {
+			l.hub.refused("garbled_frame")
+			l.close(websocket.StatusProtocolError, "garbled frame")
+			return
+		}
+		l.hub.count("in", f.Kind, len(data))
+		l.receive(ctx, f)
+	}
+}
+
+func (l *link) receive(ctx context.Context, f Frame) {
+	if f.Answer {
+		l.mu.Lock()
+		waiting := l.waiting[f.ID]
+		delete(l.waiting, f.ID)
+		l.mu.Unlock()
+		if waiting != nil {
+			waiting <- f
+		}
+		return
+	}
+	serve := l.hub.handlers[f.Kind]
+	if serve == nil {
+		l.hub.refused("unknown_kind")
+		if f.ID != 0 {
+			l.answer(Frame{Kind: f.Kind, ID: f.ID, Answer: true, Error: "this daemon does not know the message; it may be an older version"})
+		}
+		return
+	}
+	if f.ID == 0 {
+		// News is taken in order; handlers of news do not wait for anything.
+		_, _ = serve(ctx, l.peer, f.Body)
+		return
+	}
+	go l.serve(ctx, serve, f)
+}
+
+func (l *link) serve(ctx context.Context, serve Handler, f Frame) {
+	answer := Frame{Kind: f.Kind, ID: f.ID, Answer: true}
+	body, err := serve(ctx, l.peer, f.Body)
+	if err == nil {
+		answer.Body, err = cbor.Marshal(body)
+	}
+	if err != nil {
+		answer.Error = err.Error()
+	}
+	l.answer(answer)
+}
+
+func (l *link) answer(f Frame) {
+	if err := l.send(f); err != nil {
+		l.close(websocket.StatusPolicyViolation, err.Error())
+	}
+}
+
+// send queues a frame.
+func (l *link) send(f Frame) error {
+	data, err := cbor.Marshal(f)
+	if err != nil {
+		return err
+	}
+	if len(data) > MaxFrame {
+		return errors.New("the frame is over the bound of a frame")
+	}
+	l.hub.count("out", f.Kind, len(data))
+	select {
+	case <-l.done:
+		return errClosed
+	case l.out <- data:
+		return nil
+	default:
+		l.close(websocket.StatusPolicyViolation, errSlow.Error())
+		return errSlow
+	}
+}
+
+func (l *link) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.done:
+			return
+		case data := <-l.out:
+			writing, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := l.conn.Write(writing, websocket.MessageBinary, data)
+			cancel()
+			if err != nil {
+				l.close(websocket.StatusPolicyViolation, "write failed")
+				return
+			}
+		}
+	}
+}
+
+// ask sends a question and waits for its answer.
+func (l *link) ask(ctx context.Context, kind Kind, body cbor.RawMessage) (cbor.RawMessage, error) {
+	l.touch()
+	answer := make(chan Frame, 1)
+	l.mu.Lock()
+	l.next++
+	id := l.next
+	l.waiting[id] = answer
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.waiting, id)
+		l.mu.Unlock()
+	}()
+	if err := l.send(Frame{Kind: kind, ID: id, Body: body}); err != nil {
+		return nil, err
+	}
+	select {
+	case f := <-answer:
+		if f.Error != "" {
+			return nil, errors.New("the peer answered: " + f.Error)
+		}
+		return f.Body, nil
+	case <-l.done:
+		return nil, errClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *link) close(code websocket.StatusCode, reason string) {
+	l.once.Do(func() {
+		close(l.done)
+		l.hub.forget(l)
+		go func() { _ = l.conn.Close(code, reason) }()
+	})
+}
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -62,6 +62,8 @@
 type HostList struct {
 	// Revision rises with each change.
 	Revision int64 `json:"revision"`
+	// Changed is when the platform published the revision.
+	Changed time.Time `json:"changed"`
 	// AsOf is when the platform last confirmed the list.
 	AsOf time.Time `json:"as_of"`
 	// Hosts are the live and leaving hosts.
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -25,7 +25,7 @@
 	// the permit ends. An earlier call's answer comes back as a Duplicate.
 	Claim(ctx context.Context, c Claim) (*Permit, error)
 	// Conclude tells how a claimed call ended, for duplicates to come.
-	Conclude(c Claim, o ClaimOutcome)
+	Conclude(c Claim, o blackboard.Outcome)
 }
 
 // Claim asks for the right to send a call.
@@ -45,20 +45,16 @@
 type Permit struct {
 	// Ends is on the monotonic clock; it is checked last thing before the send.
 	Ends time.Time
+	// Attempt is the claim that won, which may be a later one than asked for.
+	Attempt string
 	// Tally is how the witnesses answered.
 	Tally decision.ClaimTally
 }
 
-// ClaimOutcome is how a claimed call ended.
-type ClaimOutcome struct {
-	Execution fault.Execution       `cbor:"1,keyasint"`
-	Answer    *target.ServiceAnswer `cbor:"2,keyasint,omitempty"`
-}
-
 // Duplicate is the error for a key that an earlier call used; it carries that
 // call's outcome.
 type Duplicate struct {
-	Outcome ClaimOutcome
+	Outcome blackboard.Outcome
 }
 
 // Error implements error.
@@ -66,12 +62,19 @@
 	return "an earlier call used this idempotency key: " + string(d.Outcome.Execution)
 }
 
+// ShareSeeker asks for a larger share of an account's limits.
+type ShareSeeker interface {
+	// Seek tells whether it asked, so that another look makes sense.
+	Seek(ctx context.Context, account string, rules *settings.Rules, promptTokens int64) bool
+}
+
 // Director runs requests.
 type Director struct {
 	Board    *blackboard.Blackboard
 	Targets  *target.Client
 	Record   *telemetry.Recorder
 	Claims   Claimer
+	Shares   ShareSeeker
 	Retrying RetryPolicy
 }
 
@@ -86,13 +89,16 @@
 
 // admit takes the request into its account's limits and refuses it early where
 // its deadline cannot be met. Every admitted request needs one call of done.
-func (d *Director) admit(r *Request) (done func(), err error) {
+func (d *Director) admit(ctx context.Context, r *Request) (done func(), err error) {
 	r.prepare()
 	if err := checkLength(r); err != nil {
 		return nil, err
 	}
 	rules := &r.Route.Rules
 	verdict := d.Board.Accounts.Admit(r.Account.Path, rules, r.promptTokens, r.Arrived)
+	if verdict.Limit != admission.LimitNone && d.Shares.Seek(ctx, r.Account.Path, rules, r.promptTokens) {
+		verdict = d.Board.Accounts.Admit(r.Account.Path, rules, r.promptTokens, time.Now())
+	}
 	if verdict.Limit != admission.LimitNone {
 		err := limitError(verdict)
 		d.record(r, decision.Record{Kind: decision.KindLimit, Outcome: decision.OutcomeRefused, Reason: err.Message, Limit: &verdict})
@@ -240,8 +246,8 @@
 	return fault.New(fault.Abandoned, "the caller went away while the request waited", "nothing to do")
 }
 
-// newAttempt names a call to a target. A UUIDv7 sorts by time in engines' logs.
-func newAttempt() string { return uuid.Must(uuid.NewV7()).String() }
+// NewAttempt names a call to a target. A UUIDv7 sorts by time in engines' logs.
+func NewAttempt() string { return uuid.Must(uuid.NewV7()).String() }
 
 // mayRetry decides whether a failed attempt is followed by another one.
 func (d *Director) mayRetry(ctx context.Context, r *Request, attempts int, err error) bool {
@@ -251,8 +257,8 @@
 	if !r.Route.Repeatable && target.ExecutionOf(err) != fault.NotRun {
 		return false
 	}
-	if !d.Board.Accounts.Retry(r.Account.Path) {
-		return false
+	if target.ExecutionOf(err) != fault.NotRun && !d.Board.Accounts.Retry(r.Account.Path) {
+		return false // A call that did not run costs targets nothing and is free.
 	}
 	d.Record.Metrics.Retries.WithLabelValues(r.Route.Pool.Name).Inc()
 	return true
--- a/node/requestcontrol/generate.go
+++ b/node/requestcontrol/generate.go
@@ -35,7 +35,7 @@
 // Generate runs a model request and gives its answer to sink, token by token.
 // It returns nil only after the whole answer; the error is a *fault.Error.
 func (d *Director) Generate(ctx context.Context, r *Request, sink Sink) (Result, error) {
-	done, err := d.admit(r)
+	done, err := d.admit(ctx, r)
 	if err != nil {
 		return Result{}, err
 	}
@@ -82,7 +82,7 @@
 // attempt places the request and asks one target for what is still missing.
 func (g *generation) attempt(ctx context.Context, retry bool) error {
 	d := g.director
-	attempt := newAttempt()
+	attempt := NewAttempt()
 	placement, err := d.place(ctx, g.request, attempt, retry, g.exclude)
 	if err != nil {
 		return err
--- a/node/requestcontrol/service.go
+++ b/node/requestcontrol/service.go
@@ -16,9 +16,9 @@
 // that may not be repeated is sent once; with an idempotency key it is claimed
 // first, so that no other daemon sends it either.
 func (d *Director) Service(ctx context.Context, r *Request) (*target.ServiceAnswer, error) {
-	done, err := d.admit(r)
+	done, err := d.admit(ctx, r)
 	if err != nil {
-		return nil, err
+		return nil, r.beforeClaim(err)
 	}
 	defer done()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -32,13 +32,10 @@
 	if r.Route.Repeatable || r.IdempotencyKey == "" {
 		return d.callService(ctx, r, nil)
 	}
-	if d.Claims == nil {
-		return nil, fault.New(fault.NoQuorum, "this daemon has no peers to claim the key with", "give it peers")
-	}
 	claim := Claim{
 		Key:      r.Account.Path + "|" + r.Route.Name + "|" + r.IdempotencyKey,
 		Stamp:    r.IdempotencyKey,
-		Attempt:  newAttempt(),
+		Attempt:  NewAttempt(),
 		Request:  r.ID,
 		Region:   d.Board.Self.Region,
 		Deadline: r.Deadline,
@@ -48,8 +45,9 @@
 	if err != nil {
 		return answerOfDuplicate(err)
 	}
+	claim.Attempt = permit.Attempt
 	answer, err := d.callService(ctx, r, permit)
-	outcome := ClaimOutcome{Execution: fault.Ran, Answer: answer}
+	outcome := blackboard.Outcome{Execution: fault.Ran, Answer: answer}
 	if err != nil {
 		outcome.Execution = fault.From(err).Execution
 	}
@@ -57,6 +55,17 @@
 	return answer, err
 }
 
+// beforeClaim corrects a refusal of a call whose key has not been claimed: this
+// call was not sent, but an earlier one with the same key may have been, and the
+// caller would take "not run" to be said of both.
+func (r *Request) beforeClaim(err error) error {
+	e := fault.From(err)
+	if r.IdempotencyKey == "" || r.Route.Repeatable || e.Execution != fault.NotRun {
+		return err
+	}
+	return e.WithExecution(fault.Unknown)
+}
+
 // answerOfDuplicate turns an earlier call's outcome into this call's answer.
 func answerOfDuplicate(err error) (*target.ServiceAnswer, error) {
 	var duplicate *Duplicate
@@ -76,7 +85,7 @@
 	var exclude []string
 	sent := false
 	for attempts := 1; ; attempts++ {
-		attempt := newAttempt()
+		attempt := NewAttempt()
 		placement, err := d.place(ctx, r, attempt, attempts > 1, exclude)
 		if err != nil {
 			return nil, executionAfter(fault.From(err), sent)
