Failure tests of settings, leaving, draining, groups, limits and explanations

Change: tests over real sockets; groups may span a region's data centres when no single one could ever hold the prompt; a raised share can be used at once. Before: with engines spread over three data centres a 1M prompt was refused as too large; one of six first requests got 429 after its share was raised. After: both pass; a daemon killed in the middle of an audit, twice in a row, leaves no engine memory behind (found and released by the others).

--- a/core/admission/bucket.go
+++ b/core/admission/bucket.go
@@ -33,17 +33,19 @@
 	return b
 }
 
-// SetRate changes the rate from now on. What is saved up keeps its part of the
-// burst, so that a share that moves from one daemon to another takes its savings
-// along and makes none; a debt stays as it is.
+// SetRate changes the rate from now on. A raise brings what can be saved up of the
+// raised part along, so that a daemon that was just given a share can use it at
+// once; a limit over several daemons can thus be passed by what is raised, for one
+// second, each time that a share moves.
 func (b *Bucket) SetRate(rate float64, now time.Time) {
 	b.advance(now)
 	old := b.burst
 	b.rate = rate
 	b.burst = max(1, rate*burstSeconds)
-	if b.level > 0 && old > 0 {
-		b.level *= b.burst / old
+	if b.burst > old {
+		b.level += b.burst - old
 	}
+	b.level = min(b.level, b.burst)
 }
 
 // Take takes cost units if the bucket is not in debt. Otherwise it takes
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -2,8 +2,10 @@
 // over several.
 //
 // The engines of a group hold one part of the prompt each, in the order of the
-// text. The plan prefers few engines, all in one data centre, and those with the
-// most free memory; it leaves the headroom for short requests free on each.
+// text. The plan prefers few engines, those with the most free memory, and all in
+// one data centre; only a prompt that no data centre has room for, even when
+// empty, spans those of a region, as its KV cache then crosses between them. It
+// leaves the headroom for short requests free on each.
 package group
 
 import (
@@ -26,11 +28,11 @@
 	PromptTokens, Tokens int64
 }
 
-// ErrTooLarge means that even all engines of a data centre, empty, are too small.
-var ErrTooLarge = errors.New("the prompt is larger than the memory of all engines of a data centre")
+// ErrTooLarge means that even all engines of a region, empty, are too small.
+var ErrTooLarge = errors.New("the prompt is larger than the memory of all engines of a region")
 
 // ErrNoRoom means that the engines are too full at the moment.
-var ErrNoRoom = errors.New("the engines of no data centre have room for the prompt at the moment")
+var ErrNoRoom = errors.New("the engines have no room for the prompt at the moment")
 
 // minPart is the least part worth an engine of its own, in tokens.
 const minPart = 8192
@@ -41,26 +43,40 @@
 	usable := slices.DeleteFunc(slices.Clone(targets), func(t routing.Target) bool {
 		return t.State != routing.Live || t.Unloaded || t.MemoryTokens == 0
 	})
-	possible := false
-	for _, centre := range centres(usable, home) {
+	fits := false
+	for _, centre := range namesOf(usable, dataCentreOf, home) {
 		here := slices.DeleteFunc(slices.Clone(usable), func(t routing.Target) bool { return t.DataCentre != centre })
-		possible = possible || total(here, headroom) >= prompt+output
+		fits = fits || total(here, headroom) >= prompt+output
 		if plan := planIn(here, prompt, output, headroom); plan != nil {
 			return plan, nil
 		}
 	}
-	if !possible {
-		return nil, errors.Wrap(ErrTooLarge, fmt.Sprintf("%d tokens", prompt+output))
+	if fits {
+		return nil, ErrNoRoom
 	}
-	return nil, ErrNoRoom
+	for _, region := range namesOf(usable, regionOf, "") {
+		here := slices.DeleteFunc(slices.Clone(usable), func(t routing.Target) bool { return t.Region != region })
+		fits = fits || total(here, headroom) >= prompt+output
+		if plan := planIn(here, prompt, output, headroom); plan != nil {
+			return plan, nil
+		}
+	}
+	if fits {
+		return nil, ErrNoRoom
+	}
+	return nil, errors.Wrap(ErrTooLarge, fmt.Sprintf("%d tokens", prompt+output))
 }
 
-// centres lists the data centres of targets, home first.
-func centres(targets []routing.Target, home string) []string {
+func dataCentreOf(t *routing.Target) string { return t.DataCentre }
+
+func regionOf(t *routing.Target) string { return t.Region }
+
+// namesOf lists the places of targets, home first.
+func namesOf(targets []routing.Target, place func(*routing.Target) string, home string) []string {
 	var names []string
 	for i := range targets {
-		if !slices.Contains(names, targets[i].DataCentre) {
-			names = append(names, targets[i].DataCentre)
+		if name := place(&targets[i]); !slices.Contains(names, name) {
+			names = append(names, name)
 		}
 	}
 	slices.SortFunc(names, func(a, b string) int {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -44,6 +44,7 @@
 	director *requestcontrol.Director
 	settings *controller.Settings
 	hosts    *controller.Hosts
+	targets  *target.Client
 	hub      *peer.Hub
 	cluster  *cluster.Cluster
 	callers  *khttp.Server
@@ -81,6 +82,7 @@
 
 func (d *Daemon) provisionControllers() {
 	client := target.NewClient()
+	d.targets = client
 	source := &platform.Client{
 		ConfigURL: d.Config.Platform.Configuration,
 		HostsURL:  d.Config.Platform.Hosts,
@@ -186,6 +188,13 @@
 // Hub is the daemon's links to its peers.
 func (d *Daemon) Hub() *peer.Hub { return d.hub }
 
+// SetConfigurationURL changes where settings are read, before Run.
+func (d *Daemon) SetConfigurationURL(url string) { d.settings.Platform.ConfigURL = url }
+
+// Crash cuts the daemon off from its targets for good, so that a test in one
+// process can see what a killed process leaves behind.
+func (d *Daemon) Crash() { d.targets.Disconnect() }
+
 // Run serves until ctx ends or Drain has finished, and then stops in order.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/node/internal/fleet/fleet.go
+++ b/node/internal/fleet/fleet.go
@@ -230,12 +230,31 @@
 	})
 }
 
+// Kill makes the daemon fall silent at once, as a crash does: what it has begun at
+// targets stays there.
+func (n *Node) Kill() {
+	n.Crash()
+	n.Stop()
+}
+
 // Done is closed when the daemon has ended.
 func (n *Node) Done() <-chan struct{} { return n.done }
 
 // URL is the callers' base URL.
 func (n *Node) URL() string { return "http://" + n.Config.Listen }
 
+// Join adds a daemon that reads its settings from another address.
+func (f *Fleet) Join(configuration string) (*Node, error) {
+	if err := f.addDaemon(len(f.Daemons)); err != nil {
+		return nil, err
+	}
+	n := f.Daemons[len(f.Daemons)-1]
+	n.SetConfigurationURL("http://" + configuration)
+	f.Publish()
+	n.start()
+	return n, nil
+}
+
 // Publish puts all hosts on the platform's list.
 func (f *Fleet) Publish() {
 	var hosts []platform.Host
--- a/node/target/client.go
+++ b/node/target/client.go
@@ -49,6 +49,7 @@
 // Client speaks to targets over HTTP. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	down atomic.Bool
 }
 
 // dialTimeout bounds the connection to a target.
@@ -66,6 +67,15 @@
 	}}}
 }
 
+// Disconnect fails every call from now on and cuts those under way.
+func (c *Client) Disconnect() {
+	c.down.Store(true)
+	c.http.CloseIdleConnections()
+}
+
+// errDisconnected is the failure of calls after Disconnect.
+var errDisconnected = errors.New("this client has been disconnected")
+
 // call is a request on its way, with the moment a connection was taken for it.
 type call struct {
 	connected atomic.Bool
@@ -75,6 +85,9 @@
 // has no GetBody, so net/http never sends it a second time on its own, which it
 // would otherwise do for a request that carries an Idempotency-Key header.
 func (c *Client) send(ctx context.Context, method, address string, header http.Header, body []byte) (*http.Response, error) {
+	if c.down.Load() {
+		return nil, &CallError{Execution: fault.Unknown, Err: errDisconnected}
+	}
 	sent := &call{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.connected.Store(true) },
