--- a/node/cmd/doorstackd/main.go
+++ b/node/cmd/doorstackd/main.go
@@ -49,19 +49,19 @@
 		return nil
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: c.LogLevel}))
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.New(file, log)
 	if err != nil {
 		return err
 	}
-	go drainOnSignal(d, log)
+	go drainOnSignal(signals, d, log)
 	return d.Run(context.Background())
 }
 
 // drainOnSignal lets the daemon finish its work at the first signal and ends it
 // at the second.
-func drainOnSignal(d *daemon.Daemon, log *slog.Logger) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func drainOnSignal(signals <-chan os.Signal, d *daemon.Daemon, log *slog.Logger) {
 	<-signals
 	d.Drain()
 	<-signals
--- /dev/null
+++ b/node/cmd/doorstackd/script_test.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"doorstackd": main})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata"})
+}
--- /dev/null
+++ b/node/cmd/doorstackd/signal_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// start builds and starts the daemon with a platform that does not answer, and
+// returns once it has said that it runs.
+func start(t *testing.T) *exec.Cmd {
+	t.Helper()
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "doorstackd")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	file := filepath.Join(dir, "daemon.yaml")
+	if err := os.WriteFile(file, []byte(daemonFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(binary, "--config", file)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), `"msg":"started"`) {
+			go func() {
+				for lines.Scan() {
+				}
+			}()
+			return cmd
+		}
+	}
+	t.Fatal("it did not start")
+	return nil
+}
+
+const daemonFile = `
+name: d1
+listen: 127.0.0.1:0
+admin: 127.0.0.1:0
+peer: 127.0.0.1:0
+data_centre: a
+region: r
+platform: {configuration: "http://127.0.0.1:1", hosts: "http://127.0.0.1:1"}
+peer_keys: [a-key-that-is-long-enough]
+drain_delay: 0s
+`
+
+func TestItLeavesAtASignal(t *testing.T) {
+	cmd := start(t)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("it left with %v", err)
+	}
+}
--- /dev/null
+++ b/node/peer/peer_test.go
@@ -0,0 +1,114 @@
+package peer
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"doorstack.dev/node/telemetry"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+type question struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+// newer is a question of a later version, with a field that this one lacks.
+type newer struct {
+	Text  string `cbor:"1,keyasint"`
+	Extra int    `cbor:"9,keyasint"`
+}
+
+func serve(t *testing.T, name string, keys ...string) (*Hub, Address) {
+	t.Helper()
+	h := NewHub(name, keys, telemetry.NewMetrics())
+	h.Handle(KindExplain, Serve(func(_ context.Context, from string, q question) (question, error) {
+		return question{Text: from + " asked " + q.Text}, nil
+	}))
+	s := httptest.NewServer(h.Handler())
+	t.Cleanup(func() { h.Close(); s.Close() })
+	return h, Address{Name: name, Address: strings.TrimPrefix(s.URL, "http://")}
+}
+
+const (
+	oldKey = "the-old-key-of-all-daemons"
+	newKey = "the-new-key-of-all-daemons"
+)
+
+func TestPeersProveTheirKeyAndKeysRotate(t *testing.T) {
+	cases := map[string]struct {
+		client, server []string
+		ok             bool
+	}{
+		"same key":              {[]string{oldKey}, []string{oldKey}, true},
+		"server has both":       {[]string{oldKey}, []string{newKey, oldKey}, true},
+		"client signs with new": {[]string{newKey, oldKey}, []string{oldKey, newKey}, true},
+		"strangers":             {[]string{oldKey}, []string{newKey}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, address := serve(t, "server", c.server...)
+			client := NewHub("client", c.client, telemetry.NewMetrics())
+			defer client.Close()
+			var answer question
+			err := client.Ask(context.Background(), address, KindExplain, question{"why"}, &answer)
+			if (err == nil) != c.ok {
+				t.Fatalf("got %v", err)
+			}
+			if c.ok && answer.Text != "client asked why" {
+				t.Fatalf("got %q", answer.Text)
+			}
+			if refused := testutil.ToFloat64(server.metrics.PeerRefused.WithLabelValues("bad_proof")); (refused == 0) != c.ok {
+				t.Errorf("%v peers counted as refused", refused)
+			}
+		})
+	}
+}
+
+func TestAPeerAtAnotherNameIsNotTrusted(t *testing.T) {
+	_, address := serve(t, "server", oldKey)
+	client := NewHub("client", []string{oldKey}, telemetry.NewMetrics())
+	defer client.Close()
+	address.Name = "other"
+	if err := client.Ask(context.Background(), address, KindExplain, question{}, &question{}); err == nil {
+		t.Fatal("a daemon at a reused address is taken for the one that had it")
+	}
+}
+
+func TestOtherVersionsAreUnderstood(t *testing.T) {
+	_, address := serve(t, "server", oldKey)
+	client := NewHub("client", []string{oldKey}, telemetry.NewMetrics())
+	defer client.Close()
+	var answer question
+	if err := client.Ask(context.Background(), address, KindExplain, newer{"later", 7}, &answer); err != nil || answer.Text != "client asked later" {
+		t.Fatalf("an unknown field: %v %q", err, answer.Text)
+	}
+	if err := client.Ask(context.Background(), address, Kind(200), question{}, &answer); err == nil {
+		t.Fatal("an unknown kind is answered")
+	}
+	if err := client.Tell(context.Background(), address, Kind(200), question{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Ask(context.Background(), address, KindExplain, question{"still there"}, &answer); err != nil {
+		t.Fatalf("an unknown kind broke the link: %v", err)
+	}
+}
+
+func FuzzFrame(f *testing.F) {
+	seed, err := cbor.Marshal(Frame{Kind: KindClaim, ID: 1, Body: cbor.RawMessage{0xa0}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte{0xa1, 0x05, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var frame Frame
+		if cbor.Unmarshal(data, &frame) != nil {
+			return
+		}
+		var q question
+		_ = cbor.Unmarshal(frame.Body, &q)
+	})
+}
--- /dev/null
+++ b/node/target/client_test.go
@@ -0,0 +1,146 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/stream"
+)
+
+// rudeServer answers the first call of each connection and closes the connection
+// without an answer at the second, after it has read it. It counts the calls.
+func rudeServer(t *testing.T) (address string, calls *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	calls = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveRudely(conn, calls)
+		}
+	}()
+	return listener.Addr().String(), calls
+}
+
+func serveRudely(conn net.Conn, calls *atomic.Int64) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for i := range 2 {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		buffer := make([]byte, 1024)
+		for {
+			if _, err := r.Body.Read(buffer); err != nil {
+				break
+			}
+		}
+		calls.Add(1)
+		if i == 0 {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	}
+}
+
+// TestACallIsNeverSentTwice: net/http sends a request with an Idempotency-Key
+// header again by itself when a kept connection breaks, unless it cannot.
+func TestACallIsNeverSentTwice(t *testing.T) {
+	for name, body := range map[string][]byte{"with a body": []byte("slot 17"), "without": nil} {
+		t.Run(name, func(t *testing.T) {
+			address, calls := rudeServer(t)
+			c := NewClient()
+			call := &ServiceCall{Method: http.MethodPost, Path: "/", Body: body, Header: http.Header{"Idempotency-Key": {"k"}}}
+			if _, err := c.Service(context.Background(), address, call); err != nil {
+				t.Fatal(err)
+			}
+			_, err := c.Service(context.Background(), address, call)
+			if calls.Load() != 2 {
+				t.Fatalf("two calls were sent %d times", calls.Load())
+			}
+			if ExecutionOf(err) != fault.Unknown {
+				t.Fatalf("a call without an answer is %v (%v), want unknown", ExecutionOf(err), err)
+			}
+		})
+	}
+}
+
+func TestNotRunOnlyWithoutAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = NewClient().Service(context.Background(), address, &ServiceCall{Method: http.MethodPost, Path: "/"})
+	if ExecutionOf(err) != fault.NotRun {
+		t.Fatalf("%v is %v", err, ExecutionOf(err))
+	}
+}
+
+// TestDeathAtEachByte cuts an engine's stream at every position: what was emitted
+// is always the start of the answer, and only the uncut stream is whole.
+func TestDeathAtEachByte(t *testing.T) {
+	answer := []byte(`{"a":"x","i":0,"t":" one"}` + "\n" + `{"a":"x","i":1,"t":" two"}` + "\n" + `{"a":"x","end":true,"total":2,"finish":"stop"}` + "\n")
+	for cut := range len(answer) + 1 {
+		assembler := stream.NewAssembler("x", 0)
+		text := ""
+		err := readChunks(&cutReader{answer[:cut]}, func(c stream.Chunk) error {
+			return assembler.Push(c, func(_ int64, token string) error {
+				text += token
+				return nil
+			})
+		})
+		if len(text) > len(" one two") || text != " one two"[:len(text)] {
+			t.Fatalf("cut at %d: emitted %q", cut, text)
+		}
+		if whole := assembler.Complete(); whole && text != " one two" {
+			t.Fatalf("cut at %d: %q is called whole", cut, text)
+		}
+		// The end mark's own newline carries nothing.
+		if cut < len(answer)-1 && err == nil && assembler.Close() == nil {
+			t.Fatalf("cut at %d: taken for an answer", cut)
+		}
+	}
+}
+
+type cutReader struct{ left []byte }
+
+func (r *cutReader) Read(p []byte) (int, error) {
+	if len(r.left) == 0 {
+		return 0, net.ErrClosed
+	}
+	n := copy(p, r.left[:1])
+	r.left = r.left[n:]
+	return n, nil
+}
+
+func FuzzReadChunks(f *testing.F) {
+	f.Add([]byte(`{"a":"x","i":0,"t":"one"}` + "\n" + `{"a":"x","end":true,"total":1}`))
+	f.Add([]byte(`{"a":"x","i":-1}` + "\n" + `{"a":"x","i":9999999}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		assembler := stream.NewAssembler("x", 0)
+		next := int64(0)
+		_ = readChunks(&cutReader{data}, func(c stream.Chunk) error {
+			return assembler.Push(c, func(index int64, _ string) error {
+				if index != next {
+					t.Fatalf("token %d came after %d", index, next-1)
+				}
+				next++
+				return nil
+			})
+		})
+	})
+}
