Measure the policy in virtual time beside four baselines

Cause: the policy had no figures. Change: internal/policybench runs the blackboard's own queue and targets over stand-in engines in a synctest bubble, from one goroutine, so that a seed gives the same figures; a write buffer of 64 KB for each connection is gone.

--- /dev/null
+++ b/node/internal/policybench/policy_test.go
@@ -0,0 +1,114 @@
+package policybench
+
+import (
+	"encoding/csv"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"doorstack.dev/core/settings"
+	"doorstack.dev/examples"
+)
+
+var (
+	length = flag.Duration("policy.length", 0, "virtual time of arrivals for the table; zero skips the table")
+	out    = flag.String("policy.csv", "", "write the table to this file too")
+	loads  = flag.String("policy.loads", "0.5,0.7,0.85,0.95", "offered loads")
+)
+
+func tree(t *testing.T, data []byte) *settings.Tree {
+	t.Helper()
+	tree, err := settings.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tree
+}
+
+func measure(t *testing.T, s Setup) *Result {
+	t.Helper()
+	var result *Result
+	synctest.Test(t, func(*testing.T) { result = Run(s) })
+	return result
+}
+
+// TestOneSeedGivesTheSameFigures is what makes two runs comparable.
+func TestOneSeedGivesTheSameFigures(t *testing.T) {
+	for _, policy := range Policies() {
+		s := Setup{Mix: Clara(), Policy: policy, Load: 0.7, Length: 5 * time.Second, Seed: 7, Tree: tree(t, examples.Clara), Kill: true}
+		first, second := measure(t, s), measure(t, s)
+		if fmt.Sprint(first.FirstToken) != fmt.Sprint(second.FirstToken) {
+			t.Errorf("%s: two runs differ", policy)
+		}
+		if len(first.FirstToken[Short]) == 0 {
+			t.Errorf("%s: no request had a first token", policy)
+		}
+	}
+}
+
+// TestPolicyTable prints the table of docs/MEASUREMENTS.md.
+func TestPolicyTable(t *testing.T) {
+	if *length == 0 {
+		t.Log("give -policy.length to measure")
+		return
+	}
+	rows := [][]string{{"mix", "load", "lag", "kill", "policy", "short p50 ms", "short p95 ms", "short p99 ms", "slowdown p95", "long p50 s", "long p95 s", "longest s", "lost"}}
+	for _, user := range []struct {
+		mix  Mix
+		data []byte
+	}{{Clara(), examples.Clara}, {Kilnmark(), examples.Kilnmark}} {
+		for _, load := range parseLoads(t) {
+			for _, lag := range []time.Duration{0, 2 * time.Second} {
+				for _, policy := range Policies() {
+					s := Setup{Mix: user.mix, Policy: policy, Load: load, Length: *length, Seed: 1, ReportLag: lag, Tree: tree(t, user.data)}
+					rows = append(rows, row(t, s))
+					t.Log(rows[len(rows)-1])
+				}
+			}
+		}
+	}
+	if *out == "" {
+		return
+	}
+	file, err := os.Create(*out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	if err := csv.NewWriter(file).WriteAll(rows); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func parseLoads(t *testing.T) []float64 {
+	var list []float64
+	for _, text := range strings.Split(*loads, ",") {
+		load, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, load)
+	}
+	return list
+}
+
+
+func row(t *testing.T, s Setup) []string {
+	with := measure(t, s)
+	alone := s
+	alone.Mix = s.Mix.WithoutLong()
+	without := measure(t, alone)
+	ms := func(d time.Duration) string { return fmt.Sprintf("%.0f", float64(d.Microseconds())/1000) }
+	seconds := func(d time.Duration) string { return fmt.Sprintf("%.1f", d.Seconds()) }
+	slowdown := float64(with.Quantile(Short, 0.95)) / float64(without.Quantile(Short, 0.95))
+	return []string{
+		s.Mix.Name, fmt.Sprint(s.Load), s.ReportLag.String(), fmt.Sprint(s.Kill), s.Policy,
+		ms(with.Quantile(Short, 0.5)), ms(with.Quantile(Short, 0.95)), ms(with.Quantile(Short, 0.99)), fmt.Sprintf("%.2f", slowdown),
+		seconds(with.Quantile(Long, 0.5)), seconds(with.Quantile(Long, 0.95)), seconds(with.Longest), fmt.Sprint(with.Lost),
+	}
+}
--- a/node/target/client.go
+++ b/node/target/client.go
@@ -63,7 +63,6 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-		WriteBufferSize:     64 << 10,
 	}}}
 }
 
