--- a/node/controller/hosts.go
+++ b/node/controller/hosts.go
@@ -19,33 +19,54 @@
 	Every time.Duration
 }
 
-// HostsEvery is the usual pause between reads of the host list. A target that
-// leaves gets nothing new from then on at the latest, and often earlier by its
-// own report.
-const HostsEvery = 2 * time.Second
+// HostsEvery is the usual pause between reads of the host list, and hostsPerHost
+// what each listed daemon adds to it, so that the reads of all daemons together
+// stay at some 125 a second however many there are. A target that leaves gets
+// nothing new from then on at the latest, and often earlier by its own report.
+const (
+	HostsEvery   = 2 * time.Second
+	hostsPerHost = 8 * time.Millisecond
+)
 
 // Run reads the list until ctx ends. A list that cannot be read is kept.
 func (c *Hosts) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.Refresh(ctx)
+		_, listed := c.Board.Members.Living()
+		pause := max(c.Every, time.Duration(listed)*hostsPerHost)
 		// A random pause spreads the daemons' reads over time.
-		sleep(ctx, c.Every/2+rand.N(c.Every))
+		sleep(ctx, pause/2+rand.N(pause))
 	}
 }
 
-// Refresh reads the list once.
+// Refresh reads once what differs in the list.
 func (c *Hosts) Refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	list, err := c.Platform.Hosts(ctx)
+	before, _ := c.Board.Members.Hosts()
+	next, err := c.read(ctx, before)
 	if err != nil {
 		c.Record.Metrics.PlatformRead.WithLabelValues("hosts", "failed").Inc()
 		c.Record.Log.Warn("the host list could not be read", "error", err.Error())
 		return
 	}
 	c.Record.Metrics.PlatformRead.WithLabelValues("hosts", "read").Inc()
-	c.Board.Members.SetHosts(list, time.Now())
-	SyncTargets(c.Board)
+	c.Board.Members.SetHosts(next, time.Now())
+	if next.Revision != before.Revision || before.Revision == 0 {
+		SyncTargets(c.Board)
+	}
+}
+
+func (c *Hosts) read(ctx context.Context, before platform.HostList) (platform.HostList, error) {
+	change, err := c.Platform.Hosts(ctx, before.Revision)
+	if err != nil {
+		return before, err
+	}
+	next, err := before.Apply(change)
+	if err == nil {
+		return next, nil
+	}
+	return c.Platform.Hosts(ctx, 0)
 }
 
 // SyncTargets puts the hosts and the settings in force together.
--- a/node/internal/standin/platform.go
+++ b/node/internal/standin/platform.go
@@ -19,6 +19,8 @@
 	values   map[string]settings.Part
 	deleted  map[string]int64
 	hosts    platform.HostList
+	hostAt   map[string]int64 // the revision at which a host last changed
+	goneAt   map[string]int64 // and at which it went
 	changed  chan struct{}
 	calls    int64
 	faults   PlatformFaults
@@ -41,6 +43,8 @@
 		values:  map[string]settings.Part{},
 		deleted: map[string]int64{},
 		changed: make(chan struct{}),
+		hostAt:  map[string]int64{},
+		goneAt:  map[string]int64{},
 	}
 }
 
@@ -79,9 +83,45 @@
 	defer p.mu.Unlock()
 	p.hosts.Revision++
 	p.hosts.Changed = time.Now()
+	before := map[string]platform.Host{}
+	for _, h := range p.hosts.Hosts {
+		before[h.ID] = h
+	}
+	for _, h := range hosts {
+		if before[h.ID] != h {
+			p.hostAt[h.ID] = p.hosts.Revision
+		}
+		delete(before, h.ID)
+		delete(p.goneAt, h.ID)
+	}
+	for id := range before {
+		p.goneAt[id] = p.hosts.Revision
+	}
 	p.hosts.Hosts = append([]platform.Host(nil), hosts...)
 }
 
+// hostsSince lists the hosts that differ from a revision; the lock is held.
+func (p *Platform) hostsSince(since int64) platform.HostList {
+	list := p.hosts
+	list.AsOf = time.Now()
+	if since <= 0 || since > p.hosts.Revision {
+		return list
+	}
+	list.Since = since
+	list.Hosts = nil
+	for _, h := range p.hosts.Hosts {
+		if p.hostAt[h.ID] > since {
+			list.Hosts = append(list.Hosts, h)
+		}
+	}
+	for id, at := range p.goneAt {
+		if at > since {
+			list.Removed = append(list.Removed, id)
+		}
+	}
+	return list
+}
+
 // SetFaults changes how the platform misbehaves from now on.
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
@@ -141,15 +181,14 @@
 	return false
 }
 
-func (p *Platform) serveHosts(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) serveHosts(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.serveFault(w) {
 		return
 	}
-	list := p.hosts
-	list.AsOf = time.Now()
-	writeJSON(w, http.StatusOK, list)
+	writeJSON(w, http.StatusOK, p.hostsSince(since))
 }
 
 func (p *Platform) serveConfig(w http.ResponseWriter, r *http.Request) {
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -3,8 +3,9 @@
 //
 // The protocol is plain HTTP with JSON. GET /v1/config?prefix=P&since=R answers
 // with all values below P that changed after revision R; with wait=30s the call
-// is a watch that is held until there is a change. GET /v1/hosts answers with
-// the hosts that the platform believes to be live or leaving. Each call counts
+// is a watch that is held until there is a change. GET /v1/hosts?since=R
+// answers with the hosts that the platform believes to be live or leaving, or
+// with those that differ since revision R. Each call counts
 // against the service's budget of reads, a waiting watch as one.
 package platform
 
@@ -58,16 +59,48 @@
 	State HostState `json:"state" cbor:"7,keyasint"`
 }
 
-// HostList is the platform's view of the hosts, which lags.
+// HostList is the platform's view of the hosts, which lags, or what differs from
+// an earlier one.
 type HostList struct {
+	// Since is the revision that the difference starts from; zero means that
+	// Hosts is the whole.
+	Since int64 `json:"since,omitempty"`
 	// Revision rises with each change.
 	Revision int64 `json:"revision"`
 	// Changed is when the platform published the revision.
 	Changed time.Time `json:"changed"`
 	// AsOf is when the platform last confirmed the list.
 	AsOf time.Time `json:"as_of"`
-	// Hosts are the live and leaving hosts.
+	// Hosts are the live and leaving hosts, or those that differ.
 	Hosts []Host `json:"hosts"`
+	// Removed are the ids of hosts that are gone since.
+	Removed []string `json:"removed,omitempty"`
+}
+
+// Apply returns the list that a difference leads to from l. A whole list replaces
+// l; a difference from another revision than l's is an error.
+func (l HostList) Apply(d HostList) (HostList, error) {
+	if d.Since == 0 {
+		return d, nil
+	}
+	if d.Since != l.Revision {
+		return l, errors.New("the difference starts from another revision of the host list; read the whole")
+	}
+	changed := make(map[string]bool, len(d.Hosts)+len(d.Removed))
+	for _, h := range d.Hosts {
+		changed[h.ID] = true
+	}
+	for _, id := range d.Removed {
+		changed[id] = true
+	}
+	next := HostList{Revision: d.Revision, Changed: d.Changed, AsOf: d.AsOf}
+	for _, h := range l.Hosts {
+		if !changed[h.ID] {
+			next.Hosts = append(next.Hosts, h)
+		}
+	}
+	next.Hosts = append(next.Hosts, d.Hosts...)
+	return next, nil
 }
 
 // MaxBytes bounds an answer of the platform: a full read of a large tree.
@@ -95,10 +128,10 @@
 	return changes, err
 }
 
-// Hosts reads the host list.
-func (c *Client) Hosts(ctx context.Context) (HostList, error) {
+// Hosts reads what differs from a revision of the host list; zero reads the whole.
+func (c *Client) Hosts(ctx context.Context, since int64) (HostList, error) {
 	var list HostList
-	err := c.get(ctx, c.HostsURL+"/v1/hosts", &list)
+	err := c.get(ctx, c.HostsURL+"/v1/hosts?since="+strconv.FormatInt(since, 10), &list)
 	return list, err
 }
 
--- /dev/null
+++ b/node/platform/platform_test.go
@@ -0,0 +1,34 @@
+package platform
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func ids(l HostList) string {
+	var names []string
+	for _, h := range l.Hosts {
+		names = append(names, h.ID+":"+string(h.State))
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
+func TestDifferencesOfTheHostList(t *testing.T) {
+	whole := HostList{Revision: 1, Hosts: []Host{{ID: "a", State: HostLive}, {ID: "b", State: HostLive}}}
+	next, err := whole.Apply(HostList{Since: 1, Revision: 3, Hosts: []Host{{ID: "b", State: HostLeaving}, {ID: "c", State: HostLive}}, Removed: []string{"a"}})
+	if err != nil || ids(next) != "b:leaving c:live" || next.Revision != 3 {
+		t.Fatalf("%v: %s", err, ids(next))
+	}
+	if same, err := next.Apply(HostList{Since: 3, Revision: 3}); err != nil || ids(same) != ids(next) {
+		t.Fatalf("%v: %s", err, ids(same))
+	}
+	if _, err := next.Apply(HostList{Since: 2, Revision: 4}); err == nil {
+		t.Fatal("a difference from another revision is taken")
+	}
+	if again, err := next.Apply(whole); err != nil || ids(again) != ids(whole) {
+		t.Fatalf("a whole list does not replace: %v %s", err, fmt.Sprint(again))
+	}
+}
