--- a/node/controller/pause.go
+++ b/node/controller/pause.go
@@ -29,14 +29,19 @@
 	for ctx.Err() == nil {
 		sleep(ctx, pauseTick)
 		now := time.Now()
-		gap := now.Sub(last)
+		c.tick(last, now)
 		last = now
-		if gap < pauseGap {
-			continue
-		}
-		c.Record.Metrics.Pauses.Inc()
-		c.Record.Log.Warn("the process was paused; what it believed is void", "gap", gap.String())
-		c.Board.Targets.Void(now)
-		c.Void(gap)
 	}
 }
+
+// tick voids what was believed if the time since the last tick is a pause.
+func (c *Pause) tick(last, now time.Time) {
+	gap := now.Sub(last)
+	if gap < pauseGap {
+		return
+	}
+	c.Record.Metrics.Pauses.Inc()
+	c.Record.Log.Warn("the process was paused; what it believed is void", "gap", gap.String())
+	c.Board.Targets.Void(now)
+	c.Void(gap)
+}
--- a/node/controller/reports.go
+++ b/node/controller/reports.go
@@ -41,6 +41,9 @@
 		targets := c.Board.Targets.Addresses()
 		c.poll(ctx, targets)
 		c.Board.Queues.WakeAll()
+		for pool, n := range c.Board.Queues.Lengths() {
+			c.Record.Metrics.Queue.WithLabelValues(pool).Set(float64(n))
+		}
 		sleep(ctx, c.pause(len(targets))-time.Since(start))
 	}
 }
--- a/node/internal/fleet/fleet.go
+++ b/node/internal/fleet/fleet.go
@@ -255,6 +255,22 @@
 	return n, nil
 }
 
+// Restart replaces an ended daemon by a new process of the same host, which
+// remembers nothing.
+func (f *Fleet) Restart(i int) (*Node, error) {
+	file := *f.Daemons[i].Config
+	file.Listen, file.Admin, file.Peer = anyPort, anyPort, anyPort
+	n, err := f.newNode(&file)
+	if err != nil {
+		return nil, err
+	}
+	f.Daemons[i] = n
+	return n, nil
+}
+
+// Start runs a daemon that Restart made.
+func (n *Node) Start() { n.start() }
+
 // Publish puts all hosts on the platform's list.
 func (f *Fleet) Publish() {
 	var hosts []platform.Host
