--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -159,7 +159,9 @@
 
 // place asks for a target and tells whether the ticket is done waiting.
 func place(ticket *Ticket, targets *TargetTable, at time.Time) bool {
-	placement := targets.Place(ticket.Pool.Name, ticket.Attempt, &ticket.Request, &ticket.Params, ticket.Holders, at)
+	params := ticket.Params
+	params.LongTargets += ageingSteps(ticket, at)
+	placement := targets.Place(ticket.Pool.Name, ticket.Attempt, &ticket.Request, &params, ticket.Holders, at)
 	ticket.looks++
 	switch placement.Decision.Verdict {
 	case routing.Wait:
@@ -180,6 +182,17 @@
 	return true
 }
 
+// ageingSteps is how many ageing steps a ticket has waited. Each lets its long
+// prompt go to one more target, so that its wait is bounded where the room kept for
+// short prompts leaves too little for the long ones.
+func ageingSteps(ticket *Ticket, at time.Time) int {
+	step := time.Duration(ticket.Pool.Policy.AgeingPerLevel)
+	if step <= 0 {
+		return 0
+	}
+	return int(at.Sub(ticket.Item.Arrived) / step)
+}
+
 // patience is how many ageing steps a long request waits before a target is
 // emptied for it.
 const patience = 2
