A fresh daemon's comparison is proved, not only shown

Cause: with the comparison removed its test still passed, as the first heartbeat came before the doors opened. Change: the test keeps the peers unreachable until the stale copy has been read; a fresh daemon waits 5 s for silent neighbours (3 before), so that a busy machine does not decide the verdict. Conclusion: the check can fail.

--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -45,7 +45,7 @@
 	newsEvery = 10
 	// compareTimeout is how long a fresh daemon waits for neighbours that do not
 	// answer, before it trusts what it read itself.
-	compareTimeout = 3 * time.Second
+	compareTimeout = 5 * time.Second
 	// settingsTimeout bounds the fetch of a revision from a peer.
 	settingsTimeout = 5 * time.Second
 )
--- a/node/internal/fleet/fleet.go
+++ b/node/internal/fleet/fleet.go
@@ -243,13 +243,14 @@
 // URL is the callers' base URL.
 func (n *Node) URL() string { return "http://" + n.Config.Listen }
 
-// Join adds a daemon that reads its settings from another address.
-func (f *Fleet) Join(configuration string) (*Node, error) {
+// Join adds a daemon that reads its settings from another address, after prepare.
+func (f *Fleet) Join(configuration string, prepare func(*Node)) (*Node, error) {
 	if err := f.addDaemon(len(f.Daemons)); err != nil {
 		return nil, err
 	}
 	n := f.Daemons[len(f.Daemons)-1]
 	n.SetConfigurationURL("http://" + configuration)
+	prepare(n)
 	f.Publish()
 	n.start()
 	return n, nil
