Frozen engines, groups' release, and one step for hosts and settings

The host list and the settings came at one time, and the older view was put in force last; since the list is read by differences nothing put that right again. Ruled out: limits (share 1), the estimate, the engine stand-in. And a frozen engine, which neither answers nor closes, held its requests to their deadline, and kept a group from releasing the parts at other engines: all releases shared one time limit. Change: Blackboard.SyncTargets is one step under a lock; three missed reports end the calls at a target, which go on elsewhere; each part of a group is released by itself, and a reservation waits 3 s at most. Conclusion: a freeze costs the time of three missed reports, 3 to 4 s.

--- a/node/blackboard/blackboard.go
+++ b/node/blackboard/blackboard.go
@@ -4,7 +4,7 @@
 // Each table has one lock. The lock order is stated once, by the Rank constants:
 // a goroutine that holds a table's lock takes only locks of a higher rank. The
 // only places where two are held together are a worker that places waiting
-// requests (queues, then targets). Controllers copy out of one table before they
+// requests (queues, then targets) and SyncTargets, whose lock comes first. Controllers copy out of one table before they
 // write to the next. Settings are read through an atomic pointer without a lock.
 package blackboard
 
@@ -58,6 +58,7 @@
 	Leases    *LeaseTable
 	Decisions *DecisionTable
 
+	sync     Mutex // makes SyncTargets one step
 	phase    atomic.Int32
 	inFlight atomic.Int64
 }
@@ -78,6 +79,7 @@
 // New returns an empty blackboard for a daemon that is starting.
 func New(self Identity, limits Limits) *Blackboard {
 	return &Blackboard{
+		sync:      NewMutex(RankSync),
 		Self:      self,
 		Queues:    newQueueTable(),
 		Targets:   newTargetTable(),
@@ -92,6 +94,21 @@
 	}
 }
 
+// SyncTargets puts the host list and the settings in force together. It is one
+// step: two of them, after a list and after settings that came at one time, must
+// not end with the older one's view.
+func (b *Blackboard) SyncTargets() {
+	b.sync.Lock()
+	defer b.sync.Unlock()
+	view := b.Settings.Current()
+	if view == nil {
+		return
+	}
+	list, _ := b.Members.Hosts()
+	b.Targets.Sync(list.Hosts, view.Tree, time.Now())
+	b.Queues.WakeAll()
+}
+
 // Phase is the current phase.
 func (b *Blackboard) Phase() Phase { return Phase(b.phase.Load()) }
 
--- a/node/blackboard/rank.go
+++ b/node/blackboard/rank.go
@@ -8,7 +8,8 @@
 // The lock order: a goroutine that holds a table's lock may take only locks of
 // a higher rank. Builds with the race detector check this at run time.
 const (
-	RankQueues Rank = iota + 1
+	RankSync Rank = iota + 1
+	RankQueues
 	RankTargets
 	RankAccounts
 	RankPrefixes
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -12,7 +12,8 @@
 	state *targetState
 	load  routing.Load
 	sent  time.Time
-	read  bool // the prompt has been read: the first token came
+	read  bool          // the prompt has been read: the first token came
+	gone  chan struct{} // closed when the target is taken to be gone
 }
 
 // remaining is the load of a call, less its prompt once that has been read.
@@ -28,8 +29,10 @@
 	Decision routing.Decision
 	// Attempt is the id of the call; Address is the target's host:port.
 	Attempt, Address string
-	// Reported is the target's last word on what it holds.
+	// At is when the decision was made.
 	At time.Time
+	// Gone is closed if the target is taken to be gone while the call runs.
+	Gone <-chan struct{}
 }
 
 // Place decides where a request goes and, where there is room, counts it there
@@ -56,7 +59,7 @@
 	if load.LongPrefills == 0 {
 		tp.short.add(load.BacklogTokens, at)
 	}
-	t.begin(s, attempt, load, at)
+	placement.Gone = t.begin(s, attempt, load, at)
 	return placement
 }
 
@@ -75,22 +78,26 @@
 	return load
 }
 
-func (t *TargetTable) begin(s *targetState, attempt string, load routing.Load, at time.Time) {
-	c := &ownCall{id: attempt, state: s, load: load, sent: at}
+func (t *TargetTable) begin(s *targetState, attempt string, load routing.Load, at time.Time) <-chan struct{} {
+	c := &ownCall{id: attempt, state: s, load: load, sent: at, gone: make(chan struct{})}
 	t.calls[attempt] = c
 	s.calls[attempt] = c
 	s.since = s.since.Add(load)
 	s.breaker.Sent()
 	s.refresh(at)
+	return c.gone
 }
 
-// Occupy counts a part of a group at a target, chosen by the caller.
-func (t *TargetTable) Occupy(id, attempt string, load routing.Load, at time.Time) {
+// Occupy counts a part of a group at a target, chosen by the caller. The channel
+// is closed if the target is taken to be gone while the part is there.
+func (t *TargetTable) Occupy(id, attempt string, load routing.Load, at time.Time) <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.byID[id]; s != nil {
-		t.begin(s, attempt, load, at)
+	s := t.byID[id]
+	if s == nil {
+		return nil
 	}
+	return t.begin(s, attempt, load, at)
 }
 
 // PromptRead records that a call's prompt has been read.
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -202,6 +202,11 @@
 	if s == nil {
 		return
 	}
+	if s.silent >= maxSilent {
+		for _, c := range s.calls {
+			c.gone = make(chan struct{}) // Those that still wait were told already.
+		}
+	}
 	s.silent = 0
 	s.leaving = r.Leaving
 	reportAt := received.Add(-r.Age)
@@ -222,9 +227,18 @@
 func (t *TargetTable) Silent(id string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.byID[id]; s != nil {
-		s.silent++
-		s.refresh(at)
+	s := t.byID[id]
+	if s == nil {
+		return
+	}
+	s.silent++
+	s.refresh(at)
+	if s.silent != maxSilent {
+		return
+	}
+	// A frozen target keeps its connections open: whoever waits there is told.
+	for _, c := range s.calls {
+		close(c.gone)
 	}
 }
 
--- a/node/cluster/explain.go
+++ b/node/cluster/explain.go
@@ -38,6 +38,9 @@
 		}
 		if m.Name == c.Board.Self.Name {
 			status.State = "this daemon"
+			if view := c.Board.Settings.Current(); view != nil {
+				status.Revision = view.Revision
+			}
 		}
 		s.Members = append(s.Members, status)
 	}
--- a/node/controller/hosts.go
+++ b/node/controller/hosts.go
@@ -53,7 +53,7 @@
 	c.Record.Metrics.PlatformRead.WithLabelValues("hosts", "read").Inc()
 	c.Board.Members.SetHosts(next, time.Now())
 	if next.Revision != before.Revision || before.Revision == 0 {
-		SyncTargets(c.Board)
+		c.Board.SyncTargets()
 	}
 }
 
@@ -68,14 +68,3 @@
 	}
 	return c.Platform.Hosts(ctx, 0)
 }
-
-// SyncTargets puts the hosts and the settings in force together.
-func SyncTargets(board *blackboard.Blackboard) {
-	view := board.Settings.Current()
-	if view == nil {
-		return
-	}
-	list, _ := board.Members.Hosts()
-	board.Targets.Sync(list.Hosts, view.Tree, time.Now())
-	board.Queues.WakeAll()
-}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -110,7 +110,7 @@
 
 // adopted takes a new revision to the targets and to the neighbours.
 func (d *Daemon) adopted() {
-	controller.SyncTargets(d.Board)
+	d.Board.SyncTargets()
 	d.cluster.Poke()
 }
 
--- a/node/internal/fleet/group_test.go
+++ b/node/internal/fleet/group_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"doorstack.dev/node/internal/standin"
 )
 
 func nowFor(*Node) time.Time { return time.Now() }
@@ -43,12 +45,13 @@
 	nothingHeld(t, f)
 }
 
-// TestGroupsWhoseEngineDies at each part: the caller still gets a whole answer
+// TestGroupsWhoseEngineFails at each part, by dying or by freezing: the caller still gets a whole answer
 // from the engines that live, and those hold nothing afterwards.
-func TestGroupsWhoseEngineDies(t *testing.T) {
+func TestGroupsWhoseEngineFails(t *testing.T) {
 	t.Parallel()
-	for victim := range 3 {
-		t.Run(fmt.Sprint("part ", victim+1), func(t *testing.T) {
+	for i := range 6 {
+		victim, freezes := i/2, i%2 == 1
+		t.Run(fmt.Sprintf("part %d freezes %v", victim+1, freezes), func(t *testing.T) {
 			t.Parallel()
 			o := claraOptions(1, 6)
 			o.Cost.Prefill *= 4
@@ -68,7 +71,11 @@
 				}
 				return len(holders) == 3
 			})
-			holders[victim].Server.Close()
+			if freezes {
+				holders[victim].SetFaults(standin.Faults{Frozen: true})
+			} else {
+				holders[victim].Server.Close()
+			}
 			r := <-answer
 			r.read(t)
 			if r.err != nil || strings.Count(r.text, " w") != 20 {
--- a/node/internal/standin/batch.go
+++ b/node/internal/standin/batch.go
@@ -12,7 +12,7 @@
 func (e *Engine) step() (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.Stall {
+	if e.faults.Stall || e.faults.Frozen {
 		return e.cost.Base, len(e.queue) > 0
 	}
 	e.admit()
--- a/node/internal/standin/engine.go
+++ b/node/internal/standin/engine.go
@@ -73,6 +73,8 @@
 	IgnoreFence bool
 	// Leaving is what the load report says.
 	Leaving bool
+	// Frozen answers nothing and keeps every connection open.
+	Frozen bool
 }
 
 // sequence is a request inside the engine.
--- a/node/internal/standin/enginehttp.go
+++ b/node/internal/standin/enginehttp.go
@@ -31,7 +31,19 @@
 		after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 		writeJSON(w, http.StatusOK, e.eventsAfter(after))
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.frozen() {
+			<-r.Context().Done()
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) frozen() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Frozen
 }
 
 func handle[T any](do func(T) *target.ErrorAnswer) http.HandlerFunc {
--- a/node/requestcontrol/generate.go
+++ b/node/requestcontrol/generate.go
@@ -99,11 +99,28 @@
 		FirstIndex:   g.next,
 		Continuation: g.given.String(),
 	}
-	err = g.ask(ctx, placement.Decision.Chosen, placement.Address, call)
+	asking, cancel := untilGone(ctx, placement.Gone)
+	err = g.ask(asking, placement.Decision.Chosen, placement.Address, call)
+	cancel()
 	g.finishCall(ctx, placement.Decision.Chosen, attempt, err)
 	return err
 }
 
+// untilGone returns a context that also ends when the target is taken to be gone.
+// A frozen engine neither answers nor closes the connection; its missing reports
+// are what tells, and the answer goes on elsewhere.
+func untilGone(ctx context.Context, gone <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-gone:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // finishCall books the end of a call and wakes whoever waits for its room.
 func (g *generation) finishCall(ctx context.Context, id, attempt string, err error) {
 	d := g.director
--- a/node/requestcontrol/group.go
+++ b/node/requestcontrol/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"doorstack.dev/core/decision"
@@ -31,6 +32,7 @@
 	reservation string
 	address     string
 	text        string
+	gone        <-chan struct{} // closed if the target is taken to be gone
 }
 
 // errNoGroup means that the engines have no room for all parts at the moment.
@@ -43,6 +45,9 @@
 	groupPauseMax   = 2 * time.Second
 )
 
+// reserveTimeout bounds the reservation of a part, which an engine answers at once.
+const reserveTimeout = 3 * time.Second
+
 // releaseTimeout bounds the release of a part; what it misses is found and
 // released by the sweep of reservations without a living owner.
 const releaseTimeout = 3 * time.Second
@@ -53,6 +58,11 @@
 	if err := run.reserveWhenFree(ctx); err != nil {
 		return err
 	}
+	for i := range run.parts {
+		var cancel context.CancelFunc
+		ctx, cancel = untilGone(ctx, run.parts[i].gone)
+		defer cancel()
+	}
 	if err := run.prefill(ctx); err != nil {
 		return err
 	}
@@ -98,11 +108,14 @@
 		return err
 	}
 	run.split(plan)
-	order := slices.Clone(run.parts)
-	slices.SortFunc(order, func(a, b groupPart) int { return compareNames(a.Target, b.Target) })
-	for i := range order {
-		if err := run.reservePart(ctx, &order[i]); err != nil {
-			return errors.Wrap(errNoGroup, order[i].Target+": "+err.Error())
+	order := make([]*groupPart, 0, len(run.parts))
+	for i := range run.parts {
+		order = append(order, &run.parts[i])
+	}
+	slices.SortFunc(order, func(a, b *groupPart) int { return compareNames(a.Target, b.Target) })
+	for _, p := range order {
+		if err := run.reservePart(ctx, p); err != nil {
+			return errors.Wrap(errNoGroup, p.Target+": "+err.Error())
 		}
 	}
 	return nil
@@ -137,7 +150,9 @@
 func (run *groupRun) reservePart(ctx context.Context, p *groupPart) error {
 	d := run.director
 	load := routing.Load{Requests: 1, MemoryTokens: p.Tokens, BacklogTokens: p.PromptTokens, LongPrefills: 1}
-	d.Board.Targets.Occupy(p.Target, p.reservation, load, time.Now())
+	p.gone = d.Board.Targets.Occupy(p.Target, p.reservation, load, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
 	err := d.Targets.Reserve(ctx, p.address, target.Reservation{
 		ID:          p.reservation,
 		Request:     run.request.ID,
@@ -197,16 +212,21 @@
 }
 
 // release gives every part back, on every way out, also after the caller has
-// gone or the deadline has passed. Releasing twice is harmless.
+// gone or the deadline has passed. Each engine is told by itself, so that one that
+// does not answer keeps no other's memory. Releasing twice is harmless.
 func (run *groupRun) release(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer cancel()
 	d := run.director
+	var wg sync.WaitGroup
 	for i := range run.parts {
 		p := &run.parts[i]
-		_ = d.Targets.Release(ctx, p.address, p.reservation)
-		d.Board.Targets.Finish(p.reservation, blackboard.CallCancelled, time.Now())
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+			defer cancel()
+			_ = d.Targets.Release(ctx, p.address, p.reservation)
+			d.Board.Targets.Finish(p.reservation, blackboard.CallCancelled, time.Now())
+		})
 	}
+	wg.Wait()
 	run.parts = run.parts[:0]
 	d.Board.Queues.Wake(run.request.Route.Pool.Name)
 }
