The last failure's cause was not proved: a stricter test, and a correction

The test's one request was not sent again. Conclusion: the fault is mended, the failure is not fully explained.

--- a/node/blackboard/sync_test.go
+++ b/node/blackboard/sync_test.go
@@ -1,7 +1,7 @@
 package blackboard
 
 import (
-	"sync"
+	"runtime"
 	"testing"
 	"time"
 
@@ -9,25 +9,26 @@
 	"doorstack.dev/node/platform"
 )
 
-// TestHostsAndSettingsAtOneTime: whichever comes first, the targets are there
-// when both have been taken over.
-func TestHostsAndSettingsAtOneTime(t *testing.T) {
+// TestSyncTargetsLooksAfterItsTurn: a daemon's view is read inside the one step,
+// so that a slow step cannot end with what it read before a faster one.
+func TestSyncTargetsLooksAfterItsTurn(t *testing.T) {
 	tree, err := settings.Parse([]byte(poolDocument))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for range 500 {
+	for range 100 {
 		b := New(Identity{Name: "d"}, DefaultLimits())
-		var wg sync.WaitGroup
-		wg.Go(func() {
-			b.Settings.Adopt(&SettingsView{Tree: tree, Revision: 1})
+		b.Settings.Adopt(&SettingsView{Tree: tree, Revision: 1})
+		b.sync.Lock()
+		done := make(chan struct{})
+		go func() {
 			b.SyncTargets()
-		})
-		wg.Go(func() {
-			b.Members.SetHosts(platform.HostList{Revision: 1, Hosts: targetHosts(3)}, time.Now())
-			b.SyncTargets()
-		})
-		wg.Wait()
+			close(done)
+		}()
+		runtime.Gosched()
+		b.Members.SetHosts(platform.HostList{Revision: 1, Hosts: targetHosts(3)}, time.Now())
+		b.sync.Unlock()
+		<-done
 		if got := len(b.Targets.Addresses()); got != 3 {
 			t.Fatalf("%d targets are known, want 3", got)
 		}
--- a/node/internal/fleet/answers_test.go
+++ b/node/internal/fleet/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -172,16 +173,11 @@
 	o.Cost.Base = patience / 1000 // The answer takes longer than the test waits.
 	f := start(t, o)
 	ctx, cancel := context.WithCancel(context.Background())
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.Daemons[0].URL()+"/v1/chat/completions", strings.NewReader(string(chatBody("x", 2000, true))))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+deskKey)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if resp, err := http.DefaultClient.Do(req); err == nil {
-			_ = resp.Body.Close()
+		for ctx.Err() == nil { // A refusal is not what this test is about.
+			abandon(ctx, f.Daemons[0])
 		}
 	}()
 	eventually(t, "the engine works on it", func() bool { return f.Engines[0].UsedTokens() > 0 })
@@ -190,3 +186,16 @@
 	nothingHeld(t, f)
 	memoryBack(t, f)
 }
+
+// abandon asks for a long answer and reads it until ctx ends.
+func abandon(ctx context.Context, n *Node) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.URL()+"/v1/chat/completions", strings.NewReader(string(chatBody("x", 2000, true))))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+deskKey)
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
