A thawed engine gives its part of a group back at once

Cause: a release that did not reach a frozen engine was repeated only ten seconds after the request's deadline, by another rule. Change: each daemon releases what reports still show of its own ended requests. Before: an engine that thawed held its part for up to 5 min 10 s in the test's settings. Conclusion: memory is held no longer than a report and a round (3 s) after a thaw.

--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -100,6 +100,13 @@
 	return t.begin(s, attempt, load, at)
 }
 
+// Active tells whether a call of this daemon has begun and not ended.
+func (t *TargetTable) Active(attempt string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls[attempt] != nil
+}
+
 // PromptRead records that a call's prompt has been read.
 func (t *TargetTable) PromptRead(attempt string, at time.Time) {
 	t.mu.Lock()
--- a/node/cluster/leases.go
+++ b/node/cluster/leases.go
@@ -48,6 +48,7 @@
 		for i := range mine {
 			c.tend(ctx, &mine[i], mine)
 		}
+		c.releaseOwn(ctx)
 	}
 }
 
@@ -174,21 +175,37 @@
 	}
 	for i := range t.Reservations {
 		r := &t.Reservations[i]
-		reason := c.orphaned(r, time.Now())
-		if reason == "" {
-			continue
+		if reason := c.orphaned(r, time.Now()); reason != "" {
+			c.releaseAt(ctx, t, r, reason)
 		}
-		sending, cancel := context.WithTimeout(ctx, lease.SendTimeout)
-		err := c.Targets.Release(sending, t.Address, r.ID)
-		cancel()
-		if err != nil {
-			continue
+	}
+}
+
+// releaseOwn gives back what targets hold for requests of this daemon that have
+// ended: a release may not have reached an engine that was frozen or cut off.
+func (c *Cluster) releaseOwn(ctx context.Context) {
+	for _, t := range c.Board.Targets.Addresses() {
+		for i := range t.Reservations {
+			r := &t.Reservations[i]
+			mine := r.Owner == c.Board.Self.Name && r.Incarnation == c.Board.Self.Incarnation
+			if mine && !c.Board.Targets.Active(r.ID) {
+				c.releaseAt(ctx, &t, r, "its request has ended")
+			}
 		}
-		c.Record.Metrics.Released.Inc()
-		c.Record.Record(decision.Record{Kind: decision.KindSweep, Request: r.Request, Pool: t.Pool, Target: t.ID, Outcome: "released", Reason: reason})
 	}
 }
 
+// releaseAt releases a reservation and records why.
+func (c *Cluster) releaseAt(ctx context.Context, t *blackboard.TargetAddress, r *target.Reservation, reason string) {
+	sending, cancel := context.WithTimeout(ctx, lease.SendTimeout)
+	defer cancel()
+	if err := c.Targets.Release(sending, t.Address, r.ID); err != nil {
+		return // The next round asks again.
+	}
+	c.Record.Metrics.Released.Inc()
+	c.Record.Record(decision.Record{Kind: decision.KindSweep, Request: r.Request, Pool: t.Pool, Target: t.ID, Outcome: "released", Reason: reason})
+}
+
 // orphaned says why a reservation has no owner any more, or "".
 func (c *Cluster) orphaned(r *target.Reservation, now time.Time) string {
 	if now.After(r.Expires.Add(orphanGrace)) {
--- a/node/internal/fleet/group_test.go
+++ b/node/internal/fleet/group_test.go
@@ -81,6 +81,10 @@
 			if r.err != nil || strings.Count(r.text, " w") != 20 {
 				t.Errorf("got %+v %q", r.err, r.text)
 			}
+			if freezes {
+				holders[victim].SetFaults(standin.Faults{})
+				memoryBack(t, f) // The thawed engine's part included.
+			}
 			eventually(t, "the living engines hold nothing", func() bool {
 				for _, e := range f.Engines {
 					if e != holders[victim] && e.UsedTokens() != 0 {
