Last read: cuts between characters, and two settings that did nothing

Cause: read as a newcomer, three faults: a prompt for a group of engines was cut at a byte, so that an accented letter at the cut would have reached the engines as two replacement marks; checks_fencing and bytes_per_token were read, checked, listed in the docs, and used nowhere. Two tests of failing engines were one test twice. Change: group.Split, in the pure module, moves a cut behind the character; a target that checks numbers gets its new owner's orders without the wait, as the CHECKS specification has it; the group's record tells its KV cache; the tests are a table. Before: no test had a prompt beyond ASCII in a group. After: a rapid test over multi-byte texts: every part is valid text and the parts join to the prompt. Conclusion: a key in the settings needs a test of its effect, not of its name.

--- a/core/group/group.go
+++ b/core/group/group.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"doorstack.dev/core/routing"
 	"github.com/go-faster/errors"
@@ -129,6 +130,26 @@
 	return nil
 }
 
+// Split cuts a text into the parts of a plan, each of its PromptTokens times
+// bytesPerToken bytes, and the rest in the last one. A cut that would fall inside a
+// character moves behind it: half a character is not text, and would be replaced
+// on its way to the engine.
+func Split(text string, plan []Part, bytesPerToken int) []string {
+	parts := make([]string, 0, len(plan))
+	for i, p := range plan {
+		end := min(len(text), int(p.PromptTokens)*bytesPerToken)
+		for end < len(text) && !utf8.RuneStart(text[end]) {
+			end++
+		}
+		if i == len(plan)-1 {
+			end = len(text)
+		}
+		parts = append(parts, text[:end])
+		text = text[end:]
+	}
+	return parts
+}
+
 // Backoff is a growing, random pause.
 type Backoff struct {
 	First, Max time.Duration
--- a/core/group/group_test.go
+++ b/core/group/group_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"doorstack.dev/core/routing"
 	"github.com/go-faster/errors"
@@ -56,6 +58,26 @@
 	})
 }
 
+// TestSplitKeepsCharactersWhole: the parts are text, and together the prompt.
+func TestSplitKeepsCharactersWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringOf(rapid.SampledFrom([]rune("açã€😀"))).Draw(t, "text")
+		plan := make([]Part, rapid.IntRange(1, 5).Draw(t, "parts"))
+		for i := range plan {
+			plan[i].PromptTokens = rapid.Int64Range(0, 5).Draw(t, "tokens")
+		}
+		parts := Split(text, plan, 4)
+		for i, p := range parts {
+			if !utf8.ValidString(p) {
+				t.Fatalf("part %d is %q", i, p)
+			}
+		}
+		if strings.Join(parts, "") != text || len(parts) != len(plan) {
+			t.Fatalf("%q is cut into %q", text, parts)
+		}
+	})
+}
+
 func fitsInOne(targets []routing.Target, tokens int64, headroom float64) bool {
 	sums := map[string]float64{}
 	for _, x := range targets {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -115,8 +115,11 @@
 }
 
 // MayOrder tells whether an order may be sent now. It is asked last thing before
-// the send, whose time must be bounded by SendTimeout.
-func (o *Owner) MayOrder(now time.Time) bool { return o.Holds(now) && now.After(o.ready) }
+// the send, whose time must be bounded by SendTimeout. A target that checks numbers
+// refuses a late order of the owner before, so its new owner need not wait.
+func (o *Owner) MayOrder(checksFencing bool, now time.Time) bool {
+	return o.Holds(now) && (checksFencing || now.After(o.ready))
+}
 
 // Fence is the number that orders carry.
 func (o *Owner) Fence() int64 { return o.fence }
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -43,7 +43,7 @@
 func (m *fleetModel) send(t *rapid.T) {
 	i := rapid.IntRange(0, 1).Draw(t, "owner")
 	o := m.owners[i]
-	if !o.MayOrder(m.now) {
+	if !o.MayOrder(false, m.now) {
 		return
 	}
 	if user, used := m.users[o.Fence()]; used && user != i {
@@ -96,7 +96,10 @@
 	var o Owner
 	o.Start(1, epoch)
 	o.Granted(epoch)
-	if o.MayOrder(epoch.Add(SendTimeout)) || !o.MayOrder(epoch.Add(SendTimeout+1)) || o.MayOrder(epoch.Add(TTL)) {
+	if !o.MayOrder(true, epoch) || o.MayOrder(true, epoch.Add(TTL)) {
+		t.Fatal("a target that checks numbers takes orders during the lease")
+	}
+	if o.MayOrder(false, epoch.Add(SendTimeout)) || !o.MayOrder(false, epoch.Add(SendTimeout+1)) || o.MayOrder(false, epoch.Add(TTL)) {
 		t.Fatal("want orders between the wait and the end of the lease only")
 	}
 }
--- a/node/blackboard/leases.go
+++ b/node/blackboard/leases.go
@@ -47,12 +47,13 @@
 	return o != nil && o.Granted(at)
 }
 
-// MayOrder tells whether this daemon may give an order now, and its number.
-func (t *LeaseTable) MayOrder(id string, at time.Time) (fence int64, ok bool) {
+// MayOrder tells whether this daemon may give an order now, and its number. A
+// target that does not check numbers makes a new owner wait.
+func (t *LeaseTable) MayOrder(id string, checksFencing bool, at time.Time) (fence int64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.owners[id]
-	if o == nil || !o.MayOrder(at) {
+	if o == nil || !o.MayOrder(checksFencing, at) {
 		return 0, false
 	}
 	return o.Fence(), true
--- a/node/cluster/leases.go
+++ b/node/cluster/leases.go
@@ -133,7 +133,7 @@
 	if !c.mayLoad(t, pool.Model, mine) {
 		return
 	}
-	fence, ok := c.Board.Leases.MayOrder(t.ID, time.Now())
+	fence, ok := c.Board.Leases.MayOrder(t.ID, pool.Kind.ChecksFencing, time.Now())
 	if !ok {
 		return
 	}
@@ -170,7 +170,7 @@
 // releaseOrphans gives back what a target holds for daemons that are gone, that
 // have restarted, or whose request has long ended.
 func (c *Cluster) releaseOrphans(ctx context.Context, t *blackboard.TargetAddress) {
-	if _, ok := c.Board.Leases.MayOrder(t.ID, time.Now()); !ok {
+	if _, ok := c.Board.Leases.MayOrder(t.ID, false, time.Now()); !ok {
 		return
 	}
 	for i := range t.Reservations {
--- a/node/internal/fleet/answers_test.go
+++ b/node/internal/fleet/answers_test.go
@@ -80,53 +80,39 @@
 	}
 }
 
-// TestEngineDiesInTheMiddle: the answer goes on elsewhere, no token twice.
-func TestEngineDiesInTheMiddle(t *testing.T) {
+// TestEngineFailsInTheMiddle, by dying, or by freezing, which answers nothing and
+// closes nothing: the answer goes on elsewhere, no token twice, long before its
+// deadline.
+func TestEngineFailsInTheMiddle(t *testing.T) {
 	t.Parallel()
-	o := claraOptions(1, 3)
-	f := start(t, o)
-	const tokens = 400
-	var wg sync.WaitGroup
-	replies := make([]reply, 8)
-	for i := range replies {
-		wg.Go(func() { replies[i] = chat(t, f.Daemons[0], appKey, "long talk", tokens) })
-	}
-	eventually(t, "an engine generates", func() bool { return f.Engines[0].UsedTokens() > 0 })
-	f.Engines[0].Server.Close()
-	wg.Wait()
-	for _, r := range replies {
-		wholeOrFailed(t, r, "long talk", tokens)
-		if r.err != nil {
-			t.Errorf("failed though two engines live: %s", r.err.Message)
-		}
-	}
-	nothingHeld(t, f)
-}
-
-// TestEngineFreezesInTheMiddle: it answers nothing any more and closes nothing;
-// the answer goes on elsewhere, long before its deadline.
-func TestEngineFreezesInTheMiddle(t *testing.T) {
-	t.Parallel()
-	o := claraOptions(1, 3)
-	o.Settings = []byte(strings.ReplaceAll(string(o.Settings), "deadline: 30s", "deadline: 10m"))
-	o.Cost.Base *= 4
-	f := start(t, o)
-	const tokens = 400
-	var wg sync.WaitGroup
-	replies := make([]reply, 6)
-	for i := range replies {
-		wg.Go(func() { replies[i] = chat(t, f.Daemons[0], appKey, "frozen", tokens) })
-	}
-	eventually(t, "an engine generates", func() bool { return f.Engines[0].UsedTokens() > 0 })
-	f.Engines[0].SetFaults(standin.Faults{Frozen: true})
-	wg.Wait()
-	for _, r := range replies {
-		wholeOrFailed(t, r, "frozen", tokens)
-		if r.err != nil {
-			t.Errorf("failed though two engines live: %s", r.err.Message)
-		}
+	for name, harm := range map[string]func(*Engine){
+		"dies":    func(e *Engine) { e.Server.Close() },
+		"freezes": func(e *Engine) { e.SetFaults(standin.Faults{Frozen: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := claraOptions(1, 3)
+			o.Settings = []byte(strings.ReplaceAll(string(o.Settings), "deadline: 30s", "deadline: 10m"))
+			o.Cost.Base *= 4
+			f := start(t, o)
+			const tokens = 400
+			var wg sync.WaitGroup
+			replies := make([]reply, 8)
+			for i := range replies {
+				wg.Go(func() { replies[i] = chat(t, f.Daemons[0], appKey, "long talk", tokens) })
+			}
+			eventually(t, "an engine generates", func() bool { return f.Engines[0].UsedTokens() > 0 })
+			harm(f.Engines[0])
+			wg.Wait()
+			for _, r := range replies {
+				wholeOrFailed(t, r, "long talk", tokens)
+				if r.err != nil {
+					t.Errorf("failed though two engines live: %s", r.err.Message)
+				}
+			}
+			nothingHeld(t, f)
+		})
 	}
-	nothingHeld(t, f)
 }
 
 // TestBadCallers get a clear error, and hold nothing afterwards.
--- a/node/requestcontrol/group.go
+++ b/node/requestcontrol/group.go
@@ -76,7 +76,8 @@
 	for tries := 1; ; tries++ {
 		err := run.reserve(ctx)
 		if err == nil {
-			run.record("reserved", fmt.Sprintf("%d parts after %d tries", len(run.parts), tries))
+			kv := run.request.promptTokens * run.request.Route.Pool.Kind.BytesPerToken
+			run.record("reserved", fmt.Sprintf("%d parts after %d tries, %d MB of KV cache in all", len(run.parts), tries, kv>>20))
 			return nil
 		}
 		run.release(ctx)
@@ -131,19 +132,14 @@
 // split cuts the prompt's text into the planned parts.
 func (run *groupRun) split(plan []group.Part) {
 	run.parts = run.parts[:0]
-	text := run.request.Prompt
+	texts := group.Split(run.request.Prompt, plan, target.BytesPerToken)
 	for i, p := range plan {
-		end := min(len(text), int(p.PromptTokens)*target.BytesPerToken)
-		if i == len(plan)-1 {
-			end = len(text)
-		}
 		run.parts = append(run.parts, groupPart{
 			Part:        p,
 			reservation: fmt.Sprintf("%s/%d", run.attempt, i),
 			address:     run.director.Board.Targets.Address(p.Target),
-			text:        text[:end],
+			text:        texts[i],
 		})
-		text = text[end:]
 	}
 }
 
