--- a/core/hostlist/hostlist.go
+++ b/core/hostlist/hostlist.go
@@ -45,6 +45,8 @@
 	// Slots is the number of calls that a target works on at once; zero where the
 	// list does not say.
 	Slots int `json:"slots,omitempty" cbor:"8,keyasint,omitempty"`
+	// Revision is the store's revision of the host's last change, in facts.
+	Revision int64 `json:"revision,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
 // List is the platform's view of the hosts, which lags, or what differs from
--- /dev/null
+++ b/core/hostlist/table.go
@@ -0,0 +1,219 @@
+package hostlist
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Gone is the state of a host whose entry was removed. It is used in facts only; a
+// list does not hold such hosts.
+const Gone State = "gone"
+
+// Facts are what a store or a peer says of hosts. Each host carries the revision at
+// which the store last changed its entry, so facts may come in any order, twice, and
+// from several sides.
+type Facts struct {
+	// Whole means that a host without a fact here has no entry as of AsOf.
+	Whole bool `cbor:"1,keyasint,omitempty"`
+	// AsOf is the store's revision up to which the facts are complete.
+	AsOf int64 `cbor:"2,keyasint"`
+	// Hosts are the facts; a host of state Gone has been removed.
+	Hosts []Host `cbor:"3,keyasint"`
+	// Confirmed means that removals are not in doubt: a peer tells of no others.
+	Confirmed bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Table merges facts into a list of hosts. It is pure; the caller passes the time.
+//
+// Entries run out while the store is away, and those of living targets are back
+// within ReturnGrace of its return. Until then a removal is in doubt: the host stays
+// listed, and counts as gone only if no newer fact brings it back.
+type Table struct {
+	entries  map[string]*entry
+	revision int64
+	// away is true while the store does not answer; back is when it last returned.
+	away bool
+	back time.Time
+}
+
+type entry struct {
+	host Host
+	// removed is the revision of a removal in doubt, and doubtUntil when it counts;
+	// both are zero where there is no doubt.
+	removed    int64
+	doubtUntil time.Time
+	// goneAt is when the removal was learned.
+	goneAt time.Time
+}
+
+const (
+	// ReturnGrace is how long after the store's return removals are in doubt. Targets
+	// report every 1.2 s or so and are back within some two seconds.
+	ReturnGrace = 2500 * time.Millisecond
+	// massRemoval is the number of removals in one answer from which they are in doubt
+	// even where the store was not seen to be away: a silent outage shows like this,
+	// and planned work takes targets away one or a few at a time. MassGrace is how long
+	// that doubt lasts, which stays below the 2 s after which a target that left may
+	// get no more work.
+	massRemoval = 4
+	MassGrace   = 1800 * time.Millisecond
+	// keepGone is how long removals are remembered, for peers that lag behind.
+	keepGone = time.Minute
+)
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: map[string]*entry{}} }
+
+// Revision is the highest revision of a fact; a peer with a lower one lacks news.
+func (t *Table) Revision() int64 { return t.revision }
+
+// Away tells whether the store is known to be away.
+func (t *Table) Away() bool { return t.away }
+
+// StoreAway records that the store did not answer.
+func (t *Table) StoreAway() { t.away = true }
+
+// StoreAnswered records an answer of the store and tells whether it had been away.
+func (t *Table) StoreAnswered(now time.Time) (returned bool) {
+	returned = t.away
+	if returned {
+		t.away, t.back = false, now
+	}
+	return returned
+}
+
+// Merge takes facts in and tells whether the list of hosts has changed.
+func (t *Table) Merge(f Facts, now time.Time) bool {
+	changed := false
+	removals := t.removals(f)
+	doubt := t.doubt(len(removals), now)
+	if f.Confirmed {
+		doubt = time.Time{}
+	}
+	for _, h := range f.Hosts {
+		if h.State != Gone && t.put(h) {
+			changed = true
+		}
+	}
+	for _, h := range removals {
+		t.remove(h, doubt, now)
+		changed = changed || doubt.IsZero()
+	}
+	return changed
+}
+
+// doubt is when so many removals in one answer count; zero means at once.
+func (t *Table) doubt(removals int, now time.Time) time.Time {
+	switch {
+	case t.away:
+		return now.Add(ReturnGrace) // Tick waits for the store's return besides.
+	case now.Before(t.back.Add(ReturnGrace)):
+		return t.back.Add(ReturnGrace)
+	case removals >= massRemoval:
+		return now.Add(MassGrace)
+	default:
+		return time.Time{}
+	}
+}
+
+// removals lists the hosts that the facts take away.
+func (t *Table) removals(f Facts) []Host {
+	var gone []Host
+	present := map[string]bool{}
+	for _, h := range f.Hosts {
+		present[h.ID] = true
+		if e := t.entries[h.ID]; h.State == Gone && e != nil && e.host.State != Gone && e.host.Revision < h.Revision {
+			gone = append(gone, h)
+		}
+	}
+	if !f.Whole {
+		return gone
+	}
+	for id, e := range t.entries {
+		if !present[id] && e.host.State != Gone && e.host.Revision <= f.AsOf {
+			gone = append(gone, Host{ID: id, State: Gone, Revision: f.AsOf})
+		}
+	}
+	return gone
+}
+
+// put takes over a host's entry if it is newer.
+func (t *Table) put(h Host) bool {
+	e := t.entries[h.ID]
+	if e != nil && h.Revision <= max(e.host.Revision, e.removed) {
+		return false
+	}
+	t.revision = max(t.revision, h.Revision)
+	t.entries[h.ID] = &entry{host: h}
+	if e == nil {
+		return true
+	}
+	before := e.host
+	before.Revision = h.Revision
+	return before != h
+}
+
+// remove marks a host as gone, or as removed in doubt, which leaves it listed.
+func (t *Table) remove(h Host, doubt, now time.Time) {
+	e := t.entries[h.ID]
+	if doubt.IsZero() {
+		t.confirm(e, h.Revision, now)
+		return
+	}
+	e.removed = max(e.removed, h.Revision)
+	if e.doubtUntil.IsZero() {
+		e.doubtUntil = doubt
+	}
+}
+
+// confirm makes a removal count.
+func (t *Table) confirm(e *entry, revision int64, now time.Time) {
+	e.host.State, e.host.Revision, e.goneAt = Gone, revision, now
+	e.removed, e.doubtUntil = 0, time.Time{}
+	t.revision = max(t.revision, revision)
+}
+
+// Tick ends doubts and forgets old removals. It tells whether the list has changed.
+// While the store is away doubts go on.
+func (t *Table) Tick(now time.Time) bool {
+	changed := false
+	for id, e := range t.entries {
+		switch {
+		case e.host.State == Gone:
+			if now.Sub(e.goneAt) > keepGone {
+				delete(t.entries, id)
+			}
+		case e.doubtUntil.IsZero() || t.away || now.Before(e.doubtUntil):
+		default:
+			t.confirm(e, e.removed, now)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Hosts lists the hosts that are not gone, by id.
+func (t *Table) Hosts() []Host {
+	hosts := make([]Host, 0, len(t.entries))
+	for _, e := range t.entries {
+		if e.host.State != Gone {
+			hosts = append(hosts, e.host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+	return hosts
+}
+
+// Since lists the facts above a revision, removals included, for a peer. A removal in
+// doubt is not told yet.
+func (t *Table) Since(revision int64) Facts {
+	f := Facts{AsOf: t.revision, Confirmed: true}
+	for _, e := range t.entries {
+		if e.host.Revision > revision {
+			f.Hosts = append(f.Hosts, e.host)
+		}
+	}
+	slices.SortFunc(f.Hosts, func(a, b Host) int { return cmp.Compare(a.Revision, b.Revision) })
+	return f
+}
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -9,6 +9,10 @@
 // once. A daemon that hears of its own death raises its incarnation and says so;
 // that repairs both sides of a split when they meet again.
 //
+// Where the platform lists no daemons, the fleet is open: a daemon is whoever
+// introduces itself. Rumors of life then carry an address, the first ones are heard
+// from a few seeds, and daemons that were dead for ForgetAfter are forgotten.
+//
 // The package is a pure state machine: no clock and no socket.
 package membership
 
@@ -28,6 +32,9 @@
 	HeartbeatEvery = time.Second
 	// DeadAfter is the silence after which a neighbour is declared dead.
 	DeadAfter = 3 * time.Second
+	// ForgetAfter is how long an open fleet remembers a daemon that died or left, and
+	// tries to find it again: longer than any cut that was seen to heal.
+	ForgetAfter = time.Minute
 )
 
 // State is what is known of a daemon.
@@ -65,6 +72,10 @@
 	Name        string `cbor:"1,keyasint"`
 	Incarnation int64  `cbor:"2,keyasint"`
 	State       State  `cbor:"3,keyasint"`
+	// Address, DataCentre and Region introduce the daemon in an open fleet.
+	Address    string `cbor:"4,keyasint,omitempty"`
+	DataCentre string `cbor:"5,keyasint,omitempty"`
+	Region     string `cbor:"6,keyasint,omitempty"`
 }
 
 // Member is a daemon as this one knows it.
@@ -81,6 +92,8 @@
 	Heard time.Time
 	// watched is when this daemon began to expect heartbeats.
 	watched time.Time
+	// ended is when an open fleet's daemon was found dead or gone.
+	ended time.Time
 }
 
 // Table is the view of the fleet.
@@ -91,6 +104,9 @@
 	neighbours  []string
 	// rumors about daemons that are not on the list yet.
 	early map[string]Rumor
+	// open fleets have no list; own is how this daemon introduces itself.
+	open bool
+	own  Host
 }
 
 // NewTable returns a table that knows only its own daemon.
@@ -98,6 +114,78 @@
 	return &Table{self: self, incarnation: incarnation, members: map[string]*Member{}, early: map[string]Rumor{}}
 }
 
+// NewOpenTable returns a table of an open fleet, which knows only its own daemon.
+func NewOpenTable(own Host, incarnation int64) *Table {
+	t := NewTable(own.Name, incarnation)
+	t.open, t.own = true, own
+	t.members[own.Name] = &Member{Host: own, Incarnation: incarnation, Started: incarnation}
+	return t
+}
+
+// Introduction is the rumor by which a daemon of an open fleet makes itself known.
+func (t *Table) Introduction() Rumor {
+	return Rumor{
+		Name: t.self, Incarnation: t.incarnation, State: Alive,
+		Address: t.own.Address, DataCentre: t.own.DataCentre, Region: t.own.Region,
+	}
+}
+
+// Everybody lists all that is known of an open fleet, for a daemon that lacks some.
+func (t *Table) Everybody() []Rumor {
+	rumors := []Rumor{t.Introduction()}
+	for name, m := range t.members {
+		if name != t.self {
+			rumors = append(rumors, m.rumor())
+		}
+	}
+	return rumors
+}
+
+func (m *Member) rumor() Rumor {
+	return Rumor{
+		Name: m.Name, Incarnation: m.Incarnation, State: m.State,
+		Address: m.Address, DataCentre: m.DataCentre, Region: m.Region,
+	}
+}
+
+// Digest identifies who is alive in an open fleet. Daemons with different digests
+// exchange all that they know.
+func (t *Table) Digest() uint64 {
+	sum := uint64(0)
+	for _, name := range t.Living() {
+		sum += rendezvous.Score(digestKey, name)
+	}
+	return sum
+}
+
+// digestKey keeps the scores of a digest apart from others.
+const digestKey = "digest"
+
+// Lost lists the daemons of an open fleet that died and may come back.
+func (t *Table) Lost() []Member {
+	var lost []Member
+	for _, m := range t.members {
+		if m.State == Dead {
+			lost = append(lost, *m)
+		}
+	}
+	slices.SortFunc(lost, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return lost
+}
+
+// introduce adds a daemon that a rumor of an open fleet tells of.
+func (t *Table) introduce(r Rumor) (Rumor, bool) {
+	if r.State != Alive || r.Address == "" {
+		return Rumor{}, false
+	}
+	t.members[r.Name] = &Member{
+		Host:        Host{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Region: r.Region},
+		Incarnation: r.Incarnation,
+	}
+	t.chooseNeighbours(time.Time{})
+	return r, true
+}
+
 // Incarnation is the daemon's own incarnation, which rises when others wrongly
 // believed it dead.
 func (t *Table) Incarnation() int64 { return t.incarnation }
@@ -125,8 +213,8 @@
 // chooseNeighbours keeps the links that the list calls for.
 func (t *Table) chooseNeighbours(now time.Time) {
 	var others []string
-	for name := range t.members {
-		if name != t.self {
+	for name, m := range t.members {
+		if name != t.self && (!t.open || m.State == Alive) {
 			others = append(others, name)
 		}
 	}
@@ -184,6 +272,9 @@
 		return t.deny(r)
 	}
 	m := t.members[r.Name]
+	if m == nil && t.open {
+		return t.introduce(r)
+	}
 	if m == nil {
 		t.early[r.Name] = r
 		return Rumor{}, false
@@ -194,9 +285,22 @@
 	// A first sign of life of a listed daemon is what everybody assumes anyway.
 	expected := r.State == Alive && m.State == Alive && m.Incarnation == 0
 	m.State, m.Incarnation = r.State, r.Incarnation
+	if t.open {
+		t.follow(m, r)
+		return m.rumor(), true
+	}
 	return r, !expected
 }
 
+// follow takes over what a newer rumor of an open fleet's daemon changes.
+func (t *Table) follow(m *Member, r Rumor) {
+	m.ended, m.watched = time.Time{}, time.Time{}
+	if r.Address != "" {
+		m.Address, m.DataCentre, m.Region = r.Address, r.DataCentre, r.Region
+	}
+	t.chooseNeighbours(time.Time{})
+}
+
 func newer(r Rumor, m *Member) bool {
 	if r.Incarnation != m.Incarnation {
 		return r.Incarnation > m.Incarnation
@@ -209,14 +313,22 @@
 		return Rumor{}, false
 	}
 	t.incarnation = r.Incarnation + 1
+	if t.open {
+		t.members[t.self].Incarnation = t.incarnation
+		return t.Introduction(), true
+	}
 	return Rumor{Name: t.self, Incarnation: t.incarnation, State: Alive}, true
 }
 
 // Tick declares silent neighbours dead and returns the rumors to send.
 func (t *Table) Tick(now time.Time) []Rumor {
 	var rumors []Rumor
-	for _, name := range t.neighbours {
+	t.forget(now)
+	for _, name := range slices.Clone(t.neighbours) {
 		m := t.members[name]
+		if m.watched.IsZero() && t.open {
+			m.watched = now
+		}
 		last := m.Heard
 		if m.watched.After(last) {
 			last = m.watched
@@ -227,9 +339,28 @@
 		m.State = Dead
 		rumors = append(rumors, Rumor{Name: name, Incarnation: m.Incarnation, State: Dead})
 	}
+	if t.open && len(rumors) > 0 {
+		t.chooseNeighbours(now)
+	}
 	return rumors
 }
 
+// forget drops daemons of an open fleet that ended long ago.
+func (t *Table) forget(now time.Time) {
+	if !t.open {
+		return
+	}
+	for name, m := range t.members {
+		switch {
+		case m.State == Alive || name == t.self:
+		case m.ended.IsZero():
+			m.ended = now
+		case now.Sub(m.ended) > ForgetAfter:
+			delete(t.members, name)
+		}
+	}
+}
+
 // Void forgets when neighbours were heard, after a pause of the process: they are
 // given the full time again before they are declared dead.
 func (t *Table) Void(now time.Time) {
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -24,7 +24,9 @@
 }
 
 // PathHandler serves forwarded calls, in the headers of a dialect.
-func (s *Server) PathHandler(d target.Dialect) http.Handler { return &pathServer{Server: s, dialect: d} }
+func (s *Server) PathHandler(d target.Dialect) http.Handler {
+	return &pathServer{Server: s, dialect: d}
+}
 
 // pathCall is one forwarded call with what has been found out about it.
 type pathCall struct {
--- a/node/blackboard/blackboard.go
+++ b/node/blackboard/blackboard.go
@@ -53,6 +53,7 @@
 	Repeats   *RepeatTable
 	Prefixes  *PrefixTable
 	Settings  *SettingsTable
+	Directory *DirectoryTable
 	Members   *MemberTable
 	Claims    *ClaimTable
 	Shares    *ShareTable
@@ -89,6 +90,7 @@
 		Repeats:   newRepeatTable(),
 		Prefixes:  newPrefixTable(limits.PrefixEntries),
 		Settings:  newSettingsTable(),
+		Directory: newDirectoryTable(),
 		Members:   newMemberTable(self),
 		Claims:    newClaimTable(time.Now()),
 		Shares:    newShareTable(),
--- /dev/null
+++ b/node/blackboard/directory.go
@@ -0,0 +1,67 @@
+package blackboard
+
+import (
+	"time"
+
+	"doorstack.dev/core/hostlist"
+)
+
+// DirectoryTable holds what the platform's store and the peers say of targets, where
+// the platform publishes entries rather than a list.
+type DirectoryTable struct {
+	mu    Mutex
+	table *hostlist.Table
+}
+
+func newDirectoryTable() *DirectoryTable {
+	return &DirectoryTable{mu: NewMutex(RankDirectory), table: hostlist.NewTable()}
+}
+
+// View runs f on the table under its lock. f must not keep it.
+func (t *DirectoryTable) View(f func(*hostlist.Table)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(t.table)
+}
+
+// Revision is the highest revision of a fact.
+func (t *DirectoryTable) Revision() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Revision()
+}
+
+// Since lists the facts above a revision, for a peer.
+func (t *DirectoryTable) Since(revision int64) hostlist.Facts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Since(revision)
+}
+
+// MergeFacts takes facts in and puts a changed list in force. It tells whether the
+// list has changed.
+func (b *Blackboard) MergeFacts(f hostlist.Facts, at time.Time) bool {
+	return b.changeDirectory(at, func(t *hostlist.Table) bool { return t.Merge(f, at) })
+}
+
+// TickDirectory ends doubts about targets whose entries ran out.
+func (b *Blackboard) TickDirectory(at time.Time) bool {
+	return b.changeDirectory(at, func(t *hostlist.Table) bool { return t.Tick(at) })
+}
+
+func (b *Blackboard) changeDirectory(at time.Time, change func(*hostlist.Table) bool) bool {
+	changed := false
+	b.Directory.View(func(t *hostlist.Table) { changed = change(t) })
+	if changed || !b.Members.HasHosts() {
+		b.syncDirectory(at)
+	}
+	return changed
+}
+
+// syncDirectory takes the directory's list to the tables that work with it.
+func (b *Blackboard) syncDirectory(at time.Time) {
+	list := hostlist.List{AsOf: at}
+	b.Directory.View(func(t *hostlist.Table) { list.Hosts, list.Revision = t.Hosts(), t.Revision() })
+	b.Members.SetTargets(list, at)
+	b.SyncTargets()
+}
--- a/node/blackboard/members.go
+++ b/node/blackboard/members.go
@@ -44,6 +44,28 @@
 	t.history.Add(claim.List{Revision: list.Revision, Changed: list.Changed, Hosts: t.regional(list.Hosts)}, list.AsOf)
 }
 
+// Open makes the fleet one whose daemons the platform does not list.
+func (t *MemberTable) Open() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := membership.Host{Name: t.self.Name, Address: t.self.Peer, DataCentre: t.self.DataCentre, Region: t.self.Region}
+	t.members = membership.NewOpenTable(own, t.self.Incarnation)
+}
+
+// SetTargets takes over a list that holds targets only; daemons are known otherwise.
+func (t *MemberTable) SetTargets(list hostlist.List, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hosts, t.read = list, at
+}
+
+// HasHosts tells whether a list has been read.
+func (t *MemberTable) HasHosts() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.read.IsZero()
+}
+
 func daemonsOf(hosts []hostlist.Host) []membership.Host {
 	var list []membership.Host
 	for _, h := range hosts {
--- a/node/blackboard/rank.go
+++ b/node/blackboard/rank.go
@@ -15,6 +15,7 @@
 	RankRepeats
 	RankPrefixes
 	RankSettings
+	RankDirectory
 	RankMembers
 	RankClaims
 	RankShares
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"doorstack.dev/node/blackboard"
@@ -26,12 +27,22 @@
 	// MembersOnly leaves out shares of limits and leases on targets, where the
 	// platform has no use for them.
 	MembersOnly bool
+	// Directory takes what peers know of targets; nil where the platform publishes a
+	// list of them.
+	Directory *controller.Directory
+	// Seeds are addresses of daemons to ask for the others, in an open fleet.
+	Seeds []string
 
 	started  time.Time
 	poke     chan struct{}
 	compared map[string]bool // neighbours whose revision has been seen
 	heard    chan heartbeatNews
 
+	// searched is true once every seed has answered and knew of nobody else.
+	searched atomic.Bool
+	// reconciled is when all members were last sent to a peer; seekMu guards it.
+	reconciled map[string]time.Time
+
 	seekMu sync.Mutex
 	sought map[string]*seek // the last question for a share out of turn, by account
 }
@@ -41,7 +52,7 @@
 	c := &Cluster{
 		Board: board, Hub: hub, Record: record, Settings: settings, Targets: targets,
 		started: time.Now(), poke: make(chan struct{}, 1), compared: map[string]bool{},
-		heard: make(chan heartbeatNews, heardQueue), sought: map[string]*seek{},
+		heard: make(chan heartbeatNews, heardQueue), sought: map[string]*seek{}, reconciled: map[string]time.Time{},
 	}
 	hub.Handle(peer.KindHeartbeat, peer.Serve(c.serveHeartbeat))
 	hub.Handle(peer.KindRumor, peer.Serve(c.serveRumors))
@@ -53,6 +64,8 @@
 	hub.Handle(peer.KindOutcome, peer.Serve(c.serveOutcome))
 	hub.Handle(peer.KindRenew, peer.Serve(c.serveRenew))
 	hub.Handle(peer.KindHoldings, peer.Serve(c.serveHoldings))
+	hub.Handle(peer.KindJoin, peer.Serve(c.serveJoin))
+	hub.Handle(peer.KindTargets, peer.Serve(c.serveTargets))
 	hub.Handle(peer.KindAcquire, peer.Serve(c.serveAcquire))
 	return c
 }
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -10,6 +10,7 @@
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
 	"github.com/go-faster/errors"
 )
@@ -26,12 +27,17 @@
 	Leaving bool `cbor:"4,keyasint,omitempty"`
 	// Started is the incarnation that the sender's process began with.
 	Started int64 `cbor:"5,keyasint,omitempty"`
+	// Digest identifies who is alive in an open fleet, as the sender knows it.
+	Digest uint64 `cbor:"6,keyasint,omitempty"`
+	// Targets is the revision of the sender's newest fact of a target.
+	Targets int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // heartbeatNews tells the members' loop what a neighbour said.
 type heartbeatNews struct {
 	from     string
 	revision int64
+	targets  int64
 }
 
 // heardQueue bounds the news that wait for the loop.
@@ -58,6 +64,9 @@
 		work.Go(func() { c.runLeases(ctx) })
 	}
 	work.Go(func() { c.fetchLoop(ctx) })
+	if c.open() {
+		work.Go(func() { c.join(ctx) })
+	}
 	ticker := time.NewTicker(membership.HeartbeatEvery)
 	defer ticker.Stop()
 	for beat := 0; ctx.Err() == nil; beat++ {
@@ -94,7 +103,9 @@
 	c.spread(ctx, rumors, "")
 	links := c.Board.Members.Links(now)
 	c.Hub.CloseIdle(func(name string) bool { return slices.Contains(links, name) })
-	c.Board.Claims.Counts(now)
+	if !c.MembersOnly {
+		c.Board.Claims.Counts(now)
+	}
 }
 
 func (c *Cluster) heartbeat(withNews bool) heartbeat {
@@ -104,10 +115,15 @@
 	}
 	c.Board.Members.View(func(t *membership.Table) {
 		h.Incarnation = t.Incarnation()
-		if withNews {
+		if c.open() {
+			h.Digest = t.Digest()
+		} else if withNews {
 			h.News = t.News()
 		}
 	})
+	if c.open() {
+		h.Targets = c.Board.Directory.Revision()
+	}
 	return h
 }
 
@@ -143,22 +159,15 @@
 		}
 	})
 	c.spread(ctx, rumors, from)
+	c.reconcile(ctx, from, h.Digest)
 	select {
-	case c.heard <- heartbeatNews{from, h.Revision}:
+	case c.heard <- heartbeatNews{from, h.Revision, h.Targets}:
 	default: // The next heartbeat says it again.
 	}
 }
 
 func (c *Cluster) serveRumors(ctx context.Context, from string, in []membership.Rumor) (done, error) {
-	var news []membership.Rumor
-	c.Board.Members.View(func(t *membership.Table) {
-		for _, r := range in {
-			if next, isNew := t.Receive(r); isNew {
-				news = append(news, next)
-			}
-		}
-	})
-	c.spread(ctx, news, from)
+	c.receive(ctx, in, from)
 	return done{}, nil
 }
 
@@ -169,7 +178,7 @@
 	}
 	for _, r := range rumors {
 		c.Record.Log.Info("membership", "member", r.Name, "state", r.State.String(), "incarnation", r.Incarnation)
-		if r.State == membership.Alive {
+		if r.State == membership.Alive && !c.MembersOnly {
 			go c.joined(ctx, r.Name)
 		}
 	}
@@ -206,6 +215,7 @@
 			return
 		case h := <-c.heard:
 			c.catchUp(ctx, h)
+			c.catchUpTargets(ctx, h)
 			c.compared[h.from] = true
 		case <-ticker.C:
 		}
@@ -224,6 +234,12 @@
 	if h.revision <= own || h.revision == c.Board.Settings.Rejected().Revision {
 		return
 	}
+	if c.open() && own > 0 {
+		controller.Sleep(ctx, watchLead)
+		if own = c.Board.Settings.Current().Revision; h.revision <= own {
+			return
+		}
+	}
 	var changes settings.Changes
 	if err := c.ask(ctx, h.from, peer.KindSettings, settingsRequest{Since: own}, &changes, settingsTimeout); err != nil {
 		c.Record.Log.Warn("settings could not be fetched from a peer", "peer", h.from, "revision", h.revision, "error", err.Error())
@@ -246,13 +262,18 @@
 	var neighbours []string
 	c.Board.Members.View(func(t *membership.Table) { neighbours = slices.Clone(t.NeighbourNames()) })
 	patient := time.Since(c.started) < compareTimeout
+	if c.open() && len(neighbours) == 0 && !c.searched.Load() && patient {
+		return // Nobody has been found yet to compare with.
+	}
 	for _, name := range neighbours {
 		if !c.compared[name] && patient {
 			return
 		}
 	}
-	c.learnHostLists(ctx, neighbours)
-	c.collectHoldings(ctx)
+	if !c.MembersOnly {
+		c.learnHostLists(ctx, neighbours)
+		c.collectHoldings(ctx)
+	}
 	c.Board.Serve()
 	c.Record.Log.Info("serving", "revision", c.Board.Settings.Current().Revision, "compared_with", len(c.compared))
 }
--- /dev/null
+++ b/node/cluster/open.go
@@ -0,0 +1,190 @@
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"doorstack.dev/core/hostlist"
+	"doorstack.dev/core/membership"
+	"doorstack.dev/node/controller"
+	"doorstack.dev/node/peer"
+	"github.com/go-faster/errors"
+)
+
+// An open fleet is one that the platform does not list: its daemons introduce
+// themselves to a few seeds and learn of the others from them.
+
+// The pace of looking for other daemons.
+const (
+	// joinTimeout bounds one introduction: a seed may be dead and its host silent.
+	joinTimeout = 500 * time.Millisecond
+	// joinEvery is the pause between introductions while nobody is known.
+	joinEvery = 300 * time.Millisecond
+	// rejoinEvery is the mean pause between tries to find a daemon that was lost, or a
+	// seed, which is what joins two parts of a fleet again after a cut.
+	rejoinEvery = 2 * time.Second
+	// reconcileEvery is the least time between two full exchanges with one peer.
+	reconcileEvery = 2 * time.Second
+)
+
+func (c *Cluster) open() bool { return c.Directory != nil }
+
+// join looks for other daemons until ctx ends.
+func (c *Cluster) join(ctx context.Context) {
+	for round := 0; ctx.Err() == nil; round++ {
+		alone := c.introduceTo(ctx, round)
+		if alone {
+			controller.Sleep(ctx, joinEvery)
+			continue
+		}
+		controller.Sleep(ctx, rejoinEvery/2+rand.N(rejoinEvery))
+	}
+}
+
+// introduceTo introduces this daemon to all seeds while it is alone, later to one
+// daemon that was lost or one seed that is not linked. It tells whether it is alone.
+func (c *Cluster) introduceTo(ctx context.Context, round int) (alone bool) {
+	var addresses []string
+	c.Board.Members.View(func(t *membership.Table) {
+		alone = len(t.NeighbourNames()) == 0
+		if alone {
+			addresses = c.Seeds
+			return
+		}
+		known := map[string]bool{}
+		for _, m := range t.Members() {
+			known[m.Address] = m.State == membership.Alive
+		}
+		for _, m := range t.Lost() {
+			addresses = append(addresses, m.Address)
+		}
+		for _, seed := range c.Seeds {
+			if alive, listed := known[seed]; !alive && !listed {
+				addresses = append(addresses, seed)
+			}
+		}
+	})
+	if !alone && len(addresses) > 0 {
+		addresses = addresses[round%len(addresses):][:1]
+	}
+	answered := 0
+	for _, address := range addresses {
+		if address == c.Board.Self.Peer {
+			answered++
+			continue
+		}
+		if c.introduce(ctx, address) {
+			answered++
+		}
+	}
+	if alone && answered > 0 && answered == len(addresses) {
+		c.searched.Store(true)
+	}
+	return alone
+}
+
+// introduce makes this daemon known at an address and learns who else is there.
+func (c *Cluster) introduce(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var own membership.Rumor
+	c.Board.Members.View(func(t *membership.Table) { own = t.Introduction() })
+	var all []membership.Rumor
+	name, err := c.Hub.AskAt(ctx, address, peer.KindJoin, own, &all)
+	if err != nil {
+		c.Record.Log.Debug("no daemon answers an introduction", "address", address, "error", err.Error())
+		return false
+	}
+	c.receive(ctx, all, name)
+	c.Poke()
+	return true
+}
+
+// serveJoin takes in a daemon that introduces itself and tells it of all others.
+func (c *Cluster) serveJoin(ctx context.Context, from string, in membership.Rumor) ([]membership.Rumor, error) {
+	if !c.open() {
+		return nil, errors.New("this fleet is listed by the platform and takes no introductions")
+	}
+	c.receive(ctx, []membership.Rumor{in}, from)
+	var all []membership.Rumor
+	c.Board.Members.View(func(t *membership.Table) { all = t.Everybody() })
+	return all, nil
+}
+
+// receive takes rumors in and passes news on.
+func (c *Cluster) receive(ctx context.Context, in []membership.Rumor, from string) {
+	var news []membership.Rumor
+	c.Board.Members.View(func(t *membership.Table) {
+		for _, r := range in {
+			if next, isNew := t.Receive(r); isNew {
+				news = append(news, next)
+			}
+		}
+	})
+	c.spread(ctx, news, from)
+}
+
+// reconcile sends all that is known to a peer that knows of other daemons than this
+// one does. The peer does the same, so both end with the union.
+func (c *Cluster) reconcile(ctx context.Context, from string, digest uint64) {
+	if !c.open() {
+		return
+	}
+	var all []membership.Rumor
+	now := time.Now()
+	c.Board.Members.View(func(t *membership.Table) {
+		if t.Digest() == digest {
+			return
+		}
+		all = t.Everybody()
+	})
+	if all == nil || !c.mayReconcile(from, now) {
+		return
+	}
+	if err := c.Hub.Tell(ctx, c.address(from), peer.KindRumor, all); err != nil {
+		c.Record.Log.Debug("members could not be told to a peer", "peer", from, "error", err.Error())
+	}
+}
+
+func (c *Cluster) mayReconcile(peerName string, now time.Time) bool {
+	c.seekMu.Lock()
+	defer c.seekMu.Unlock()
+	if now.Sub(c.reconciled[peerName]) < reconcileEvery {
+		return false
+	}
+	c.reconciled[peerName] = now
+	return true
+}
+
+// targetsRequest asks for the facts of targets above a revision.
+type targetsRequest struct {
+	Since int64 `cbor:"1,keyasint"`
+}
+
+func (c *Cluster) serveTargets(_ context.Context, _ string, in targetsRequest) (hostlist.Facts, error) {
+	return c.Board.Directory.Since(in.Since), nil
+}
+
+// watchLead is how long a daemon leaves its own watch of the store to bring what a
+// peer knows already: both hear of a change within some milliseconds, and fetching it
+// from the peer as well would double the bytes between data centres.
+const watchLead = 100 * time.Millisecond
+
+// catchUpTargets fetches what a peer knows of targets and this daemon does not.
+func (c *Cluster) catchUpTargets(ctx context.Context, h heartbeatNews) {
+	if !c.open() || h.targets <= c.Board.Directory.Revision() {
+		return
+	}
+	controller.Sleep(ctx, watchLead)
+	own := c.Board.Directory.Revision()
+	if h.targets <= own {
+		return
+	}
+	var facts hostlist.Facts
+	if err := c.ask(ctx, h.from, peer.KindTargets, targetsRequest{Since: own}, &facts, heartbeatTimeout); err != nil {
+		c.Record.Log.Warn("targets could not be fetched from a peer", "peer", h.from, "revision", h.targets, "error", err.Error())
+		return
+	}
+	c.Directory.MergeFrom(h.from, facts)
+}
--- a/node/cmd/doorstackd/onplatform.go
+++ b/node/cmd/doorstackd/onplatform.go
@@ -62,10 +62,12 @@
 	feed := &platform.Feed{
 		Store:   platform.NewStore(boot.Store),
 		Regions: boot.Regions,
-		Warn:    func(err error) { log.Warn("an entry of the store cannot be read and is left out", "error", err.Error()) },
+		Warn: func(err error) {
+			log.Warn("an entry of the store cannot be read and is left out", "error", err.Error())
+		},
 	}
 	return &daemon.Adapter{
-		Source: feed, Parse: platform.ParseConfig, Dialect: platform.Headers{},
+		Settings: feed, Targets: feed, Parse: platform.ParseConfig, Dialect: platform.Headers{},
 		Ready: boot.Ready, Seeds: boot.Seeds, Grace: boot.Bounds.Grace,
 		Repeats: admission.RepeatLimit{Share: boot.Bounds.RepeatShare, Slack: boot.Bounds.RepeatSlack, Window: boot.Bounds.RepeatWindow},
 	}
--- a/node/confservice/confservice.go
+++ b/node/confservice/confservice.go
@@ -61,8 +61,7 @@
 }
 
 // Hosts reads what differs from a revision of the host list; zero reads the whole.
-// This service does not hold the call until there is a change.
-func (c *Client) Hosts(ctx context.Context, since int64, _ time.Duration) (hostlist.List, error) {
+func (c *Client) Hosts(ctx context.Context, since int64) (hostlist.List, error) {
 	var list hostlist.List
 	err := c.get(ctx, c.HostsURL+"/v1/hosts?since="+strconv.FormatInt(since, 10), &list)
 	return list, err
--- /dev/null
+++ b/node/controller/directory.go
@@ -0,0 +1,120 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"doorstack.dev/core/hostlist"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/telemetry"
+)
+
+// TargetSource publishes an entry for each target. It is read only.
+type TargetSource interface {
+	// Targets returns all entries or what changed since the last call, for which it
+	// waits.
+	Targets(ctx context.Context, wait time.Duration) (hostlist.Facts, error)
+}
+
+// Directory keeps the targets of a platform that publishes entries.
+type Directory struct {
+	Board  *blackboard.Blackboard
+	Source TargetSource
+	Record *telemetry.Recorder
+	// Watch is how long a watch is held.
+	Watch time.Duration
+}
+
+const (
+	// storeRetry is the mean pause after a read of the store that failed, and
+	// storeRetryMax the longest it grows to: each call is paid for, refused ones too,
+	// and a configuration has to be in force 2 s after the store takes it.
+	storeRetry    = 200 * time.Millisecond
+	storeRetryMax = 800 * time.Millisecond
+	// probeWait is how long a watch is held while the store is away.
+	probeWait = time.Millisecond
+	// directoryTick is how often doubts are looked at.
+	directoryTick = 250 * time.Millisecond
+)
+
+// Run reads and watches until ctx ends.
+func (c *Directory) Run(ctx context.Context) {
+	go c.tick(ctx)
+	pause := storeRetry
+	for ctx.Err() == nil {
+		if c.read(ctx) {
+			pause = storeRetry
+			continue
+		}
+		Sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, storeRetryMax)
+	}
+}
+
+// read makes one call of the store and tells whether it was answered.
+func (c *Directory) read(ctx context.Context) bool {
+	watch := c.Watch
+	c.Board.Directory.View(func(t *hostlist.Table) {
+		if t.Away() {
+			watch = probeWait // An answer at once tells that the store is back.
+		}
+	})
+	facts, err := c.Source.Targets(ctx, watch)
+	if ctx.Err() != nil {
+		return true
+	}
+	now := time.Now()
+	if err != nil {
+		c.lost(err)
+		return false
+	}
+	c.Record.Metrics.PlatformRead.WithLabelValues("hosts", "read").Inc()
+	returned := false
+	c.Board.Directory.View(func(t *hostlist.Table) { returned = t.StoreAnswered(now) })
+	if returned {
+		c.Record.Log.Info("dependency is back", "dependency", "store", "revision", facts.AsOf)
+	}
+	c.merge(facts, "store", now)
+	return true
+}
+
+// lost records a failed call: a line when the store is first lost, a count always.
+func (c *Directory) lost(err error) {
+	c.Record.Metrics.PlatformRead.WithLabelValues("hosts", "failed").Inc()
+	known := false
+	c.Board.Directory.View(func(t *hostlist.Table) {
+		known = t.Away()
+		t.StoreAway()
+	})
+	if !known {
+		c.Record.Log.Warn("dependency is lost", "dependency", "store", "error", err.Error())
+	}
+}
+
+// MergeFrom takes facts of a peer in.
+func (c *Directory) MergeFrom(peer string, facts hostlist.Facts) {
+	facts.Whole = false
+	c.merge(facts, "peer "+peer, time.Now())
+}
+
+func (c *Directory) merge(facts hostlist.Facts, from string, now time.Time) {
+	if !c.Board.MergeFacts(facts, now) {
+		return
+	}
+	for _, h := range facts.Hosts {
+		c.Record.Log.Info("target", "target", h.ID, "state", string(h.State), "address", h.Address, "pool", h.Pool,
+			"revision", h.Revision, "from", from)
+	}
+}
+
+func (c *Directory) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		Sleep(ctx, directoryTick)
+		if c.Board.TickDirectory(time.Now()) {
+			targets, _ := c.Board.Members.Hosts()
+			c.Record.Log.Info("targets whose entries did not come back count as gone", "left", fmt.Sprint(len(targets.Hosts)))
+		}
+	}
+}
--- a/node/controller/hosts.go
+++ b/node/controller/hosts.go
@@ -10,16 +10,19 @@
 	"doorstack.dev/node/telemetry"
 )
 
+// HostSource publishes the host list. It is read only.
+type HostSource interface {
+	// Hosts returns the whole host list, or what differs from a revision of it.
+	Hosts(ctx context.Context, since int64) (hostlist.List, error)
+}
+
 // Hosts keeps the host list and, with it, the list of targets.
 type Hosts struct {
 	Board    *blackboard.Blackboard
-	Platform Source
+	Platform HostSource
 	Record   *telemetry.Recorder
-	// Every is the pause between reads of a service that does not hold calls.
+	// Every is the pause between reads.
 	Every time.Duration
-	// Watch is how long a read may be held until there is a change; zero for a
-	// service that does not hold calls.
-	Watch time.Duration
 }
 
 // HostsEvery is the usual pause between reads of the host list, and hostsPerHost
@@ -31,17 +34,8 @@
 	hostsPerHost = 8 * time.Millisecond
 )
 
-// hostsRetry is the mean pause after a watch that failed. An answer of the service
-// takes some 4 ms, and entries that lapsed while it was away are back 2 s after it.
-const hostsRetry = 200 * time.Millisecond
-
 // Run reads the list until ctx ends. A list that cannot be read is kept.
 func (c *Hosts) Run(ctx context.Context) {
-	for ctx.Err() == nil && c.Watch > 0 {
-		if !c.Refresh(ctx) {
-			Sleep(ctx, hostsRetry/2+rand.N(hostsRetry))
-		}
-	}
 	for ctx.Err() == nil {
 		c.Refresh(ctx)
 		_, listed := c.Board.Members.Living()
@@ -51,27 +45,26 @@
 	}
 }
 
-// Refresh reads once what differs in the list and tells whether it could.
-func (c *Hosts) Refresh(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, c.Watch+readTimeout)
+// Refresh reads once what differs in the list.
+func (c *Hosts) Refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	before, _ := c.Board.Members.Hosts()
 	next, err := c.read(ctx, before)
 	if err != nil {
 		c.Record.Metrics.PlatformRead.WithLabelValues("hosts", "failed").Inc()
 		c.Record.Log.Warn("the host list could not be read", "error", err.Error())
-		return false
+		return
 	}
 	c.Record.Metrics.PlatformRead.WithLabelValues("hosts", "read").Inc()
 	c.Board.Members.SetHosts(next, time.Now())
 	if next.Revision != before.Revision || before.Revision == 0 {
 		c.Board.SyncTargets()
 	}
-	return true
 }
 
 func (c *Hosts) read(ctx context.Context, before hostlist.List) (hostlist.List, error) {
-	change, err := c.Platform.Hosts(ctx, before.Revision, c.Watch)
+	change, err := c.Platform.Hosts(ctx, before.Revision)
 	if err != nil {
 		return before, err
 	}
@@ -79,5 +72,5 @@
 	if err == nil {
 		return next, nil
 	}
-	return c.Platform.Hosts(ctx, 0, 0)
+	return c.Platform.Hosts(ctx, 0)
 }
--- a/node/controller/settings.go
+++ b/node/controller/settings.go
@@ -11,28 +11,24 @@
 	"time"
 
 	"doorstack.dev/core/decision"
-	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/telemetry"
 	"github.com/go-faster/errors"
 )
 
-// Source publishes settings and hosts. It is read only.
-type Source interface {
+// SettingsSource publishes settings. It is read only.
+type SettingsSource interface {
 	// Config returns what changed in the settings after a revision; zero reads the
 	// whole. With wait above zero it waits that long for a change.
 	Config(ctx context.Context, since int64, wait time.Duration) (settings.Changes, error)
-	// Hosts returns the whole host list or what differs from a revision of it, for
-	// which it may wait.
-	Hosts(ctx context.Context, since int64, wait time.Duration) (hostlist.List, error)
 }
 
 // Settings adopts revisions: from the configuration service, if this daemon is
 // one of those that watch it, and from peers.
 type Settings struct {
 	Board    *blackboard.Blackboard
-	Platform Source
+	Platform SettingsSource
 	Record   *telemetry.Recorder
 	// Parse checks the parts of a revision whole and resolves them.
 	Parse func(parts map[string][]byte) (*settings.Tree, error)
@@ -46,13 +42,14 @@
 
 // The pace of reads. A watch is held for watchWait; after a failure the daemon
 // waits a random part of a doubling time, so that the end of an outage does not
-// bring all daemons at once. A daemon that does not watch reads once in a while
+// bring all daemons at once. It stays short: a change has to be in force within two
+// seconds, and only a few daemons of each data centre read. A daemon that does not watch reads once in a while
 // all the same, in case that all its peers are wrong.
 const (
 	watchWait    = 30 * time.Second
 	readTimeout  = 5 * time.Second
 	backoffFirst = 250 * time.Millisecond
-	backoffMax   = 8 * time.Second
+	backoffMax   = time.Second
 	idleCheck    = time.Second
 	rareRead     = 5 * time.Minute
 )
@@ -75,6 +72,12 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, settings.ErrOlder) {
+			c.Record.Log.Info("no settings are published yet", "retry_in", backoff.String())
+			Sleep(ctx, rand.N(backoff))
+			backoff = min(2*backoff, backoffMax)
+			continue
+		}
 		c.Record.Log.Warn("the configuration service could not be read", "error", err.Error(), "retry_in", backoff.String())
 		Sleep(ctx, rand.N(backoff))
 		backoff = min(2*backoff, backoffMax)
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -48,7 +48,6 @@
 	record   *telemetry.Recorder
 	director *requestcontrol.Director
 	settings *controller.Settings
-	hosts    *controller.Hosts
 	targets  *target.Client
 	hub      *peer.Hub
 	cluster  *cluster.Cluster
@@ -62,9 +61,10 @@
 // Adapter is what a daemon takes from a platform that it runs on in place of the
 // project's own protocols.
 type Adapter struct {
-	// Source publishes settings and targets, and Parse resolves settings.
-	Source controller.Source
-	Parse  func(parts map[string][]byte) (*settings.Tree, error)
+	// Settings and Targets publish, and Parse resolves settings.
+	Settings controller.SettingsSource
+	Targets  controller.TargetSource
+	Parse    func(parts map[string][]byte) (*settings.Tree, error)
 	// Dialect reads and writes the headers of forwarded calls.
 	Dialect target.Dialect
 	// Ready is the address where the balancer asks whether this daemon takes
@@ -117,10 +117,10 @@
 		Prefix:    d.Config.Platform.Prefix,
 		HTTP:      &http.Client{},
 	}
-	var source controller.Source = d.service
+	var source controller.SettingsSource = d.service
 	parse := d.service.ParseParts
 	if d.adapter != nil {
-		source, parse = d.adapter.Source, d.adapter.Parse
+		source, parse = d.adapter.Settings, d.adapter.Parse
 	}
 	d.director = &requestcontrol.Director{Board: d.Board, Targets: client, Record: d.record, Retrying: requestcontrol.DefaultRetryPolicy()}
 	d.settings = &controller.Settings{
@@ -135,16 +135,16 @@
 	d.cluster = cluster.New(d.Board, d.hub, d.record, d.settings, client)
 	d.director.Claims, d.director.Shares = d.cluster, d.cluster
 	d.Board.Accounts.SetShares(d.Board.Shares.Share)
-	d.hosts = &controller.Hosts{Board: d.Board, Platform: source, Record: d.record, Every: controller.HostsEvery}
 	pause := &controller.Pause{Board: d.Board, Record: d.record, Void: d.cluster.Void}
 	workers := &worker.Pool{Board: d.Board, Size: d.Config.Workers}
-	d.loops = []func(context.Context){d.settings.Run, d.hosts.Run, pause.Run, workers.Run, d.cluster.Run}
+	d.loops = []func(context.Context){d.settings.Run, pause.Run, workers.Run, d.cluster.Run}
 	if d.adapter != nil {
 		d.adapt()
 		return
 	}
 	reports := &controller.Reports{Board: d.Board, Client: client, Record: d.record, PollsPerSecond: d.Config.ReportPolls}
-	d.loops = append(d.loops, reports.Run)
+	hosts := &controller.Hosts{Board: d.Board, Platform: d.service, Record: d.record, Every: controller.HostsEvery}
+	d.loops = append(d.loops, hosts.Run, reports.Run)
 }
 
 // watchHold is how long a watch of a platform's store is held. A connection that
@@ -153,11 +153,14 @@
 
 // adapt provisions what is different on a platform.
 func (d *Daemon) adapt() {
-	d.hosts.Watch, d.settings.Watch = watchHold, watchHold
+	d.settings.Watch = watchHold
+	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Record: d.record, Watch: watchHold}
+	d.cluster.Directory, d.cluster.Seeds = directory, d.adapter.Seeds
+	d.Board.Members.Open()
 	d.cluster.MembersOnly = true
 	d.Board.Repeats.SetLimit(d.adapter.Repeats)
 	d.director.Exchange = target.NewExchanger(d.adapter.Dialect)
-	d.loops = append(d.loops, d.director.Exchange.Run)
+	d.loops = append(d.loops, directory.Run, d.director.Exchange.Run)
 }
 
 // adopted takes a new revision to the targets and to the neighbours.
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -33,6 +33,8 @@
 	KindExplain   Kind = 13
 	KindHosts     Kind = 14
 	KindHoldings  Kind = 15
+	KindJoin      Kind = 16
+	KindTargets   Kind = 17
 )
 
 var kindNames = map[Kind]string{
@@ -40,6 +42,7 @@
 	KindRumor: "rumor", KindSettings: "settings", KindClaim: "claim", KindGiveUp: "give_up",
 	KindConclude: "conclude", KindOutcome: "outcome", KindRenew: "renew", KindAcquire: "acquire",
 	KindExplain: "explain", KindHosts: "hosts", KindHoldings: "holdings",
+	KindJoin: "join", KindTargets: "targets",
 }
 
 // String names the kind for metrics.
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -112,27 +112,31 @@
 	return in.Name, writeFrame(ctx, conn, KindWelcome, welcome{Proof: proof(key, proofOfServer, in.Name, h.self, in.Nonce, nonce)})
 }
 
-func (h *Hub) dialHandshake(ctx context.Context, conn *websocket.Conn, name string) error {
+// dialHandshake proves who both sides are. An empty name takes whoever answers.
+func (h *Hub) dialHandshake(ctx context.Context, conn *websocket.Conn, name string) (string, error) {
 	var c challenge
 	if err := readFrame(ctx, conn, KindChallenge, &c); err != nil {
-		return err
+		return "", err
+	}
+	if name == "" {
+		name = c.Name
 	}
 	if c.Name != name {
-		return errors.New("another daemon answers at the peer's address: " + c.Name)
+		return "", errors.New("another daemon answers at the peer's address: " + c.Name)
 	}
 	nonce := newNonce()
 	out := hello{Name: h.self, Nonce: nonce, Proof: proof(h.keys[0], proofOfClient, h.self, name, nonce, c.Nonce)}
 	if err := writeFrame(ctx, conn, KindHello, out); err != nil {
-		return err
+		return "", err
 	}
 	var in welcome
 	if err := readFrame(ctx, conn, KindWelcome, &in); err != nil {
-		return err
+		return "", err
 	}
 	_, err := knownKey(h.keys[:1], func(key []byte) []byte {
 		return proof(key, proofOfServer, h.self, name, nonce, c.Nonce)
 	}, in.Proof)
-	return err
+	return name, err
 }
 
 func writeFrame(ctx context.Context, conn *websocket.Conn, kind Kind, body any) error {
@@ -227,6 +231,10 @@
 		delete(h.dialing, to.Name)
 		h.mu.Unlock()
 	}()
+	return h.connect(ctx, to)
+}
+
+func (h *Hub) connect(ctx context.Context, to Address) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	conn, resp, err := websocket.Dial(ctx, "ws://"+to.Address+"/", nil)
@@ -234,20 +242,39 @@
 		_ = resp.Body.Close()
 	}
 	if err != nil {
-		return nil, errors.Wrap(err, "dial "+to.Name)
+		return nil, errors.Wrap(err, "dial "+to.Name+" at "+to.Address)
 	}
 	conn.SetReadLimit(MaxFrame)
-	if err := h.dialHandshake(ctx, conn, to.Name); err != nil {
+	name, err := h.dialHandshake(ctx, conn, to.Name)
+	if err != nil {
 		h.refused("bad_proof")
-		_ = conn.Close(websocket.StatusPolicyViolation, "bad proof")
-		return nil, errors.Wrap(err, "greet "+to.Name)
+		_ = conn.CloseNow()
+		return nil, errors.Wrap(err, "greet "+to.Name+" at "+to.Address)
 	}
-	l := newLink(h, to.Name, conn)
+	l := newLink(h, name, conn)
 	h.add(l)
 	go l.run(h.ctx)
 	return l, nil
 }
 
+// AskAt sends a question to whoever listens at an address, and returns its name. The
+// link is kept under that name.
+func (h *Hub) AskAt(ctx context.Context, address string, kind Kind, in, out any) (string, error) {
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return "", err
+	}
+	l, err := h.connect(ctx, Address{Address: address})
+	if err != nil {
+		return "", err
+	}
+	answer, err := l.ask(ctx, kind, body)
+	if err != nil {
+		return l.peer, err
+	}
+	return l.peer, cbor.Unmarshal(answer, out)
+}
+
 // Ask sends a question to a peer and decodes its answer into out.
 func (h *Hub) Ask(ctx context.Context, to Address, kind Kind, in, out any) error {
 	body, err := cbor.Marshal(in)
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -70,8 +70,8 @@
 
 // Director runs requests.
 type Director struct {
-	Board    *blackboard.Blackboard
-	Targets  *target.Client
+	Board   *blackboard.Blackboard
+	Targets *target.Client
 	// Exchange sends forwarded calls; nil where none are taken.
 	Exchange *target.Exchanger
 	Record   *telemetry.Recorder
