--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -15,9 +15,11 @@
 
 // The kinds of decision.
 const (
-	KindLimit    Kind = "limit"
-	KindAdmit    Kind = "admit"
-	KindRoute    Kind = "route"
+	KindLimit Kind = "limit"
+	KindAdmit Kind = "admit"
+	KindRoute Kind = "route"
+	// KindPlace is a choice that a coordinator made for another daemon.
+	KindPlace    Kind = "place"
 	KindAttempt  Kind = "attempt"
 	KindClaim    Kind = "claim"
 	KindGroup    Kind = "group"
--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -100,6 +100,10 @@
 		t.remove(h, doubt, now)
 		changed = changed || doubt.IsZero()
 	}
+	if f.Confirmed || f.Whole && doubt.IsZero() {
+		// Nothing older is missing, also where a removal here had no entry to remove.
+		t.revision = max(t.revision, f.AsOf)
+	}
 	return changed
 }
 
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -35,6 +35,8 @@
 type Scratch struct {
 	best     []ranked
 	rejected []rejected
+	// readers and chosen are indices of targets that may read, or will read, a part.
+	readers, chosen []int
 }
 
 // Decide makes a routing decision over the targets of one pool. The result
@@ -48,6 +50,9 @@
 }
 
 func (s *Scratch) decide(r *Request, p *Params, targets []Target, holders int) Decision {
+	if timed(r, p) {
+		return s.decideTimed(r, p, targets)
+	}
 	d := Decision{Request: *r, Params: *p, Considered: len(targets), LongHolders: holders}
 	long := p.IsLong(r.PromptTokens)
 	largest := s.scan(r, p, long, targets, &d)
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -13,6 +13,8 @@
 
 import (
 	"time"
+
+	"doorstack.dev/core/engine"
 )
 
 // State is what is known of a target's life.
@@ -83,6 +85,14 @@
 	BreakerOpen bool `json:"breaker_open,omitempty"`
 	// ReservedFor is the long request the target is being emptied for, if any.
 	ReservedFor string `json:"reserved_for,omitempty"`
+	// Reading is the time, in seconds, that the engine still reads before it has read
+	// all prompts that it was given; for engines of known timing.
+	Reading float64 `json:"reading_s,omitempty"`
+	// GapGoal is the least goal for the pause between two events among the requests at
+	// the target, in seconds; zero where none has one. Tight is the number of requests
+	// with a goal that a pass full of reading would miss by far.
+	GapGoal float64 `json:"gap_goal_s,omitempty"`
+	Tight   int     `json:"tight,omitempty"`
 	// Unloaded is true while the target does not serve the pool's model.
 	Unloaded bool `json:"unloaded,omitempty"`
 }
@@ -108,6 +118,12 @@
 	Cached []CachedPrefix `json:"cached,omitempty"`
 	// Exclude lists targets that an earlier attempt of the request used.
 	Exclude []string `json:"exclude,omitempty"`
+	// Goal is the time to the first event that the caller wants, and GapGoal the
+	// longest pause between two events, in seconds; zero where there is none.
+	Goal    float64 `json:"goal_s,omitempty"`
+	GapGoal float64 `json:"gap_goal_s,omitempty"`
+	// Waited is how long the request has waited, in seconds.
+	Waited float64 `json:"waited_s,omitempty"`
 	// Seed makes the pick; it differs from daemon to daemon.
 	Seed uint64 `json:"seed"`
 }
@@ -131,6 +147,8 @@
 	RemotePenalty float64 `json:"remote_penalty_s"`
 	// MaxBacklog is the most seconds of prefill queued at a target.
 	MaxBacklog float64 `json:"max_backlog_s"`
+	// Timing is what the engines' work costs; nil where it is not known.
+	Timing *engine.Timing `json:"timing,omitempty"`
 }
 
 // IsLong tells whether a prompt counts as long.
@@ -160,11 +178,12 @@
 	LongMix     float64 `json:"long_mix_s"`
 	Locality    float64 `json:"locality_s"`
 	PrefixSaved float64 `json:"prefix_saved_s"`
+	Packing     float64 `json:"packing_s,omitempty"`
 }
 
 // Total is the estimated time to first token in seconds.
 func (s *Scores) Total() float64 {
-	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality - s.PrefixSaved
+	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality + s.Packing - s.PrefixSaved
 }
 
 // Candidate is a target with what the filters and scorers said of it.
@@ -186,6 +205,12 @@
 	Verdict Verdict `json:"verdict"`
 	// Chosen is the id of the chosen target.
 	Chosen string `json:"chosen,omitempty"`
+	// Helpers are the targets that read parts of the prompt for the chosen one.
+	Helpers []string `json:"helpers,omitempty"`
+	// Reading is the time to read the whole prompt, and Part that of each part, in
+	// seconds; for engines of known timing.
+	Reading float64 `json:"reading_s,omitempty"`
+	Part    float64 `json:"part_s,omitempty"`
 	// Considered is the number of targets looked at.
 	Considered int `json:"considered"`
 	// Rejections counts the targets that each filter took out.
--- /dev/null
+++ b/core/routing/timed.go
@@ -0,0 +1,255 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+
+	"doorstack.dev/core/rendezvous"
+)
+
+// Engines whose timing is known are chosen by what a request would do to the passes
+// of its engine: a prompt that is read beside requests that write makes all of their
+// callers wait for it. Short prompts are packed onto few engines, long ones are read
+// in parts on many, and a part goes beside writers only where their callers bear it.
+
+// The policy's constants, in seconds unless said otherwise. docs/design/routing.md
+// has the measurements behind them.
+const (
+	// wholeWork is the reading time up to which a prompt is read in one piece.
+	wholeWork = 0.1
+	// partWork is the reading time aimed at for a part: about one and a half passes of
+	// an engine that only writes.
+	partWork = 0.075
+	// MaxParts is the most engines that read one prompt: the engine that answers and
+	// at most 16 helpers, which is the platform's bound.
+	MaxParts = 17
+	// gapShare is the part of a caller's longest pause that a pass may fill; the rest
+	// is for the way and for reading that is not foreseen.
+	gapShare = 0.8
+	// holdReading is the reading before a long prompt's parts above which it waits in
+	// the daemon, where its order can still change.
+	holdReading = 0.5
+	// packWriters is how many writers with a close goal one engine is packed with.
+	packWriters = 10
+	// openEngine is what it costs to put a writer on an engine that has none with a
+	// close goal: long prompts lose it. packSlot is the same for each slot left free.
+	openEngine = 0.040
+	packSlot   = 0.001
+	// crowded is the cost of each writer above packWriters.
+	crowded = 0.010
+	// disturbance weighs a second that other callers wait too long.
+	disturbance = 2
+)
+
+// timed tells whether the decision is one for engines of known timing.
+func timed(r *Request, p *Params) bool { return p.Timing != nil && r.PromptTokens > 0 }
+
+// decideTimed places a prompt on engines of known timing.
+func (s *Scratch) decideTimed(r *Request, p *Params, targets []Target) Decision {
+	d := Decision{Request: *r, Params: *p, Considered: len(targets)}
+	d.Reading = p.Timing.Read(r.PromptTokens)
+	largest := s.scanTimed(r, p, targets, &d)
+	d.Verdict = None
+	switch {
+	case len(s.best) == 0 && largest > 0 && r.MemoryTokens() > largest:
+		d.Verdict = Group
+	case len(s.best) == 0 && d.Rejections.waitable() > 0:
+		d.Verdict = Wait
+	case len(s.best) == 0:
+	case d.Reading <= wholeWork:
+		d.Verdict = Place
+		d.Chosen = targets[s.best[0].index].ID
+	default:
+		s.spread(r, p, targets, &d)
+	}
+	d.Candidates = s.recordTimed(r, p, targets)
+	return d
+}
+
+// scanTimed filters and scores the targets and returns the largest live memory.
+func (s *Scratch) scanTimed(r *Request, p *Params, targets []Target, d *Decision) int64 {
+	s.best, s.rejected, s.readers = s.best[:0], s.rejected[:0], s.readers[:0]
+	largest := int64(0)
+	for i := range targets {
+		t := &targets[i]
+		f := filterTimed(r, t)
+		if t.State == Live {
+			largest = max(largest, t.MemoryTokens)
+		}
+		if f == "" || f == FilterMemory || f == FilterConcurrency {
+			s.readers = append(s.readers, i) // It may still read a part for another.
+		}
+		if f != "" {
+			d.Rejections.count(f)
+			s.rejected = append(s.rejected, rejected{i, f})
+			continue
+		}
+		scores := scoreTimed(r, p, t, d.Reading)
+		s.best = append(s.best, ranked{i, scores.Total()})
+	}
+	slices.SortFunc(s.best, compareRanked)
+	return largest
+}
+
+// filterTimed returns the first filter that rejects the target, or "".
+func filterTimed(r *Request, t *Target) Filter {
+	switch {
+	case t.State != Live:
+		return FilterState
+	case t.BreakerOpen:
+		return FilterBreaker
+	case excluded(r, t.ID):
+		return FilterExcluded
+	case t.MaxConcurrent > 0 && t.Load.Requests >= t.MaxConcurrent:
+		return FilterConcurrency
+	case t.Load.MemoryTokens+r.MemoryTokens() > t.MemoryTokens:
+		return FilterMemory
+	}
+	return ""
+}
+
+// scoreTimed estimates the time to the first event of a prompt read in one piece, and
+// what the prompt costs others.
+func scoreTimed(r *Request, p *Params, t *Target, reading float64) Scores {
+	pass := p.Timing.Pass(t.Load.Requests+1, t.Load.MemoryTokens+r.PromptTokens)
+	s := Scores{Backlog: t.Reading, Prefill: reading, Batch: 1.5 * pass}
+	if t.DataCentre != r.DataCentre {
+		s.Locality = p.RemotePenalty
+	}
+	if t.GapGoal > 0 {
+		s.LongMix = disturbance * max(0, pass+t.Reading+reading-gapShare*t.GapGoal)
+	}
+	s.Packing = packing(t)
+	return s
+}
+
+// packing is the cost of one more writer, by how many with a close goal are there.
+func packing(t *Target) float64 {
+	switch {
+	case t.Tight == 0:
+		return openEngine
+	case t.Tight < packWriters:
+		return packSlot * float64(packWriters-t.Tight)
+	default:
+		return crowded * float64(t.Tight-packWriters+1)
+	}
+}
+
+// spread cuts the reading of a long prompt into parts.
+func (s *Scratch) spread(r *Request, p *Params, targets []Target, d *Decision) {
+	slices.SortFunc(s.readers, func(a, b int) int { return compareReaders(r.Seed, &targets[a], &targets[b]) })
+	most := min(MaxParts, len(s.readers), int(math.Ceil(d.Reading/partWork)))
+	for parts := most; parts >= 1; parts-- {
+		part := d.Reading / float64(parts)
+		chosen := s.bearing(r, p, targets, part, parts)
+		if len(chosen) < parts {
+			continue
+		}
+		if s.settle(targets, chosen, d) {
+			d.Part = part
+			return
+		}
+	}
+	d.Verdict = Wait
+	d.Rejections.Backlog++
+}
+
+// compareReaders puts the target with the least to read first. Ties are broken by the
+// seed, so that daemons which decide alone do not all take the same targets.
+func compareReaders(seed uint64, a, b *Target) int {
+	return cmp.Or(cmp.Compare(a.Reading, b.Reading), cmp.Compare(a.Tight, b.Tight), cmp.Compare(tie(seed, a), tie(seed, b)))
+}
+
+func tie(seed uint64, t *Target) uint64 { return rendezvous.Score(strconv.FormatUint(seed, 36), t.ID) }
+
+// bearing lists the first targets, least reading first, whose callers bear a part.
+func (s *Scratch) bearing(r *Request, p *Params, targets []Target, part float64, parts int) []int {
+	chosen := s.chosen[:0]
+	for _, i := range s.readers {
+		t := &targets[i]
+		if t.Reading > holdReading {
+			break
+		}
+		if t.Reading+part > bears(r, p, t) {
+			continue
+		}
+		if chosen = append(chosen, i); len(chosen) == parts {
+			break
+		}
+	}
+	s.chosen = chosen
+	return chosen
+}
+
+// bears is how much reading the callers of a target's writers bear in a pass. A
+// request that has waited beyond its goal is let to more and more of it.
+func bears(r *Request, p *Params, t *Target) float64 {
+	if t.GapGoal <= 0 || t.GapGoal >= p.Timing.FullPass() {
+		return math.Inf(1)
+	}
+	room := gapShare*t.GapGoal - p.Timing.Pass(t.Load.Requests, t.Load.MemoryTokens)
+	if r.Goal > 0 {
+		room *= 1 + r.Waited/r.Goal
+	}
+	return room
+}
+
+// settle takes the target that answers: one with room for the whole prompt and the
+// fewest writers whose callers wait closely. The others help.
+func (s *Scratch) settle(targets []Target, chosen []int, d *Decision) bool {
+	first := -1
+	for _, i := range chosen {
+		if !slices.ContainsFunc(s.best, func(b ranked) bool { return b.index == i }) {
+			continue
+		}
+		if first < 0 || targets[i].Tight < targets[first].Tight {
+			first = i
+		}
+	}
+	if first < 0 {
+		return false
+	}
+	d.Verdict = Place
+	d.Chosen = targets[first].ID
+	for _, i := range chosen {
+		if i != first {
+			d.Helpers = append(d.Helpers, targets[i].ID)
+		}
+	}
+	return true
+}
+
+// recordTimed copies the targets that the decision was made from: all of them where
+// there are few, else those that readers and scores put first.
+func (s *Scratch) recordTimed(r *Request, p *Params, targets []Target) []Candidate {
+	reading := p.Timing.Read(r.PromptTokens)
+	list := make([]Candidate, 0, min(len(targets), maxRecordedTimed))
+	seen := map[int]bool{}
+	add := func(i int, c Candidate) {
+		if len(list) < maxRecordedTimed && !seen[i] {
+			seen[i] = true
+			list = append(list, c)
+		}
+	}
+	for _, b := range s.best[:min(len(s.best), 2)] {
+		add(b.index, Candidate{Target: targets[b.index], Scores: scoreTimed(r, p, &targets[b.index], reading)})
+	}
+	for _, x := range s.rejected {
+		if x.filter == FilterMemory || x.filter == FilterConcurrency {
+			add(x.index, Candidate{Target: targets[x.index], Rejected: x.filter})
+		}
+	}
+	for _, i := range s.readers {
+		add(i, Candidate{Target: targets[i], Scores: scoreTimed(r, p, &targets[i], reading)})
+	}
+	for _, x := range s.rejected {
+		add(x.index, Candidate{Target: targets[x.index], Rejected: x.filter})
+	}
+	return list
+}
+
+// maxRecordedTimed bounds the candidates kept of a decision about engines of known
+// timing: a spread one takes up to MaxParts of them.
+const maxRecordedTimed = 24
--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"doorstack.dev/core/engine"
 	"doorstack.dev/core/fault"
 	"doorstack.dev/core/strictyaml"
 )
@@ -65,6 +66,8 @@
 	Kind EngineKind
 	// Policy is its routing policy.
 	Policy Policy
+	// Timing is what its engines' work costs; nil where it is not known.
+	Timing *engine.Timing
 }
 
 // Rules are the inherited values in plain types.
@@ -111,6 +114,7 @@
 			Model:  p.Model,
 			Kind:   *document.EngineKinds[p.Kind],
 			Policy: p.Policy.withDefaults(),
+			Timing: document.EngineKinds[p.Kind].timing(),
 		}
 	}
 	builtin := Builtin()
@@ -120,6 +124,29 @@
 	return t
 }
 
+// timing turns the costs of an engine's work into seconds.
+func (k *EngineKind) timing() *engine.Timing {
+	c := k.Timing
+	if c == nil || k.PrefillTokensPerSecond <= 0 {
+		return nil
+	}
+	const (
+		perMS    = 1e-3
+		perKilo  = 1e-3
+		perMega  = 1e-6
+		minSteps = 1
+	)
+	return &engine.Timing{
+		Step:            c.StepMS * perMS,
+		PerSequence:     c.PerSequenceMS * perMS,
+		PerContextToken: c.ContextMSPerK * perMS * perKilo,
+		PerToken:        1 / k.PrefillTokensPerSecond,
+		PerPair:         c.PairsMSPerM * perMS * perMega,
+		Chunk:           c.Chunk,
+		Stride:          max(minSteps, c.Stride),
+	}
+}
+
 func (t *Tree) resolveNode(n *Node, path string, parent Inherited, routes map[string]*Route) {
 	values := inherit(n.Inherited, parent)
 	if len(n.Routes) > 0 {
--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -30,6 +30,8 @@
 	Request routing.Request
 	Attempt string
 	Holders []Holder
+	// Deadline is when the request must have ended.
+	Deadline time.Time
 	// Params are the pool's policy at the time of the last look.
 	Params routing.Params
 	// placed receives the placement, once.
@@ -43,6 +45,10 @@
 // Placed delivers the ticket's placement.
 func (t *Ticket) Placed() <-chan Placement { return t.placed }
 
+// Drop tells whoever waits for the placement that there will be none. The ticket has
+// been removed from its queue.
+func (t *Ticket) Drop() { close(t.placed) }
+
 // dirtyQueue bounds the pools that wait for a worker; each is in it once.
 const dirtyQueue = 1024
 
@@ -161,6 +167,7 @@
 func place(ticket *Ticket, targets *TargetTable, at time.Time) bool {
 	params := ticket.Params
 	params.LongTargets += ageingSteps(ticket, at)
+	ticket.Request.Waited = at.Sub(ticket.Item.Arrived).Seconds()
 	placement := targets.Place(ticket.Pool.Name, ticket.Attempt, &ticket.Request, &params, ticket.Holders, at)
 	ticket.looks++
 	switch placement.Decision.Verdict {
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -13,6 +13,8 @@
 	load  routing.Load
 	sent  time.Time
 	read  bool          // the prompt has been read: the first token came
+	parts []readPart    // where the prompt is read, for engines of known timing
+	gap   float64       // the goal for the pause between two events, in seconds
 	gone  chan struct{} // closed when the target is taken to be gone
 }
 
@@ -31,6 +33,8 @@
 	Attempt, Address string
 	// At is when the decision was made.
 	At time.Time
+	// Helpers are the targets that read parts of the prompt.
+	Helpers []TargetAddress
 	// Gone is closed if the target is taken to be gone while the call runs.
 	Gone <-chan struct{}
 }
@@ -60,6 +64,9 @@
 		tp.short.add(load.BacklogTokens, at)
 	}
 	placement.Gone = t.begin(s, attempt, load, at)
+	if p.Timing != nil {
+		placement.Helpers = t.beginReading(attempt, &d, at)
+	}
 	return placement
 }
 
@@ -116,6 +123,7 @@
 		return
 	}
 	c.read = true
+	c.endReading(at)
 	s := c.state
 	gone := routing.Load{BacklogTokens: c.load.BacklogTokens, LongPrefills: c.load.LongPrefills}
 	if c.sent.After(s.reportAt) {
@@ -149,6 +157,7 @@
 		return
 	}
 	delete(t.calls, attempt)
+	c.endReading(at)
 	s := c.state
 	delete(s.calls, attempt)
 	if c.sent.After(s.reportAt) {
--- /dev/null
+++ b/node/blackboard/target_reading.go
@@ -0,0 +1,113 @@
+package blackboard
+
+import (
+	"time"
+
+	"doorstack.dev/core/engine"
+	"doorstack.dev/core/routing"
+)
+
+// readPart is a part of a call's prompt that a target reads.
+type readPart struct {
+	state *targetState
+	work  float64 // seconds
+}
+
+// readingState is what is known of the reading that a target of known timing has
+// before it.
+type readingState struct {
+	// until is when it will have read all that it was given.
+	until time.Time
+	// unread holds the parts given and not yet known to be read, by call.
+	unread map[string]float64
+}
+
+// readingShare is the part of an engine's time that goes into reading while it has
+// something to read: the rest are the steps' own costs.
+const readingShare = 0.9
+
+// give adds a part.
+func (r *readingState) give(attempt string, work float64, at time.Time) {
+	if r.unread == nil {
+		r.unread = map[string]float64{}
+	}
+	r.unread[attempt] = work
+	if r.until.Before(at) {
+		r.until = at
+	}
+	r.until = r.until.Add(engine.Seconds(work / readingShare))
+}
+
+// end takes a part away that has been read or given up. What is left cannot be more
+// than the parts that are not known to be read.
+func (r *readingState) end(attempt string, at time.Time) {
+	if _, ok := r.unread[attempt]; !ok {
+		return
+	}
+	delete(r.unread, attempt)
+	left := 0.0
+	for _, work := range r.unread {
+		left += work
+	}
+	if limit := at.Add(engine.Seconds(left / readingShare)); r.until.After(limit) {
+		r.until = limit
+	}
+}
+
+// beginReading gives the parts of a placed call to the targets that read them and
+// returns the helpers.
+func (t *TargetTable) beginReading(attempt string, d *routing.Decision, at time.Time) []TargetAddress {
+	c := t.calls[attempt]
+	c.gap = d.Request.GapGoal
+	return t.giveParts(c, d.Helpers, d.Reading/float64(1+len(d.Helpers)), at)
+}
+
+// giveParts counts the parts of a call's prompt at its target and the helpers.
+func (t *TargetTable) giveParts(c *ownCall, ids []string, work float64, at time.Time) []TargetAddress {
+	c.parts = append(c.parts, readPart{c.state, work})
+	var helpers []TargetAddress
+	for _, id := range ids {
+		s := t.byID[id]
+		if s == nil {
+			continue
+		}
+		c.parts = append(c.parts, readPart{s, work})
+		helpers = append(helpers, TargetAddress{ID: s.id, Address: s.address})
+	}
+	for _, part := range c.parts {
+		part.state.reading.give(c.id, part.work, at)
+		part.state.refresh(at)
+	}
+	return helpers
+}
+
+// endReading takes a call's parts off the targets.
+func (c *ownCall) endReading(at time.Time) {
+	for _, part := range c.parts {
+		part.state.reading.end(c.id, at)
+		part.state.refresh(at)
+	}
+	c.parts = nil
+}
+
+// tightGap is the goal for the pause between two events, in seconds, up to which a
+// call counts as one that suffers from reading beside it: half of a pass full of
+// reading on the users' engines (0.64 s).
+const tightGap = 0.32
+
+// refreshTimed works out what a target of known timing has before it.
+func (s *targetState) refreshTimed(view *routing.Target, at time.Time) {
+	view.Reading = max(0, s.reading.until.Sub(at).Seconds())
+	view.GapGoal, view.Tight = 0, 0
+	for _, c := range s.calls {
+		if c.gap <= 0 {
+			continue
+		}
+		if view.GapGoal == 0 || c.gap < view.GapGoal {
+			view.GapGoal = c.gap
+		}
+		if c.gap <= tightGap {
+			view.Tight++
+		}
+	}
+}
--- /dev/null
+++ b/node/blackboard/target_remote.go
@@ -0,0 +1,81 @@
+package blackboard
+
+import (
+	"time"
+
+	"doorstack.dev/core/routing"
+)
+
+// CallState is a call in progress as daemons tell each other of it, so that whoever
+// places the next one knows of all.
+type CallState struct {
+	Attempt string   `cbor:"1,keyasint"`
+	Target  string   `cbor:"2,keyasint"`
+	Helpers []string `cbor:"3,keyasint,omitempty"`
+	// MemoryTokens is the memory that the call takes, in tokens.
+	MemoryTokens int64 `cbor:"4,keyasint,omitempty"`
+	// Part is the reading time of each part of the prompt, in seconds.
+	Part float64 `cbor:"5,keyasint,omitempty"`
+	// GapGoal is the longest pause between two events that its caller wants, in seconds.
+	GapGoal float64 `cbor:"6,keyasint,omitempty"`
+	// Read is true once its prompt has been read.
+	Read bool `cbor:"7,keyasint,omitempty"`
+}
+
+// StateOf makes the state of a call from the decision that placed it.
+func StateOf(attempt string, d *routing.Decision) CallState {
+	return CallState{
+		Attempt: attempt, Target: d.Chosen, Helpers: d.Helpers, MemoryTokens: d.Request.MemoryTokens(),
+		Part: d.Reading / float64(1+len(d.Helpers)), GapGoal: d.Request.GapGoal,
+	}
+}
+
+// Adopt counts a call that another daemon placed or makes. The channel is closed if
+// the target is taken to be gone; it is nil for a target that is not known here.
+func (t *TargetTable) Adopt(c CallState, at time.Time) <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[c.Target]
+	if s == nil || t.calls[c.Attempt] != nil {
+		return nil
+	}
+	gone := t.begin(s, c.Attempt, routing.Load{Requests: 1, MemoryTokens: c.MemoryTokens}, at)
+	call := t.calls[c.Attempt]
+	call.read = c.Read
+	call.gap = c.GapGoal
+	if !c.Read && c.Part > 0 {
+		t.giveParts(call, c.Helpers, c.Part, at)
+	}
+	s.refresh(at)
+	return gone
+}
+
+// Calls lists the calls in progress of a pool, by the attempts' states that were
+// counted here.
+func (t *TargetTable) Calls(pool string) []CallState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil {
+		return nil
+	}
+	var list []CallState
+	for _, s := range p.states {
+		for _, c := range s.calls {
+			list = append(list, c.describe())
+		}
+	}
+	return list
+}
+
+// describe is the call's state for another daemon.
+func (c *ownCall) describe() CallState {
+	state := CallState{Attempt: c.id, Target: c.state.id, MemoryTokens: c.load.MemoryTokens, GapGoal: c.gap, Read: c.read}
+	for _, part := range c.parts {
+		state.Part = part.work
+		if part.state != c.state {
+			state.Helpers = append(state.Helpers, part.state.id)
+		}
+	}
+	return state
+}
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -76,6 +76,7 @@
 	breaker  admission.Breaker
 	reserved string
 	failures int64
+	reading  readingState
 }
 
 // maxSilent is the number of reports missed in a row after which a target is
@@ -172,6 +173,7 @@
 		reported = reportedLoad(&s.report, view.PrefillRate, view.ReportAge)
 	}
 	view.Load = reported.Sub(s.ended).Add(s.since)
+	s.refreshTimed(view, at)
 	if s.report.MemoryTokens > 0 {
 		view.MemoryTokens = s.report.MemoryTokens
 	}
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -33,6 +33,9 @@
 	// Seeds are addresses of daemons to ask for the others, in an open fleet.
 	Seeds []string
 
+	// Placements asks coordinators for targets, and answers as one.
+	Placements *Placements
+
 	started  time.Time
 	poke     chan struct{}
 	compared map[string]bool // neighbours whose revision has been seen
@@ -54,6 +57,10 @@
 		started: time.Now(), poke: make(chan struct{}, 1), compared: map[string]bool{},
 		heard: make(chan heartbeatNews, heardQueue), sought: map[string]*seek{}, reconciled: map[string]time.Time{},
 	}
+	c.Placements = newPlacements(c)
+	hub.Handle(peer.KindPlace, peer.Serve(c.Placements.servePlace))
+	hub.Handle(peer.KindPlaced, peer.Serve(c.Placements.servePlaced))
+	hub.Handle(peer.KindProgress, peer.Serve(c.Placements.serveProgress))
 	hub.Handle(peer.KindHeartbeat, peer.Serve(c.serveHeartbeat))
 	hub.Handle(peer.KindRumor, peer.Serve(c.serveRumors))
 	hub.Handle(peer.KindSettings, peer.Serve(c.serveSettings))
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -66,6 +66,7 @@
 	work.Go(func() { c.fetchLoop(ctx) })
 	if c.open() {
 		work.Go(func() { c.join(ctx) })
+		work.Go(func() { c.Placements.run(ctx) })
 	}
 	ticker := time.NewTicker(membership.HeartbeatEvery)
 	defer ticker.Stop()
@@ -214,15 +215,35 @@
 		case <-ctx.Done():
 			return
 		case h := <-c.heard:
-			c.catchUp(ctx, h)
-			c.catchUpTargets(ctx, h)
-			c.compared[h.from] = true
+			revision, targets := c.newest(h)
+			c.catchUp(ctx, revision)
+			c.catchUpTargets(ctx, targets)
 		case <-ticker.C:
 		}
 		c.serveWhenCompared(ctx)
 	}
 }
 
+// newest takes all news that wait, so that they cannot pile up while one of them is
+// acted on, and returns those of the peers with the newest settings and targets.
+func (c *Cluster) newest(h heartbeatNews) (revision, targets heartbeatNews) {
+	revision, targets = h, h
+	for {
+		c.compared[h.from] = true
+		if h.revision > revision.revision {
+			revision = h
+		}
+		if h.targets > targets.targets {
+			targets = h
+		}
+		select {
+		case h = <-c.heard:
+		default:
+			return revision, targets
+		}
+	}
+}
+
 // compareTick is how often a fresh daemon looks whether it may serve.
 const compareTick = 50 * time.Millisecond
 
--- /dev/null
+++ b/node/cluster/placement.go
@@ -0,0 +1,470 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"doorstack.dev/core/admission"
+	"doorstack.dev/core/decision"
+	"doorstack.dev/core/membership"
+	"doorstack.dev/core/rendezvous"
+	"doorstack.dev/core/routing"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/controller"
+	"doorstack.dev/node/peer"
+	"doorstack.dev/node/requestcontrol"
+	"github.com/go-faster/errors"
+)
+
+// One daemon of the fleet coordinates each pool: the first of the rendezvous order
+// among the living. The others ask it where a call should go, so that every choice
+// knows of all calls. Its word is advice: who gets none in time decides alone, from
+// its own calls, and nothing but the quality of the choice depends on it.
+
+// The times of a question to a coordinator.
+const (
+	// placeTimeout is how long a daemon waits for the first answer: a round trip takes
+	// up to 2 ms, and a caller's shortest goal is 300 ms.
+	placeTimeout = 40 * time.Millisecond
+	// answerWithin is how long the coordinator holds a question that can be answered
+	// soon; later answers are sent by themselves.
+	answerWithin = 5 * time.Millisecond
+	// renewPlace is how often a daemon repeats a question that waits, so that each
+	// side notices the other's end.
+	renewPlace = 250 * time.Millisecond
+	// dropPlace is when a coordinator drops a question that was not repeated.
+	dropPlace = time.Second
+	// avoidFor is how long a coordinator that did not answer is passed over.
+	avoidFor = time.Second
+	// callTTL bounds how long a coordinator counts a call beyond its deadline, in case
+	// the word of its end was lost.
+	callTTL = time.Second
+)
+
+// placeRequest asks the coordinator of a pool for a target.
+type placeRequest struct {
+	Attempt      string        `cbor:"1,keyasint"`
+	Request      string        `cbor:"2,keyasint"`
+	Pool         string        `cbor:"3,keyasint"`
+	Account      string        `cbor:"4,keyasint"`
+	Level        int           `cbor:"5,keyasint"`
+	PromptTokens int64         `cbor:"6,keyasint,omitempty"`
+	OutputTokens int64         `cbor:"7,keyasint,omitempty"`
+	DataCentre   string        `cbor:"8,keyasint"`
+	Exclude      []string      `cbor:"9,keyasint,omitempty"`
+	Goal         float64       `cbor:"10,keyasint,omitempty"`
+	GapGoal      float64       `cbor:"11,keyasint,omitempty"`
+	Waited       time.Duration `cbor:"12,keyasint,omitempty"`
+	Left         time.Duration `cbor:"13,keyasint"`
+	Retry        bool          `cbor:"14,keyasint,omitempty"`
+	// Calls are the asker's calls in the pool, for a coordinator that it asks first.
+	Calls []blackboard.CallState `cbor:"15,keyasint,omitempty"`
+}
+
+// placeAnswer is a placement, or the word that the call waits.
+type placeAnswer struct {
+	Attempt string          `cbor:"1,keyasint"`
+	Verdict routing.Verdict `cbor:"2,keyasint"`
+	Target  string          `cbor:"3,keyasint,omitempty"`
+	Address string          `cbor:"4,keyasint,omitempty"`
+	Helpers []placeHelper   `cbor:"5,keyasint,omitempty"`
+	Reading float64         `cbor:"6,keyasint,omitempty"`
+	// Considered is the number of targets looked at.
+	Considered int `cbor:"7,keyasint,omitempty"`
+}
+
+type placeHelper struct {
+	Target  string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+}
+
+// callProgress tells a coordinator that a call's prompt was read or that it ended.
+type callProgress struct {
+	Attempt string                `cbor:"1,keyasint"`
+	Ended   bool                  `cbor:"2,keyasint,omitempty"`
+	Result  blackboard.CallResult `cbor:"3,keyasint,omitempty"`
+}
+
+// Placements asks coordinators and is one. It implements requestcontrol.Placer.
+type Placements struct {
+	cluster *Cluster
+
+	mu sync.Mutex
+	// placedBy is who placed each of this daemon's calls.
+	placedBy map[string]string
+	// waiting are this daemon's questions that a coordinator holds.
+	waiting map[string]chan placeAnswer
+	// avoid are coordinators that did not answer, until when.
+	avoid map[string]time.Time
+	// told are the coordinators that know of this daemon's calls, by pool.
+	told map[string]coordinator
+	// held are the questions and calls of others that this daemon coordinates.
+	held map[string]*heldCall
+}
+
+// coordinator is a daemon in one life of its process.
+type coordinator struct {
+	name        string
+	incarnation int64
+}
+
+// heldCall is another daemon's call at its coordinator.
+type heldCall struct {
+	owner   string
+	pool    string
+	ticket  *blackboard.Ticket
+	answer  *placeAnswer // set when placed
+	renewed time.Time
+	expires time.Time
+}
+
+func newPlacements(c *Cluster) *Placements {
+	return &Placements{
+		cluster: c, placedBy: map[string]string{}, waiting: map[string]chan placeAnswer{},
+		avoid: map[string]time.Time{}, told: map[string]coordinator{}, held: map[string]*heldCall{},
+	}
+}
+
+// coordinatorOf finds who coordinates a pool.
+func (p *Placements) coordinatorOf(pool string, now time.Time) coordinator {
+	p.mu.Lock()
+	avoid := make(map[string]bool, len(p.avoid))
+	for name, until := range p.avoid {
+		avoid[name] = now.Before(until)
+	}
+	p.mu.Unlock()
+	self := p.cluster.Board.Self.Name
+	incarnations := map[string]int64{}
+	var names []string
+	for _, m := range p.cluster.Board.Members.Members() {
+		if m.Name == self || m.State == membership.Alive && !m.Leaving && !avoid[m.Name] {
+			names = append(names, m.Name)
+			incarnations[m.Name] = m.Incarnation
+		}
+	}
+	if p.cluster.Board.Phase() == blackboard.Draining && len(names) > 1 {
+		names = slices.DeleteFunc(names, func(n string) bool { return n == self })
+	}
+	owner := rendezvous.Owner("place "+pool, names)
+	return coordinator{owner, incarnations[owner]}
+}
+
+// Place asks the pool's coordinator. It returns false where this daemon decides.
+func (p *Placements) Place(ctx context.Context, t *blackboard.Ticket) (blackboard.Placement, bool) {
+	c := p.coordinatorOf(t.Pool.Name, time.Now())
+	if c.name == p.cluster.Board.Self.Name || c.name == "" {
+		return blackboard.Placement{}, false
+	}
+	answer, err := p.ask(ctx, c, t)
+	if err != nil {
+		if ctx.Err() == nil {
+			p.lost(c.name, t, err)
+		}
+		return blackboard.Placement{}, false
+	}
+	p.mu.Lock()
+	p.placedBy[t.Attempt] = c.name
+	p.mu.Unlock()
+	return p.placement(t, &answer), true
+}
+
+// lost notes that a coordinator did not answer.
+func (p *Placements) lost(name string, t *blackboard.Ticket, err error) {
+	now := time.Now()
+	p.mu.Lock()
+	known := now.Before(p.avoid[name])
+	p.avoid[name] = now.Add(avoidFor)
+	delete(p.told, t.Pool.Name)
+	p.mu.Unlock()
+	if !known {
+		p.cluster.Record.Log.Warn("dependency is lost", "dependency", "coordinator", "peer", name, "pool", t.Pool.Name,
+			"request", t.Request.ID, "error", err.Error())
+	}
+	p.tell(name, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+}
+
+// ask puts the question and waits for the placement.
+func (p *Placements) ask(ctx context.Context, c coordinator, t *blackboard.Ticket) (placeAnswer, error) {
+	later := make(chan placeAnswer, 1)
+	p.mu.Lock()
+	p.waiting[t.Attempt] = later
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.waiting, t.Attempt)
+		p.mu.Unlock()
+	}()
+	for {
+		var answer placeAnswer
+		if err := p.cluster.ask(ctx, c.name, peer.KindPlace, p.question(c, t), &answer, placeTimeout); err != nil {
+			return answer, err
+		}
+		if answer.Verdict != routing.Wait {
+			return answer, nil
+		}
+		renew := time.NewTimer(renewPlace)
+		select {
+		case answer = <-later:
+			renew.Stop()
+			return answer, nil
+		case <-renew.C:
+		case <-ctx.Done():
+			renew.Stop()
+			p.tell(c.name, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+			return answer, ctx.Err()
+		}
+	}
+}
+
+// question makes the wire form of a ticket. A coordinator that is asked for the first
+// time is told of all calls that this daemon has in the pool.
+func (p *Placements) question(c coordinator, t *blackboard.Ticket) placeRequest {
+	q := placeRequest{
+		Attempt: t.Attempt, Request: t.Request.ID, Pool: t.Pool.Name, Account: t.Item.Account, Level: t.Item.Level,
+		PromptTokens: t.Request.PromptTokens, OutputTokens: t.Request.OutputTokens, DataCentre: t.Request.DataCentre,
+		Exclude: t.Request.Exclude, Goal: t.Request.Goal, GapGoal: t.Request.GapGoal,
+		Waited: time.Since(t.Item.Arrived), Left: time.Until(t.Deadline), Retry: t.Item.Retry,
+	}
+	p.mu.Lock()
+	known := p.told[t.Pool.Name] == c
+	p.told[t.Pool.Name] = c
+	p.mu.Unlock()
+	if !known {
+		q.Calls = p.ownCalls(t.Pool.Name)
+	}
+	return q
+}
+
+// ownCalls lists the calls that this daemon itself makes.
+func (p *Placements) ownCalls(pool string) []blackboard.CallState {
+	calls := p.cluster.Board.Targets.Calls(pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(calls, func(c blackboard.CallState) bool { return p.held[c.Attempt] != nil })
+}
+
+// placement counts the call at its target here too, and returns it.
+func (p *Placements) placement(t *blackboard.Ticket, a *placeAnswer) blackboard.Placement {
+	now := time.Now()
+	placement := blackboard.Placement{Attempt: t.Attempt, Address: a.Address, At: now, Decision: routing.Decision{
+		Request: t.Request, Params: t.Params, Verdict: a.Verdict, Chosen: a.Target, Considered: a.Considered, Reading: a.Reading,
+	}}
+	for _, h := range a.Helpers {
+		placement.Decision.Helpers = append(placement.Decision.Helpers, h.Target)
+		placement.Helpers = append(placement.Helpers, blackboard.TargetAddress{ID: h.Target, Address: h.Address})
+	}
+	if a.Verdict == routing.Place {
+		placement.Gone = p.cluster.Board.Targets.Adopt(blackboard.StateOf(t.Attempt, &placement.Decision), now)
+	}
+	return placement
+}
+
+// PromptRead tells the coordinator that a call's prompt was read.
+func (p *Placements) PromptRead(attempt string) {
+	p.mu.Lock()
+	name := p.placedBy[attempt]
+	p.mu.Unlock()
+	if name != "" {
+		p.tell(name, callProgress{Attempt: attempt})
+	}
+}
+
+// Finished tells the coordinator that a call has ended.
+func (p *Placements) Finished(attempt string, result blackboard.CallResult) {
+	p.mu.Lock()
+	name := p.placedBy[attempt]
+	delete(p.placedBy, attempt)
+	p.mu.Unlock()
+	if name != "" {
+		p.tell(name, callProgress{Attempt: attempt, Ended: true, Result: result})
+	}
+}
+
+// tell sends news of a call over the link that is open. What is lost is forgotten by
+// the coordinator after the call's deadline.
+func (p *Placements) tell(name string, news callProgress) {
+	if !slices.Contains(p.cluster.Hub.Linked(), name) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), placeTimeout)
+	defer cancel()
+	if err := p.cluster.Hub.Tell(ctx, p.cluster.address(name), peer.KindProgress, news); err != nil {
+		p.cluster.Record.Log.Debug("a coordinator was not told of a call's progress", "peer", name, "attempt", news.Attempt, "error", err.Error())
+	}
+}
+
+// servePlaced takes a placement that came after the question was answered with "wait".
+func (p *Placements) servePlaced(_ context.Context, _ string, in placeAnswer) (done, error) {
+	p.mu.Lock()
+	waiting := p.waiting[in.Attempt]
+	p.mu.Unlock()
+	if waiting != nil {
+		select {
+		case waiting <- in:
+		default: // It has an answer already.
+		}
+	}
+	return done{}, nil
+}
+
+// servePlace is the coordinator's side of a question.
+func (p *Placements) servePlace(ctx context.Context, from string, in placeRequest) (placeAnswer, error) {
+	now := time.Now()
+	view := p.cluster.Board.Settings.Current()
+	if view == nil || view.Tree.Pool(in.Pool) == nil || p.cluster.Board.Phase() != blackboard.Serving {
+		return placeAnswer{}, errors.New("this daemon does not coordinate the pool " + in.Pool)
+	}
+	p.adopt(from, &in, now)
+	p.mu.Lock()
+	held := p.held[in.Attempt]
+	if held != nil {
+		held.renewed = now
+		answer := held.answer
+		p.mu.Unlock()
+		if answer != nil {
+			return *answer, nil
+		}
+		return placeAnswer{Attempt: in.Attempt, Verdict: routing.Wait}, nil
+	}
+	held = &heldCall{owner: from, pool: in.Pool, renewed: now, expires: now.Add(in.Left + callTTL)}
+	held.ticket = p.ticket(&in, now)
+	p.held[in.Attempt] = held
+	p.mu.Unlock()
+	p.cluster.Board.Queues.Push(held.ticket)
+	soon := time.NewTimer(answerWithin)
+	defer soon.Stop()
+	select {
+	case placement := <-held.ticket.Placed():
+		return p.placed(held, &placement), nil
+	case <-soon.C:
+	}
+	go p.answerLater(ctx, held)
+	return placeAnswer{Attempt: in.Attempt, Verdict: routing.Wait}, nil
+}
+
+// adopt counts the calls of a daemon that asks for the first time.
+func (p *Placements) adopt(from string, in *placeRequest, now time.Time) {
+	for _, c := range in.Calls {
+		p.mu.Lock()
+		known := p.held[c.Attempt] != nil
+		if !known {
+			p.held[c.Attempt] = &heldCall{owner: from, pool: in.Pool, renewed: now, expires: now.Add(in.Left + callTTL), answer: &placeAnswer{}}
+		}
+		p.mu.Unlock()
+		if !known {
+			p.cluster.Board.Targets.Adopt(c, now)
+		}
+	}
+}
+
+func (p *Placements) ticket(in *placeRequest, now time.Time) *blackboard.Ticket {
+	board := p.cluster.Board
+	pool := board.Settings.Current().Tree.Pool(in.Pool)
+	params := requestcontrol.ParamsOf(pool, board.Targets.Capacity(pool.Name, now), board.Members.Sharers())
+	arrived := now.Add(-in.Waited)
+	return &blackboard.Ticket{
+		Pool: pool, Attempt: in.Attempt, Params: params, Deadline: now.Add(in.Left),
+		Request: routing.Request{
+			ID: in.Request, PromptTokens: in.PromptTokens, OutputTokens: in.OutputTokens, DataCentre: in.DataCentre,
+			Exclude: in.Exclude, Goal: in.Goal, GapGoal: in.GapGoal, Seed: rendezvous.Score(in.Pool, in.Attempt),
+		},
+		Item: &admission.Item{
+			ID: in.Request, Account: in.Account, Level: in.Level, Tokens: max(1, in.PromptTokens),
+			Long: params.IsLong(in.PromptTokens), Retry: in.Retry, Arrived: arrived,
+		},
+	}
+}
+
+// placed keeps the placement of another daemon's call and makes its answer.
+func (p *Placements) placed(held *heldCall, placement *blackboard.Placement) placeAnswer {
+	d := &placement.Decision
+	answer := placeAnswer{
+		Attempt: held.ticket.Attempt, Verdict: d.Verdict, Target: d.Chosen, Address: placement.Address,
+		Reading: d.Reading, Considered: d.Considered,
+	}
+	for _, h := range placement.Helpers {
+		answer.Helpers = append(answer.Helpers, placeHelper{h.ID, h.Address})
+	}
+	p.mu.Lock()
+	held.answer = &answer
+	if d.Verdict != routing.Place {
+		delete(p.held, held.ticket.Attempt)
+	}
+	p.mu.Unlock()
+	p.cluster.Record.Record(decision.Record{
+		Kind: decision.KindPlace, Outcome: string(d.Verdict), Request: d.Request.ID, Attempt: held.ticket.Attempt,
+		Pool: held.pool, Target: d.Chosen, Routing: d, Reason: "asked by " + held.owner,
+	})
+	return answer
+}
+
+// answerLater sends the placement of a question that had to wait.
+func (p *Placements) answerLater(ctx context.Context, held *heldCall) {
+	placement, ok := <-held.ticket.Placed()
+	if !ok {
+		return // It was dropped.
+	}
+	answer := p.placed(held, &placement)
+	if err := p.cluster.Hub.Tell(ctx, p.cluster.address(held.owner), peer.KindPlaced, answer); err != nil {
+		p.end(held.ticket.Attempt, blackboard.CallCancelled)
+	}
+}
+
+// serveProgress takes in what a daemon tells of a call that was placed here.
+func (p *Placements) serveProgress(_ context.Context, _ string, in callProgress) (done, error) {
+	if in.Ended {
+		p.end(in.Attempt, in.Result)
+		return done{}, nil
+	}
+	p.cluster.Board.Targets.PromptRead(in.Attempt, time.Now())
+	return done{}, nil
+}
+
+// end forgets another daemon's call or question.
+func (p *Placements) end(attempt string, result blackboard.CallResult) {
+	p.mu.Lock()
+	held := p.held[attempt]
+	delete(p.held, attempt)
+	p.mu.Unlock()
+	if held == nil {
+		return
+	}
+	if held.ticket != nil && p.cluster.Board.Queues.Remove(held.ticket) {
+		held.ticket.Drop()
+		return
+	}
+	p.cluster.Board.Targets.Finish(attempt, result, time.Now())
+	p.cluster.Board.Queues.Wake(held.pool)
+}
+
+// sweepHeld is how often calls of daemons that are gone are looked for.
+const sweepHeld = 250 * time.Millisecond
+
+// run ends the calls and questions of others that will not be ended by themselves.
+func (p *Placements) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		controller.Sleep(ctx, sweepHeld)
+		for _, attempt := range p.overdue(time.Now()) {
+			p.end(attempt, blackboard.CallCancelled)
+		}
+	}
+}
+
+func (p *Placements) overdue(now time.Time) []string {
+	gone := map[string]bool{}
+	for _, m := range p.cluster.Board.Members.Members() {
+		gone[m.Name] = m.State == membership.Dead
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for attempt, held := range p.held {
+		dropped := held.answer == nil && now.Sub(held.renewed) > dropPlace
+		if dropped || now.After(held.expires) || gone[held.owner] {
+			list = append(list, attempt)
+		}
+	}
+	return list
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -157,6 +157,7 @@
 	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Record: d.record, Watch: watchHold}
 	d.cluster.Directory, d.cluster.Seeds = directory, d.adapter.Seeds
 	d.Board.Members.Open()
+	d.director.Placer = d.cluster.Placements
 	d.cluster.MembersOnly = true
 	d.Board.Repeats.SetLimit(d.adapter.Repeats)
 	d.director.Exchange = target.NewExchanger(d.adapter.Dialect)
@@ -308,10 +309,33 @@
 }
 
 func (d *Daemon) waitDrained() {
-	// The balancer needs a moment to see that this host is not ready.
-	time.Sleep(time.Duration(d.Config.DrainDelay))
+	if d.adapter != nil {
+		d.leaveRotation()
+	} else {
+		// The balancer needs a moment to see that this host is not ready.
+		time.Sleep(time.Duration(d.Config.DrainDelay))
+	}
 	for d.Board.InFlight() > 0 {
 		time.Sleep(drainPoll)
 	}
 	close(d.drained)
 }
+
+// The steps of leaving on a platform, from the request to end. The balancer asks once
+// a second and takes a daemon out of rotation after two answers that it is not ready,
+// so calls that come later come on kept connections, whose callers have been told
+// with their last answer that this one closes. They are refused, so that what is
+// still running can end before the process is killed; the rest of the time lets the
+// refusals reach them.
+const (
+	refuseAfter = 2500 * time.Millisecond
+	closeAfter  = 500 * time.Millisecond
+)
+
+// leaveRotation serves until the balancer sends nobody any more, and then refuses.
+func (d *Daemon) leaveRotation() {
+	time.Sleep(refuseAfter)
+	d.Board.CloseForward()
+	d.Log.Info("refusing new calls", "in_flight", d.Board.InFlight())
+	time.Sleep(closeAfter)
+}
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -35,6 +35,9 @@
 	KindHoldings  Kind = 15
 	KindJoin      Kind = 16
 	KindTargets   Kind = 17
+	KindPlace     Kind = 18
+	KindPlaced    Kind = 19
+	KindProgress  Kind = 20
 )
 
 var kindNames = map[Kind]string{
@@ -43,6 +46,7 @@
 	KindConclude: "conclude", KindOutcome: "outcome", KindRenew: "renew", KindAcquire: "acquire",
 	KindExplain: "explain", KindHosts: "hosts", KindHoldings: "holdings",
 	KindJoin: "join", KindTargets: "targets",
+	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
 }
 
 // String names the kind for metrics.
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -68,6 +68,15 @@
 	Seek(ctx context.Context, account string, rules *settings.Rules, promptTokens int64) bool
 }
 
+// Placer asks the daemon that coordinates a pool, which knows of all daemons' calls.
+type Placer interface {
+	// Place returns the coordinator's placement, or false where this daemon decides.
+	Place(ctx context.Context, t *blackboard.Ticket) (blackboard.Placement, bool)
+	// PromptRead and Finished tell the coordinator of a call's progress.
+	PromptRead(attempt string)
+	Finished(attempt string, result blackboard.CallResult)
+}
+
 // Director runs requests.
 type Director struct {
 	Board   *blackboard.Blackboard
@@ -75,6 +84,8 @@
 	// Exchange sends forwarded calls; nil where none are taken.
 	Exchange *target.Exchanger
 	Record   *telemetry.Recorder
+	// Placer is nil where each daemon decides by itself.
+	Placer   Placer
 	Claims   Claimer
 	Shares   ShareSeeker
 	Retrying RetryPolicy
@@ -166,6 +177,14 @@
 // place waits in the queue until the request has a target.
 func (d *Director) place(ctx context.Context, r *Request, attempt string, retry bool, exclude []string) (blackboard.Placement, error) {
 	ticket := d.ticket(r, attempt, retry, exclude)
+	if d.Placer != nil {
+		if placement, ok := d.Placer.Place(ctx, ticket); ok {
+			return placement, d.judgePlacement(r, ticket, &placement)
+		}
+		if ctx.Err() != nil {
+			return blackboard.Placement{}, waitError(ctx, r)
+		}
+	}
 	d.Board.Queues.Push(ticket)
 	var placement blackboard.Placement
 	select {
@@ -179,13 +198,18 @@
 		d.Board.Targets.Finish(attempt, blackboard.CallCancelled, time.Now())
 		return placement, waitError(ctx, r)
 	}
-	d.recordRoute(r, ticket, placement)
+	return placement, d.judgePlacement(r, ticket, &placement)
+}
+
+// judgePlacement records a placement and tells whether it leads to a target.
+func (d *Director) judgePlacement(r *Request, ticket *blackboard.Ticket, placement *blackboard.Placement) error {
+	d.recordRoute(r, ticket, *placement)
 	if placement.Decision.Verdict == routing.None {
-		return placement, fault.New(fault.NoTarget,
+		return fault.New(fault.NoTarget,
 			fmt.Sprintf("none of the %d targets of pool %s can serve the request", placement.Decision.Considered, r.Route.Pool.Name),
 			"see \"doorstack explain\" for what each target lacks; send again later").WithRetry(time.Second)
 	}
-	return placement, nil
+	return nil
 }
 
 func (d *Director) ticket(r *Request, attempt string, retry bool, exclude []string) *blackboard.Ticket {
@@ -193,10 +217,11 @@
 	capacity := d.Board.Targets.Capacity(pool.Name, time.Now())
 	params := ParamsOf(pool, capacity, d.Board.Members.Sharers())
 	return &blackboard.Ticket{
-		Pool:    pool,
-		Attempt: attempt,
-		Params:  params,
-		Holders: d.Board.Prefixes.Lookup(r.prefixes),
+		Pool:     pool,
+		Attempt:  attempt,
+		Deadline: r.Deadline,
+		Params:   params,
+		Holders:  d.Board.Prefixes.Lookup(r.prefixes),
 		Request: routing.Request{
 			ID:           r.ID,
 			PromptTokens: r.promptTokens,
@@ -204,6 +229,8 @@
 			DataCentre:   d.Board.Self.DataCentre,
 			Exclude:      exclude,
 			Seed:         seedOf(d.Board.Self.Name, attempt),
+			Goal:         r.goal().Seconds(),
+			GapGoal:      r.gapGoal().Seconds(),
 		},
 		Item: &admission.Item{
 			ID:      r.ID,
@@ -235,6 +262,7 @@
 		PrefixWeight:     policy.PrefixWeight,
 		RemotePenalty:    time.Duration(policy.RemotePenalty).Seconds(),
 		MaxBacklog:       time.Duration(policy.MaxBacklog).Seconds(),
+		Timing:           pool.Timing,
 	}
 }
 
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -40,8 +40,11 @@
 	exclude   []string
 	// erred is a target's own failure, given to the caller if no other does better.
 	erred *wholeAnswer
-	// targets that were sent to, for the log.
-	last string
+	// last is the target last sent to, for the log, and atFault the address of the
+	// helper that its answer blames.
+	last, atFault string
+	// readBy is the last attempt whose target has read the prompt.
+	readBy string
 }
 
 // wholeAnswer is an answer that has been read to its end.
@@ -155,13 +158,27 @@
 		result = blackboard.CallFailed
 	}
 	if err != nil {
-		f.exclude = append(f.exclude, id)
+		f.exclude = append(f.exclude, f.culprit(p))
 		d.record(f.request, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: id, Attempt: p.Attempt, Reason: err.Error()})
 	}
 	d.Board.Targets.Finish(p.Attempt, result, time.Now())
+	if d.Placer != nil {
+		d.Placer.Finished(p.Attempt, result)
+	}
 	d.Board.Queues.Wake(f.request.Route.Pool.Name)
 }
 
+// culprit is the target that the next attempt avoids: a helper that the answer names,
+// or the one that the call was sent to.
+func (f *forwarding) culprit(p *blackboard.Placement) string {
+	for _, h := range p.Helpers {
+		if f.atFault != "" && h.Address == f.atFault {
+			return h.ID
+		}
+	}
+	return p.Decision.Chosen
+}
+
 // The ways in which a target's answer does not serve.
 var (
 	errTurnedAway = errors.New("the target turned the call away")
@@ -177,7 +194,9 @@
 	call.Header = r.Forward.Header.Clone()
 	d.Exchange.Dialect.WriteSend(call.Header, &forward.Send{
 		Target: p.Decision.Chosen, Account: r.Account.Path, Left: time.Until(r.Deadline), LastEvent: f.lastEvent,
+		Helpers: helpersOf(p),
 	})
+	f.atFault = ""
 	reply, err := d.Exchange.Send(ctx, p.Address, &call)
 	if err != nil {
 		execution := target.ExecutionOf(err)
@@ -196,6 +215,14 @@
 	return err
 }
 
+func helpersOf(p *blackboard.Placement) []forward.Helper {
+	var helpers []forward.Helper
+	for _, h := range p.Helpers {
+		helpers = append(helpers, forward.Helper{Address: h.Address})
+	}
+	return helpers
+}
+
 // take does with an answer what its head says that it is good for.
 func (f *forwarding) take(reply *target.Reply, p *blackboard.Placement) error {
 	verdict := reply.Judge()
@@ -204,10 +231,11 @@
 	}
 	switch verdict {
 	case forward.TurnedAway:
+		f.atFault = reply.AtFault
 		if _, err := readWhole(reply); err != nil {
 			return errors.Wrap(errTurnedAway, err.Error())
 		}
-		return errors.Wrap(errTurnedAway, fmt.Sprintf("status %d", reply.Status))
+		return errors.Wrap(errTurnedAway, fmt.Sprintf("status %d, at fault %q", reply.Status, reply.AtFault))
 	case forward.Useless:
 		return errors.Wrap(errUseless, fmt.Sprintf("status %d, signed %v", reply.Status, reply.Signed))
 	case forward.Erred:
@@ -308,7 +336,7 @@
 		r := f.request
 		f.director.Record.Metrics.FirstToken.WithLabelValues(telemetry.LengthClass(r.promptTokens)).Observe(time.Since(r.Arrived).Seconds())
 	}
-	f.director.Board.Targets.PromptRead(p.Attempt, time.Now())
+	f.promptRead(p)
 	f.begin(reply)
 	if err := f.out.Write(e.Raw); err != nil {
 		return errors.Wrap(errSink, err.Error())
@@ -320,6 +348,19 @@
 	return nil
 }
 
+// promptRead books, once for each attempt, that the target has read the prompt.
+func (f *forwarding) promptRead(p *blackboard.Placement) {
+	if f.readBy == p.Attempt {
+		return
+	}
+	f.readBy = p.Attempt
+	f.director.Board.Targets.PromptRead(p.Attempt, time.Now())
+	f.director.Board.Queues.Wake(f.request.Route.Pool.Name)
+	if f.director.Placer != nil {
+		f.director.Placer.PromptRead(p.Attempt)
+	}
+}
+
 func (f *forwarding) recordAnswer(err error) {
 	r := f.request
 	rec := decision.Record{
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -45,6 +45,22 @@
 // PromptTokens is the estimated length of the prompt; zero for plain services.
 func (r *Request) PromptTokens() int64 { return r.promptTokens }
 
+// goal is the time to the first event that the route asks for, or zero.
+func (r *Request) goal() time.Duration {
+	if r.Path == nil {
+		return 0
+	}
+	return r.Path.Goal
+}
+
+// gapGoal is the longest pause between two events that the route asks for, or zero.
+func (r *Request) gapGoal() time.Duration {
+	if r.Path == nil {
+		return 0
+	}
+	return r.Path.GapGoal
+}
+
 // prepare works out what routing needs from the prompt, once.
 func (r *Request) prepare() {
 	if r.Call != nil || r.Forward != nil {
