--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -56,6 +56,21 @@
 	Limit    *admission.Verdict  `json:"limit,omitempty"`
 	Estimate *admission.Estimate `json:"estimate,omitempty"`
 	Claim    *ClaimTally         `json:"claim,omitempty"`
+	// Stream is how a forwarded answer went, in time.
+	Stream *Stream `json:"stream,omitempty"`
+}
+
+// Stream is how a forwarded answer went, in time.
+type Stream struct {
+	// Events is the number of events given to the caller.
+	Events int `json:"events"`
+	// First is the time to the first event, Gap the longest pause between two, Took the
+	// time of the whole; Goal and GapGoal are what the route asks of First and Gap.
+	First   time.Duration `json:"first_ns,omitempty"`
+	Gap     time.Duration `json:"gap_ns,omitempty"`
+	Took    time.Duration `json:"took_ns"`
+	Goal    time.Duration `json:"goal_ns,omitempty"`
+	GapGoal time.Duration `json:"gap_goal_ns,omitempty"`
 }
 
 // ClaimTally is how the witnesses of a key answered.
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -31,12 +31,13 @@
 	// holdReading is the reading before a long prompt's parts above which it waits in
 	// the daemon, where its order can still change.
 	holdReading = 0.5
-	// packWriters is how many writers with a close goal one engine is packed with.
-	packWriters = 10
+	// packWriters is how many writers with a close goal one engine is packed with: 16
+	// of them make its pass 58 ms long, one alone 44 ms.
+	packWriters = 14
 	// openEngine is what it costs to put a writer on an engine that has none with a
 	// close goal: long prompts lose it. packSlot is the same for each slot left free.
-	openEngine = 0.040
-	packSlot   = 0.001
+	openEngine = 0.100
+	packSlot   = 0.002
 	// crowded is the cost of each writer above packWriters.
 	crowded = 0.010
 	// disturbance weighs a second that other callers wait too long.
@@ -143,7 +144,7 @@
 	most := min(MaxParts, len(s.readers), int(math.Ceil(d.Reading/partWork)))
 	for parts := most; parts >= 1; parts-- {
 		part := d.Reading / float64(parts)
-		chosen := s.bearing(r, p, targets, part, parts)
+		chosen := s.bearing(p, targets, part, parts)
 		if len(chosen) < parts {
 			continue
 		}
@@ -165,14 +166,14 @@
 func tie(seed uint64, t *Target) uint64 { return rendezvous.Score(strconv.FormatUint(seed, 36), t.ID) }
 
 // bearing lists the first targets, least reading first, whose callers bear a part.
-func (s *Scratch) bearing(r *Request, p *Params, targets []Target, part float64, parts int) []int {
+func (s *Scratch) bearing(p *Params, targets []Target, part float64, parts int) []int {
 	chosen := s.chosen[:0]
 	for _, i := range s.readers {
 		t := &targets[i]
 		if t.Reading > holdReading {
 			break
 		}
-		if t.Reading+part > bears(r, p, t) {
+		if t.Reading+part > bears(p, t) {
 			continue
 		}
 		if chosen = append(chosen, i); len(chosen) == parts {
@@ -183,17 +184,12 @@
 	return chosen
 }
 
-// bears is how much reading the callers of a target's writers bear in a pass. A
-// request that has waited beyond its goal is let to more and more of it.
-func bears(r *Request, p *Params, t *Target) float64 {
+// bears is how much reading the callers of a target's writers bear in a pass.
+func bears(p *Params, t *Target) float64 {
 	if t.GapGoal <= 0 || t.GapGoal >= p.Timing.FullPass() {
 		return math.Inf(1)
 	}
-	room := gapShare*t.GapGoal - p.Timing.Pass(t.Load.Requests, t.Load.MemoryTokens)
-	if r.Goal > 0 {
-		room *= 1 + r.Waited/r.Goal
-	}
-	return room
+	return gapShare*t.GapGoal - p.Timing.Pass(t.Load.Requests, t.Load.MemoryTokens)
 }
 
 // settle takes the target that answers: one with room for the whole prompt and the
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -37,7 +37,11 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent string
 	events    int
-	exclude   []string
+	// first is the time to the first event, gap the longest pause between two, and
+	// lastAt when the last one was given.
+	first, gap time.Duration
+	lastAt     time.Time
+	exclude      []string
 	// erred is a target's own failure, given to the caller if no other does better.
 	erred *wholeAnswer
 	// last is the target last sent to, for the log, and atFault the address of the
@@ -332,10 +336,7 @@
 }
 
 func (f *forwarding) giveEvent(e eventstream.Event, reply *target.Reply, p *blackboard.Placement) error {
-	if f.events == 0 {
-		r := f.request
-		f.director.Record.Metrics.FirstToken.WithLabelValues(telemetry.LengthClass(r.promptTokens)).Observe(time.Since(r.Arrived).Seconds())
-	}
+	f.clock(time.Now())
 	f.promptRead(p)
 	f.begin(reply)
 	if err := f.out.Write(e.Raw); err != nil {
@@ -348,6 +349,18 @@
 	return nil
 }
 
+// clock takes the time of an event.
+func (f *forwarding) clock(now time.Time) {
+	if f.events == 0 {
+		r := f.request
+		f.first = now.Sub(r.Arrived)
+		f.director.Record.Metrics.FirstToken.WithLabelValues(telemetry.LengthClass(r.promptTokens)).Observe(f.first.Seconds())
+	} else {
+		f.gap = max(f.gap, now.Sub(f.lastAt))
+	}
+	f.lastAt = now
+}
+
 // promptRead books, once for each attempt, that the target has read the prompt.
 func (f *forwarding) promptRead(p *blackboard.Placement) {
 	if f.readBy == p.Attempt {
@@ -365,11 +378,11 @@
 	r := f.request
 	rec := decision.Record{
 		Kind: decision.KindAnswer, Outcome: decision.OutcomeWhole, Target: f.last,
-		Reason: fmt.Sprintf("%d events in %v", f.events, time.Since(r.Arrived).Round(time.Millisecond)),
+		Stream: &decision.Stream{Events: f.events, First: f.first, Gap: f.gap, Took: time.Since(r.Arrived), Goal: r.goal(), GapGoal: r.gapGoal()},
 	}
 	if err != nil {
 		rec.Outcome = decision.OutcomeFailed
-		rec.Reason = fmt.Sprintf("after %d events, %d sends and %v: %v", f.events, f.progress.Sends(), time.Since(r.Arrived).Round(time.Millisecond), err)
+		rec.Reason = fmt.Sprintf("after %d sends: %v", f.progress.Sends(), err)
 	}
 	f.director.record(r, rec)
 }
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -145,6 +145,14 @@
 			list = append(list, slog.Float64("best_s", c.Candidates[0].Scores.Total()))
 		}
 	}
+	if len(list) > 0 && d.Routing != nil && d.Routing.Params.Timing != nil {
+		c := d.Routing
+		list = append(list, slog.Float64("reading_s", c.Reading), slog.Int("helpers", len(c.Helpers)), slog.Float64("waited_s", c.Request.Waited))
+	}
+	if st := d.Stream; st != nil {
+		list = append(list, slog.Int("events", st.Events), slog.Int64("first_ms", st.First.Milliseconds()), slog.Int64("gap_ms", st.Gap.Milliseconds()),
+			slog.Int64("took_ms", st.Took.Milliseconds()), slog.Int64("goal_ms", st.Goal.Milliseconds()), slog.Int64("gap_goal_ms", st.GapGoal.Milliseconds()))
+	}
 	if c := d.Claim; c != nil {
 		list = append(list, slog.Int("granted", c.Granted), slog.Int("denied", c.Denied), slog.Int("silent", c.Silent), slog.Int("needed", c.Needed))
 	}
