--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -51,6 +51,17 @@
 	Ticket string
 }
 
+// Message is what goes to a target: a caller's call unchanged, or an order.
+type Message struct {
+	// ID is the id that the answer must carry; orders have none.
+	ID string
+	// Method, URI (path and query as the caller wrote them) and Host are the caller's.
+	Method, URI, Host string
+	// Header has been cleared of what concerns one connection only.
+	Header map[string][]string
+	Body   []byte
+}
+
 // Load is what a target says of itself beside an answer.
 type Load struct {
 	Running, Waiting, Slots int
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -169,6 +169,12 @@
 	Group Verdict = "group"
 )
 
+// Ticket is memory to be set aside at a target.
+type Ticket struct {
+	Target string `json:"target"`
+	Tokens int64  `json:"tokens"`
+}
+
 // Scores are the parts of a target's estimated time to first token, in seconds.
 type Scores struct {
 	Backlog     float64 `json:"backlog_s"`
@@ -207,6 +213,12 @@
 	Chosen string `json:"chosen,omitempty"`
 	// Helpers are the targets that read parts of the prompt for the chosen one.
 	Helpers []string `json:"helpers,omitempty"`
+	// Tickets are the parts of the prompt's memory that helpers set aside, where one
+	// target has no room for the whole.
+	Tickets []Ticket `json:"tickets,omitempty"`
+	// Forced means that the prompt goes beside writers whose callers do not bear it,
+	// because it has waited long.
+	Forced bool `json:"forced,omitempty"`
 	// Reading is the time to read the whole prompt, and Part that of each part, in
 	// seconds; for engines of known timing.
 	Reading float64 `json:"reading_s,omitempty"`
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -31,6 +31,14 @@
 	// holdReading is the reading before a long prompt's parts above which it waits in
 	// the daemon, where its order can still change.
 	holdReading = 0.5
+	// forceAfter is the part of its goal that a long prompt waits for engines whose
+	// callers bear it. Then it goes to one engine all the same: a prompt that is never
+	// tried is worth nothing to its caller.
+	forceAfter = 0.5
+	// ticketShare is the part of a target's free memory that a ticket may take, and
+	// ticketMargin what is asked for beyond the need, since memory comes in blocks.
+	ticketShare  = 0.9
+	ticketMargin = 1.02
 	// packWriters is how many writers with a close goal one engine is packed with: 16
 	// of them make its pass 58 ms long, one alone 44 ms.
 	packWriters = 14
@@ -51,34 +59,27 @@
 func (s *Scratch) decideTimed(r *Request, p *Params, targets []Target) Decision {
 	d := Decision{Request: *r, Params: *p, Considered: len(targets)}
 	d.Reading = p.Timing.Read(r.PromptTokens)
-	largest := s.scanTimed(r, p, targets, &d)
+	s.scanTimed(r, p, targets, &d)
 	d.Verdict = None
 	switch {
-	case len(s.best) == 0 && largest > 0 && r.MemoryTokens() > largest:
-		d.Verdict = Group
+	case d.Reading > wholeWork && len(s.readers) > 0:
+		s.spread(r, p, targets, &d)
 	case len(s.best) == 0 && d.Rejections.waitable() > 0:
 		d.Verdict = Wait
-	case len(s.best) == 0:
-	case d.Reading <= wholeWork:
+	case len(s.best) > 0:
 		d.Verdict = Place
 		d.Chosen = targets[s.best[0].index].ID
-	default:
-		s.spread(r, p, targets, &d)
 	}
 	d.Candidates = s.recordTimed(r, p, targets)
 	return d
 }
 
-// scanTimed filters and scores the targets and returns the largest live memory.
-func (s *Scratch) scanTimed(r *Request, p *Params, targets []Target, d *Decision) int64 {
+// scanTimed filters and scores the targets.
+func (s *Scratch) scanTimed(r *Request, p *Params, targets []Target, d *Decision) {
 	s.best, s.rejected, s.readers = s.best[:0], s.rejected[:0], s.readers[:0]
-	largest := int64(0)
 	for i := range targets {
 		t := &targets[i]
 		f := filterTimed(r, t)
-		if t.State == Live {
-			largest = max(largest, t.MemoryTokens)
-		}
 		if f == "" || f == FilterMemory || f == FilterConcurrency {
 			s.readers = append(s.readers, i) // It may still read a part for another.
 		}
@@ -91,7 +92,6 @@
 		s.best = append(s.best, ranked{i, scores.Total()})
 	}
 	slices.SortFunc(s.best, compareRanked)
-	return largest
 }
 
 // filterTimed returns the first filter that rejects the target, or "".
@@ -103,9 +103,9 @@
 		return FilterBreaker
 	case excluded(r, t.ID):
 		return FilterExcluded
-	case t.MaxConcurrent > 0 && t.Load.Requests >= t.MaxConcurrent:
+	case t.full():
 		return FilterConcurrency
-	case t.Load.MemoryTokens+r.MemoryTokens() > t.MemoryTokens:
+	case r.MemoryTokens() > t.free():
 		return FilterMemory
 	}
 	return ""
@@ -148,15 +148,35 @@
 		if len(chosen) < parts {
 			continue
 		}
-		if s.settle(targets, chosen, d) {
+		if s.settle(r, targets, chosen, d) {
 			d.Part = part
 			return
 		}
 	}
+	if r.Goal > 0 && r.Waited >= forceAfter*r.Goal && s.force(targets, d) {
+		return
+	}
 	d.Verdict = Wait
 	d.Rejections.Backlog++
 }
 
+// force gives a prompt that has waited long to the one engine where the fewest
+// callers suffer from it.
+func (s *Scratch) force(targets []Target, d *Decision) bool {
+	if len(s.best) == 0 {
+		return false
+	}
+	least := s.best[0].index
+	for _, b := range s.best[1:] {
+		t, l := &targets[b.index], &targets[least]
+		if cmp.Or(cmp.Compare(t.Tight, l.Tight), cmp.Compare(t.Reading, l.Reading)) < 0 {
+			least = b.index
+		}
+	}
+	d.Verdict, d.Chosen, d.Part, d.Forced = Place, targets[least].ID, d.Reading, true
+	return true
+}
+
 // compareReaders puts the target with the least to read first. Ties are broken by the
 // seed, so that daemons which decide alone do not all take the same targets.
 func compareReaders(seed uint64, a, b *Target) int {
@@ -193,17 +213,22 @@
 }
 
 // settle takes the target that answers: one with room for the whole prompt and the
-// fewest writers whose callers wait closely. The others help.
-func (s *Scratch) settle(targets []Target, chosen []int, d *Decision) bool {
+// fewest writers whose callers wait closely. Where none has the room, the one with the
+// most keeps what it can, and helpers set memory aside for the rest.
+func (s *Scratch) settle(r *Request, targets []Target, chosen []int, d *Decision) bool {
 	first := -1
 	for _, i := range chosen {
-		if !slices.ContainsFunc(s.best, func(b ranked) bool { return b.index == i }) {
+		t := &targets[i]
+		if t.free() < r.MemoryTokens() || t.full() {
 			continue
 		}
-		if first < 0 || targets[i].Tight < targets[first].Tight {
+		if first < 0 || t.Tight < targets[first].Tight {
 			first = i
 		}
 	}
+	if first < 0 {
+		first = s.divide(r, targets, chosen, d)
+	}
 	if first < 0 {
 		return false
 	}
@@ -217,6 +242,42 @@
 	return true
 }
 
+// divide finds memory for a prompt that no target has room for: the target that
+// answers, and tickets at as few helpers as can be, since each ticket is ordered,
+// renewed and released. It returns -1 where there is not enough, or where the prompt
+// would fit one target once that is less full.
+func (s *Scratch) divide(r *Request, targets []Target, chosen []int, d *Decision) int {
+	order := slices.Clone(chosen)
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(targets[b].free(), targets[a].free()) })
+	if len(order) == 0 || targets[order[0]].full() || r.MemoryTokens() <= targets[order[0]].MemoryTokens {
+		return -1
+	}
+	left := int64(float64(r.MemoryTokens())*ticketMargin) - int64(float64(targets[order[0]].free())*ticketShare)
+	d.Tickets = nil
+	for _, i := range order[1:] {
+		if left <= 0 {
+			break
+		}
+		tokens := min(left, int64(float64(targets[i].free())*ticketShare))
+		if tokens <= 0 {
+			break
+		}
+		d.Tickets = append(d.Tickets, Ticket{Target: targets[i].ID, Tokens: tokens})
+		left -= tokens
+	}
+	if left > 0 {
+		d.Tickets = nil
+		return -1
+	}
+	return order[0]
+}
+
+// free is the memory that no request is known to take.
+func (t *Target) free() int64 { return max(0, t.MemoryTokens-t.Load.MemoryTokens) }
+
+// full tells whether the target works on as many requests as it can.
+func (t *Target) full() bool { return t.MaxConcurrent > 0 && t.Load.Requests >= t.MaxConcurrent }
+
 // recordTimed copies the targets that the decision was made from: all of them where
 // there are few, else those that readers and scores put first.
 func (s *Scratch) recordTimed(r *Request, p *Params, targets []Target) []Candidate {
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -133,7 +133,7 @@
 		MaxTokens: c.OutputTokens,
 		Path:      c.path,
 		LastEvent: c.LastEvent,
-		Forward: &target.ForwardCall{
+		Forward: &forward.Message{
 			ID: c.ID, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
 			Header: endToEnd(c.r.Header), Body: body,
 		},
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -60,6 +60,9 @@
 	s := tp.states[tp.index[d.Chosen]]
 	placement.Address = s.address
 	load := loadOf(r, p, d.Chosen, holders)
+	for _, ticket := range d.Tickets {
+		load.MemoryTokens = max(0, load.MemoryTokens-ticket.Tokens)
+	}
 	if load.LongPrefills == 0 {
 		tp.short.add(load.BacklogTokens, at)
 	}
@@ -135,6 +138,16 @@
 	s.refresh(at)
 }
 
+// Suspect keeps calls away from a target for a while.
+func (t *TargetTable) Suspect(id string, until, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.byID[id]; s != nil && until.After(s.suspect) {
+		s.suspect = until
+		s.refresh(at)
+	}
+}
+
 // CallResult says what a call's end tells about the target.
 type CallResult int
 
@@ -158,6 +171,7 @@
 	}
 	delete(t.calls, attempt)
 	c.endReading(at)
+	c.giveBack(at)
 	s := c.state
 	delete(s.calls, attempt)
 	if c.sent.After(s.reportAt) {
--- a/node/blackboard/target_reading.go
+++ b/node/blackboard/target_reading.go
@@ -9,8 +9,9 @@
 
 // readPart is a part of a call's prompt that a target reads.
 type readPart struct {
-	state *targetState
-	work  float64 // seconds
+	state  *targetState
+	work   float64 // seconds
+	memory int64   // tokens set aside for the call, beyond its own target's memory
 }
 
 // readingState is what is known of the reading that a target of known timing has
@@ -59,34 +60,52 @@
 func (t *TargetTable) beginReading(attempt string, d *routing.Decision, at time.Time) []TargetAddress {
 	c := t.calls[attempt]
 	c.gap = d.Request.GapGoal
-	return t.giveParts(c, d.Helpers, d.Reading/float64(1+len(d.Helpers)), at)
+	return t.giveParts(c, d.Helpers, d.Tickets, d.Reading/float64(1+len(d.Helpers)), at)
 }
 
 // giveParts counts the parts of a call's prompt at its target and the helpers.
-func (t *TargetTable) giveParts(c *ownCall, ids []string, work float64, at time.Time) []TargetAddress {
-	c.parts = append(c.parts, readPart{c.state, work})
+func (t *TargetTable) giveParts(c *ownCall, ids []string, tickets []routing.Ticket, work float64, at time.Time) []TargetAddress {
+	c.parts = append(c.parts, readPart{state: c.state, work: work})
 	var helpers []TargetAddress
 	for _, id := range ids {
 		s := t.byID[id]
 		if s == nil {
 			continue
 		}
-		c.parts = append(c.parts, readPart{s, work})
+		c.parts = append(c.parts, readPart{s, work, ticketTokens(tickets, id)})
 		helpers = append(helpers, TargetAddress{ID: s.id, Address: s.address})
 	}
 	for _, part := range c.parts {
 		part.state.reading.give(c.id, part.work, at)
+		part.state.setAside += part.memory
 		part.state.refresh(at)
 	}
 	return helpers
 }
 
-// endReading takes a call's parts off the targets.
+func ticketTokens(tickets []routing.Ticket, id string) int64 {
+	for _, t := range tickets {
+		if t.Target == id {
+			return t.Tokens
+		}
+	}
+	return 0
+}
+
+// endReading takes a call's parts off the targets' reading.
 func (c *ownCall) endReading(at time.Time) {
 	for _, part := range c.parts {
 		part.state.reading.end(c.id, at)
 		part.state.refresh(at)
 	}
+}
+
+// giveBack ends what helpers set aside for a call.
+func (c *ownCall) giveBack(at time.Time) {
+	for _, part := range c.parts {
+		part.state.setAside -= part.memory
+		part.state.refresh(at)
+	}
 	c.parts = nil
 }
 
@@ -99,6 +118,7 @@
 func (s *targetState) refreshTimed(view *routing.Target, at time.Time) {
 	view.Reading = max(0, s.reading.until.Sub(at).Seconds())
 	view.GapGoal, view.Tight = 0, 0
+	view.Load.MemoryTokens += s.setAside
 	for _, c := range s.calls {
 		if c.gap <= 0 {
 			continue
--- a/node/blackboard/target_remote.go
+++ b/node/blackboard/target_remote.go
@@ -20,14 +20,20 @@
 	GapGoal float64 `cbor:"6,keyasint,omitempty"`
 	// Read is true once its prompt has been read.
 	Read bool `cbor:"7,keyasint,omitempty"`
+	// Tickets are what helpers set aside.
+	Tickets []routing.Ticket `cbor:"8,keyasint,omitempty"`
 }
 
 // StateOf makes the state of a call from the decision that placed it.
 func StateOf(attempt string, d *routing.Decision) CallState {
-	return CallState{
+	state := CallState{
 		Attempt: attempt, Target: d.Chosen, Helpers: d.Helpers, MemoryTokens: d.Request.MemoryTokens(),
-		Part: d.Reading / float64(1+len(d.Helpers)), GapGoal: d.Request.GapGoal,
+		Part: d.Reading / float64(1+len(d.Helpers)), GapGoal: d.Request.GapGoal, Tickets: d.Tickets,
 	}
+	for _, ticket := range d.Tickets {
+		state.MemoryTokens = max(0, state.MemoryTokens-ticket.Tokens)
+	}
+	return state
 }
 
 // Adopt counts a call that another daemon placed or makes. The channel is closed if
@@ -44,7 +50,7 @@
 	call.read = c.Read
 	call.gap = c.GapGoal
 	if !c.Read && c.Part > 0 {
-		t.giveParts(call, c.Helpers, c.Part, at)
+		t.giveParts(call, c.Helpers, c.Tickets, c.Part, at)
 	}
 	s.refresh(at)
 	return gone
@@ -76,6 +82,9 @@
 		if part.state != c.state {
 			state.Helpers = append(state.Helpers, part.state.id)
 		}
+		if part.memory > 0 {
+			state.Tickets = append(state.Tickets, routing.Ticket{Target: part.state.id, Tokens: part.memory})
+		}
 	}
 	return state
 }
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -77,6 +77,8 @@
 	reserved string
 	failures int64
 	reading  readingState
+	setAside int64     // tokens of memory for calls that other targets answer
+	suspect  time.Time // until when nothing is sent to it, after it turned a call away
 }
 
 // maxSilent is the number of reports missed in a row after which a target is
@@ -163,7 +165,7 @@
 func (s *targetState) refresh(at time.Time) {
 	view := &s.pool.targets[s.index]
 	view.State = s.state()
-	view.BreakerOpen = s.breaker.Open(at)
+	view.BreakerOpen = s.breaker.Open(at) || at.Before(s.suspect)
 	view.ReservedFor = s.reserved
 	view.Unloaded = s.pool.model != "" && len(s.report.Models) > 0 && !slices.Contains(s.report.Models, s.pool.model)
 	view.ReportAge = 0
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -41,6 +41,8 @@
 	// callTTL bounds how long a coordinator counts a call beyond its deadline, in case
 	// the word of its end was lost.
 	callTTL = time.Second
+	// maxSuspect bounds how long a target is kept out on one daemon's word.
+	maxSuspect = 5 * time.Second
 )
 
 // placeRequest asks the coordinator of a pool for a target.
@@ -73,6 +75,8 @@
 	Reading float64         `cbor:"6,keyasint,omitempty"`
 	// Considered is the number of targets looked at.
 	Considered int `cbor:"7,keyasint,omitempty"`
+	// Tickets are what helpers are asked to set aside.
+	Tickets []routing.Ticket `cbor:"8,keyasint,omitempty"`
 }
 
 type placeHelper struct {
@@ -85,6 +89,9 @@
 	Attempt string                `cbor:"1,keyasint"`
 	Ended   bool                  `cbor:"2,keyasint,omitempty"`
 	Result  blackboard.CallResult `cbor:"3,keyasint,omitempty"`
+	// Suspect is a target that nothing is to be sent to for some time.
+	Suspect    string        `cbor:"4,keyasint,omitempty"`
+	SuspectFor time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Placements asks coordinators and is one. It implements requestcontrol.Placer.
@@ -250,6 +257,7 @@
 	now := time.Now()
 	placement := blackboard.Placement{Attempt: t.Attempt, Address: a.Address, At: now, Decision: routing.Decision{
 		Request: t.Request, Params: t.Params, Verdict: a.Verdict, Chosen: a.Target, Considered: a.Considered, Reading: a.Reading,
+		Tickets: a.Tickets,
 	}}
 	for _, h := range a.Helpers {
 		placement.Decision.Helpers = append(placement.Decision.Helpers, h.Target)
@@ -271,14 +279,15 @@
 	}
 }
 
-// Finished tells the coordinator that a call has ended.
-func (p *Placements) Finished(attempt string, result blackboard.CallResult) {
+// Finished tells the coordinator that a call has ended, and of a target that turned it
+// away or could not be reached.
+func (p *Placements) Finished(attempt string, result blackboard.CallResult, suspect string, suspectFor time.Duration) {
 	p.mu.Lock()
 	name := p.placedBy[attempt]
 	delete(p.placedBy, attempt)
 	p.mu.Unlock()
 	if name != "" {
-		p.tell(name, callProgress{Attempt: attempt, Ended: true, Result: result})
+		p.tell(name, callProgress{Attempt: attempt, Ended: true, Result: result, Suspect: suspect, SuspectFor: suspectFor})
 	}
 }
 
@@ -382,7 +391,7 @@
 	d := &placement.Decision
 	answer := placeAnswer{
 		Attempt: held.ticket.Attempt, Verdict: d.Verdict, Target: d.Chosen, Address: placement.Address,
-		Reading: d.Reading, Considered: d.Considered,
+		Reading: d.Reading, Considered: d.Considered, Tickets: d.Tickets,
 	}
 	for _, h := range placement.Helpers {
 		answer.Helpers = append(answer.Helpers, placeHelper{h.ID, h.Address})
@@ -414,6 +423,10 @@
 
 // serveProgress takes in what a daemon tells of a call that was placed here.
 func (p *Placements) serveProgress(_ context.Context, _ string, in callProgress) (done, error) {
+	if in.Suspect != "" {
+		now := time.Now()
+		p.cluster.Board.Targets.Suspect(in.Suspect, now.Add(min(in.SuspectFor, maxSuspect)), now)
+	}
 	if in.Ended {
 		p.end(in.Attempt, in.Result)
 		return done{}, nil
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -72,9 +72,10 @@
 type Placer interface {
 	// Place returns the coordinator's placement, or false where this daemon decides.
 	Place(ctx context.Context, t *blackboard.Ticket) (blackboard.Placement, bool)
-	// PromptRead and Finished tell the coordinator of a call's progress.
+	// PromptRead and Finished tell the coordinator of a call's progress; Finished also
+	// of a target that nothing should be sent to for some time.
 	PromptRead(attempt string)
-	Finished(attempt string, result blackboard.CallResult)
+	Finished(attempt string, result blackboard.CallResult, suspect string, suspectFor time.Duration)
 }
 
 // Director runs requests.
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -11,7 +11,6 @@
 	"doorstack.dev/core/eventstream"
 	"doorstack.dev/core/fault"
 	"doorstack.dev/core/forward"
-	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/target"
@@ -41,7 +40,7 @@
 	// lastAt when the last one was given.
 	first, gap time.Duration
 	lastAt     time.Time
-	exclude      []string
+	exclude    []string
 	// erred is a target's own failure, given to the caller if no other does better.
 	erred *wholeAnswer
 	// last is the target last sent to, for the log, and atFault the address of the
@@ -138,9 +137,6 @@
 	if err != nil {
 		return err
 	}
-	if placement.Decision.Verdict == routing.Group {
-		return fault.New(fault.NoTarget, "the prompt is larger than one target's memory", "send a shorter prompt").WithRetry(time.Second)
-	}
 	if !again {
 		d.Board.Repeats.Call(r.Route.Pool.Name, time.Now())
 	}
@@ -152,7 +148,7 @@
 
 // finish books the end of an attempt and wakes whoever waits for its room.
 func (f *forwarding) finish(ctx context.Context, p *blackboard.Placement, err error) {
-	d, id := f.director, p.Decision.Chosen
+	d := f.director
 	result := blackboard.CallSucceeded
 	switch {
 	case err == nil:
@@ -161,17 +157,46 @@
 	default:
 		result = blackboard.CallFailed
 	}
+	suspect, suspectFor := "", time.Duration(0)
 	if err != nil {
-		f.exclude = append(f.exclude, f.culprit(p))
-		d.record(f.request, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: id, Attempt: p.Attempt, Reason: err.Error()})
+		culprit := f.culprit(p)
+		f.exclude = append(f.exclude, culprit)
+		if suspectFor = f.suspicion(err); suspectFor > 0 {
+			suspect = culprit
+			d.Board.Targets.Suspect(suspect, time.Now().Add(suspectFor), time.Now())
+		}
+		d.record(f.request, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: culprit, Attempt: p.Attempt, Reason: err.Error()})
 	}
 	d.Board.Targets.Finish(p.Attempt, result, time.Now())
 	if d.Placer != nil {
-		d.Placer.Finished(p.Attempt, result)
+		d.Placer.Finished(p.Attempt, result, suspect, suspectFor)
 	}
 	d.Board.Queues.Wake(f.request.Route.Pool.Name)
 }
 
+// How long nothing is sent to a target that turned a call away: one that is full for
+// about a pass of its batch; a helper that an answer blames is dead, leaving or cut
+// off; one that cannot be connected to most likely stays so for a while.
+const (
+	suspectFull        = 100 * time.Millisecond
+	suspectHelper      = 2 * time.Second
+	suspectUnreachable = time.Second
+)
+
+// suspicion is how long the culprit of a failed attempt is kept out.
+func (f *forwarding) suspicion(err error) time.Duration {
+	switch {
+	case f.atFault != "":
+		return suspectHelper
+	case errors.Is(err, errTurnedAway):
+		return suspectFull
+	case target.ExecutionOf(err) == fault.NotRun:
+		return suspectUnreachable
+	default:
+		return 0
+	}
+}
+
 // culprit is the target that the next attempt avoids: a helper that the answer names,
 // or the one that the call was sent to.
 func (f *forwarding) culprit(p *blackboard.Placement) string {
@@ -195,12 +220,19 @@
 func (f *forwarding) send(ctx context.Context, p *blackboard.Placement) error {
 	d, r := f.director, f.request
 	call := *r.Forward
-	call.Header = r.Forward.Header.Clone()
-	d.Exchange.Dialect.WriteSend(call.Header, &forward.Send{
+	header := http.Header(r.Forward.Header).Clone()
+	call.Header = header
+	d.Exchange.Dialect.WriteSend(header, &forward.Send{
 		Target: p.Decision.Chosen, Account: r.Account.Path, Left: time.Until(r.Deadline), LastEvent: f.lastEvent,
 		Helpers: helpersOf(p),
 	})
 	f.atFault = ""
+	tickets, err := d.reserveTickets(ctx, r, p)
+	if err != nil {
+		f.atFault = tickets.refusedBy
+		return err // Nothing has been sent of the call itself.
+	}
+	defer tickets.release(ctx)
 	reply, err := d.Exchange.Send(ctx, p.Address, &call)
 	if err != nil {
 		execution := target.ExecutionOf(err)
@@ -222,7 +254,7 @@
 func helpersOf(p *blackboard.Placement) []forward.Helper {
 	var helpers []forward.Helper
 	for _, h := range p.Helpers {
-		helpers = append(helpers, forward.Helper{Address: h.Address})
+		helpers = append(helpers, forward.Helper{Address: h.Address, Ticket: ticketID(p, h.ID)})
 	}
 	return helpers
 }
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"doorstack.dev/core/forward"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/target"
 )
@@ -30,7 +31,7 @@
 	// Call is for plain services.
 	Call *target.ServiceCall
 	// Forward is for calls that are passed on unchanged; Path is their route.
-	Forward *target.ForwardCall
+	Forward *forward.Message
 	Path    *settings.ResolvedPath
 	// LastEvent is the last event of the stream that the caller has already.
 	LastEvent string
