--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -22,6 +22,10 @@
 	Retry bool
 	// Arrived is when the request came to the daemon.
 	Arrived time.Time
+	// Work is the time, in seconds, that reading a long prompt takes, where that is
+	// known. Such prompts go shortest first, whatever their account: the least work
+	// earns the most for each second. A second of waiting counts as a second less.
+	Work float64
 
 	// Owner is the caller's own record of the request; the queue ignores it.
 	Owner any
@@ -52,6 +56,16 @@
 	account string
 	level   int
 	long    bool
+	// item is set for prompts of known work, each of which is a line of its own.
+	item string
+}
+
+func keyOf(it *Item) flowKey {
+	key := flowKey{account: it.Account, level: it.Level, long: it.Long}
+	if it.Work > 0 {
+		key.item = it.ID
+	}
+	return key
 }
 
 // flow is the line of one account at one level. Long prompts have a line of
@@ -74,7 +88,7 @@
 
 // Push puts a request at the end of its account's line.
 func (q *Queue) Push(it *Item) {
-	key := flowKey{it.Account, it.Level, it.Long}
+	key := keyOf(it)
 	f := q.flows[key]
 	if f == nil {
 		f = &flow{key: key}
@@ -95,7 +109,7 @@
 
 // Remove takes out a request that no longer waits. It tells whether it was there.
 func (q *Queue) Remove(it *Item) bool {
-	f := q.flows[flowKey{it.Account, it.Level, it.Long}]
+	f := q.flows[keyOf(it)]
 	if f == nil {
 		return false
 	}
@@ -130,11 +144,16 @@
 	n := 0
 	for level := range levels {
 		for _, long := range [...]bool{false, true} {
-			if f := q.flows[flowKey{account, level, long}]; f != nil {
+			if f := q.flows[flowKey{account: account, level: level, long: long}]; f != nil {
 				n += len(f.items)
 			}
 		}
 	}
+	for key, f := range q.flows {
+		if key.item != "" && key.account == account {
+			n += len(f.items)
+		}
+	}
 	return n
 }
 
@@ -210,6 +229,7 @@
 	x, y := a.items[0], b.items[0]
 	order := cmp.Or(
 		cmp.Compare(q.agedLevel(x, now), q.agedLevel(y, now)),
+		compareWork(x, y, now),
 		cmp.Compare(x.start, y.start),
 		x.Arrived.Compare(y.Arrived),
 		cmp.Compare(x.ID, y.ID),
@@ -217,6 +237,14 @@
 	return order < 0
 }
 
+// compareWork orders two prompts of known work; others are equal.
+func compareWork(x, y *Item, now time.Time) int {
+	if x.Work <= 0 || y.Work <= 0 {
+		return 0
+	}
+	return cmp.Compare(x.Work-now.Sub(x.Arrived).Seconds(), y.Work-now.Sub(y.Arrived).Seconds())
+}
+
 // agedLevel is the item's level less one for each AgeingPerLevel it has waited.
 func (q *Queue) agedLevel(it *Item, now time.Time) int {
 	if q.AgeingPerLevel <= 0 {
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -165,6 +165,8 @@
 	Wait Verdict = "wait"
 	// None means that no target can serve the request as things stand.
 	None Verdict = "none"
+	// Refuse means that the request would wait too long and should come back later.
+	Refuse Verdict = "refuse"
 	// Group means that the request exceeds one target's memory.
 	Group Verdict = "group"
 )
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -30,7 +30,17 @@
 	gapShare = 0.8
 	// holdReading is the reading before a long prompt's parts above which it waits in
 	// the daemon, where its order can still change.
-	holdReading = 0.5
+	holdReading = 0.2
+	// deepPart is the reading time from which a part is deep: an engine with one is of
+	// no use to a chat for several passes. At most deepShare of the engines have deep
+	// parts at one time, so that the rest can follow a swing from long prompts to short
+	// ones; swings of the users' traffic take less than a second.
+	deepPart  = 0.4
+	deepShare = 0.4
+	// refuseAfter is the part of its goal that a prompt with deep parts waits for room.
+	// Then its caller is told to come back, early enough to be served in time by
+	// another attempt.
+	refuseAfter = 0.2
 	// forceAfter is the part of its goal that a long prompt waits for engines whose
 	// callers bear it. Then it goes to one engine all the same: a prompt that is never
 	// tried is worth nothing to its caller.
@@ -142,8 +152,12 @@
 func (s *Scratch) spread(r *Request, p *Params, targets []Target, d *Decision) {
 	slices.SortFunc(s.readers, func(a, b int) int { return compareReaders(r.Seed, &targets[a], &targets[b]) })
 	most := min(MaxParts, len(s.readers), int(math.Ceil(d.Reading/partWork)))
+	deep := deepRoom(targets)
 	for parts := most; parts >= 1; parts-- {
 		part := d.Reading / float64(parts)
+		if part > deepPart && parts > deep {
+			continue
+		}
 		chosen := s.bearing(p, targets, part, parts)
 		if len(chosen) < parts {
 			continue
@@ -153,13 +167,34 @@
 			return
 		}
 	}
-	if r.Goal > 0 && r.Waited >= forceAfter*r.Goal && s.force(targets, d) {
+	d.Verdict = Wait
+	switch {
+	case r.Goal <= 0:
+	case d.Reading/float64(max(1, most)) > deepPart:
+		if r.Waited >= refuseAfter*r.Goal {
+			d.Verdict = Refuse
+		}
+	case r.Waited >= forceAfter*r.Goal && s.force(targets, d):
 		return
 	}
-	d.Verdict = Wait
 	d.Rejections.Backlog++
 }
 
+// deepRoom is how many more engines may take a deep part.
+func deepRoom(targets []Target) int {
+	live, deep := 0, 0
+	for i := range targets {
+		if targets[i].State != Live {
+			continue
+		}
+		live++
+		if targets[i].Reading > deepPart {
+			deep++
+		}
+	}
+	return int(deepShare*float64(live)) - deep
+}
+
 // force gives a prompt that has waited long to the one engine where the fewest
 // callers suffer from it.
 func (s *Scratch) force(targets []Target, d *Decision) bool {
