A long prompt waits for as many engines as it can use

Cause: with few engines free a prompt took one to three of them, with parts of 2 to 5 s: itself late, and its engines lost; and writers paused up to 3.3 s beside reading with long contexts, where a step of a chunk takes 75 ms, not 12. Ruled out: a pass bounded by its chunks; the pauses seen are of the whole reading before the engine.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -3,7 +3,7 @@
 // predicts; nothing rests on the prediction but the quality of a placement.
 //
 // An engine works in passes. A pass with requests that write has Stride steps; each
-// step makes one token for each of them and may read up to Chunk prompt tokens
+// step makes one token for each of them and may read a chunk of prompt tokens
 // besides. What a stream's caller sees is one event a pass, so the pause between two
 // events is the length of a pass, reading included.
 package engine
@@ -22,8 +22,7 @@
 	PerToken float64 `json:"per_token_s"`
 	// PerPair is added for each pair of a prompt token and one before it.
 	PerPair float64 `json:"per_pair_s"`
-	// Chunk is the most prompt tokens read in a step, and Stride the steps of a pass.
-	Chunk  int64 `json:"chunk"`
+	// Stride is the number of steps of a pass.
 	Stride int64 `json:"stride"`
 }
 
@@ -40,11 +39,5 @@
 	return float64(t.Stride) * step
 }
 
-// FullPass is the length of a pass without writers' costs that reads as much as it
-// can. A caller that bears such a pause is not disturbed by any reading.
-func (t *Timing) FullPass() float64 {
-	return float64(t.Stride) * (t.Step + float64(t.Chunk)*t.PerToken)
-}
-
 // Seconds turns seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -31,20 +31,25 @@
 	// holdReading is the reading before a long prompt's parts above which it waits in
 	// the daemon, where its order can still change.
 	holdReading = 0.2
-	// deepPart is the reading time from which a part is deep: an engine with one is of
-	// no use to a chat for several passes. At most deepShare of the engines have deep
+	// smallPart is the reading time up to which a part is never too long. deepPart is
+	// the time from which one is deep: an engine with it is of no use to a chat for
+	// several passes, and its writers pause for longer than most callers bear. At most deepShare of the engines have deep
 	// parts at one time, so that the rest can follow a swing from long prompts to short
 	// ones; swings of the users' traffic take less than a second.
-	deepPart  = 0.4
+	smallPart = 0.25
+	deepPart  = 0.75
 	deepShare = 0.4
 	// refuseAfter is the part of its goal that a prompt with deep parts waits for room.
 	// Then its caller is told to come back, early enough to be served in time by
 	// another attempt.
 	refuseAfter = 0.2
-	// forceAfter is the part of its goal that a long prompt waits for engines whose
-	// callers bear it. Then it goes to one engine all the same: a prompt that is never
-	// tried is worth nothing to its caller.
-	forceAfter = 0.5
+	// A long prompt waits for as many engines as it can use: settleShare is how much
+	// longer than that its parts may be. After settleAfter of its goal it takes any
+	// number of engines whose callers bear it, and after forceAfter one engine all the
+	// same: a prompt that is never tried is worth nothing to its caller.
+	settleShare = 1.3
+	settleAfter = 0.4
+	forceAfter  = 0.8
 	// ticketShare is the part of a target's free memory that a ticket may take, and
 	// ticketMargin what is asked for beyond the need, since memory comes in blocks.
 	ticketShare  = 0.9
@@ -151,18 +156,23 @@
 // spread cuts the reading of a long prompt into parts.
 func (s *Scratch) spread(r *Request, p *Params, targets []Target, d *Decision) {
 	slices.SortFunc(s.readers, func(a, b int) int { return compareReaders(r.Seed, &targets[a], &targets[b]) })
-	most := min(MaxParts, len(s.readers), int(math.Ceil(d.Reading/partWork)))
+	most := max(1, min(MaxParts, len(s.readers), int(math.Ceil(d.Reading/partWork))))
+	least := d.Reading / float64(most)
+	longest := max(smallPart, settleShare*least)
+	if r.Waited >= settleAfter*r.Goal {
+		longest = math.Inf(1)
+	}
 	deep := deepRoom(targets)
 	for parts := most; parts >= 1; parts-- {
 		part := d.Reading / float64(parts)
+		if part > longest {
+			break
+		}
 		if part > deepPart && parts > deep {
 			continue
 		}
 		chosen := s.bearing(p, targets, part, parts)
-		if len(chosen) < parts {
-			continue
-		}
-		if s.settle(r, targets, chosen, d) {
+		if len(chosen) == parts && s.settle(r, targets, chosen, d) {
 			d.Part = part
 			return
 		}
@@ -170,7 +180,7 @@
 	d.Verdict = Wait
 	switch {
 	case r.Goal <= 0:
-	case d.Reading/float64(max(1, most)) > deepPart:
+	case least > deepPart:
 		if r.Waited >= refuseAfter*r.Goal {
 			d.Verdict = Refuse
 		}
@@ -239,9 +249,11 @@
 	return chosen
 }
 
-// bears is how much reading the callers of a target's writers bear in a pass.
+// bears is how much reading the callers of a target's writers bear. All that is before
+// an engine may fall into one pass: a step reads up to a chunk of tokens, which takes
+// the longer the more stands before them.
 func bears(p *Params, t *Target) float64 {
-	if t.GapGoal <= 0 || t.GapGoal >= p.Timing.FullPass() {
+	if t.GapGoal <= 0 {
 		return math.Inf(1)
 	}
 	return gapShare*t.GapGoal - p.Timing.Pass(t.Load.Requests, t.Load.MemoryTokens)
--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -142,7 +142,6 @@
 		PerContextToken: c.ContextMSPerK * perMS * perKilo,
 		PerToken:        1 / k.PrefillTokensPerSecond,
 		PerPair:         c.PairsMSPerM * perMS * perMega,
-		Chunk:           c.Chunk,
 		Stride:          max(minSteps, c.Stride),
 	}
 }
