What is not foreseen to be answered in time is refused early, with the time to come back

Ruled out: forcing alone; singles of 3 to 5 s filled all 13 engines. Change: a waiting prompt knows the reading ahead of it; a fifth of its goal after arrival it is refused if the first event is foreseen after the goal. Prompts of known work do not hold up each other.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -22,9 +22,10 @@
 	Retry bool
 	// Arrived is when the request came to the daemon.
 	Arrived time.Time
-	// Work is the time, in seconds, that reading a long prompt takes, where that is
-	// known. Such prompts go shortest first, whatever their account: the least work
-	// earns the most for each second. A second of waiting counts as a second less.
+	// Work is the time, in seconds, that reading the prompt takes, where that is known.
+	// Long prompts of known work go shortest first, whatever their account: the least
+	// work earns the most for each second. A second of waiting counts as a second less.
+	// None of known work holds up another, since each may be refused by itself.
 	Work float64
 
 	// Owner is the caller's own record of the request; the queue ignores it.
@@ -62,7 +63,7 @@
 
 func keyOf(it *Item) flowKey {
 	key := flowKey{account: it.Account, level: it.Level, long: it.Long}
-	if it.Work > 0 {
+	if it.Work > 0 && it.Long {
 		key.item = it.ID
 	}
 	return key
@@ -184,7 +185,7 @@
 		}
 		if !place(it) {
 			f.skip = true
-			if !it.Retry {
+			if !it.Retry && it.Work <= 0 {
 				*stop = it.Tokens
 			}
 			continue
@@ -239,7 +240,7 @@
 
 // compareWork orders two prompts of known work; others are equal.
 func compareWork(x, y *Item, now time.Time) int {
-	if x.Work <= 0 || y.Work <= 0 {
+	if !x.Long || !y.Long || x.Work <= 0 || y.Work <= 0 {
 		return 0
 	}
 	return cmp.Compare(x.Work-now.Sub(x.Arrived).Seconds(), y.Work-now.Sub(y.Arrived).Seconds())
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -124,6 +124,8 @@
 	GapGoal float64 `json:"gap_goal_s,omitempty"`
 	// Waited is how long the request has waited, in seconds.
 	Waited float64 `json:"waited_s,omitempty"`
+	// Ahead is the reading time of the long prompts that wait before it, in seconds.
+	Ahead float64 `json:"ahead_s,omitempty"`
 	// Seed makes the pick; it differs from daemon to daemon.
 	Seed uint64 `json:"seed"`
 }
@@ -225,6 +227,9 @@
 	// seconds; for engines of known timing.
 	Reading float64 `json:"reading_s,omitempty"`
 	Part    float64 `json:"part_s,omitempty"`
+	// Foreseen is the time to the first event that a prompt which waits can expect, from
+	// its arrival, in seconds.
+	Foreseen float64 `json:"foreseen_s,omitempty"`
 	// Considered is the number of targets looked at.
 	Considered int `json:"considered"`
 	// Rejections counts the targets that each filter took out.
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -39,10 +39,12 @@
 	smallPart = 0.25
 	deepPart  = 0.75
 	deepShare = 0.4
-	// refuseAfter is the part of its goal that a prompt with deep parts waits for room.
-	// Then its caller is told to come back, early enough to be served in time by
-	// another attempt.
+	// refuseAfter is the part of its goal that a prompt waits for room which is not
+	// foreseen to come in time. Then its caller is told to come back, early enough to
+	// be served in time by another attempt.
 	refuseAfter = 0.2
+	// readingPart is the part of an engine's time that is left for reading.
+	readingPart = 0.85
 	// A long prompt waits for as many engines as it can use: settleShare is how much
 	// longer than that its parts may be. After settleAfter of its goal it takes any
 	// number of engines whose callers bear it, and after forceAfter one engine all the
@@ -81,6 +83,9 @@
 		s.spread(r, p, targets, &d)
 	case len(s.best) == 0 && d.Rejections.waitable() > 0:
 		d.Verdict = Wait
+		if r.Goal > 0 && r.Waited >= refuseAfter*r.Goal {
+			d.Verdict = Refuse
+		}
 	case len(s.best) > 0:
 		d.Verdict = Place
 		d.Chosen = targets[s.best[0].index].ID
@@ -178,18 +183,35 @@
 		}
 	}
 	d.Verdict = Wait
+	d.Foreseen = foreseen(r, targets, d.Reading)
 	switch {
 	case r.Goal <= 0:
-	case least > deepPart:
-		if r.Waited >= refuseAfter*r.Goal {
-			d.Verdict = Refuse
-		}
-	case r.Waited >= forceAfter*r.Goal && s.force(targets, d):
+	case r.Waited >= forceAfter*r.Goal && least <= deepPart && s.force(targets, d):
 		return
+	case r.Waited >= refuseAfter*r.Goal && r.Waited < settleAfter*r.Goal && d.Foreseen > r.Goal:
+		d.Verdict = Refuse
+	case r.Waited >= refuseAfter*r.Goal && least > deepPart:
+		d.Verdict = Refuse
 	}
 	d.Rejections.Backlog++
 }
 
+// foreseen is the time from arrival to the first event of a prompt that waits, if the
+// prompts before it and it are read by all engines without close writers.
+func foreseen(r *Request, targets []Target, reading float64) float64 {
+	engines, before := 0, r.Ahead
+	for i := range targets {
+		if t := &targets[i]; t.State == Live && t.Tight == 0 {
+			engines++
+			before += t.Reading
+		}
+	}
+	if engines == 0 {
+		return math.Inf(1)
+	}
+	return r.Waited + (before+reading)/(readingPart*float64(engines))
+}
+
 // deepRoom is how many more engines may take a deep part.
 func deepRoom(targets []Target) int {
 	live, deep := 0, 0
--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -158,8 +158,17 @@
 	p := t.pool(pool)
 	p.marked = false
 	t.emptyTargetForOldest(p, pool, targets, at)
+	ahead := 0.0 // reading time of the long prompts that wait before the next one
 	return p.queue.Dispatch(at, func(it *admission.Item) bool {
-		return place(it.Owner.(*Ticket), targets, at)
+		ticket := it.Owner.(*Ticket)
+		ticket.Request.Ahead = ahead
+		if place(ticket, targets, at) {
+			return true
+		}
+		if it.Long {
+			ahead += it.Work
+		}
+		return false
 	})
 }
 
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -202,15 +202,15 @@
 	return placement, d.judgePlacement(r, ticket, &placement)
 }
 
-// busyRetry is when a very long prompt that found no room should come back: about as
-// long as another one of its kind is read.
+// busyRetry is when a prompt that found no room should come back: about as long as a
+// long prompt is read and a short one's answer is written.
 const busyRetry = 2 * time.Second
 
 // judgePlacement records a placement and tells whether it leads to a target.
 func (d *Director) judgePlacement(r *Request, ticket *blackboard.Ticket, placement *blackboard.Placement) error {
 	d.recordRoute(r, ticket, *placement)
 	if placement.Decision.Verdict == routing.Refuse {
-		return fault.New(fault.DeadlineTooShort, "the targets are busy with other long prompts", "send again after the time in Retry-After").
+		return fault.New(fault.DeadlineTooShort, "the targets are too busy to answer in the time that the route asks for", "send again after the time in Retry-After").
 			WithRetry(busyRetry)
 	}
 	if placement.Decision.Verdict == routing.None {
@@ -249,7 +249,7 @@
 			Long:    params.IsLong(r.promptTokens),
 			Retry:   retry,
 			Arrived: r.Arrived,
-			Work:    LongWork(&params, r.promptTokens),
+			Work:    ReadingWork(&params, r.promptTokens),
 		},
 	}
 }
@@ -276,10 +276,10 @@
 	}
 }
 
-// LongWork is the reading time of a long prompt, in seconds, or zero for a short one
-// and where engines' timing is not known.
-func LongWork(p *routing.Params, promptTokens int64) float64 {
-	if p.Timing == nil || !p.IsLong(promptTokens) {
+// ReadingWork is the reading time of a prompt, in seconds, or zero where engines'
+// timing is not known.
+func ReadingWork(p *routing.Params, promptTokens int64) float64 {
+	if p.Timing == nil || promptTokens <= 0 {
 		return 0
 	}
 	return p.Timing.Read(promptTokens)
