Tests of the fleet on the platform: versions, peers, leaving, coordinators, logs

Cause of the change beside them: a call that had begun before the request to end was answered without the word that its connection closes; it is decided when the head is written now.

--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -44,9 +44,7 @@
 func (s *pathServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &pathCall{Call: s.dialect.ReadCall(r.Header), w: w, r: r, arrived: time.Now()}
 	c.answer = &answerWriter{w: w, control: http.NewResponseController(w), step: s.limits.WriteStep}
-	if s.board.Phase() == blackboard.Draining {
-		w.Header().Set("Connection", "close") // The next call must go to another host.
-	}
+	c.answer.leaving = func() bool { return s.board.Phase() == blackboard.Draining }
 	err := s.run(c)
 	outcome := "whole"
 	if err != nil {
@@ -168,6 +166,7 @@
 		return
 	}
 	header := c.w.Header()
+	c.answer.closeIfLeaving()
 	header.Set("Content-Type", "application/json")
 	s.dialect.WriteFailure(header, c.ID, e.Retry && e.Execution == fault.NotRun, e.RetryAfter)
 	c.w.WriteHeader(e.Status())
@@ -182,6 +181,15 @@
 	control *http.ResponseController
 	step    time.Duration
 	begun   bool
+	leaving func() bool
+}
+
+// closeIfLeaving ends the connection with the answer where the daemon leaves, so that
+// the caller's next call goes to another host.
+func (a *answerWriter) closeIfLeaving() {
+	if a.leaving() {
+		a.w.Header().Set("Connection", "close")
+	}
 }
 
 // Begin implements requestcontrol.AnswerWriter.
@@ -195,6 +203,7 @@
 	if length >= 0 {
 		header.Set("Content-Length", fmt.Sprint(length))
 	}
+	a.closeIfLeaving()
 	a.w.WriteHeader(status)
 }
 
--- /dev/null
+++ b/node/onplatform/fleet_test.go
@@ -0,0 +1,313 @@
+package onplatform
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"doorstack.dev/platform/standin"
+)
+
+func (f *fleet) revision(d *testDaemon) int64 {
+	if view := d.Board.Settings.Current(); view != nil {
+		return view.Revision
+	}
+	return 0
+}
+
+func TestANewConfigurationIsInForceAndNeverGoesBack(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	next := testConfig(7)
+	next.Routes = next.Routes[1:]
+	next.Tenants[0].Keys = []string{"new-key"}
+	f.store.PutConfig(next)
+	for _, d := range f.daemons {
+		f.eventually("version 7 at "+d.boot.Name, func() bool { return f.revision(d) == 7 })
+	}
+	if got := f.do(f.ask(unsafe)); got.Status != 401 {
+		t.Errorf("a key that was taken away: %+v", got)
+	}
+	a := f.ask(safe)
+	a.Key = "new-key"
+	if got := f.do(a); got.Status != 404 {
+		t.Errorf("a route that was taken away: %+v", got)
+	}
+	f.store.PutConfig(testConfig(5))
+	f.store.PutRaw("op/config", []byte(`{"version":9,"routes":[{"name":"x","host":"h","prefix":"no-slash"}]}`))
+	f.store.PutRaw("op/config", []byte(`nonsense`))
+	last := testConfig(11)
+	f.store.PutConfig(last)
+	for _, d := range f.daemons {
+		f.eventually("version 11 at "+d.boot.Name, func() bool { return f.revision(d) == 11 })
+		if log := d.log.String(); strings.Contains(log, `"outcome":"adopted","reason":"from configuration service, 1 parts, 1 accounts","revision":5`) {
+			t.Error("an older version was adopted")
+		}
+	}
+	if got := f.do(f.ask(safe)); got.Status != 200 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestNewsComesThroughPeers: a daemon that the store turns away learns of versions and
+// of targets that leave from those that it serves.
+func TestNewsComesThroughPeers(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	cut := f.daemons[0]
+	cut.door.Refuse(true)
+	f.eventually("the loss in the log", func() bool { return strings.Contains(cut.log.String(), "dependency is lost") })
+	next := testConfig(3)
+	next.Tenants[0].Keys = nil
+	f.store.PutConfig(next)
+	f.store.PutTarget(f.targets["t1"], plain, "draining", 6)
+	f.eventually("version 3 through peers", func() bool { return f.revision(cut) == 3 })
+	f.eventually("the leaving target through peers", func() bool {
+		hosts, _ := cut.Board.Members.Hosts()
+		for _, h := range hosts.Hosts {
+			if h.ID == "t1" {
+				return h.State == "leaving"
+			}
+		}
+		return false
+	})
+	for range 6 {
+		a := f.ask(open)
+		if got := f.do(a); got.Status != 200 || f.calls(a.ID)[0].MeantFor() != "t2" {
+			t.Fatalf("%+v by %+v", got, f.calls(a.ID))
+		}
+	}
+	if got := f.do(f.ask(safe)); got.Status != 401 {
+		t.Errorf("a key that was taken away: %+v", got)
+	}
+}
+
+func TestTargetsLeave(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.store.PutTarget(f.targets["t1"], plain, "draining", 6)
+	f.store.RemoveTarget(f.targets["t2"])
+	d := f.daemons[0]
+	f.eventually("two targets gone or leaving", func() bool {
+		hosts, _ := d.Board.Members.Hosts()
+		return len(hosts.Hosts) == 2
+	})
+	for range 8 {
+		a := f.ask(safe)
+		if got := f.do(a); got.Status != 200 || f.calls(a.ID)[0].MeantFor() != "t3" {
+			t.Fatalf("%+v by %+v", got, f.calls(a.ID))
+		}
+	}
+}
+
+// TestTheStoreForgetsItsHistory: the whole is read anew, and what left meanwhile is gone.
+func TestTheStoreForgetsItsHistory(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	d := f.daemons[0]
+	d.door.Refuse(true)
+	f.eventually("the loss in the log", func() bool { return strings.Contains(d.log.String(), "dependency is lost") })
+	f.store.RemoveTarget(f.targets["t2"])
+	f.store.PutConfig(testConfig(4))
+	f.store.DropHistory()
+	d.door.Refuse(false)
+	f.eventually("version 4", func() bool { return f.revision(d) == 4 })
+	f.eventually("t2 gone", func() bool { return len(d.Board.Targets.Addresses()) == 2 })
+	if !strings.Contains(d.log.String(), "dependency is back") {
+		t.Error("the store's return is not in the log")
+	}
+}
+
+// TestAFreshDaemonTakesTheNewestFromPeers: one that the store turns away serves with
+// what its peers know, and never with less.
+func TestAFreshDaemonTakesTheNewestFromPeers(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.store.PutConfig(testConfig(6))
+	for _, d := range f.daemons {
+		f.eventually("version 6", func() bool { return f.revision(d) == 6 })
+	}
+	fresh := f.addDaemon(2)
+	fresh.door.Refuse(true)
+	f.waitReady(fresh)
+	if got := f.revision(fresh); got != 6 {
+		t.Fatalf("serves with version %d", got)
+	}
+}
+
+// TestEverybodyFindsEverybody: from one seed each, and again after a daemon restarted.
+func TestEverybodyFindsEverybody(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	all := func() bool {
+		for _, d := range f.daemons {
+			if living, _ := d.Board.Members.Living(); len(living) != len(f.daemons) {
+				return false
+			}
+		}
+		return true
+	}
+	f.eventually("four daemons that know each other", all)
+	gone := f.daemons[3]
+	gone.stop()
+	<-gone.ended
+	f.daemons = f.daemons[:3]
+	f.eventually("three daemons that know of the loss", all)
+	f.waitReady(f.addDaemon(3))
+	f.eventually("four daemons again", all)
+}
+
+// TestDaemonsChooseAsOne: with one slot at each of four targets, four calls through
+// three daemons find a target each; without a common view some would meet.
+func TestDaemonsChooseAsOne(t *testing.T) {
+	f := newFleet(t, 3, 0)
+	for i := range 4 {
+		f.addTarget(fmt.Sprint("s", i+1), plain, 1)
+	}
+	for _, d := range f.daemons {
+		f.waitReady(d)
+	}
+	f.eventually("all daemons known", func() bool {
+		for _, d := range f.daemons {
+			if living, _ := d.Board.Members.Living(); len(living) != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	for round := range 5 {
+		release := make(chan struct{})
+		var working sync.WaitGroup
+		working.Add(4)
+		f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+			working.Done()
+			<-release
+			standin.Succeed("ok")(w, r, c)
+		})
+		ids := map[string]bool{}
+		var answers sync.WaitGroup
+		for i := range 4 {
+			a := f.ask(safe)
+			a.Daemon = f.daemons[i%3].boot.Callers
+			ids[a.ID] = true
+			answers.Go(func() {
+				if got := f.do(a); got.Status != 200 {
+					t.Errorf("%+v", got)
+				}
+			})
+		}
+		working.Wait()
+		used := map[string]int{}
+		for id := range ids {
+			for _, c := range f.calls(id) {
+				used[c.MeantFor()]++
+			}
+		}
+		close(release)
+		answers.Wait()
+		if len(used) != 4 {
+			t.Fatalf("round %d: the calls went to %v", round, used)
+		}
+	}
+}
+
+// TestACoordinatorsEndCostsNoCall: while daemons come and go, calls are placed by
+// whoever is left.
+func TestACoordinatorsEndCostsNoCall(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	for i := range 3 {
+		if i > 0 {
+			last := f.daemons[len(f.daemons)-1]
+			last.stop()
+			<-last.ended
+			f.daemons = f.daemons[:len(f.daemons)-1]
+		}
+		for range 6 {
+			if got := f.do(f.ask(safe)); got.Status != 200 {
+				t.Fatalf("after %d ends: %+v", i, got)
+			}
+		}
+	}
+}
+
+// TestLeavingLosesNothing: from the request to end on, the daemon is not ready, still
+// serves, tells callers to close, then refuses; what runs ends whole.
+func TestLeavingLosesNothing(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	d := f.daemons[0]
+	started, release := make(chan struct{}), make(chan struct{})
+	f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		if c.Body == "slow" {
+			close(started)
+			<-release
+		}
+		standin.Succeed("whole")(w, r, c)
+	})
+	slow := f.ask(unsafe)
+	slow.Body, slow.LeftMS = "slow", 10_000
+	answer := make(chan standin.Got, 1)
+	go func() { answer <- f.do(slow) }()
+	<-started
+	d.Drain()
+	if f.ready(d) {
+		t.Error("ready while it leaves")
+	}
+	first := f.do(f.ask(safe))
+	if first.Status != 200 || !first.Closes {
+		t.Errorf("just after: %+v", first)
+	}
+	f.eventually("refusals", func() bool {
+		got := f.do(f.ask(safe))
+		return got.Status == 503 && got.Header.Get("Retry-After") != ""
+	})
+	select {
+	case <-d.ended:
+		t.Fatal("it ended before its last answer")
+	default:
+	}
+	close(release)
+	if got := <-answer; got.Status != 200 || got.Body != "whole" || !got.Closes {
+		t.Errorf("the call under way: %+v", got)
+	}
+	select {
+	case <-d.ended:
+	case <-time.After(waitMost):
+		t.Fatal("it does not end")
+	}
+}
+
+// TestLogsLeadFromAnIDToTheCause: what happened to a failed call can be read from the
+// lines with its id.
+func TestLogsLeadFromAnIDToTheCause(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.scriptAll(standin.TurnAway)
+	a := f.ask(unsafe)
+	f.do(a)
+	kinds := map[string]int{}
+	for line := range strings.Lines(f.daemons[0].log.String()) {
+		if !strings.Contains(line, a.ID) {
+			continue
+		}
+		for _, kind := range []string{"route", "attempt", "answer"} {
+			if strings.Contains(line, `"kind":"`+kind+`"`) {
+				kinds[kind]++
+			}
+		}
+	}
+	if kinds["route"] < 2 || kinds["attempt"] < 2 || kinds["answer"] != 1 {
+		t.Fatalf("%v", kinds)
+	}
+	if strings.Contains(f.daemons[0].log.String(), key) {
+		t.Error("the API key is in the log")
+	}
+}
+
+// TestCallsOfTheStoreAreFew: a quiet second costs no call but the watches.
+func TestCallsOfTheStoreAreFew(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	before := f.store.Calls()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	<-ctx.Done()
+	if made := f.store.Calls() - before; made > 2 {
+		t.Fatalf("%d calls in a quiet second", made)
+	}
+}
