--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -188,9 +188,7 @@
 	case r.Goal <= 0:
 	case r.Waited >= forceAfter*r.Goal && least <= deepPart && s.force(targets, d):
 		return
-	case r.Waited >= refuseAfter*r.Goal && r.Waited < settleAfter*r.Goal && d.Foreseen > r.Goal:
-		d.Verdict = Refuse
-	case r.Waited >= refuseAfter*r.Goal && least > deepPart:
+	case r.Waited >= refuseAfter*r.Goal && (least > deepPart || d.Foreseen > r.Goal && r.Waited < settleAfter*r.Goal):
 		d.Verdict = Refuse
 	}
 	d.Rejections.Backlog++
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -202,16 +202,29 @@
 	return placement, d.judgePlacement(r, ticket, &placement)
 }
 
-// busyRetry is when a prompt that found no room should come back: about as long as a
-// long prompt is read and a short one's answer is written.
-const busyRetry = 2 * time.Second
+// When a prompt that found no room should come back: a short one after about the time
+// that an answer is written, a long one when a swing of the traffic may be over, and
+// neither later than callers bear, who wait a third of their time at most.
+const (
+	busyRetryShort = 2 * time.Second
+	busyRetryLong  = 4 * time.Second
+	busyRetryShare = 0.3
+)
+
+func retryWhenBusy(r *Request) time.Duration {
+	after := busyRetryShort
+	if r.promptTokens >= r.Route.Pool.Policy.LongPromptTokens {
+		after = busyRetryLong
+	}
+	return min(after, time.Duration(busyRetryShare*float64(time.Until(r.Deadline))))
+}
 
 // judgePlacement records a placement and tells whether it leads to a target.
 func (d *Director) judgePlacement(r *Request, ticket *blackboard.Ticket, placement *blackboard.Placement) error {
 	d.recordRoute(r, ticket, *placement)
 	if placement.Decision.Verdict == routing.Refuse {
 		return fault.New(fault.DeadlineTooShort, "the targets are too busy to answer in the time that the route asks for", "send again after the time in Retry-After").
-			WithRetry(busyRetry)
+			WithRetry(retryWhenBusy(r))
 	}
 	if placement.Decision.Verdict == routing.None {
 		return fault.New(fault.NoTarget,
