--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -30,7 +30,7 @@
 	gapShare = 0.8
 	// holdReading is the reading before a long prompt's parts above which it waits in
 	// the daemon, where its order can still change.
-	holdReading = 0.2
+	holdReading = 0.3
 	// smallPart is the reading time up to which a part is never too long. deepPart is
 	// the time from which one is deep: an engine with it is of no use to a chat for
 	// several passes, and its writers pause for longer than most callers bear. At most deepShare of the engines have deep
@@ -49,7 +49,7 @@
 	// longer than that its parts may be. After settleAfter of its goal it takes any
 	// number of engines whose callers bear it, and after forceAfter one engine all the
 	// same: a prompt that is never tried is worth nothing to its caller.
-	settleShare = 1.3
+	settleShare = 2.0
 	settleAfter = 0.4
 	forceAfter  = 0.8
 	// ticketShare is the part of a target's free memory that a ticket may take, and
