--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -49,7 +49,7 @@
 	// longer than that its parts may be. After settleAfter of its goal it takes any
 	// number of engines whose callers bear it, and after forceAfter one engine all the
 	// same: a prompt that is never tried is worth nothing to its caller.
-	settleShare = 2.0
+	settleShare = 3.0
 	settleAfter = 0.4
 	forceAfter  = 0.8
 	// ticketShare is the part of a target's free memory that a ticket may take, and
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -30,8 +30,8 @@
 	// Directory takes what peers know of targets; nil where the platform publishes a
 	// list of them.
 	Directory *controller.Directory
-	// Seeds are addresses of daemons to ask for the others, in an open fleet.
-	Seeds []string
+	// seeds are addresses of daemons to ask for the others, in an open fleet.
+	seeds atomic.Pointer[[]string]
 
 	// Placements asks coordinators for targets, and answers as one.
 	Placements *Placements
@@ -77,6 +77,9 @@
 	return c
 }
 
+// SetSeeds sets the addresses of daemons to ask for the others, in an open fleet.
+func (c *Cluster) SetSeeds(seeds []string) { c.seeds.Store(&seeds) }
+
 // address finds where a daemon listens for peers.
 func (c *Cluster) address(name string) peer.Address {
 	return peer.Address{Name: name, Address: c.Board.Members.Address(name)}
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -46,10 +46,11 @@
 // daemon that was lost or one seed that is not linked. It tells whether it is alone.
 func (c *Cluster) introduceTo(ctx context.Context, round int) (alone bool) {
 	var addresses []string
+	seeds := *c.seeds.Load()
 	c.Board.Members.View(func(t *membership.Table) {
 		alone = len(t.NeighbourNames()) == 0
 		if alone {
-			addresses = c.Seeds
+			addresses = seeds
 			return
 		}
 		known := map[string]bool{}
@@ -59,7 +60,7 @@
 		for _, m := range t.Lost() {
 			addresses = append(addresses, m.Address)
 		}
-		for _, seed := range c.Seeds {
+		for _, seed := range seeds {
 			if alive, listed := known[seed]; !alive && !listed {
 				addresses = append(addresses, seed)
 			}
--- a/node/cmd/doorstackd/main.go
+++ b/node/cmd/doorstackd/main.go
@@ -12,6 +12,7 @@
 	"doorstack.dev/node/config"
 	"doorstack.dev/node/daemon"
 	"doorstack.dev/node/onplatform"
+	"doorstack.dev/node/telemetry"
 	"github.com/alecthomas/kong"
 )
 
@@ -43,9 +44,11 @@
 }
 
 func run(c *cli) error {
-	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: c.LogLevel}))
+	output := telemetry.NewOutput(os.Stdout)
+	defer output.Close()
+	log := slog.New(slog.NewJSONHandler(output, &slog.HandlerOptions{Level: c.LogLevel}))
 	if c.Platform {
-		return runOnPlatform(c, log)
+		return runOnPlatform(c, output, log)
 	}
 	file, err := config.Load(c.Config)
 	if err != nil {
@@ -59,11 +62,12 @@
 	if err != nil {
 		return err
 	}
+	d.Metrics.CountDropped(output.Dropped)
 	return serve(d, log)
 }
 
 // runOnPlatform serves on the users' platform, which gives the process its settings.
-func runOnPlatform(c *cli, log *slog.Logger) error {
+func runOnPlatform(c *cli, output *telemetry.Output, log *slog.Logger) error {
 	boot, err := onplatform.Load()
 	if err != nil {
 		return err
@@ -76,6 +80,12 @@
 	if err != nil {
 		return err
 	}
+	d.Metrics.CountDropped(output.Dropped)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go onplatform.Reload(ctx, d, boot, reload, log)
 	return serve(d, log)
 }
 
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"doorstack.dev/core/admission"
@@ -55,6 +56,7 @@
 	app      *kratos.App
 	loops    []func(context.Context)
 	drained  chan struct{}
+	grace    atomic.Int64 // from the request to end until the kill, in nanoseconds
 	drainOne sync.Once
 }
 
@@ -155,11 +157,11 @@
 func (d *Daemon) adapt() {
 	d.settings.Watch = watchHold
 	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Record: d.record, Watch: watchHold}
-	d.cluster.Directory, d.cluster.Seeds = directory, d.adapter.Seeds
+	d.cluster.Directory = directory
+	d.Adapt(d.adapter.Seeds, d.adapter.Repeats, d.adapter.Grace)
 	d.Board.Members.Open()
 	d.director.Placer = d.cluster.Placements
 	d.cluster.MembersOnly = true
-	d.Board.Repeats.SetLimit(d.adapter.Repeats)
 	d.director.Exchange = target.NewExchanger(d.adapter.Dialect)
 	d.loops = append(d.loops, directory.Run, d.director.Exchange.Run)
 }
@@ -254,6 +256,13 @@
 	return server, nil
 }
 
+// Adapt takes over settings of a platform that change while the daemon runs.
+func (d *Daemon) Adapt(seeds []string, repeats admission.RepeatLimit, grace time.Duration) {
+	d.cluster.SetSeeds(seeds)
+	d.Board.Repeats.SetLimit(repeats)
+	d.grace.Store(int64(grace))
+}
+
 // Hub is the daemon's links to its peers.
 func (d *Daemon) Hub() *peer.Hub { return d.hub }
 
@@ -309,18 +318,30 @@
 }
 
 func (d *Daemon) waitDrained() {
+	began := time.Now()
 	if d.adapter != nil {
 		d.leaveRotation()
 	} else {
 		// The balancer needs a moment to see that this host is not ready.
 		time.Sleep(time.Duration(d.Config.DrainDelay))
 	}
-	for d.Board.InFlight() > 0 {
+	for d.Board.InFlight() > 0 && !d.graceOver(began) {
 		time.Sleep(drainPoll)
 	}
+	d.Log.Info("drained", "cut", d.Board.InFlight(), "took", time.Since(began).Round(time.Millisecond).String())
 	close(d.drained)
 }
 
+// killMargin is how long before the kill a daemon that still has calls ends by itself,
+// so that its last lines are written.
+const killMargin = 200 * time.Millisecond
+
+// graceOver tells whether the process is about to be killed.
+func (d *Daemon) graceOver(began time.Time) bool {
+	grace := time.Duration(d.grace.Load())
+	return grace > 0 && time.Since(began) > grace-killMargin
+}
+
 // The steps of leaving on a platform, from the request to end. The balancer asks once
 // a second and takes a daemon out of rotation after two answers that it is not ready,
 // so calls that come later come on kept connections, whose callers have been told
--- a/node/onplatform/onplatform.go
+++ b/node/onplatform/onplatform.go
@@ -3,9 +3,12 @@
 package onplatform
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"os"
+	"reflect"
+	"time"
 
 	"doorstack.dev/core/admission"
 	"doorstack.dev/node/config"
@@ -23,6 +26,53 @@
 	return platform.LoadBoot(path)
 }
 
+// reloadEvery is how often the settings file is looked at: it may change without any
+// signal, and nothing in it is urgent.
+const reloadEvery = 2 * time.Second
+
+// Reload takes over what changes in the settings file while the daemon runs, at each
+// signal and every few seconds, until ctx ends. A file that cannot be read changes
+// nothing.
+func Reload(ctx context.Context, d *daemon.Daemon, boot *platform.Boot, signals <-chan os.Signal, log *slog.Logger) {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	failed := ""
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			signalled = true
+		case <-ticker.C:
+		}
+		next, err := Load()
+		switch {
+		case err != nil:
+			if signalled || failed != err.Error() {
+				log.Error("reload", "outcome", "kept", "error", err.Error())
+			}
+			failed = err.Error()
+		case !reflect.DeepEqual(next, boot):
+			apply(d, boot, next, log)
+			boot, failed = next, ""
+		case signalled:
+			log.Info("reload", "outcome", "unchanged")
+		}
+	}
+}
+
+// apply puts changed settings in force.
+func apply(d *daemon.Daemon, old, next *platform.Boot, log *slog.Logger) {
+	d.Adapt(next.Seeds, repeatsOf(next), next.Bounds.Grace)
+	restart := next.Callers != old.Callers || next.Ready != old.Ready || next.Peers != old.Peers || next.Name != old.Name || next.Store != old.Store
+	log.Info("reload", "outcome", "adopted", "seeds", next.Seeds, "needs_restart", restart)
+}
+
+func repeatsOf(boot *platform.Boot) admission.RepeatLimit {
+	return admission.RepeatLimit{Share: boot.Bounds.RepeatShare, Slack: boot.Bounds.RepeatSlack, Window: boot.Bounds.RepeatWindow}
+}
+
 // New provisions a daemon from what the platform gives. An empty port for operators
 // and metrics means the default one.
 func New(boot *platform.Boot, metricsPort string, log *slog.Logger) (*daemon.Daemon, error) {
@@ -68,6 +118,6 @@
 	return &daemon.Adapter{
 		Settings: feed, Targets: feed, Parse: platform.ParseConfig, Dialect: platform.Headers{},
 		Ready: boot.Ready, Seeds: boot.Seeds, Grace: boot.Bounds.Grace,
-		Repeats: admission.RepeatLimit{Share: boot.Bounds.RepeatShare, Slack: boot.Bounds.RepeatSlack, Window: boot.Bounds.RepeatWindow},
+		Repeats: repeatsOf(boot),
 	}
 }
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"doorstack.dev/core/decision"
+	"doorstack.dev/core/routing"
 	"doorstack.dev/node/blackboard"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -32,6 +34,7 @@
 	Pauses       prometheus.Counter
 	Released     prometheus.Counter
 	Orders       *prometheus.CounterVec
+	LinesLeftOut prometheus.Counter
 }
 
 // lengthClasses are the bounds of the prompt length label, in tokens.
@@ -77,10 +80,11 @@
 		Pauses:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "pauses_total", Help: "Pauses of the process that voided its beliefs."}),
 		Released:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "reservations_released_total", Help: "Reservations released for daemons that are gone."}),
 		Orders:       counter("orders_total", "Orders to targets, by outcome.", "outcome"),
+		LinesLeftOut: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Decisions, m.Queue, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
-		m.Orders, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.Orders, m.LinesLeftOut, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
@@ -97,11 +101,21 @@
 	}, []string{"length"})
 }
 
+// CountDropped serves the number of log lines that could not be written.
+func (m *Metrics) CountDropped(dropped func() int64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found the queue full or could not be written.",
+	}, func() float64 { return float64(dropped()) }))
+}
+
 // Recorder puts decisions on the blackboard, in the log and in the metrics.
 type Recorder struct {
 	Board   *blackboard.Blackboard
 	Log     *slog.Logger
 	Metrics *Metrics
+
+	mu      sync.Mutex
+	routine *routine
 }
 
 // Record records a decision.
@@ -112,9 +126,37 @@
 	}
 	r.Board.Decisions.Put(d)
 	r.Metrics.Decisions.WithLabelValues(string(d.Kind), d.Outcome).Inc()
+	if wentWell(&d) && !r.mayLog(d.At) {
+		r.Metrics.LinesLeftOut.Inc()
+		return
+	}
 	r.Log.LogAttrs(context.Background(), slog.LevelInfo, "decision", attrs(&d)...)
 }
 
+// wentWell tells whether a decision is one of the many about requests that go well.
+func wentWell(d *decision.Record) bool {
+	switch d.Kind {
+	case decision.KindRoute, decision.KindPlace:
+		return d.Outcome == string(routing.Place)
+	case decision.KindAdmit:
+		return d.Outcome == decision.OutcomeAdmitted
+	case decision.KindAnswer:
+		return d.Outcome == decision.OutcomeWhole
+	default:
+		return false
+	}
+}
+
+// mayLog bounds the lines about requests that go well.
+func (r *Recorder) mayLog(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.routine == nil {
+		r.routine = newRoutine(now)
+	}
+	return r.routine.take(now)
+}
+
 // attrs are the fields of the log line: everything but the full list of
 // candidates, which "doorstack explain" shows.
 func attrs(d *decision.Record) []slog.Attr {
