Advice is checked against what is known here; doubts are ended by peers; shorter holds of watches

Change: a placement is followed only to targets known here as live; the table's revision stays below removals in doubt; watches are held 3 to 5 s, drawn at random, 0.8 s more until the answer counts as lost.

--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -65,8 +65,18 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: map[string]*entry{}} }
 
-// Revision is the highest revision of a fact; a peer with a lower one lacks news.
-func (t *Table) Revision() int64 { return t.revision }
+// Revision is the revision up to which all facts are known and count; a peer with a
+// lower one lacks news. A removal in doubt does not count yet, and a peer that was not
+// cut off from the store may know better.
+func (t *Table) Revision() int64 {
+	revision := t.revision
+	for _, e := range t.entries {
+		if e.removed > 0 {
+			revision = min(revision, e.removed-1)
+		}
+	}
+	return revision
+}
 
 // Away tells whether the store is known to be away.
 func (t *Table) Away() bool { return t.away }
@@ -231,7 +241,7 @@
 // Since lists the facts above a revision, removals included, for a peer. A removal in
 // doubt is not told yet.
 func (t *Table) Since(revision int64) Facts {
-	f := Facts{AsOf: t.revision, Confirmed: true}
+	f := Facts{AsOf: t.Revision(), Confirmed: true}
 	for _, e := range t.entries {
 		if e.host.Revision > revision {
 			f.Hosts = append(f.Hosts, e.host)
--- a/core/hostlist/table_test.go
+++ b/core/hostlist/table_test.go
@@ -121,6 +121,28 @@
 	}
 }
 
+// TestAPeerEndsADoubt: a daemon that comes back from a cut doubts a removal; a newer
+// entry of another target made it believe that its peers had nothing to add.
+func TestAPeerEndsADoubt(t *testing.T) {
+	cut, peer := NewTable(), NewTable()
+	for _, table := range []*Table{cut, peer} {
+		table.Merge(Facts{Whole: true, AsOf: 2, Hosts: []Host{live("a", 1), live("b", 2)}}, epoch)
+	}
+	cut.StoreAway()
+	now := epoch.Add(time.Minute)
+	cut.StoreAnswered(now)
+	news := Facts{AsOf: 9, Hosts: []Host{gone("a", 8), live("c", 9)}}
+	peer.Merge(news, now)
+	cut.Merge(news, now)
+	if cut.Revision() >= peer.Revision() {
+		t.Fatalf("revision %d while a removal at 8 is in doubt, the peer has %d", cut.Revision(), peer.Revision())
+	}
+	cut.Merge(peer.Since(cut.Revision()), now)
+	if names(cut) != "[b:live c:live]" || cut.Revision() != peer.Revision() {
+		t.Fatal(names(cut), cut.Revision())
+	}
+}
+
 // TestFactsInAnyOrder: daemons that hear the same facts, in any order and any number
 // of times, end with the same list.
 func TestFactsInAnyOrder(t *testing.T) {
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -171,12 +171,29 @@
 		}
 		return blackboard.Placement{}, false
 	}
+	if answer.Verdict == routing.Place && !p.sendable(&answer) {
+		// The coordinator lags behind what is known here, which binds.
+		p.cluster.Record.Log.Info("placement is not followed", "request", t.Request.ID, "peer", c.name, "target", answer.Target,
+			"reason", "the target or a helper leaves or is not known here")
+		p.tell(c.name, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+		return blackboard.Placement{}, false
+	}
 	p.mu.Lock()
 	p.placedBy[t.Attempt] = c.name
 	p.mu.Unlock()
 	return p.placement(t, &answer), true
 }
 
+// sendable tells whether this daemon itself would send to all targets of a placement.
+func (p *Placements) sendable(a *placeAnswer) bool {
+	for _, h := range a.Helpers {
+		if !p.cluster.Board.Targets.Sendable(h.Target) {
+			return false
+		}
+	}
+	return p.cluster.Board.Targets.Sendable(a.Target)
+}
+
 // lost notes that a coordinator did not answer.
 func (p *Placements) lost(name string, t *blackboard.Ticket, err error) {
 	now := time.Now()
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -53,9 +53,18 @@
 	}
 }
 
+// holdLeast is the least part of the longest hold that a watch is held.
+const holdLeast = 0.6
+
+// heldFor draws how long a watch is held.
+func heldFor(longest time.Duration) time.Duration {
+	least := time.Duration(holdLeast * float64(longest))
+	return least + rand.N(longest-least+1)
+}
+
 // read makes one call of the store and tells whether it was answered.
 func (c *Directory) read(ctx context.Context) bool {
-	watch := c.Watch
+	watch := heldFor(c.Watch)
 	c.Board.Directory.View(func(t *hostlist.Table) {
 		if t.Away() {
 			watch = probeWait // An answer at once tells that the store is back.
--- a/node/controller/settings.go
+++ b/node/controller/settings.go
@@ -4,7 +4,6 @@
 package controller
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -90,7 +89,10 @@
 	if view := c.Board.Settings.Current(); view != nil {
 		since = view.Revision
 		if c.Watches() {
-			wait = cmp.Or(c.Watch, watchWait)
+			wait = watchWait
+			if c.Watch > 0 {
+				wait = heldFor(c.Watch)
+			}
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -149,9 +149,11 @@
 	d.loops = append(d.loops, hosts.Run, reports.Run)
 }
 
-// watchHold is how long a watch of a platform's store is held. A connection that
-// died without a word is noticed at its end; each watch is a call that is paid for.
-const watchHold = 10 * time.Second
+// watchHold is how long a watch of a platform's store is held at most. Each watch is a
+// call that is paid for; but the store may cut a watch without a word, and then the end
+// of the hold is when a change is found that it missed. Holds differ at random, so that
+// one daemon or another of the fleet looks often, and tells the rest.
+const watchHold = 5 * time.Second
 
 // adapt provisions what is different on a platform.
 func (d *Daemon) adapt() {
