--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -23,8 +23,11 @@
 	Board  *blackboard.Blackboard
 	Source TargetSource
 	Record *telemetry.Recorder
-	// Watch is how long a watch is held.
+	// Watch is how long a watch is held at most.
 	Watch time.Duration
+	// Watches tells whether this daemon is one of the few that watch the store; the
+	// others learn from their peers.
+	Watches func() bool
 }
 
 const (
@@ -35,6 +38,9 @@
 	storeRetryMax = 800 * time.Millisecond
 	// probeWait is how long a watch is held while the store is away.
 	probeWait = time.Millisecond
+	// gather is the pause after news, so that changes that come close together, as at a
+	// release, cost one call: short against the 2 s in which news must be in force.
+	gather = 150 * time.Millisecond
 	// directoryTick is how often doubts are looked at.
 	directoryTick = 250 * time.Millisecond
 )
@@ -43,7 +49,13 @@
 func (c *Directory) Run(ctx context.Context) {
 	go c.tick(ctx)
 	pause := storeRetry
+	read := time.Time{}
 	for ctx.Err() == nil {
+		if !c.Watches() && time.Since(read) < rareRead && c.Board.Members.HasHosts() {
+			Sleep(ctx, idleCheck)
+			continue
+		}
+		read = time.Now()
 		if c.read(ctx) {
 			pause = storeRetry
 			continue
@@ -86,6 +98,9 @@
 		c.Record.Log.Info("dependency is back", "dependency", "store", "revision", facts.AsOf)
 	}
 	c.merge(facts, "store", now)
+	if len(facts.Hosts) > 0 {
+		Sleep(ctx, gather)
+	}
 	return true
 }
 
--- a/node/controller/settings.go
+++ b/node/controller/settings.go
@@ -77,7 +77,9 @@
 			backoff = min(2*backoff, backoffMax)
 			continue
 		}
-		c.Record.Log.Warn("the configuration service could not be read", "error", err.Error(), "retry_in", backoff.String())
+		if backoff == backoffFirst {
+			c.Record.Log.Warn("the settings could not be read", "error", err.Error(), "retry_in", backoff.String())
+		}
 		Sleep(ctx, rand.N(backoff))
 		backoff = min(2*backoff, backoffMax)
 	}
--- a/node/onplatform/onplatform.go
+++ b/node/onplatform/onplatform.go
@@ -108,13 +108,9 @@
 }
 
 func adapterOf(boot *platform.Boot, log *slog.Logger) *daemon.Adapter {
-	feed := &platform.Feed{
-		Store:   platform.NewStore(boot.Store),
-		Regions: boot.Regions,
-		Warn: func(err error) {
-			log.Warn("an entry of the store cannot be read and is left out", "error", err.Error())
-		},
-	}
+	feed := platform.NewFeed(platform.NewStore(boot.Store), boot.Regions, func(err error) {
+		log.Warn("an entry of the store cannot be read and is left out", "error", err.Error())
+	})
 	return &daemon.Adapter{
 		Settings: feed, Targets: feed, Parse: platform.ParseConfig, Dialect: platform.Headers{},
 		Ready: boot.Ready, Seeds: boot.Seeds, Grace: boot.Bounds.Grace,
