--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -36,6 +36,8 @@
 	// Daemon made the decision, At that time.
 	Daemon string    `json:"daemon"`
 	At     time.Time `json:"at"`
+	// By is the daemon whose choice it was, where that is another one.
+	By string `json:"by,omitempty"`
 	// Kind names what was decided.
 	Kind Kind `json:"kind"`
 	// Account, Route and Pool are the subjects, where there are any.
@@ -129,4 +131,6 @@
 	OutcomeRefused  = "refused"
 	OutcomeWhole    = "whole"
 	OutcomeFailed   = "failed"
+	// OutcomeCancelled is an attempt that ended with its caller or its time.
+	OutcomeCancelled = "cancelled"
 )
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -93,6 +93,8 @@
 	// with a goal that a pass full of reading would miss by far.
 	GapGoal float64 `json:"gap_goal_s,omitempty"`
 	Tight   int     `json:"tight,omitempty"`
+	// Trouble counts the target's lately failed calls; older ones count less.
+	Trouble float64 `json:"trouble,omitempty"`
 	// Unloaded is true while the target does not serve the pool's model.
 	Unloaded bool `json:"unloaded,omitempty"`
 }
@@ -189,11 +191,12 @@
 	Locality    float64 `json:"locality_s"`
 	PrefixSaved float64 `json:"prefix_saved_s"`
 	Packing     float64 `json:"packing_s,omitempty"`
+	Trouble     float64 `json:"trouble_s,omitempty"`
 }
 
 // Total is the estimated time to first token in seconds.
 func (s *Scores) Total() float64 {
-	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality + s.Packing - s.PrefixSaved
+	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality + s.Packing + s.Trouble - s.PrefixSaved
 }
 
 // Candidate is a target with what the filters and scorers said of it.
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -11,6 +11,10 @@
 	memoryKnee = 0.8
 	// secondsAtFull is the cost of a target whose memory is full.
 	secondsAtFull = 0.5
+	// secondsPerFailure is added for each lately failed call, up to mostFailures of them:
+	// a target that loses some of its answers looks healthy to everybody else.
+	secondsPerFailure = 0.05
+	mostFailures      = 4
 	// secondsPerLong is added to a short request for each long prefill beside it.
 	secondsPerLong = 0.1
 )
@@ -18,7 +22,7 @@
 // score estimates the time to first token of the request at the target. It writes
 // to s, because copying a result for each of 2,300 targets takes half the time.
 func (s *Scores) score(r *Request, p *Params, long bool, t *Target) {
-	*s = Scores{}
+	*s = Scores{Trouble: trouble(t)}
 	s.Batch = secondsPerRunning * float64(t.Load.Requests)
 	if t.DataCentre != r.DataCentre {
 		s.Locality = p.RemotePenalty
@@ -38,6 +42,9 @@
 	}
 }
 
+// trouble is the cost of a target whose calls failed lately.
+func trouble(t *Target) float64 { return secondsPerFailure * min(t.Trouble, mostFailures) }
+
 // backlog is the part of a target's unread prompt tokens that stands before the
 // request. Engines honour priorities, so a short request passes long prefills;
 // what remains before it is bounded by what the daemons let through.
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -135,7 +135,7 @@
 // what the prompt costs others.
 func scoreTimed(r *Request, p *Params, t *Target, reading float64) Scores {
 	pass := p.Timing.Pass(t.Load.Requests+1, t.Load.MemoryTokens+r.PromptTokens)
-	s := Scores{Backlog: t.Reading, Prefill: reading, Batch: 1.5 * pass}
+	s := Scores{Backlog: t.Reading, Prefill: reading, Batch: 1.5 * pass, Trouble: trouble(t)}
 	if t.DataCentre != r.DataCentre {
 		s.Locality = p.RemotePenalty
 	}
@@ -289,7 +289,7 @@
 		if t.free() < r.MemoryTokens() || t.full() {
 			continue
 		}
-		if first < 0 || t.Tight < targets[first].Tight {
+		if first < 0 || compareFirst(t, &targets[first]) < 0 {
 			first = i
 		}
 	}
@@ -309,6 +309,12 @@
 	return true
 }
 
+// compareFirst prefers a target whose calls did not fail lately, and then the one with
+// the fewest writers whose callers wait closely.
+func compareFirst(a, b *Target) int {
+	return cmp.Or(cmp.Compare(int(a.Trouble), int(b.Trouble)), cmp.Compare(a.Tight, b.Tight))
+}
+
 // divide finds memory for a prompt that no target has room for: the target that
 // answers, and tickets at as few helpers as can be, since each ticket is ordered,
 // renewed and released. It returns -1 where there is not enough, or where the prompt
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -33,6 +33,8 @@
 	Attempt, Address string
 	// At is when the decision was made.
 	At time.Time
+	// By is the daemon that decided, where that was another one.
+	By string
 	// Helpers are the targets that read parts of the prompt.
 	Helpers []TargetAddress
 	// Gone is closed if the target is taken to be gone while the call runs.
@@ -184,6 +186,7 @@
 		s.breaker.Succeeded()
 	case CallFailed:
 		s.failures++
+		s.trouble.add(at)
 		s.breaker.Failed(at)
 	case CallCancelled:
 		s.breaker.Cancelled()
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -76,11 +76,33 @@
 	breaker  admission.Breaker
 	reserved string
 	failures int64
+	trouble  trouble
 	reading  readingState
 	setAside int64     // tokens of memory for calls that other targets answer
 	suspect  time.Time // until when nothing is sent to it, after it turned a call away
 }
 
+// trouble is a decaying count of failed calls.
+type trouble struct {
+	count float64
+	at    time.Time
+}
+
+// troubleTime is the time over which a failed call is forgotten.
+const troubleTime = 4 * time.Second
+
+func (t *trouble) now(at time.Time) float64 {
+	if t.count == 0 {
+		return 0
+	}
+	return t.count * math.Exp(-at.Sub(t.at).Seconds()/troubleTime.Seconds())
+}
+
+func (t *trouble) add(at time.Time) {
+	t.count = t.now(at) + 1
+	t.at = at
+}
+
 // maxSilent is the number of reports missed in a row after which a target is
 // taken to be gone.
 const maxSilent = 3
@@ -176,6 +198,7 @@
 	}
 	view.Load = reported.Sub(s.ended).Add(s.since)
 	s.refreshTimed(view, at)
+	view.Trouble = s.trouble.now(at)
 	if s.report.MemoryTokens > 0 {
 		view.MemoryTokens = s.report.MemoryTokens
 	}
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -181,7 +181,9 @@
 	p.mu.Lock()
 	p.placedBy[t.Attempt] = c.name
 	p.mu.Unlock()
-	return p.placement(t, &answer), true
+	placement := p.placement(t, &answer)
+	placement.By = c.name
+	return placement, true
 }
 
 // sendable tells whether this daemon itself would send to all targets of a placement.
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -165,7 +165,7 @@
 			suspect = culprit
 			d.Board.Targets.Suspect(suspect, time.Now().Add(suspectFor), time.Now())
 		}
-		d.record(f.request, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: culprit, Attempt: p.Attempt, Reason: err.Error()})
+		f.recordAttempt(ctx, p.Attempt, culprit, err)
 	}
 	d.Board.Targets.Finish(p.Attempt, result, time.Now())
 	if d.Placer != nil {
@@ -174,6 +174,15 @@
 	d.Board.Queues.Wake(f.request.Route.Pool.Name)
 }
 
+// recordAttempt records why an attempt led to no answer.
+func (f *forwarding) recordAttempt(ctx context.Context, attempt, culprit string, err error) {
+	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: culprit, Attempt: attempt, Reason: err.Error()}
+	if cause := ctx.Err(); cause != nil {
+		rec.Outcome, rec.Reason = decision.OutcomeCancelled, cause.Error()
+	}
+	f.director.record(f.request, rec)
+}
+
 // How long nothing is sent to a target that turned a call away: one that is full for
 // about a pass of its batch; a helper that an answer blames is dead, leaving or cut
 // off; one that cannot be connected to most likely stays so for a while.
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -174,6 +174,7 @@
 	add("pool", d.Pool)
 	add("target", d.Target)
 	add("attempt", d.Attempt)
+	add("by", d.By)
 	add("reason", d.Reason)
 	if d.Revision != 0 {
 		list = append(list, slog.Int64("revision", d.Revision))
