--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -107,6 +107,8 @@
 	// open fleets have no list; own is how this daemon introduces itself.
 	open bool
 	own  Host
+	// leaving is true once this daemon has said that it goes.
+	leaving bool
 }
 
 // NewTable returns a table that knows only its own daemon.
@@ -308,8 +310,11 @@
 	return r.State > m.State
 }
 
+// Leave notes that this daemon goes, so that it does not deny what is said of it.
+func (t *Table) Leave() { t.leaving = true }
+
 func (t *Table) deny(r Rumor) (Rumor, bool) {
-	if r.State == Alive || r.Incarnation < t.incarnation {
+	if r.State == Alive || r.Incarnation < t.incarnation || t.leaving {
 		return Rumor{}, false
 	}
 	t.incarnation = r.Incarnation + 1
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -115,6 +115,9 @@
 		h.Revision = view.Revision
 	}
 	c.Board.Members.View(func(t *membership.Table) {
+		if h.Leaving {
+			t.Leave()
+		}
 		h.Incarnation = t.Incarnation()
 		if c.open() {
 			h.Digest = t.Digest()
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -158,20 +158,35 @@
 	return coordinator{owner, incarnations[owner]}
 }
 
+// askedInTurn is how many coordinators are asked for one call: the second where the
+// first says at once that it leaves.
+const askedInTurn = 2
+
 // Place asks the pool's coordinator. It returns false where this daemon decides.
 func (p *Placements) Place(ctx context.Context, t *blackboard.Ticket) (blackboard.Placement, bool) {
-	c := p.coordinatorOf(t.Pool.Name, time.Now())
-	if c.name == p.cluster.Board.Self.Name || c.name == "" {
-		return blackboard.Placement{}, false
-	}
-	answer, err := p.ask(ctx, c, t)
-	if err != nil {
-		if ctx.Err() == nil {
-			p.lost(c.name, t, err)
+	for range askedInTurn {
+		c := p.coordinatorOf(t.Pool.Name, time.Now())
+		if c.name == p.cluster.Board.Self.Name || c.name == "" {
+			break
+		}
+		answer, err := p.ask(ctx, c, t)
+		if err == nil {
+			return p.follow(c, t, &answer)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		p.lost(c.name, t, err)
+		if errors.Is(err, context.DeadlineExceeded) {
+			break // Time has been lost already.
 		}
-		return blackboard.Placement{}, false
 	}
-	if answer.Verdict == routing.Place && !p.sendable(&answer) {
+	return blackboard.Placement{}, false
+}
+
+// follow takes a coordinator's placement over, unless this daemon knows better.
+func (p *Placements) follow(c coordinator, t *blackboard.Ticket, answer *placeAnswer) (blackboard.Placement, bool) {
+	if answer.Verdict == routing.Place && !p.sendable(answer) {
 		// The coordinator lags behind what is known here, which binds.
 		p.cluster.Record.Log.Info("placement is not followed", "request", t.Request.ID, "peer", c.name, "target", answer.Target,
 			"reason", "the target or a helper leaves or is not known here")
@@ -181,7 +196,7 @@
 	p.mu.Lock()
 	p.placedBy[t.Attempt] = c.name
 	p.mu.Unlock()
-	placement := p.placement(t, &answer)
+	placement := p.placement(t, answer)
 	placement.By = c.name
 	return placement, true
 }
