--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -82,12 +82,8 @@
 	ContextMSPerK float64 `yaml:"context_ms_per_k"`
 	// PairsMSPerM is the time for a million pairs of a prompt token and one before it.
 	PairsMSPerM float64 `yaml:"pairs_ms_per_m"`
-	// Chunk is the most prompt tokens read in a step.
-	Chunk int64 `yaml:"chunk"`
 	// Stride is the number of steps of a pass, and the tokens of a stream's event.
 	Stride int64 `yaml:"stride"`
-	// HopMS is added to each step of a request whose memory several engines hold.
-	HopMS float64 `yaml:"hop_ms"`
 }
 
 // Pool is a group of equal targets.
--- a/node/api/body.go
+++ b/node/api/body.go
@@ -34,7 +34,12 @@
 // readBody reads the body within the limits of size, shared memory and time. A
 // caller that sends too slowly is cut off.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (*body, error) {
-	b, err := s.readBounded(w, r)
+	return s.readBodyUpTo(w, r, s.limits.MaxBody)
+}
+
+// readBodyUpTo is readBody with another bound on the size.
+func (s *Server) readBodyUpTo(w http.ResponseWriter, r *http.Request, most int64) (*body, error) {
+	b, err := s.readBounded(w, r, most)
 	if err != nil {
 		closeAfter(w)
 	}
@@ -45,9 +50,9 @@
 // first read the rest of a refused body, for as long as the caller takes.
 func closeAfter(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
 
-func (s *Server) readBounded(w http.ResponseWriter, r *http.Request) (*body, error) {
-	if r.ContentLength > s.limits.MaxBody {
-		return nil, tooLarge(s.limits.MaxBody)
+func (s *Server) readBounded(w http.ResponseWriter, r *http.Request, most int64) (*body, error) {
+	if r.ContentLength > most {
+		return nil, tooLarge(most)
 	}
 	control := http.NewResponseController(w)
 	b := &body{budget: s.bodies}
@@ -56,7 +61,7 @@
 		// The deadline moves on only while the body does.
 		_ = control.SetReadDeadline(time.Now().Add(s.limits.ReadStep))
 		n, err := io.ReadFull(r.Body, buffer)
-		if growErr := b.grow(buffer[:n], s.limits.MaxBody); growErr != nil {
+		if growErr := b.grow(buffer[:n], most); growErr != nil {
 			b.release()
 			return nil, growErr
 		}
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -71,7 +71,7 @@
 	if err := s.resolve(c); err != nil {
 		return err
 	}
-	b, err := s.readBody(c.w, c.r)
+	b, err := s.readBodyUpTo(c.w, c.r, s.maxBody(c.view))
 	if err != nil {
 		return err
 	}
@@ -82,6 +82,14 @@
 	return s.director.Forward(ctx, req, c.answer)
 }
 
+// maxBody is the largest body that the settings in force allow.
+func (s *pathServer) maxBody(view *blackboard.SettingsView) int64 {
+	if set := view.Tree.Callers().MaxBody; set > 0 {
+		return set
+	}
+	return s.limits.MaxBody
+}
+
 // lateRetry is when a caller that this daemon cannot serve should try elsewhere: at
 // once, since another daemon most likely can.
 const lateRetry = 50 * time.Millisecond
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -224,6 +224,8 @@
 			return err
 		}
 		servers = append(servers, ready)
+		idle := &api.IdleConns{Board: d.Board}
+		d.callers.ConnState = idle.Track
 	}
 	d.app = kratos.New(
 		kratos.Name("doorstackd"),
--- a/node/onplatform/fleet_test.go
+++ b/node/onplatform/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -83,6 +85,34 @@
 	}
 }
 
+// TestLimitsOfCallers: the settings bound bodies and idle connections.
+func TestLimitsOfCallers(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	next := testConfig(2)
+	next.Limits = standin.Limits{IdleTimeoutMS: 50, MaxBodyBytes: 10}
+	f.store.PutConfig(next)
+	f.eventually("version 2", func() bool { return f.revision(f.daemons[0]) == 2 })
+	a := f.ask(safe)
+	a.Body = "eleven byte"
+	if got := f.do(a); got.Status != 413 {
+		t.Errorf("%+v", got)
+	}
+	conn, err := net.Dial("tcp", f.daemons[0].boot.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := f.ask(safe).Request(context.Background()).Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(waitMost)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Fatalf("the idle connection is not closed: %v", err)
+	}
+}
+
 func TestTargetsLeave(t *testing.T) {
 	f := newFleet(t, 1, 3)
 	f.store.PutTarget(f.targets["t1"], plain, "draining", 6)
--- a/node/telemetry/docs_test.go
+++ b/node/telemetry/docs_test.go
@@ -31,6 +31,7 @@
 	for _, v := range []any{
 		config.File{}, config.Platform{}, settings.EngineKind{}, settings.Pool{}, settings.Policy{}, settings.Priority{},
 		settings.Node{}, settings.Account{}, settings.Route{}, settings.Inherited{}, settings.Limits{},
+		settings.PathRoute{}, settings.CallerLimits{}, settings.EngineTiming{},
 	} {
 		for _, f := range reflect.VisibleFields(reflect.TypeOf(v)) {
 			if tag := f.Tag.Get("yaml"); tag != "" && tag != "-" {
