--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -71,13 +71,13 @@
 
 func (s *Splitter) check(id string) error {
 	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return nil // An event without a number has no order to keep.
-	}
-	if n <= s.last {
+	numbered := err == nil // An event without a number has no order to keep.
+	if numbered && n <= s.last {
 		return ErrOrder
 	}
-	s.last = n
+	if numbered {
+		s.last = n
+	}
 	return nil
 }
 
--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -27,7 +27,7 @@
 // Table merges facts into a list of hosts. It is pure; the caller passes the time.
 //
 // Entries run out while the store is away, and those of living targets are back
-// within ReturnGrace of its return. Until then a removal is in doubt: the host stays
+// within returnGrace of its return. Until then a removal is in doubt: the host stays
 // listed, and counts as gone only if no newer fact brings it back.
 type Table struct {
 	entries  map[string]*entry
@@ -48,16 +48,16 @@
 }
 
 const (
-	// ReturnGrace is how long after the store's return removals are in doubt. Targets
+	// returnGrace is how long after the store's return removals are in doubt. Targets
 	// report every 1.2 s or so and are back within some two seconds.
-	ReturnGrace = 2500 * time.Millisecond
+	returnGrace = 2500 * time.Millisecond
 	// massRemoval is the number of removals in one answer from which they are in doubt
 	// even where the store was not seen to be away: a silent outage shows like this,
-	// and planned work takes targets away one or a few at a time. MassGrace is how long
+	// and planned work takes targets away one or a few at a time. massGrace is how long
 	// that doubt lasts, which stays below the 2 s after which a target that left may
 	// get no more work.
 	massRemoval = 4
-	MassGrace   = 1800 * time.Millisecond
+	massGrace   = 1800 * time.Millisecond
 	// keepGone is how long removals are remembered, for peers that lag behind.
 	keepGone = time.Minute
 )
@@ -122,11 +122,11 @@
 func (t *Table) doubt(removals int, now time.Time) time.Time {
 	switch {
 	case t.away:
-		return now.Add(ReturnGrace) // Tick waits for the store's return besides.
-	case now.Before(t.back.Add(ReturnGrace)):
-		return t.back.Add(ReturnGrace)
+		return now.Add(returnGrace) // Tick waits for the store's return besides.
+	case now.Before(t.back.Add(returnGrace)):
+		return t.back.Add(returnGrace)
 	case removals >= massRemoval:
-		return now.Add(MassGrace)
+		return now.Add(massGrace)
 	default:
 		return time.Time{}
 	}
--- a/core/hostlist/table_test.go
+++ b/core/hostlist/table_test.go
@@ -52,11 +52,11 @@
 	if table.Merge(Facts{AsOf: 9, Hosts: []Host{gone("a", 9)}}, removed) {
 		t.Fatal("a removal so soon after an outage counts at once")
 	}
-	table.Tick(back.Add(ReturnGrace - time.Millisecond))
+	table.Tick(back.Add(returnGrace - time.Millisecond))
 	if names(table) != "[a:live b:live]" {
 		t.Fatal(names(table))
 	}
-	if !table.Tick(back.Add(ReturnGrace)) || names(table) != "[b:live]" {
+	if !table.Tick(back.Add(returnGrace)) || names(table) != "[b:live]" {
 		t.Fatal("the doubt lasts longer than the grace after the return: " + names(table))
 	}
 }
@@ -74,7 +74,7 @@
 		t.Fatal(names(table))
 	}
 	table.Merge(Facts{AsOf: 11, Hosts: []Host{live("a", 11)}}, now.Add(time.Second))
-	table.Tick(now.Add(ReturnGrace))
+	table.Tick(now.Add(returnGrace))
 	if names(table) != "[a:live c:live]" {
 		t.Fatal(names(table))
 	}
@@ -96,7 +96,7 @@
 	if got := table.Since(8); len(got.Hosts) != 0 {
 		t.Fatalf("a removal in doubt is told to a peer: %v", got)
 	}
-	table.Tick(now.Add(MassGrace))
+	table.Tick(now.Add(massGrace))
 	if len(table.Hosts()) != 8-massRemoval {
 		t.Fatal(names(table))
 	}
--- a/core/settings/paths_test.go
+++ b/core/settings/paths_test.go
@@ -65,8 +65,8 @@
 	if count["green"] < 800 || count["green"] > 1200 {
 		t.Errorf("green got %d of 10,000 calls, want about a tenth", count["green"])
 	}
-	id := "the same"
-	if wide.Route(id, tree.Anonymous()).Pool != wide.Route(id, tree.Anonymous()).Pool {
+	first := wide.Route("the same", tree.Anonymous()).Pool
+	if again := wide.Route("the same", tree.Anonymous()).Pool; again != first {
 		t.Error("one call goes to two pools")
 	}
 }
--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -135,7 +135,7 @@
 func (f *fleet) addDaemon(i int) *testDaemon {
 	f.t.Helper()
 	door := f.store.Open()
-	f.t.Cleanup(door.Server.Close)
+	f.t.Cleanup(door.Close)
 	_, metrics, _ := net.SplitHostPort(freeAddress(f.t))
 	boot := &platform.Boot{
 		Name: fmt.Sprint("d", i+1), DataCentre: "z1", Region: "r1", IP: "127.0.0.1",
