--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -273,17 +273,23 @@
 	p.told[t.Pool.Name] = c
 	p.mu.Unlock()
 	if !known {
-		q.Calls = p.ownCalls(t.Pool.Name)
+		q.Calls = p.handOver(t.Pool.Name, c.name)
 	}
 	return q
 }
 
-// ownCalls lists the calls that this daemon itself makes.
-func (p *Placements) ownCalls(pool string) []blackboard.CallState {
+// handOver lists the calls that this daemon itself makes, for a coordinator that does
+// not know them. It is told of their ends from now on; what it never heard the end of,
+// it would count until the callers' deadlines.
+func (p *Placements) handOver(pool, coordinator string) []blackboard.CallState {
 	calls := p.cluster.Board.Targets.Calls(pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.DeleteFunc(calls, func(c blackboard.CallState) bool { return p.held[c.Attempt] != nil })
+	calls = slices.DeleteFunc(calls, func(c blackboard.CallState) bool { return p.held[c.Attempt] != nil })
+	for _, c := range calls {
+		p.placedBy[c.Attempt] = coordinator
+	}
+	return calls
 }
 
 // placement counts the call at its target here too, and returns it.
--- a/node/onplatform/findings_test.go
+++ b/node/onplatform/findings_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"doorstack.dev/core/hostlist"
 	"doorstack.dev/platform"
+	"doorstack.dev/platform/standin"
 )
 
 // TestAdviceIsCheckedAgainstWhatIsKnown: a coordinator that lags behind placed calls on
@@ -123,3 +125,95 @@
 		f.eventually(step.want, func() bool { return strings.Contains(buffer.String(), step.want) })
 	}
 }
+
+// coordinatorOf finds who places the calls of the plain service, by the log.
+func (f *fleet) coordinatorOf() int {
+	f.t.Helper()
+	for i, d := range f.daemons {
+		a := f.ask(safe)
+		a.Daemon = d.boot.Callers
+		if got := f.do(a); got.Status != 200 {
+			f.t.Fatalf("%+v", got)
+		}
+		for line := range strings.Lines(d.log.String()) {
+			if !strings.Contains(line, a.ID) {
+				continue
+			}
+			for k, other := range f.daemons {
+				if k != i && strings.Contains(line, `"by":"`+other.boot.Name+`"`) {
+					return k
+				}
+			}
+		}
+	}
+	f.t.Fatal("no daemon placed a call for another one")
+	return 0
+}
+
+func (f *fleet) allKnown() {
+	f.t.Helper()
+	f.eventually("all daemons known", func() bool {
+		for _, d := range f.daemons {
+			if living, _ := d.Board.Members.Living(); len(living) != len(f.daemons) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestANewCoordinatorHearsOfTheEnd: it was told of the calls in progress, but their ends
+// were told to the one before, so their slots stayed taken until the callers' deadlines.
+func TestANewCoordinatorHearsOfTheEnd(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	f.allKnown()
+	first := f.coordinatorOf() // The same in every fleet of these names.
+	for asker := range 3 {
+		if asker == first {
+			continue
+		}
+		f := newFleet(t, 3, 0)
+		f.addTarget("one", plain, 1)
+		for _, d := range f.daemons {
+			f.waitReady(d)
+		}
+		f.allKnown()
+		started, release := make(chan struct{}), make(chan struct{})
+		f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+			if c.Body == "long" {
+				close(started)
+				<-release
+			}
+			standin.Succeed("ok")(w, r, c)
+		})
+		ask := func(body string) chan standin.Got {
+			a := f.ask(unsafe)
+			a.Daemon, a.Body, a.LeftMS = f.daemons[asker].boot.Callers, body, 0
+			answer := make(chan standin.Got, 1)
+			go func() { answer <- f.do(a) }()
+			return answer
+		}
+		long := ask("long")
+		<-started
+		f.daemons[first].stop()
+		<-f.daemons[first].ended
+		second := ask("second")
+		f.eventually("the second call waits", func() bool {
+			waiting := 0
+			for _, d := range f.daemons {
+				waiting += d.Board.Queues.Len(plain)
+			}
+			return waiting > 0
+		})
+		released := time.Now()
+		close(release)
+		for _, answer := range []chan standin.Got{long, second} {
+			if got := <-answer; got.Status != 200 {
+				t.Fatalf("%+v", got)
+			}
+		}
+		if took := time.Since(released); took > time.Second {
+			t.Errorf("the slot came free after %v", took)
+		}
+	}
+}
