--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -116,78 +116,6 @@
 	return &Table{self: self, incarnation: incarnation, members: map[string]*Member{}, early: map[string]Rumor{}}
 }
 
-// NewOpenTable returns a table of an open fleet, which knows only its own daemon.
-func NewOpenTable(own Host, incarnation int64) *Table {
-	t := NewTable(own.Name, incarnation)
-	t.open, t.own = true, own
-	t.members[own.Name] = &Member{Host: own, Incarnation: incarnation, Started: incarnation}
-	return t
-}
-
-// Introduction is the rumor by which a daemon of an open fleet makes itself known.
-func (t *Table) Introduction() Rumor {
-	return Rumor{
-		Name: t.self, Incarnation: t.incarnation, State: Alive,
-		Address: t.own.Address, DataCentre: t.own.DataCentre, Region: t.own.Region,
-	}
-}
-
-// Everybody lists all that is known of an open fleet, for a daemon that lacks some.
-func (t *Table) Everybody() []Rumor {
-	rumors := []Rumor{t.Introduction()}
-	for name, m := range t.members {
-		if name != t.self {
-			rumors = append(rumors, m.rumor())
-		}
-	}
-	return rumors
-}
-
-func (m *Member) rumor() Rumor {
-	return Rumor{
-		Name: m.Name, Incarnation: m.Incarnation, State: m.State,
-		Address: m.Address, DataCentre: m.DataCentre, Region: m.Region,
-	}
-}
-
-// Digest identifies who is alive in an open fleet. Daemons with different digests
-// exchange all that they know.
-func (t *Table) Digest() uint64 {
-	sum := uint64(0)
-	for _, name := range t.Living() {
-		sum += rendezvous.Score(digestKey, name)
-	}
-	return sum
-}
-
-// digestKey keeps the scores of a digest apart from others.
-const digestKey = "digest"
-
-// Lost lists the daemons of an open fleet that died and may come back.
-func (t *Table) Lost() []Member {
-	var lost []Member
-	for _, m := range t.members {
-		if m.State == Dead {
-			lost = append(lost, *m)
-		}
-	}
-	slices.SortFunc(lost, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return lost
-}
-
-// introduce adds a daemon that a rumor of an open fleet tells of.
-func (t *Table) introduce(r Rumor) (Rumor, bool) {
-	if r.State != Alive || r.Address == "" {
-		return Rumor{}, false
-	}
-	t.members[r.Name] = &Member{
-		Host:        Host{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Region: r.Region},
-		Incarnation: r.Incarnation,
-	}
-	t.chooseNeighbours(time.Time{})
-	return r, true
-}
-
 // Incarnation is the daemon's own incarnation, which rises when others wrongly
 // believed it dead.
 func (t *Table) Incarnation() int64 { return t.incarnation }
@@ -294,22 +222,6 @@
 	return r, !expected
 }
 
-// follow takes over what a newer rumor of an open fleet's daemon changes.
-func (t *Table) follow(m *Member, r Rumor) {
-	m.ended, m.watched = time.Time{}, time.Time{}
-	if r.Address != "" {
-		m.Address, m.DataCentre, m.Region = r.Address, r.DataCentre, r.Region
-	}
-	t.chooseNeighbours(time.Time{})
-}
-
-func newer(r Rumor, m *Member) bool {
-	if r.Incarnation != m.Incarnation {
-		return r.Incarnation > m.Incarnation
-	}
-	return r.State > m.State
-}
-
 // Leave notes that this daemon goes, so that it does not deny what is said of it.
 func (t *Table) Leave() { t.leaving = true }
 
@@ -350,22 +262,6 @@
 	return rumors
 }
 
-// forget drops daemons of an open fleet that ended long ago.
-func (t *Table) forget(now time.Time) {
-	if !t.open {
-		return
-	}
-	for name, m := range t.members {
-		switch {
-		case m.State == Alive || name == t.self:
-		case m.ended.IsZero():
-			m.ended = now
-		case now.Sub(m.ended) > ForgetAfter:
-			delete(t.members, name)
-		}
-	}
-}
-
 // Void forgets when neighbours were heard, after a pause of the process: they are
 // given the full time again before they are declared dead.
 func (t *Table) Void(now time.Time) {
--- /dev/null
+++ b/core/membership/open.go
@@ -0,0 +1,113 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"doorstack.dev/core/rendezvous"
+)
+
+// NewOpenTable returns a table of an open fleet, which knows only its own daemon.
+func NewOpenTable(own Host, incarnation int64) *Table {
+	t := NewTable(own.Name, incarnation)
+	t.open, t.own = true, own
+	t.members[own.Name] = &Member{Host: own, Incarnation: incarnation, Started: incarnation}
+	return t
+}
+
+// Introduction is the rumor by which a daemon of an open fleet makes itself known.
+func (t *Table) Introduction() Rumor {
+	return Rumor{
+		Name: t.self, Incarnation: t.incarnation, State: Alive,
+		Address: t.own.Address, DataCentre: t.own.DataCentre, Region: t.own.Region,
+	}
+}
+
+// Everybody lists all that is known of an open fleet, for a daemon that lacks some.
+func (t *Table) Everybody() []Rumor {
+	rumors := []Rumor{t.Introduction()}
+	for name, m := range t.members {
+		if name != t.self {
+			rumors = append(rumors, m.rumor())
+		}
+	}
+	return rumors
+}
+
+func (m *Member) rumor() Rumor {
+	return Rumor{
+		Name: m.Name, Incarnation: m.Incarnation, State: m.State,
+		Address: m.Address, DataCentre: m.DataCentre, Region: m.Region,
+	}
+}
+
+// Digest identifies who is alive in an open fleet. Daemons with different digests
+// exchange all that they know.
+func (t *Table) Digest() uint64 {
+	sum := uint64(0)
+	for _, name := range t.Living() {
+		sum += rendezvous.Score(digestKey, name)
+	}
+	return sum
+}
+
+// digestKey keeps the scores of a digest apart from others.
+const digestKey = "digest"
+
+// Lost lists the daemons of an open fleet that died and may come back.
+func (t *Table) Lost() []Member {
+	var lost []Member
+	for _, m := range t.members {
+		if m.State == Dead {
+			lost = append(lost, *m)
+		}
+	}
+	slices.SortFunc(lost, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return lost
+}
+
+// introduce adds a daemon that a rumor of an open fleet tells of.
+func (t *Table) introduce(r Rumor) (Rumor, bool) {
+	if r.State != Alive || r.Address == "" {
+		return Rumor{}, false
+	}
+	t.members[r.Name] = &Member{
+		Host:        Host{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Region: r.Region},
+		Incarnation: r.Incarnation,
+	}
+	t.chooseNeighbours(time.Time{})
+	return r, true
+}
+
+// follow takes over what a newer rumor of an open fleet's daemon changes.
+func (t *Table) follow(m *Member, r Rumor) {
+	m.ended, m.watched = time.Time{}, time.Time{}
+	if r.Address != "" {
+		m.Address, m.DataCentre, m.Region = r.Address, r.DataCentre, r.Region
+	}
+	t.chooseNeighbours(time.Time{})
+}
+
+func newer(r Rumor, m *Member) bool {
+	if r.Incarnation != m.Incarnation {
+		return r.Incarnation > m.Incarnation
+	}
+	return r.State > m.State
+}
+
+// forget drops daemons of an open fleet that ended long ago.
+func (t *Table) forget(now time.Time) {
+	if !t.open {
+		return
+	}
+	for name, m := range t.members {
+		switch {
+		case m.State == Alive || name == t.self:
+		case m.ended.IsZero():
+			m.ended = now
+		case now.Sub(m.ended) > ForgetAfter:
+			delete(t.members, name)
+		}
+	}
+}
