Changes of targets are told to peers at once; a smaller heap

Ruled out: the watchers; they had it within milliseconds. Change: a changed list sends a heartbeat at once; only daemons that watch themselves wait 0.1 s for their own watch. Collections at 30 % growth on the platform: 11 to 14 MB at the peak, 15 to 17 before.

--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -10,7 +10,6 @@
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
-	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
 	"github.com/go-faster/errors"
 )
@@ -259,7 +258,7 @@
 		return
 	}
 	if c.open() && own > 0 {
-		controller.Sleep(ctx, watchLead)
+		c.leadToWatch(ctx)
 		if own = c.Board.Settings.Current().Revision; h.revision <= own {
 			return
 		}
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -172,12 +172,19 @@
 // from the peer as well would double the bytes between data centres.
 const watchLead = 100 * time.Millisecond
 
+// leadToWatch waits for this daemon's own watch, if it has one.
+func (c *Cluster) leadToWatch(ctx context.Context) {
+	if c.Settings.Watches() {
+		controller.Sleep(ctx, watchLead)
+	}
+}
+
 // catchUpTargets fetches what a peer knows of targets and this daemon does not.
 func (c *Cluster) catchUpTargets(ctx context.Context, h heartbeatNews) {
 	if !c.open() || h.targets <= c.Board.Directory.Revision() {
 		return
 	}
-	controller.Sleep(ctx, watchLead)
+	c.leadToWatch(ctx)
 	own := c.Board.Directory.Revision()
 	if h.targets <= own {
 		return
--- a/node/cmd/doorstackd/main.go
+++ b/node/cmd/doorstackd/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"doorstack.dev/node/config"
@@ -66,6 +67,11 @@
 	return serve(d, log)
 }
 
+// gcPercent lets the heap grow by so much between two collections, on hosts where memory
+// is dear and a daemon works a fiftieth of the time: 11 to 14 MB at the peak of a played
+// day in place of 15 to 17, for a tenth more processor time.
+const gcPercent = 30
+
 // runOnPlatform serves on the users' platform, which gives the process its settings.
 func runOnPlatform(c *cli, output *telemetry.Output, log *slog.Logger) error {
 	boot, err := onplatform.Load()
@@ -76,6 +82,7 @@
 		fmt.Println("ok:", boot.Name)
 		return nil
 	}
+	debug.SetGCPercent(gcPercent)
 	d, err := onplatform.New(boot, c.Metrics, log)
 	if err != nil {
 		return err
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -28,6 +28,8 @@
 	// Watches tells whether this daemon is one of the few that watch the store; the
 	// others learn from their peers.
 	Watches func() bool
+	// Changed is called after each change of the list, to tell the peers at once.
+	Changed func()
 }
 
 const (
@@ -127,6 +129,7 @@
 	if !c.Board.MergeFacts(facts, now) {
 		return
 	}
+	c.Changed()
 	for _, h := range facts.Hosts {
 		c.Record.Log.Info("target", "target", h.ID, "state", string(h.State), "address", h.Address, "pool", h.Pool,
 			"revision", h.Revision, "from", from)
@@ -137,6 +140,7 @@
 	for ctx.Err() == nil {
 		Sleep(ctx, directoryTick)
 		if c.Board.TickDirectory(time.Now()) {
+			c.Changed()
 			targets, _ := c.Board.Members.Hosts()
 			c.Record.Log.Info("targets whose entries did not come back count as gone", "left", fmt.Sprint(len(targets.Hosts)))
 		}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -158,7 +158,7 @@
 // adapt provisions what is different on a platform.
 func (d *Daemon) adapt() {
 	d.settings.Watch = watchHold
-	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Record: d.record, Watch: watchHold, Watches: d.watches}
+	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Record: d.record, Watch: watchHold, Watches: d.watches, Changed: d.cluster.Poke}
 	d.cluster.Directory = directory
 	d.Adapt(d.adapter.Seeds, d.adapter.Repeats, d.adapter.Grace)
 	d.Board.Members.Open()
