--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -247,7 +247,7 @@
 		return err
 	}
 	err = f.take(reply, p)
-	d.Exchange.Close(reply, err == nil || errors.Is(err, errTurnedAway) || errors.Is(err, errErred))
+	d.Exchange.Close(reply)
 	switch {
 	case err == nil:
 	case errors.Is(err, errTurnedAway):
--- a/node/requestcontrol/tickets.go
+++ b/node/requestcontrol/tickets.go
@@ -152,7 +152,7 @@
 		return err
 	}
 	_, err = readWhole(reply)
-	exchange.Close(reply, err == nil)
+	exchange.Close(reply)
 	if err != nil {
 		return err
 	}
