A coordinator's books: refusals leave nothing, handed-over calls last 15 s, a caller that leaves blames nobody

Cause, found by reading: refused questions were remembered for ever; a call handed over was dropped at the deadline of another; a connect that ended with its caller kept its target out for a second.

--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -71,7 +71,7 @@
 		p.mu.Lock()
 		known := p.held[c.Attempt] != nil
 		if !known {
-			p.held[c.Attempt] = &heldCall{owner: from, pool: in.Pool, renewed: now, expires: now.Add(in.Left + callTTL), answer: &placeAnswer{}}
+			p.held[c.Attempt] = &heldCall{owner: from, pool: in.Pool, renewed: now, expires: now.Add(adoptedTTL), answer: &placeAnswer{}}
 		}
 		p.mu.Unlock()
 		if !known {
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -37,6 +37,9 @@
 	// callTTL bounds how long a coordinator counts a call beyond its deadline, in case
 	// the word of its end was lost.
 	callTTL = time.Second
+	// adoptedTTL is the same for a call that was under way when the coordinator began:
+	// its deadline is not told, and the longest timeout of the users' routes is 15 s.
+	adoptedTTL = 15 * time.Second
 	// maxSuspect bounds how long a target is kept out on one daemon's word.
 	maxSuspect = 5 * time.Second
 )
@@ -179,9 +182,11 @@
 		p.tell(c.name, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
 		return blackboard.Placement{}, false
 	}
-	p.mu.Lock()
-	p.placedBy[t.Attempt] = c.name
-	p.mu.Unlock()
+	if answer.Verdict == routing.Place {
+		p.mu.Lock()
+		p.placedBy[t.Attempt] = c.name
+		p.mu.Unlock()
+	}
 	placement := p.placement(t, answer)
 	placement.By = c.name
 	return placement, true
--- /dev/null
+++ b/node/cluster/placement_test.go
@@ -0,0 +1,149 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"doorstack.dev/core/admission"
+	"doorstack.dev/core/hostlist"
+	"doorstack.dev/core/routing"
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/peer"
+	"doorstack.dev/node/telemetry"
+)
+
+const placementDocument = `
+engine_kinds: {rest: {protocol: service, max_concurrent: 2}}
+pools: {svc: {kind: rest}}
+tree: {}
+`
+
+// newCoordinator returns the placements of a daemon that knows so many targets.
+func newCoordinator(t *testing.T, targets int) *Placements {
+	t.Helper()
+	tree, err := settings.Parse([]byte(placementDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	metrics := telemetry.NewMetrics()
+	board := blackboard.New(blackboard.Identity{Name: "self", DataCentre: "dc", Region: "r"}, blackboard.DefaultLimits())
+	board.Members.Open()
+	board.Settings.Adopt(&blackboard.SettingsView{Tree: tree, Revision: 1})
+	facts := hostlist.Facts{Whole: true, AsOf: int64(targets)}
+	for i := range targets {
+		facts.Hosts = append(facts.Hosts, hostlist.Host{
+			ID: fmt.Sprint("t", i), Role: hostlist.RoleTarget, Address: fmt.Sprint("10.0.0.1:", i+1), Pool: "svc",
+			DataCentre: "dc", Region: "r", State: hostlist.Live, Revision: int64(i + 1),
+		})
+	}
+	board.MergeFacts(facts, time.Now())
+	board.Serve()
+	record := &telemetry.Recorder{Board: board, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics}
+	hub := peer.NewHub("self", []string{"a key of sixteen characters"}, metrics)
+	t.Cleanup(hub.Close)
+	return New(board, hub, record, nil, nil).Placements
+}
+
+func (p *Placements) dispatch() {
+	p.cluster.Board.Queues.Dispatch("svc", p.cluster.Board.Targets, time.Now())
+}
+
+func question(attempt string) placeRequest {
+	return placeRequest{Attempt: attempt, Request: attempt, Pool: "svc", Account: "/a", DataCentre: "dc", Left: 5 * time.Second}
+}
+
+func (p *Placements) running() int {
+	calls := 0
+	for _, s := range p.cluster.Board.Targets.Status(time.Now()) {
+		calls += s.OwnCalls
+	}
+	return calls
+}
+
+// TestARefusalLeavesNothing: refused questions were remembered for ever.
+func TestARefusalLeavesNothing(t *testing.T) {
+	p := newCoordinator(t, 1)
+	ticket := &blackboard.Ticket{
+		Attempt: "a", Pool: p.cluster.Board.Settings.Current().Tree.Pool("svc"), Item: &admission.Item{},
+	}
+	for _, verdict := range []routing.Verdict{routing.Refuse, routing.None} {
+		p.follow(coordinator{name: "other"}, ticket, &placeAnswer{Attempt: "a", Verdict: verdict})
+	}
+	if len(p.placedBy) != 0 {
+		t.Fatalf("%v", p.placedBy)
+	}
+}
+
+// TestACoordinatorCountsEachCallOnce: whatever order questions, their repetitions, calls
+// handed over and ends come in, what has ended is not counted.
+func TestACoordinatorCountsEachCallOnce(t *testing.T) {
+	p := newCoordinator(t, 2)
+	ctx := context.Background()
+	answers := make(chan placeAnswer, 4)
+	for range 2 { // The second repeats the first.
+		go func() {
+			answer, err := p.servePlace(ctx, "asker", question("a"))
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- answer
+		}()
+	}
+	placed := 0
+	for range 2 {
+		for received := false; !received; {
+			p.dispatch()
+			select {
+			case answer := <-answers:
+				received = true
+				if answer.Verdict == routing.Place {
+					placed++
+				}
+			default:
+			}
+		}
+	}
+	if placed == 0 || p.running() != 1 {
+		t.Fatalf("%d answers with a place, %d calls count", placed, p.running())
+	}
+	handed := question("b")
+	handed.Calls = []blackboard.CallState{{Attempt: "a", Target: "t0"}, {Attempt: "old", Target: "t1"}}
+	p.adopt("asker", &handed, time.Now())
+	p.adopt("asker", &handed, time.Now())
+	if p.running() != 2 {
+		t.Fatalf("%d calls count after a hand-over", p.running())
+	}
+	for _, attempt := range []string{"a", "old", "a", "never heard of"} {
+		p.end(attempt, blackboard.CallSucceeded)
+	}
+	if p.running() != 0 || len(p.held) != 0 {
+		t.Fatalf("%d calls count, %d are held", p.running(), len(p.held))
+	}
+}
+
+// TestCallsOfTheDeadRunOut: calls and questions of a daemon that is not heard of any
+// more do not count for ever.
+func TestCallsOfTheDeadRunOut(t *testing.T) {
+	p := newCoordinator(t, 2)
+	now := time.Now()
+	in := question("b")
+	in.Calls = []blackboard.CallState{{Attempt: "old", Target: "t1"}}
+	p.adopt("asker", &in, now)
+	waiting := question("waits")
+	ticket := p.ticket(&waiting, now)
+	p.held["waits"] = &heldCall{owner: "asker", pool: "svc", ticket: ticket, renewed: now, expires: now.Add(time.Hour)}
+	if list := p.overdue(now.Add(dropPlace / 2)); len(list) != 0 {
+		t.Fatalf("too early: %v", list)
+	}
+	if list := p.overdue(now.Add(dropPlace + time.Millisecond)); len(list) != 1 || list[0] != "waits" {
+		t.Fatalf("a question that is not repeated: %v", list)
+	}
+	if list := p.overdue(now.Add(adoptedTTL + time.Millisecond)); len(list) != 2 {
+		t.Fatalf("%v", list)
+	}
+}
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		culprit := f.culprit(p)
 		f.exclude = append(f.exclude, culprit)
-		if suspectFor = f.suspicion(err); suspectFor > 0 {
+		if suspectFor = f.suspicion(err); suspectFor > 0 && ctx.Err() == nil {
 			suspect = culprit
 			d.Board.Targets.Suspect(suspect, time.Now().Add(suspectFor), time.Now())
 		}
