--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -51,13 +51,14 @@
 	// returnGrace is how long after the store's return removals are in doubt. Targets
 	// report every 1.2 s or so and are back within some two seconds.
 	returnGrace = 2500 * time.Millisecond
-	// massRemoval is the number of removals in one answer from which they are in doubt
-	// even where the store was not seen to be away: a silent outage shows like this,
-	// and planned work takes targets away one or a few at a time. massGrace is how long
-	// that doubt lasts, which stays below the 2 s after which a target that left may
-	// get no more work.
-	massRemoval = 4
-	massGrace   = 1800 * time.Millisecond
+	// Removals in one answer are in doubt, also where the store was not seen to be away,
+	// from leastMass on and from massShare of the listed hosts on: a silent outage shows
+	// like this, while planned work takes a few targets away at a time. massGrace is how
+	// long that doubt lasts; with the pause until it is looked at (0.25 s) it stays below
+	// the 2 s after which a target that left may get no more work.
+	leastMass = 4
+	massShare = 0.25
+	massGrace = 1500 * time.Millisecond
 	// keepGone is how long removals are remembered, for peers that lag behind.
 	keepGone = time.Minute
 )
@@ -125,7 +126,7 @@
 		return now.Add(returnGrace) // Tick waits for the store's return besides.
 	case now.Before(t.back.Add(returnGrace)):
 		return t.back.Add(returnGrace)
-	case removals >= massRemoval:
+	case removals >= leastMass && float64(removals) >= massShare*float64(t.listed()):
 		return now.Add(massGrace)
 	default:
 		return time.Time{}
@@ -150,6 +151,17 @@
 	}
 }
 
+// listed is the number of hosts that are not gone.
+func (t *Table) listed() int {
+	n := 0
+	for _, e := range t.entries {
+		if e.host.State != Gone {
+			n++
+		}
+	}
+	return n
+}
+
 // removals lists the hosts that the facts take away.
 func (t *Table) removals(f Facts) []Host {
 	var gone []Host
--- a/core/hostlist/table_test.go
+++ b/core/hostlist/table_test.go
@@ -89,7 +89,7 @@
 	}
 	table.Merge(Facts{Whole: true, AsOf: 8, Hosts: hosts}, epoch)
 	now := epoch.Add(time.Minute)
-	table.Merge(Facts{AsOf: 30, Hosts: removals[:massRemoval]}, now)
+	table.Merge(Facts{AsOf: 30, Hosts: removals[:leastMass]}, now)
 	if len(table.Hosts()) != 8 {
 		t.Fatal("many removals at once count without doubt")
 	}
@@ -97,11 +97,29 @@
 		t.Fatalf("a removal in doubt is told to a peer: %v", got)
 	}
 	table.Tick(now.Add(massGrace))
-	if len(table.Hosts()) != 8-massRemoval {
+	if len(table.Hosts()) != 8-leastMass {
 		t.Fatal(names(table))
 	}
 }
 
+// TestPlannedRemovalsOfALargeFleetCountAtOnce: seven of 67 targets that were taken away
+// together stayed in use until after they had left.
+func TestPlannedRemovalsOfALargeFleetCountAtOnce(t *testing.T) {
+	table := NewTable()
+	facts := Facts{Whole: true, AsOf: 67}
+	var removals []Host
+	for i := range 67 {
+		facts.Hosts = append(facts.Hosts, live(fmt.Sprint("h", i), int64(i+1)))
+		if i < 7 {
+			removals = append(removals, gone(fmt.Sprint("h", i), int64(i+100)))
+		}
+	}
+	table.Merge(facts, epoch)
+	if !table.Merge(Facts{AsOf: 107, Hosts: removals}, epoch.Add(time.Minute)) || len(table.Hosts()) != 60 {
+		t.Fatalf("%d hosts are listed", len(table.Hosts()))
+	}
+}
+
 // TestFreshTableKnowsItsRevision: a daemon that started after a target had gone asked
 // its peers for that removal with every heartbeat, for ever, and the queue of their
 // news grew to seconds.
