--- a/bench/play.sh
+++ b/bench/play.sh
@@ -4,7 +4,11 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 days=bench/days/$(basename "$SITE" .toml)
-play() { "$BENCH" run "$SITE" "$1" 2>&1 | grep -aE "^$(basename "$1" .toml | sed 's/+/\\+/g') " | cut -c1-150 || echo "$1 was not played"; }
+play() {
+	name=$(basename "$1" .toml)
+	line=$("$BENCH" run "$SITE" "$1" 2>&1 | grep -aF "$name " | grep -aE "^[^ ]+ +[0-9]+/[0-9]+ " | cut -c1-150)
+	echo "${line:-$name was not played}"
+}
 export -f play
 export BENCH SITE
 find "$days" -name '*.toml' | sort | xargs -P "${JOBS:-4}" -I{} bash -c 'play {}'
