The test of the common view counts rounds in which no coordinator was lost

Reproduced beside 14 busy processes: 7 collisions in 25 runs, each in the round of a logged loss or within a second of one. Ruled out: a fault of the coordinator's own counting; without a loss no round of 25 runs had a collision. Change: the test was wrong to demand the view of a fleet whose coordinator had not answered; it demands it in every round in which nobody lost the coordinator within 1.2 s, five times, and fails if a hundred rounds do not bring five.

--- a/node/onplatform/fleet_test.go
+++ b/node/onplatform/fleet_test.go
@@ -184,8 +184,12 @@
 	f.eventually("four daemons again", all)
 }
 
+// passedOver is somewhat longer than a coordinator that did not answer is passed over.
+const passedOver = 1200 * time.Millisecond
+
 // TestDaemonsChooseAsOne: with one slot at each of four targets, four calls through
-// three daemons find a target each; without a common view some would meet.
+// three daemons find a target each, in every round in which no daemon lost its
+// coordinator; without a common view some would meet.
 func TestDaemonsChooseAsOne(t *testing.T) {
 	f := newFleet(t, 3, 0)
 	for i := range 4 {
@@ -202,7 +206,19 @@
 		}
 		return true
 	})
-	for round := range 5 {
+	lost := func() (n int) {
+		for _, d := range f.daemons {
+			n += strings.Count(d.log.String(), `"dependency":"coordinator"`)
+		}
+		return n
+	}
+	lastLoss := time.Time{}
+	for agreed, round := 0, 0; agreed < 5; round++ {
+		if round == 100 {
+			t.Fatal("in a hundred rounds the coordinator did not answer five times in time")
+		}
+		f.eventually("all ask the same coordinator again", func() bool { return time.Since(lastLoss) > passedOver })
+		before := lost()
 		release := make(chan struct{})
 		var working sync.WaitGroup
 		working.Add(4)
@@ -232,8 +248,16 @@
 		}
 		close(release)
 		answers.Wait()
-		if len(used) != 4 {
-			t.Fatalf("round %d: the calls went to %v", round, used)
+		switch {
+		case lost() > before:
+			// On a busy machine an answer may take longer than a daemon waits for it. Then
+			// it decides alone, says so, and passes the coordinator over for a second; such
+			// a round proves nothing either way.
+			lastLoss = time.Now()
+		case len(used) != 4:
+			t.Fatalf("round %d: no coordinator was lost, and the calls went to %v", round, used)
+		default:
+			agreed++
 		}
 	}
 }
