--- /dev/null
+++ b/node/target/channel.go
@@ -0,0 +1,145 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// channel is a connection to a target, used by one call at a time.
+type channel struct {
+	address   string
+	conn      net.Conn
+	reader    *bufio.Reader
+	idleSince time.Time
+	keepFor   time.Duration
+	// sent counts the bytes of the present call that the system took.
+	sent atomic.Int64
+	// writing is closed when the call has been written, whole or not.
+	writing chan struct{}
+	writeOK bool
+}
+
+// inlineWrite is the size up to which a call is written before its answer is read.
+// A larger one is written beside: a target may answer before it has read it all, and
+// stop reading.
+const inlineWrite = 16 << 10
+
+// begin writes a call.
+func (ch *channel) begin(req *http.Request, body []byte) {
+	if len(body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	if req.Header.Get("User-Agent") == "" {
+		req.Header["User-Agent"] = []string{""} // None is added that the caller did not send.
+	}
+	ch.writing = make(chan struct{})
+	ch.writeOK = false
+	write := func() {
+		defer close(ch.writing)
+		out := bufio.NewWriterSize(countingWriter{ch}, min(inlineWrite, len(body)+readBuffer))
+		if err := req.Write(out); err != nil {
+			return // What the target received decides; reading the answer fails.
+		}
+		ch.writeOK = out.Flush() == nil
+	}
+	if len(body) > inlineWrite {
+		go write()
+		return
+	}
+	write()
+}
+
+// countingWriter writes to the connection and counts.
+type countingWriter struct{ ch *channel }
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.ch.conn.Write(p)
+	w.ch.sent.Add(int64(n))
+	return n, err
+}
+
+// readHead reads the head of the next final answer.
+func (ch *channel) readHead(req *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(ch.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// clean tells whether the connection can carry another call: the last one was
+// written whole and nothing has come after its answer.
+func (ch *channel) clean() bool {
+	select {
+	case <-ch.writing:
+		return ch.writeOK && ch.reader.Buffered() == 0
+	default:
+		return false
+	}
+}
+
+func (ch *channel) expired(now time.Time) bool { return now.Sub(ch.idleSince) >= ch.keepFor }
+
+// usable tells whether a kept connection is neither too old, nor closed by the
+// target, nor holding bytes that belong to no call.
+func (ch *channel) usable(now time.Time) bool {
+	return !ch.expired(now) && ch.quiet()
+}
+
+// quiet looks without waiting whether the connection is open and empty.
+func (ch *channel) quiet() bool {
+	raw, err := ch.conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buffer [1]byte
+		_, _, errno := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errno == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (ch *channel) close() { _ = ch.conn.Close() }
+
+// setUnackedTimeout bounds the time that sent bytes may stay unacknowledged.
+func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// keepFor reads the time for which the target keeps an idle connection.
+func keepFor(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !found {
+			continue
+		}
+		if s, err := strconv.Atoi(text); err == nil {
+			return min(idleDefault, time.Duration(idleShare*float64(s)*float64(time.Second)))
+		}
+	}
+	return idleDefault
+}
--- /dev/null
+++ b/node/target/exchange.go
@@ -0,0 +1,261 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/forward"
+	"github.com/go-faster/errors"
+)
+
+// Dialect writes and reads the headers by which the platform's callers and targets
+// tell each other about a forwarded call.
+type Dialect interface {
+	// ReadCall decodes what a caller says of its request.
+	ReadCall(h http.Header) forward.Call
+	// WriteSend sets what the daemon says to a target.
+	WriteSend(h http.Header, s *forward.Send)
+	// ReadHead decodes the head of a target's answer.
+	ReadHead(status int, h http.Header) forward.Head
+	// Reserve makes the order by which a target sets memory aside under an id for so
+	// long; the same order again renews it. Release makes the order that ends it.
+	Reserve(target, id string, tokens int64, hold time.Duration) forward.Message
+	Release(target, id string) forward.Message
+	// WriteFailure sets what callers read beside a failure of the daemon's own.
+	WriteFailure(h http.Header, requestID string, retry bool, after time.Duration)
+}
+
+// Exchanger sends forwarded calls, each exactly once. It keeps connections open
+// itself: a general HTTP client repeats a call on its own where a kept connection
+// turns out to be dead, and such sends would be counted nowhere.
+type Exchanger struct {
+	Dialect Dialect
+
+	mu    sync.Mutex
+	idle  map[string][]*channel // by address, the last used last
+	limit map[string]int        // connections kept for an address, where bounded
+}
+
+// The bounds of connections to targets.
+const (
+	// connectTimeout is many times the round trip between data centres (2 ms) and
+	// well below the shortest goal for an answer (300 ms).
+	connectTimeout = 250 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged: a target that is
+	// cut off or without power says nothing otherwise.
+	unackedTimeout = time.Second
+	// idleDefault is how long a connection is kept where the target does not say.
+	idleDefault = 4 * time.Second
+	// idleShare is the part of the target's own idle time that a connection is kept,
+	// so that a call does not cross its close.
+	idleShare = 0.6
+	// idlePerTarget bounds the connections kept for one target.
+	idlePerTarget = 24
+)
+
+// NewExchanger returns an exchanger without connections.
+func NewExchanger(d Dialect) *Exchanger {
+	return &Exchanger{Dialect: d, idle: map[string][]*channel{}}
+}
+
+// Reply is a target's answer, whose body may still be on its way.
+type Reply struct {
+	forward.Head
+	Header http.Header
+	// Body ends with io.EOF only where the answer is whole.
+	Body *answerBody
+	// Length is the length of the body, or -1 where it is not told.
+	Length int64
+
+	ch   *channel
+	resp *http.Response
+	stop func() bool
+}
+
+// answerBody notes whether an answer was read to its end.
+type answerBody struct {
+	io.Reader
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// foreignAnswers is how many answers to other calls are skipped on a connection.
+const foreignAnswers = 2
+
+// Send makes one send of a call. The error is a *CallError, whose Execution is
+// NotRun only where no byte can have reached the target. The reply must be closed.
+func (e *Exchanger) Send(ctx context.Context, address string, c *forward.Message) (*Reply, error) {
+	ch, err := e.take(ctx, address)
+	if err != nil {
+		return nil, &CallError{Execution: fault.NotRun, Err: errors.Wrap(err, "connect to the target")}
+	}
+	// The end of ctx unblocks reads and writes; the channel is closed afterwards.
+	stop := context.AfterFunc(ctx, func() { _ = ch.conn.SetDeadline(time.Unix(1, 0)) })
+	reply, err := e.exchange(ch, c)
+	if err != nil {
+		stop()
+		ch.close()
+		execution := fault.Unknown
+		if ch.sent.Load() == 0 {
+			execution = fault.NotRun
+		}
+		return nil, &CallError{Execution: execution, Err: err}
+	}
+	reply.stop = stop
+	return reply, nil
+}
+
+func (e *Exchanger) exchange(ch *channel, c *forward.Message) (*Reply, error) {
+	req := &http.Request{
+		Method: c.Method, Host: c.Host, Header: c.Header,
+		URL:           &url.URL{Opaque: c.URI},
+		ContentLength: int64(len(c.Body)),
+		Body:          http.NoBody,
+	}
+	ch.begin(req, c.Body)
+	for range foreignAnswers + 1 {
+		resp, err := ch.readHead(req) //nolint:bodyclose // The body ends with the channel, which Close or Send closes.
+		if err != nil {
+			return nil, errors.Wrap(err, "read the answer")
+		}
+		head := e.Dialect.ReadHead(resp.StatusCode, resp.Header)
+		if c.ID == "" || head.RequestID == c.ID {
+			return &Reply{Head: head, Header: resp.Header, Body: &answerBody{Reader: resp.Body}, Length: resp.ContentLength, ch: ch, resp: resp}, nil
+		}
+		// A late answer to an earlier call; the one that is waited for may follow.
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrain)); err != nil {
+			return nil, errors.Wrap(err, "skip an answer to another call")
+		}
+	}
+	return nil, errors.New("the target answers other calls than this one")
+}
+
+// Close ends the exchange. The connection is kept if the answer was read to its end.
+func (e *Exchanger) Close(r *Reply) {
+	stopped := r.stop()
+	if !r.Body.ended || !stopped || r.resp.Close || !r.ch.clean() {
+		r.ch.close()
+		return
+	}
+	r.ch.keepFor = keepFor(r.Header)
+	e.keep(r.ch)
+}
+
+// take returns a kept connection that is still good, or a new one.
+func (e *Exchanger) take(ctx context.Context, address string) (*channel, error) {
+	for {
+		ch := e.pop(address)
+		if ch == nil {
+			return dial(ctx, address)
+		}
+		if ch.usable(time.Now()) {
+			ch.sent.Store(0)
+			return ch, nil
+		}
+		ch.close()
+	}
+}
+
+func (e *Exchanger) pop(address string) *channel {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := e.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := len(list) - 1
+	ch := list[last]
+	list[last] = nil
+	e.idle[address] = list[:last]
+	return ch
+}
+
+func (e *Exchanger) keep(ch *channel) {
+	ch.idleSince = time.Now()
+	e.mu.Lock()
+	bound := idlePerTarget
+	if n, ok := e.limit[ch.address]; ok {
+		bound = min(bound, n)
+	}
+	if len(e.idle[ch.address]) < bound {
+		e.idle[ch.address] = append(e.idle[ch.address], ch)
+		ch = nil
+	}
+	e.mu.Unlock()
+	if ch != nil {
+		ch.close()
+	}
+}
+
+// SetLimits bounds the connections kept for each address.
+func (e *Exchanger) SetLimits(limit map[string]int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
+
+// sweepEvery is how often connections that were idle for too long are closed.
+const sweepEvery = time.Second
+
+// Run closes connections that were idle for too long, until ctx ends.
+func (e *Exchanger) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.sweep(now)
+		}
+	}
+}
+
+func (e *Exchanger) sweep(now time.Time) {
+	e.mu.Lock()
+	var old []*channel
+	for address, list := range e.idle {
+		kept := list[:0]
+		for _, ch := range list {
+			if ch.expired(now) {
+				old = append(old, ch)
+				continue
+			}
+			kept = append(kept, ch)
+		}
+		if len(kept) == 0 {
+			delete(e.idle, address)
+			continue
+		}
+		clear(list[len(kept):])
+		e.idle[address] = kept
+	}
+	e.mu.Unlock()
+	for _, ch := range old {
+		ch.close()
+	}
+}
+
+func dial(ctx context.Context, address string) (*channel, error) {
+	dialer := &net.Dialer{Timeout: connectTimeout, Control: setUnackedTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	ch := &channel{address: address, conn: conn, keepFor: idleDefault}
+	ch.reader = bufio.NewReaderSize(conn, readBuffer)
+	return ch, nil
+}
--- /dev/null
+++ b/node/target/exchange_test.go
@@ -0,0 +1,192 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/forward"
+)
+
+// plainDialect takes the id of an answer from a header of the test's own.
+type plainDialect struct{}
+
+func (plainDialect) ReadCall(http.Header) forward.Call      { return forward.Call{} }
+func (plainDialect) WriteSend(http.Header, *forward.Send)   {}
+func (plainDialect) Release(string, string) forward.Message { return forward.Message{} }
+func (plainDialect) ReadHead(s int, h http.Header) forward.Head {
+	return forward.Head{Status: s, RequestID: h.Get("Id")}
+}
+func (plainDialect) Reserve(string, string, int64, time.Duration) forward.Message {
+	return forward.Message{}
+}
+func (plainDialect) WriteFailure(http.Header, string, bool, time.Duration) {}
+
+// peer answers each call of each connection with a script; it gets the number of the
+// connection and of the call on it.
+func peer(t *testing.T, script func(conn net.Conn, r *http.Request, connection, call int) bool) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	received := &atomic.Int64{}
+	go func() {
+		for connection := 0; ; connection++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				for call := 0; ; call++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					received.Add(1)
+					if !script(conn, r, connection, call) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), received
+}
+
+func answer(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func drainBody(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
+
+func message(id, body string) *forward.Message {
+	return &forward.Message{ID: id, Method: http.MethodPost, URI: "/a?b=c", Host: "h.example", Header: http.Header{}, Body: []byte(body)}
+}
+
+func exchange(t *testing.T, e *Exchanger, address string, m *forward.Message) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	reply, err := e.Send(ctx, address, m)
+	if err != nil {
+		return "", err
+	}
+	defer e.Close(reply)
+	body, err := io.ReadAll(reply.Body)
+	return string(body), err
+}
+
+// TestOneSendIsOne: a kept connection that the target closes after it has read the call
+// is not a reason to send the call again, whatever its method.
+func TestOneSendIsOne(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		address, received := peer(t, func(conn net.Conn, r *http.Request, _, call int) bool {
+			drainBody(r)
+			if call == 1 {
+				return false
+			}
+			answer(conn, "x", "ok")
+			return true
+		})
+		e := NewExchanger(plainDialect{})
+		for i := range 2 {
+			m := message("x", "")
+			m.Method = method
+			_, err := exchange(t, e, address, m)
+			if i == 1 && ExecutionOf(err) != fault.Unknown {
+				t.Errorf("%s: %v", method, err)
+			}
+		}
+		if received.Load() != 2 {
+			t.Errorf("%s: the target received %d calls of 2", method, received.Load())
+		}
+	}
+}
+
+func TestAConnectionIsKept(t *testing.T) {
+	address, _ := peer(t, func(conn net.Conn, r *http.Request, connection, call int) bool {
+		drainBody(r)
+		answer(conn, "x", fmt.Sprint(connection, call))
+		return true
+	})
+	e := NewExchanger(plainDialect{})
+	for i := range 3 {
+		if got, err := exchange(t, e, address, message("x", "")); err != nil || got != fmt.Sprint(0, i) {
+			t.Fatalf("%q %v", got, err)
+		}
+	}
+	e.sweep(time.Now().Add(idleDefault))
+	if got, err := exchange(t, e, address, message("x", "")); err != nil || got != fmt.Sprint(1, 0) {
+		t.Fatalf("after the sweep: %q %v", got, err)
+	}
+}
+
+// TestConnectionsThatAreNotKept: one whose answer was not read to its end, and one on
+// which more came than the answer.
+func TestConnectionsThatAreNotKept(t *testing.T) {
+	address, _ := peer(t, func(conn net.Conn, r *http.Request, connection, call int) bool {
+		drainBody(r)
+		answer(conn, "x", fmt.Sprint(connection, call))
+		if connection == 1 {
+			answer(conn, "x", "nobody's")
+		}
+		return true
+	})
+	e := NewExchanger(plainDialect{})
+	ctx := context.Background()
+	reply, err := e.Send(ctx, address, message("x", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Close(reply) // Unread.
+	for connection := 1; connection < 3; connection++ {
+		if got, err := exchange(t, e, address, message("x", "")); err != nil || got != fmt.Sprint(connection, 0) {
+			t.Fatalf("%q %v, want the first answer of connection %d", got, err, connection)
+		}
+	}
+}
+
+func TestNothingSentIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	if _, err := exchange(t, NewExchanger(plainDialect{}), address, message("x", "")); ExecutionOf(err) != fault.NotRun {
+		t.Fatal(err)
+	}
+}
+
+// TestAnAnswerBeforeTheBodyIsIn: a target may answer and stop reading; the answer is
+// taken, and the connection is not used for another call, whose bytes would stand where
+// the rest of the body is due.
+func TestAnAnswerBeforeTheBodyIsIn(t *testing.T) {
+	address, _ := peer(t, func(conn net.Conn, _ *http.Request, connection, _ int) bool {
+		answer(conn, "x", fmt.Sprint(connection))
+		if connection == 0 {
+			select {} // It never reads the rest.
+		}
+		return true
+	})
+	e := NewExchanger(plainDialect{})
+	large := strings.Repeat("x", 32<<20)
+	if got, err := exchange(t, e, address, message("x", large)); err != nil || got != "0" {
+		t.Fatalf("%q %v", got, err)
+	}
+	if got, err := exchange(t, e, address, message("x", "")); err != nil || got != "1" {
+		t.Fatalf("%q %v", got, err)
+	}
+}
