Remove what was decoded or set and used nowhere

Cause, found by the last read: max_connections had no effect, Exchanger.SetLimits was never called, and the load beside an answer was decoded and never read. Change: removed; no behaviour changes.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -62,11 +62,6 @@
 	Body   []byte
 }
 
-// Load is what a target says of itself beside an answer.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Head is what the head of a target's answer says, decoded.
 type Head struct {
 	Status int
@@ -79,8 +74,6 @@
 	Signed bool
 	// Encoded answers are not the bytes that the target made.
 	Encoded bool
-	// Load is nil where the target does not tell it.
-	Load *Load
 	// AtFault is the address of a helper that the call failed for.
 	AtFault string
 }
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -62,9 +62,6 @@
 	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second"`
 	// MaxConcurrent is the most calls a target takes at once; zero: no bound.
 	MaxConcurrent int `yaml:"max_concurrent"`
-	// MaxConnections is the most connections that a target takes from all daemons
-	// together; zero: no bound.
-	MaxConnections int `yaml:"max_connections"`
 	// Timing is what an engine's work costs; nil where it is not known.
 	Timing *EngineTiming `yaml:"timing"`
 }
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -38,9 +38,8 @@
 type Exchanger struct {
 	Dialect Dialect
 
-	mu    sync.Mutex
-	idle  map[string][]*channel // by address, the last used last
-	limit map[string]int        // connections kept for an address, where bounded
+	mu   sync.Mutex
+	idle map[string][]*channel // by address, the last used last
 }
 
 // The bounds of connections to targets.
@@ -186,11 +185,7 @@
 func (e *Exchanger) keep(ch *channel) {
 	ch.idleSince = time.Now()
 	e.mu.Lock()
-	bound := idlePerTarget
-	if n, ok := e.limit[ch.address]; ok {
-		bound = min(bound, n)
-	}
-	if len(e.idle[ch.address]) < bound {
+	if len(e.idle[ch.address]) < idlePerTarget {
 		e.idle[ch.address] = append(e.idle[ch.address], ch)
 		ch = nil
 	}
@@ -200,13 +195,6 @@
 	}
 }
 
-// SetLimits bounds the connections kept for each address.
-func (e *Exchanger) SetLimits(limit map[string]int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.limit = limit
-}
-
 // sweepEvery is how often connections that were idle for too long are closed.
 const sweepEvery = time.Second
 
