--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -233,6 +233,8 @@
 	// Foreseen is the time to the first event that a prompt which waits can expect, from
 	// its arrival, in seconds.
 	Foreseen float64 `json:"foreseen_s,omitempty"`
+	// Pool sums up the targets of known timing that the decision was made from.
+	Pool *PoolState `json:"pool,omitempty"`
 	// Considered is the number of targets looked at.
 	Considered int `json:"considered"`
 	// Rejections counts the targets that each filter took out.
@@ -244,5 +246,18 @@
 	Candidates []Candidate `json:"candidates"`
 }
 
+// PoolState sums up the live targets of a pool of engines.
+type PoolState struct {
+	// Live is the number of live targets, Close that of those with writers whose
+	// callers wait closely, and Deep that of those with a deep part to read.
+	Live  int `json:"live"`
+	Close int `json:"close"`
+	Deep  int `json:"deep"`
+	// Writers is the number of calls at them.
+	Writers int `json:"writers"`
+	// Reading is the time that they will read, taken together, in seconds.
+	Reading float64 `json:"reading_s"`
+}
+
 // MaxRecorded bounds the candidates kept in a decision.
 const MaxRecorded = 16
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -76,6 +76,7 @@
 func (s *Scratch) decideTimed(r *Request, p *Params, targets []Target) Decision {
 	d := Decision{Request: *r, Params: *p, Considered: len(targets)}
 	d.Reading = p.Timing.Read(r.PromptTokens)
+	d.Pool = poolState(targets)
 	s.scanTimed(r, p, targets, &d)
 	d.Verdict = None
 	switch {
@@ -94,6 +95,27 @@
 	return d
 }
 
+// poolState sums up the live targets.
+func poolState(targets []Target) *PoolState {
+	sum := &PoolState{}
+	for i := range targets {
+		t := &targets[i]
+		if t.State != Live {
+			continue
+		}
+		sum.Live++
+		sum.Writers += t.Load.Requests
+		sum.Reading += t.Reading
+		if t.Tight > 0 {
+			sum.Close++
+		}
+		if t.Reading > deepPart {
+			sum.Deep++
+		}
+	}
+	return sum
+}
+
 // scanTimed filters and scores the targets.
 func (s *Scratch) scanTimed(r *Request, p *Params, targets []Target, d *Decision) {
 	s.best, s.rejected, s.readers = s.best[:0], s.rejected[:0], s.readers[:0]
@@ -167,7 +189,7 @@
 	if r.Waited >= settleAfter*r.Goal {
 		longest = math.Inf(1)
 	}
-	deep := deepRoom(targets)
+	deep := int(deepShare*float64(d.Pool.Live)) - d.Pool.Deep // How many more may take a deep part.
 	for parts := most; parts >= 1; parts-- {
 		part := d.Reading / float64(parts)
 		if part > longest {
@@ -210,21 +232,6 @@
 	return r.Waited + (before+reading)/(readingPart*float64(engines))
 }
 
-// deepRoom is how many more engines may take a deep part.
-func deepRoom(targets []Target) int {
-	live, deep := 0, 0
-	for i := range targets {
-		if targets[i].State != Live {
-			continue
-		}
-		live++
-		if targets[i].Reading > deepPart {
-			deep++
-		}
-	}
-	return int(deepShare*float64(live)) - deep
-}
-
 // force gives a prompt that has waited long to the one engine where the fewest
 // callers suffer from it.
 func (s *Scratch) force(targets []Target, d *Decision) bool {
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -191,6 +191,9 @@
 	if len(list) > 0 && d.Routing != nil && d.Routing.Params.Timing != nil {
 		c := d.Routing
 		list = append(list, slog.Float64("reading_s", c.Reading), slog.Int("helpers", len(c.Helpers)), slog.Float64("waited_s", c.Request.Waited))
+		if c.Pool != nil {
+			list = append(list, slog.Any("state", c.Pool))
+		}
 	}
 	if st := d.Stream; st != nil {
 		list = append(list, slog.Int("events", st.Events), slog.Int64("first_ms", st.First.Milliseconds()), slog.Int64("gap_ms", st.Gap.Milliseconds()),
