A long prompt goes beside writers that weigh less than it does

Cause: at a swing from chats to long prompts each engine keeps a few chats for up to 3 s.

Change: after 0.03 of its goal a prompt takes the engines where it disturbs the fewest tokens, if it is foreseen within 0.9 of its goal and they are at most 0.35 of its own. Writers whose pause is missed count no more. Decisions tell the foreseen time.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -37,6 +37,8 @@
 	rejected []rejected
 	// readers and chosen are indices of targets that may read, or will read, a part.
 	readers, chosen []int
+	// harms are the targets that may read a part, with what that disturbs.
+	harms []harmed
 }
 
 // Decide makes a routing decision over the targets of one pool. The result
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -93,12 +93,24 @@
 	// with a goal that a pass full of reading would miss by far.
 	GapGoal float64 `json:"gap_goal_s,omitempty"`
 	Tight   int     `json:"tight,omitempty"`
+	// Writers are the requests at the target by their goals for the pause between two
+	// events, the closest first, but for those whose goal has been missed already.
+	Writers []Writers `json:"writers,omitempty"`
 	// Trouble counts the target's lately failed calls; older ones count less.
 	Trouble float64 `json:"trouble,omitempty"`
 	// Unloaded is true while the target does not serve the pool's model.
 	Unloaded bool `json:"unloaded,omitempty"`
 }
 
+// Writers are requests at a target that have the same goal for the pause between two
+// events of their streams.
+type Writers struct {
+	// GapGoal is that goal, in seconds.
+	GapGoal float64 `json:"gap_goal_s"`
+	// Tokens is the length of the requests, taken together.
+	Tokens int64 `json:"tokens"`
+}
+
 // CachedPrefix says that a target is believed to hold the start of a prompt.
 type CachedPrefix struct {
 	// Target is the index in the list of targets.
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -52,6 +52,14 @@
 	settleShare = 3.0
 	settleAfter = 0.4
 	forceAfter  = 0.8
+	// After disturbAfter of its goal a prompt may go beside writers that do not bear it,
+	// if it is foreseen to be read within inTime of its goal and they have at most
+	// disturbShare of its tokens. passesToFirst is the time from the end of reading to
+	// the first event.
+	disturbAfter  = 0.03
+	inTime        = 0.9
+	disturbShare  = 0.35
+	passesToFirst = 1.5
 	// ticketShare is the part of a target's free memory that a ticket may take, and
 	// ticketMargin what is asked for beyond the need, since memory comes in blocks.
 	ticketShare  = 0.9
@@ -183,9 +191,31 @@
 // spread cuts the reading of a long prompt into parts.
 func (s *Scratch) spread(r *Request, p *Params, targets []Target, d *Decision) {
 	slices.SortFunc(s.readers, func(a, b int) int { return compareReaders(r.Seed, &targets[a], &targets[b]) })
-	most := max(1, min(MaxParts, len(s.readers), int(math.Ceil(d.Reading/partWork))))
-	least := d.Reading / float64(most)
-	longest := max(smallPart, settleShare*least)
+	if s.spreadBorne(r, p, targets, d) || s.spreadDisturbing(r, p, targets, d) {
+		return
+	}
+	d.Verdict = Wait
+	d.Foreseen = foreseen(r, targets, d.Reading)
+	least := d.Reading / float64(mostParts(s.readers, d.Reading))
+	switch {
+	case r.Goal <= 0:
+	case r.Waited >= forceAfter*r.Goal && least <= deepPart && s.force(targets, d):
+		return
+	case r.Waited >= refuseAfter*r.Goal && (least > deepPart || d.Foreseen > r.Goal && r.Waited < settleAfter*r.Goal):
+		d.Verdict = Refuse
+	}
+	d.Rejections.Backlog++
+}
+
+// mostParts is the most parts that a prompt is cut into.
+func mostParts(readers []int, reading float64) int {
+	return max(1, min(MaxParts, len(readers), int(math.Ceil(reading/partWork))))
+}
+
+// spreadBorne cuts a prompt into parts that the callers of all writers beside them bear.
+func (s *Scratch) spreadBorne(r *Request, p *Params, targets []Target, d *Decision) bool {
+	most := mostParts(s.readers, d.Reading)
+	longest := max(smallPart, settleShare*d.Reading/float64(most))
 	if r.Waited >= settleAfter*r.Goal {
 		longest = math.Inf(1)
 	}
@@ -199,21 +229,98 @@
 			continue
 		}
 		chosen := s.bearing(p, targets, part, parts)
-		if len(chosen) == parts && s.settle(r, targets, chosen, d) {
+		if len(chosen) < parts {
+			continue
+		}
+		if s.settle(r, targets, chosen, d) {
 			d.Part = part
-			return
+			d.Foreseen = finish(r, p, targets, chosen, part)
+			return true
 		}
 	}
-	d.Verdict = Wait
-	d.Foreseen = foreseen(r, targets, d.Reading)
-	switch {
-	case r.Goal <= 0:
-	case r.Waited >= forceAfter*r.Goal && least <= deepPart && s.force(targets, d):
-		return
-	case r.Waited >= refuseAfter*r.Goal && (least > deepPart || d.Foreseen > r.Goal && r.Waited < settleAfter*r.Goal):
-		d.Verdict = Refuse
+	return false
+}
+
+// finish is the time from a prompt's arrival to its first event, if the chosen targets
+// begin with their parts now.
+func finish(r *Request, p *Params, targets []Target, chosen []int, part float64) float64 {
+	last := 0.0
+	for _, i := range chosen {
+		t := &targets[i]
+		pass := p.Timing.Pass(t.Load.Requests, t.Load.MemoryTokens)
+		last = max(last, t.Reading+part/readingPart+passesToFirst*pass)
 	}
-	d.Rejections.Backlog++
+	return r.Waited + last
+}
+
+// spreadDisturbing cuts a prompt into parts on engines whose writers do not bear them,
+// where the prompt weighs more than all of those. Of the ways to be in time it takes
+// the one that disturbs least.
+func (s *Scratch) spreadDisturbing(r *Request, p *Params, targets []Target, d *Decision) bool {
+	if r.Goal <= 0 || r.Waited < disturbAfter*r.Goal {
+		return false
+	}
+	deep := int(deepShare*float64(d.Pool.Live)) - d.Pool.Deep
+	least := int64(disturbShare * float64(r.PromptTokens))
+	var best []int
+	for parts := mostParts(s.readers, d.Reading); parts >= 1; parts-- {
+		part := d.Reading / float64(parts)
+		if part > deepPart && parts > deep {
+			continue
+		}
+		chosen, harm := s.leastDisturbed(p, targets, part, parts)
+		if len(chosen) < parts || harm > least || best != nil && harm == least {
+			continue
+		}
+		if finish(r, p, targets, chosen, part) <= inTime*r.Goal {
+			best, least = slices.Clone(chosen), harm
+		}
+	}
+	if best == nil || !s.settle(r, targets, best, d) {
+		return false
+	}
+	d.Part = d.Reading / float64(len(best))
+	d.Forced, d.Foreseen = true, finish(r, p, targets, best, d.Part)
+	return true
+}
+
+// leastDisturbed lists the targets with room before them whose writers suffer least
+// from a part, and the tokens of those that suffer.
+func (s *Scratch) leastDisturbed(p *Params, targets []Target, part float64, parts int) (chosen []int, harm int64) {
+	s.harms = s.harms[:0]
+	for _, i := range s.readers {
+		if targets[i].Reading > holdReading {
+			break
+		}
+		s.harms = append(s.harms, harmed{i, disturbed(p, &targets[i], part)})
+	}
+	slices.SortStableFunc(s.harms, func(a, b harmed) int { return cmp.Compare(a.tokens, b.tokens) })
+	chosen = s.chosen[:0]
+	for _, h := range s.harms[:min(parts, len(s.harms))] {
+		chosen = append(chosen, h.index)
+		harm += h.tokens
+	}
+	s.chosen = chosen
+	return chosen, harm
+}
+
+// harmed is a target with the tokens of the requests there that a part disturbs.
+type harmed struct {
+	index  int
+	tokens int64
+}
+
+// disturbed is the length of a target's requests whose goal for the pause between two
+// events is missed if the target reads a part.
+func disturbed(p *Params, t *Target, part float64) int64 {
+	pause := p.Timing.Pass(t.Load.Requests, t.Load.MemoryTokens) + t.Reading + part
+	tokens := int64(0)
+	for _, w := range t.Writers {
+		if pause > gapShare*w.GapGoal {
+			tokens += w.Tokens
+		}
+	}
+	return tokens
 }
 
 // foreseen is the time from arrival to the first event of a prompt that waits, if the
--- /dev/null
+++ b/core/routing/timed_test.go
@@ -0,0 +1,192 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"doorstack.dev/core/engine"
+)
+
+// usersTiming are the costs of the users' engines.
+var usersTiming = engine.Timing{
+	Step: 0.85e-3, PerSequence: 0.00425e-3, PerContextToken: 0.00285e-6,
+	PerToken: 1 / 177_000.0, PerPair: 0.184e-9, Stride: 51,
+}
+
+func timedParams() *Params {
+	return &Params{LongPromptTokens: 32_000, RemotePenalty: 0.002, Timing: &usersTiming}
+}
+
+// chatGap and longGap are the users' goals for pauses between two events, in seconds.
+const (
+	chatGap = 0.25
+	longGap = 1.0
+)
+
+// engines makes idle engines.
+func engines(n int) []Target {
+	list := make([]Target, n)
+	for i := range list {
+		list[i] = Target{ID: fmt.Sprintf("e%02d", i), DataCentre: "a", MemoryTokens: 315_000, MaxConcurrent: 16}
+	}
+	return list
+}
+
+// write puts chats of so many tokens together on an engine.
+func (t *Target) write(chats int, tokens int64) {
+	t.Load.Requests += chats
+	t.Load.MemoryTokens += tokens
+	t.GapGoal, t.Tight = chatGap, chats
+	t.Writers = []Writers{{GapGoal: chatGap, Tokens: tokens}}
+}
+
+func chat() *Request {
+	return &Request{ID: "chat", PromptTokens: 5_000, OutputTokens: 1_700, DataCentre: "a", Goal: 0.3, GapGoal: chatGap}
+}
+
+func referral(tokens int64, waited float64) *Request {
+	return &Request{ID: "referral", PromptTokens: tokens, OutputTokens: 800, DataCentre: "a", Goal: 3, GapGoal: longGap, Waited: waited}
+}
+
+func decide(r *Request, targets []Target) Decision {
+	var s Scratch
+	return s.Decide(r, timedParams(), targets)
+}
+
+func TestChatsArePacked(t *testing.T) {
+	list := engines(3)
+	list[1].write(5, 30_000)
+	if d := decide(chat(), list); d.Chosen != "e01" {
+		t.Errorf("a chat goes to %s, want the engine that has chats already", d.Chosen)
+	}
+	list[1].Reading = 0.5
+	if d := decide(chat(), list); d.Chosen == "e01" {
+		t.Error("a chat goes behind half a second of reading though engines are idle")
+	}
+	for i := range list {
+		list[i].write(16, 100_000)
+	}
+	r := chat()
+	if d := decide(r, list); d.Verdict != Wait {
+		t.Errorf("with all engines full the verdict is %s, want wait", d.Verdict)
+	}
+	r.Waited = refuseAfter * r.Goal
+	if d := decide(r, list); d.Verdict != Refuse {
+		t.Errorf("after a fifth of the goal the verdict is %s, want refuse", d.Verdict)
+	}
+}
+
+func TestALongPromptIsReadByIdleEngines(t *testing.T) {
+	d := decide(referral(154_000, 0), engines(18))
+	if d.Verdict != Place || len(d.Helpers) != MaxParts-1 || d.Forced {
+		t.Fatalf("verdict %s with %d helpers, forced %v; want all that may help", d.Verdict, len(d.Helpers), d.Forced)
+	}
+	if d.Foreseen < d.Part || d.Foreseen > 0.5 {
+		t.Errorf("foreseen %.2f s for parts of %.2f s", d.Foreseen, d.Part)
+	}
+}
+
+// TestWritersThatBearIt: a part that fits into the pause that chats bear goes
+// beside them at once.
+func TestWritersThatBearIt(t *testing.T) {
+	list := engines(18)
+	for i := range list {
+		list[i].write(4, 28_000)
+	}
+	if d := decide(referral(110_000, 0), list); d.Verdict != Place || d.Forced {
+		t.Errorf("verdict %s, forced %v; parts of 0.1 s are borne by chats", d.Verdict, d.Forced)
+	}
+}
+
+// TestAfterASwing: chats that end leave each engine with a few writers for seconds. A
+// long prompt that weighs more than the least of them goes beside those.
+func TestAfterASwing(t *testing.T) {
+	swing := func(chats int) []Target {
+		list := engines(18)
+		for i := range list {
+			list[i].write(chats, int64(chats)*7_000)
+		}
+		return list
+	}
+	d := decide(referral(225_000, 0), swing(2))
+	if d.Verdict != Wait {
+		t.Errorf("verdict %s at the arrival, want wait", d.Verdict)
+	}
+	d = decide(referral(225_000, 0.1), swing(2))
+	if d.Verdict != Place || !d.Forced {
+		t.Fatalf("verdict %s, forced %v; want to be placed beside the writers", d.Verdict, d.Forced)
+	}
+	if d.Foreseen > inTime*3 {
+		t.Errorf("foreseen %.2f s, over the goal", d.Foreseen)
+	}
+	if harm := int64(1+len(d.Helpers)) * 14_000; harm > 225_000*35/100 {
+		t.Errorf("%d tokens of chats are disturbed", harm)
+	}
+	if d = decide(referral(225_000, 0.1), swing(12)); d.Verdict != Wait {
+		t.Errorf("verdict %s beside 84,000 tokens of chats an engine, want wait", d.Verdict)
+	}
+}
+
+// TestLeastDisturbed: engines without writers that suffer come first, and writers of
+// long prompts weigh more than chats.
+func TestLeastDisturbed(t *testing.T) {
+	list := engines(18)
+	for i := range list {
+		list[i].write(2, 14_000)
+	}
+	list[3].Writers = []Writers{{GapGoal: longGap, Tokens: 150_000}}
+	list[3].Load.MemoryTokens = 150_000
+	list[3].GapGoal, list[3].Tight = longGap, 0
+	d := decide(referral(225_000, 0.1), list)
+	if d.Verdict != Place || !d.Forced {
+		t.Fatalf("verdict %s, forced %v", d.Verdict, d.Forced)
+	}
+	for _, id := range append(d.Helpers, d.Chosen) {
+		if id == "e03" {
+			t.Errorf("parts of %.2f s go beside a long prompt's answer", d.Part)
+		}
+	}
+}
+
+// TestNobodyIsDisturbedForNothing: where a prompt cannot be in time, it waits.
+func TestNobodyIsDisturbedForNothing(t *testing.T) {
+	list := engines(4)
+	for i := range list {
+		list[i].write(1, 6_000)
+	}
+	if d := decide(referral(280_000, 0.2), list); d.Verdict != Wait {
+		t.Errorf("verdict %s for 9 s of reading on four engines, want wait", d.Verdict)
+	}
+	if d := decide(referral(280_000, refuseAfter*3+0.01), list); d.Verdict != Refuse {
+		t.Error("it is not refused while another attempt can still be in time")
+	}
+}
+
+// TestOverOneEnginesMemory: the memory beyond the first engine is asked of helpers, and
+// not where there is none.
+func TestOverOneEnginesMemory(t *testing.T) {
+	list := engines(18)
+	d := decide(referral(400_000, 0), list)
+	sum := int64(0)
+	for _, ticket := range d.Tickets {
+		sum += ticket.Tokens
+	}
+	if d.Verdict != Place || sum < 400_000-315_000 {
+		t.Fatalf("verdict %s with tickets for %d tokens", d.Verdict, sum)
+	}
+	for i := range list {
+		list[i].Load.MemoryTokens = 310_000
+	}
+	if d = decide(referral(400_000, 0), list); d.Verdict == Place {
+		t.Error("it is placed on engines without memory")
+	}
+}
+
+// TestDeepPartsLeaveEnginesFree: parts of seconds stay on a part of the engines, so that
+// chats can come back.
+func TestDeepPartsLeaveEnginesFree(t *testing.T) {
+	d := decide(referral(500_000, 0), engines(18))
+	if d.Verdict != Place || d.Part <= deepPart || 1+len(d.Helpers) > 7 {
+		t.Errorf("verdict %s, %d parts of %.1f s, want at most 7 of 18 engines", d.Verdict, 1+len(d.Helpers), d.Part)
+	}
+}
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -12,10 +12,12 @@
 	state *targetState
 	load  routing.Load
 	sent  time.Time
-	read  bool          // the prompt has been read: the first token came
-	parts []readPart    // where the prompt is read, for engines of known timing
-	gap   float64       // the goal for the pause between two events, in seconds
-	gone  chan struct{} // closed when the target is taken to be gone
+	read  bool       // the prompt has been read: the first token came
+	parts []readPart // where the prompt is read, for engines of known timing
+	gap   float64    // the goal for the pause between two events, in seconds
+	// disturbed means that reading beside the call has made it miss that goal.
+	disturbed bool
+	gone      chan struct{} // closed when the target is taken to be gone
 }
 
 // remaining is the load of a call, less its prompt once that has been read.
--- a/node/blackboard/target_reading.go
+++ b/node/blackboard/target_reading.go
@@ -1,6 +1,8 @@
 package blackboard
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"doorstack.dev/core/engine"
@@ -77,6 +79,7 @@
 	}
 	for _, part := range c.parts {
 		part.state.reading.give(c.id, part.work, at)
+		part.state.markDisturbed(c, at)
 		part.state.setAside += part.memory
 		part.state.refresh(at)
 	}
@@ -109,6 +112,17 @@
 	c.parts = nil
 }
 
+// markDisturbed notes the calls at a target whose goal for the pause between two events
+// is missed by the reading before it. They suffer no more from what else is read there.
+func (s *targetState) markDisturbed(reader *ownCall, at time.Time) {
+	pause := s.reading.until.Sub(at).Seconds()
+	for _, c := range s.calls {
+		if c != reader && pause > c.gap {
+			c.disturbed = true
+		}
+	}
+}
+
 // tightGap is the goal for the pause between two events, in seconds, up to which a
 // call counts as one that suffers from reading beside it: half of a pass full of
 // reading on the users' engines (0.64 s).
@@ -117,17 +131,28 @@
 // refreshTimed works out what a target of known timing has before it.
 func (s *targetState) refreshTimed(view *routing.Target, at time.Time) {
 	view.Reading = max(0, s.reading.until.Sub(at).Seconds())
-	view.GapGoal, view.Tight = 0, 0
+	view.GapGoal, view.Tight, view.Writers = 0, 0, nil
 	view.Load.MemoryTokens += s.setAside
 	for _, c := range s.calls {
-		if c.gap <= 0 {
+		if c.gap <= 0 || c.disturbed {
 			continue
 		}
-		if view.GapGoal == 0 || c.gap < view.GapGoal {
-			view.GapGoal = c.gap
-		}
+		view.Writers = addWriter(view.Writers, c)
 		if c.gap <= tightGap {
 			view.Tight++
 		}
 	}
+	if len(view.Writers) > 0 {
+		view.GapGoal = view.Writers[0].GapGoal
+	}
+}
+
+// addWriter counts a call among those with the same goal.
+func addWriter(list []routing.Writers, c *ownCall) []routing.Writers {
+	i, found := slices.BinarySearchFunc(list, c.gap, func(w routing.Writers, gap float64) int { return cmp.Compare(w.GapGoal, gap) })
+	if !found {
+		list = slices.Insert(list, i, routing.Writers{GapGoal: c.gap})
+	}
+	list[i].Tokens += c.load.MemoryTokens
+	return list
 }
