Chats leave a crowded engine before they are late; records without infinite numbers

Cause: at a swing to chats the few engines with chats take all of them until they cost 0.1 s more than an idle one; chats foreseen at 0.2 to 0.26 s were seen at 0.3 to 0.39 s. And where no engine was without close writers, the foreseen time was infinite, which a record cannot hold: "explain" of such a request failed.

Change: a foreseen time beyond half of the goal costs three times its excess; what cannot be foreseen is an hour. Tests that failed before: TestDecisionsCanBeRecorded, TestChatsLeaveACrowdedEngine (with the weight at zero).

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -204,11 +204,13 @@
 	PrefixSaved float64 `json:"prefix_saved_s"`
 	Packing     float64 `json:"packing_s,omitempty"`
 	Trouble     float64 `json:"trouble_s,omitempty"`
+	// Lateness is the cost of a time that is likely to pass the caller's goal.
+	Lateness float64 `json:"lateness_s,omitempty"`
 }
 
 // Total is the estimated time to first token in seconds.
 func (s *Scores) Total() float64 {
-	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality + s.Packing + s.Trouble - s.PrefixSaved
+	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality + s.Packing + s.Trouble + s.Lateness - s.PrefixSaved
 }
 
 // Candidate is a target with what the filters and scorers said of it.
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -43,6 +43,9 @@
 	// foreseen to come in time. Then its caller is told to come back, early enough to
 	// be served in time by another attempt.
 	refuseAfter = 0.2
+	// notForeseen stands for a time that cannot be told, in seconds; a record cannot hold
+	// an infinite number.
+	notForeseen = 3600
 	// readingPart is the part of an engine's time that is left for reading.
 	readingPart = 0.85
 	// A long prompt waits for as many engines as it can use: settleShare is how much
@@ -73,6 +76,11 @@
 	packSlot   = 0.002
 	// crowded is the cost of each writer above packWriters.
 	crowded = 0.010
+	// safeShare is the part of its goal that a prompt's time to the first event is
+	// foreseen to stay below; lateness weighs each second beyond. The times seen are up to
+	// half as long again as those foreseen.
+	safeShare = 0.5
+	lateness  = 3
 	// disturbance weighs a second that other callers wait too long.
 	disturbance = 2
 )
@@ -172,6 +180,9 @@
 	if t.GapGoal > 0 {
 		s.LongMix = disturbance * max(0, pass+t.Reading+reading-gapShare*t.GapGoal)
 	}
+	if r.Goal > 0 {
+		s.Lateness = lateness * max(0, s.Backlog+s.Prefill+s.Batch-safeShare*r.Goal)
+	}
 	s.Packing = packing(t)
 	return s
 }
@@ -334,7 +345,7 @@
 		}
 	}
 	if engines == 0 {
-		return math.Inf(1)
+		return notForeseen
 	}
 	return r.Waited + (before+reading)/(readingPart*float64(engines))
 }
--- a/core/routing/timed_test.go
+++ b/core/routing/timed_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -162,6 +163,29 @@
 	}
 }
 
+// TestDecisionsCanBeRecorded: also where nothing is foreseen, as no engine is without
+// close writers.
+func TestDecisionsCanBeRecorded(t *testing.T) {
+	list := engines(2)
+	for i := range list {
+		list[i].write(8, 200_000)
+	}
+	if _, err := json.Marshal(decide(referral(300_000, 0), list)); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestChatsLeaveACrowdedEngine: a chat that is likely to be late on the packed engine
+// opens another one.
+func TestChatsLeaveACrowdedEngine(t *testing.T) {
+	list := engines(2)
+	list[0].write(12, 80_000)
+	list[0].Reading = 0.07
+	if d := decide(chat(), list); d.Chosen != "e01" {
+		t.Errorf("a chat with a goal of 0.3 s goes to %s, behind 0.07 s of reading and 12 writers", d.Chosen)
+	}
+}
+
 // TestOverOneEnginesMemory: the memory beyond the first engine is asked of helpers, and
 // not where there is none.
 func TestOverOneEnginesMemory(t *testing.T) {
