Watches of the store are held 3.6 to 5.5 s

Ruled out: a longer pause after news, since removals that are in doubt for 1.5 s would then be over the 2 s in which they must count. Change: holds of 3.6 to 5.5 s.

--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -68,7 +68,7 @@
 }
 
 // holdLeast is the least part of the longest hold that a watch is held.
-const holdLeast = 0.6
+const holdLeast = 0.65
 
 // heldFor draws how long a watch is held.
 func heldFor(longest time.Duration) time.Duration {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -153,7 +153,7 @@
 // call that is paid for; but the store may cut a watch without a word, and then the end
 // of the hold is when a change is found that it missed. Holds differ at random, so that
 // one daemon or another of the fleet looks often, and tells the rest.
-const watchHold = 5 * time.Second
+const watchHold = 5500 * time.Millisecond
 
 // adapt provisions what is different on a platform.
 func (d *Daemon) adapt() {
