One daemon of the fleet looks often at the store

The last news had made the watches of all six daemons begin within 0.5 s, so random holds of 3.6 to 5.5 s ended together too, and the first daemon looked again at 31.5 s. Ruled out: the way between peers (0.1 s from the first daemon that knew to the last but one).

Change: core/watch orders the watchers by rendezvous over the living members; the first holds 2 s, the second 4.5 s, the others 8 s, each drawn from 0.85 of it on. Membership and holds are decided in one place now.

--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"doorstack.dev/core/hostlist"
+	"doorstack.dev/core/watch"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/telemetry"
 )
@@ -23,11 +24,9 @@
 	Board  *blackboard.Blackboard
 	Source TargetSource
 	Record *telemetry.Recorder
-	// Watch is how long a watch is held at most.
-	Watch time.Duration
-	// Watches tells whether this daemon is one of the few that watch the store; the
-	// others learn from their peers.
-	Watches func() bool
+	// Plan tells whether this daemon is one of the few that watch the store, and for how
+	// long; the others learn from their peers.
+	Plan func() watch.Plan
 	// Changed is called after each change of the list, to tell the peers at once.
 	Changed func()
 }
@@ -53,12 +52,13 @@
 	pause := storeRetry
 	read := time.Time{}
 	for ctx.Err() == nil {
-		if !c.Watches() && time.Since(read) < rareRead && c.Board.Members.HasHosts() {
+		plan := c.Plan()
+		if !plan.Watches && time.Since(read) < rareRead && c.Board.Members.HasHosts() {
 			Sleep(ctx, idleCheck)
 			continue
 		}
 		read = time.Now()
-		if c.read(ctx) {
+		if c.read(ctx, heldFor(plan.Hold)) {
 			pause = storeRetry
 			continue
 		}
@@ -68,7 +68,7 @@
 }
 
 // holdLeast is the least part of the longest hold that a watch is held.
-const holdLeast = 0.65
+const holdLeast = 0.85
 
 // heldFor draws how long a watch is held.
 func heldFor(longest time.Duration) time.Duration {
@@ -76,15 +76,15 @@
 	return least + rand.N(longest-least+1)
 }
 
-// read makes one call of the store and tells whether it was answered.
-func (c *Directory) read(ctx context.Context) bool {
-	watch := heldFor(c.Watch)
+// read makes one call of the store, a watch that is held for so long, and tells whether it
+// was answered.
+func (c *Directory) read(ctx context.Context, hold time.Duration) bool {
 	c.Board.Directory.View(func(t *hostlist.Table) {
 		if t.Away() {
-			watch = probeWait // An answer at once tells that the store is back.
+			hold = probeWait // An answer at once tells that the store is back.
 		}
 	})
-	facts, err := c.Source.Targets(ctx, watch)
+	facts, err := c.Source.Targets(ctx, hold)
 	if ctx.Err() != nil {
 		return true
 	}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -10,15 +10,14 @@
 	"net"
 	"net/http"
 	"net/url"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"doorstack.dev/core/admission"
 	"doorstack.dev/core/membership"
-	"doorstack.dev/core/rendezvous"
 	"doorstack.dev/core/settings"
+	"doorstack.dev/core/watch"
 	"doorstack.dev/node/admin"
 	"doorstack.dev/node/api"
 	"doorstack.dev/node/blackboard"
@@ -149,16 +148,14 @@
 	d.loops = append(d.loops, hosts.Run, reports.Run)
 }
 
-// watchHold is how long a watch of a platform's store is held at most. Each watch is a
-// call that is paid for; but the store may cut a watch without a word, and then the end
-// of the hold is when a change is found that it missed. Holds differ at random, so that
-// one daemon or another of the fleet looks often, and tells the rest.
-const watchHold = 5500 * time.Millisecond
+// feedWait is how long the settings' controller waits for the feed, which costs no call
+// of the store.
+const feedWait = 5 * time.Second
 
 // adapt provisions what is different on a platform.
 func (d *Daemon) adapt() {
-	d.settings.Watch = watchHold
-	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Record: d.record, Watch: watchHold, Watches: d.watches, Changed: d.cluster.Poke}
+	d.settings.Watch = feedWait
+	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Record: d.record, Plan: d.watchPlan, Changed: d.cluster.Poke}
 	d.cluster.Directory = directory
 	d.Adapt(d.adapter.Seeds, d.adapter.Repeats, d.adapter.Grace)
 	d.Board.Members.Open()
@@ -174,23 +171,21 @@
 	d.cluster.Poke()
 }
 
-// watchers is the number of daemons of a data centre that watch the
-// configuration service; the others learn from their neighbours.
-const watchers = 2
-
-// watches tells whether this daemon is one of those that watch: the first of the
-// rendezvous order among the living of its data centre.
-func (d *Daemon) watches() bool {
-	var names []string
+// watchPlan tells whether this daemon is one of those that watch the platform's store or
+// the configuration service, by the living members that it knows.
+func (d *Daemon) watchPlan() watch.Plan {
+	var members []watch.Member
 	for _, m := range d.Board.Members.Members() {
-		if m.DataCentre == d.Config.DataCentre && (m.State == membership.Alive || m.Name == d.Config.Name) {
-			names = append(names, m.Name)
+		if m.State == membership.Alive || m.Name == d.Config.Name {
+			members = append(members, watch.Member{Name: m.Name, DataCentre: m.DataCentre})
 		}
 	}
-	chosen := rendezvous.Top("watch", names, watchers)
-	return len(names) == 0 || slices.Contains(chosen, d.Config.Name)
+	return watch.PlanOf(d.Config.Name, members)
 }
 
+// watches tells whether this daemon is one of those that watch.
+func (d *Daemon) watches() bool { return d.watchPlan().Watches }
+
 // readHeaderTimeout bounds a caller that opens a connection and says nothing.
 const readHeaderTimeout = 10 * time.Second
 
