The table of targets is model checked; a fresh daemon ignores what its first read did not list

Cause, found by the new model: a fresh daemon reads the whole list from the store after a target has left; an answer of a peer that was asked before still lists it, with an older revision. The entry was new to the daemon, so it was taken, and as the daemon's revision was ahead nobody told it of the removal again: calls could go to that target until it restarted. Ruled out: the property test of the table had whole reads and peers' facts, but no fresh table between them.

Test that failed before: TestOlderFactsAfterAFirstRead.

--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -32,6 +32,8 @@
 type Table struct {
 	entries  map[string]*entry
 	revision int64
+	// whole is the revision of the last read of the whole list.
+	whole int64
 	// away is true while the store does not answer; back is when it last returned.
 	away bool
 	back time.Time
@@ -104,7 +106,7 @@
 		doubt = time.Time{}
 	}
 	for _, h := range f.Hosts {
-		if h.State != Gone && t.put(h) {
+		if h.State != Gone && t.add(h, now) {
 			changed = true
 		}
 	}
@@ -112,6 +114,9 @@
 		t.remove(h, doubt, now)
 		changed = changed || doubt.IsZero()
 	}
+	if f.Whole {
+		t.whole = max(t.whole, f.AsOf)
+	}
 	if f.Confirmed || f.Whole && doubt.IsZero() {
 		// Nothing older is missing, also where a removal here had no entry to remove.
 		t.revision = max(t.revision, f.AsOf)
@@ -183,6 +188,21 @@
 	return gone
 }
 
+// add takes a host's entry in. One that a later read of the whole did not list is gone,
+// or, around an outage, in doubt like other removals.
+func (t *Table) add(h Host, now time.Time) bool {
+	if t.entries[h.ID] != nil || h.Revision > t.whole {
+		return t.put(h)
+	}
+	doubt := t.doubt(0, now)
+	if doubt.IsZero() {
+		return false
+	}
+	t.put(h)
+	t.remove(Host{ID: h.ID, State: Gone, Revision: t.whole}, doubt, now)
+	return true
+}
+
 // put takes over a host's entry if it is newer.
 func (t *Table) put(h Host) bool {
 	e := t.entries[h.ID]
--- a/core/hostlist/table_test.go
+++ b/core/hostlist/table_test.go
@@ -185,3 +185,34 @@
 		}
 	})
 }
+
+// TestOlderFactsAfterAFirstRead: a fresh daemon had read the whole from the store, without
+// a target that had left; the answer of a peer from before that brought the target back,
+// and nothing took it away again. model/facts.pml found it.
+func TestOlderFactsAfterAFirstRead(t *testing.T) {
+	now := time.Now()
+	old := Facts{AsOf: 1, Confirmed: true, Hosts: []Host{{ID: "t", Revision: 1, State: Live}}}
+	table := NewTable()
+	table.Merge(Facts{Whole: true, AsOf: 2}, now)
+	table.Merge(old, now)
+	if len(table.Hosts()) != 0 {
+		t.Error("a target that had left before the first read is listed")
+	}
+	table.Merge(Facts{AsOf: 3, Hosts: []Host{{ID: "t", Revision: 3, State: Live}}}, now)
+	if len(table.Hosts()) != 1 {
+		t.Error("its newer entry is not taken")
+	}
+
+	// Around an outage the entry may only have run out: it stays in doubt.
+	table = NewTable()
+	table.StoreAway()
+	table.StoreAnswered(now)
+	table.Merge(Facts{Whole: true, AsOf: 2}, now)
+	table.Merge(old, now)
+	if len(table.Hosts()) != 1 {
+		t.Error("a target whose entry ran out with the store is not used")
+	}
+	if table.Tick(now.Add(returnGrace)); len(table.Hosts()) != 0 {
+		t.Error("its entry did not come back, and it is still listed")
+	}
+}
--- a/model/check.sh
+++ b/model/check.sh
@@ -68,5 +68,9 @@
 for rule in NO_QUORUM NO_YOUNG NO_LASTCHECK NO_WAITOUT; do
 	expect violated lease.pml -DIGNORES "-D$rule"
 done
+expect safe facts.pml
+for rule in NO_DOUBT NO_READ NO_SILENCE NO_WHOLE NO_REVISION NO_REMEMBER NO_TICK; do
+	expect violated facts.pml "-D$rule"
+done
 wait
 [ ! -e "$work/failed" ]
--- a/node/internal/testaddr/testaddr.go
+++ b/node/internal/testaddr/testaddr.go
@@ -4,13 +4,34 @@
 import (
 	"net"
 	"os"
+	"sync"
 	"testing"
 )
 
-// Free returns a free HOST:PORT of a loopback address that only this process uses. A
-// port of 127.0.0.1 may be given to somebody's outgoing connection between being found
-// free here and being listened on.
+// given are the addresses that this process has handed out. The system may give a port
+// again as soon as it is closed.
+var (
+	mu    sync.Mutex
+	given = map[string]bool{}
+)
+
+// Free returns a free HOST:PORT of a loopback address that only this process uses, and
+// never the same one twice. A port of 127.0.0.1 may be given to somebody's outgoing
+// connection between being found free here and being listened on.
 func Free(t testing.TB) string {
+	t.Helper()
+	mu.Lock()
+	defer mu.Unlock()
+	for {
+		if addr := find(t); !given[addr] {
+			given[addr] = true
+			return addr
+		}
+	}
+}
+
+// find asks the system for a free port.
+func find(t testing.TB) string {
 	t.Helper()
 	pid := os.Getpid()
 	own := net.IPv4(127, byte(1+pid>>16), byte(pid>>8), byte(pid))
