--- /dev/null
+++ b/core/routing/settle.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Which of the engines that read a prompt answers, and where its memory is.
+const (
+	// ticketShare is the part of a target's free memory that a ticket may take, and
+	// ticketMargin what is asked for beyond the need, since memory comes in blocks.
+	ticketShare  = 0.9
+	ticketMargin = 1.02
+)
+
+// settle takes the target that answers: one with room for the whole prompt and the
+// fewest writers whose callers wait closely. Where none has the room, the one with the
+// most keeps what it can, and helpers set memory aside for the rest.
+func (s *Scratch) settle(r *Request, targets []Target, chosen []int, d *Decision) bool {
+	first := -1
+	for _, i := range chosen {
+		t := &targets[i]
+		if t.free() < r.MemoryTokens() || t.full() {
+			continue
+		}
+		if first < 0 || compareFirst(t, &targets[first]) < 0 {
+			first = i
+		}
+	}
+	if first < 0 {
+		first = s.divide(r, targets, chosen, d)
+	}
+	if first < 0 {
+		return false
+	}
+	d.Verdict = Place
+	d.Chosen = targets[first].ID
+	for _, i := range chosen {
+		if i != first {
+			d.Helpers = append(d.Helpers, targets[i].ID)
+		}
+	}
+	return true
+}
+
+// compareFirst prefers a target whose calls did not fail lately, and then the one with
+// the fewest writers whose callers wait closely.
+func compareFirst(a, b *Target) int {
+	return cmp.Or(cmp.Compare(int(a.Trouble), int(b.Trouble)), cmp.Compare(a.Tight, b.Tight))
+}
+
+// divide finds memory for a prompt that no target has room for: the target that
+// answers, and tickets at as few helpers as can be, since each ticket is ordered,
+// renewed and released. It returns -1 where there is not enough, or where the prompt
+// would fit one target once that is less full.
+func (s *Scratch) divide(r *Request, targets []Target, chosen []int, d *Decision) int {
+	order := slices.Clone(chosen)
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(targets[b].free(), targets[a].free()) })
+	if len(order) == 0 || targets[order[0]].full() || r.MemoryTokens() <= targets[order[0]].MemoryTokens {
+		return -1
+	}
+	left := int64(float64(r.MemoryTokens())*ticketMargin) - int64(float64(targets[order[0]].free())*ticketShare)
+	d.Tickets = nil
+	for _, i := range order[1:] {
+		if left <= 0 {
+			break
+		}
+		tokens := min(left, int64(float64(targets[i].free())*ticketShare))
+		if tokens <= 0 {
+			break
+		}
+		d.Tickets = append(d.Tickets, Ticket{Target: targets[i].ID, Tokens: tokens})
+		left -= tokens
+	}
+	if left > 0 {
+		d.Tickets = nil
+		return -1
+	}
+	return order[0]
+}
--- /dev/null
+++ b/core/routing/spread.go
@@ -0,0 +1,193 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+
+	"doorstack.dev/core/rendezvous"
+)
+
+// A long prompt is read in parts on several engines. How many, which, and when it is
+// refused is decided here.
+//
+// Times are in seconds.
+const (
+	// partWork is the reading time aimed at for a part: about one and a half passes of
+	// an engine that only writes.
+	partWork = 0.075
+	// MaxParts is the most engines that read one prompt: the engine that answers and
+	// at most 16 helpers, which is the platform's bound.
+	MaxParts = 17
+	// holdReading is the reading before a long prompt's parts above which it waits in
+	// the daemon, where its order can still change.
+	holdReading = 0.3
+	// smallPart is the reading time up to which a part is never too long. deepPart is
+	// the time from which one is deep: an engine with it is of no use to a chat for
+	// several passes, and its writers pause for longer than most callers bear. At most
+	// deepShare of the engines have deep parts at one time, so that the rest can follow a
+	// swing from long prompts to short ones; swings of the users' traffic take less than
+	// a second.
+	smallPart = 0.25
+	deepPart  = 0.75
+	deepShare = 0.4
+	// notForeseen stands for a time that cannot be told, in seconds; a record cannot hold
+	// an infinite number.
+	notForeseen = 3600
+	// readingPart is the part of an engine's time that is left for reading.
+	readingPart = 0.85
+	// A long prompt waits for as many engines as it can use: settleShare is how much
+	// longer than that its parts may be. After settleAfter of its goal it takes any
+	// number of engines whose callers bear it, and after forceAfter one engine all the
+	// same: a prompt that is never tried is worth nothing to its caller.
+	settleShare = 3.0
+	settleAfter = 0.4
+	forceAfter  = 0.8
+	// passesToFirst is the time from the end of reading to the first event, in passes.
+	passesToFirst = 1.5
+)
+
+// spread cuts the reading of a long prompt into parts.
+func (s *Scratch) spread(r *Request, p *Params, targets []Target, d *Decision) {
+	slices.SortFunc(s.readers, func(a, b int) int { return compareReaders(r.Seed, &targets[a], &targets[b]) })
+	if s.spreadBorne(r, p, targets, d) || s.spreadDisturbing(r, p, targets, d) {
+		return
+	}
+	d.Verdict = Wait
+	d.Foreseen = foreseen(r, targets, d.Reading)
+	least := d.Reading / float64(mostParts(s.readers, d.Reading))
+	switch {
+	case r.Goal <= 0:
+	case r.Waited >= forceAfter*r.Goal && least <= deepPart && s.force(r, targets, d):
+		return
+	case r.Waited >= refuseAfter*r.Goal && (least > deepPart || d.Foreseen > r.Goal && r.Waited < settleAfter*r.Goal):
+		d.Verdict = Refuse
+	}
+	d.Rejections.Backlog++
+}
+
+// mostParts is the most parts that a prompt is cut into.
+func mostParts(readers []int, reading float64) int {
+	return max(1, min(MaxParts, len(readers), int(math.Ceil(reading/partWork))))
+}
+
+// spreadBorne cuts a prompt into parts that the callers of all writers beside them bear.
+func (s *Scratch) spreadBorne(r *Request, p *Params, targets []Target, d *Decision) bool {
+	most := mostParts(s.readers, d.Reading)
+	longest := max(smallPart, settleShare*d.Reading/float64(most))
+	if r.Waited >= settleAfter*r.Goal {
+		longest = math.Inf(1)
+	}
+	deep := d.Pool.deepRoom()
+	for parts := most; parts >= 1; parts-- {
+		part := d.Reading / float64(parts)
+		if part > longest {
+			break
+		}
+		if part > deepPart && parts > deep {
+			continue
+		}
+		chosen := s.bearing(p, targets, part, parts)
+		if len(chosen) < parts {
+			continue
+		}
+		if s.settle(r, targets, chosen, d) {
+			d.Part = part
+			d.Foreseen = finish(r, p, targets, chosen, part)
+			return true
+		}
+	}
+	return false
+}
+
+// deepRoom is how many more engines may take a deep part.
+func (s *PoolState) deepRoom() int { return int(deepShare*float64(s.Live)) - s.Deep }
+
+// finish is the time from a prompt's arrival to its first event, if the chosen targets
+// begin with their parts now.
+func finish(r *Request, p *Params, targets []Target, chosen []int, part float64) float64 {
+	last := 0.0
+	for _, i := range chosen {
+		t := &targets[i]
+		pass := p.Timing.Pass(t.Load.Requests, t.Load.MemoryTokens)
+		last = max(last, t.Reading+part/readingPart+passesToFirst*pass)
+	}
+	return r.Waited + last
+}
+
+// foreseen is the time from arrival to the first event of a prompt that waits, if the
+// prompts before it and it are read by all engines without close writers.
+func foreseen(r *Request, targets []Target, reading float64) float64 {
+	engines, before := 0, r.Ahead
+	for i := range targets {
+		if t := &targets[i]; t.State == Live && t.Tight == 0 {
+			engines++
+			before += t.Reading
+		}
+	}
+	if engines == 0 {
+		return notForeseen
+	}
+	return r.Waited + (before+reading)/(readingPart*float64(engines))
+}
+
+// force gives a prompt that has waited long to the one engine where the fewest
+// callers suffer from it.
+func (s *Scratch) force(r *Request, targets []Target, d *Decision) bool {
+	least := -1
+	for i := range targets {
+		t := &targets[i]
+		if filterTimed(r, t) != "" {
+			continue
+		}
+		if least < 0 || cmp.Or(cmp.Compare(t.Tight, targets[least].Tight), cmp.Compare(t.Reading, targets[least].Reading)) < 0 {
+			least = i
+		}
+	}
+	if least < 0 {
+		return false
+	}
+	d.Verdict, d.Chosen, d.Part, d.Forced = Place, targets[least].ID, d.Reading, true
+	return true
+}
+
+// compareReaders puts the target with the least to read first. Ties are broken by the
+// seed, so that daemons which decide alone do not all take the same targets.
+func compareReaders(seed uint64, a, b *Target) int {
+	if order := cmp.Or(cmp.Compare(a.Reading, b.Reading), cmp.Compare(a.Tight, b.Tight)); order != 0 {
+		return order // The tie costs two hashes.
+	}
+	return cmp.Compare(tie(seed, a), tie(seed, b))
+}
+
+func tie(seed uint64, t *Target) uint64 { return rendezvous.Score(strconv.FormatUint(seed, 36), t.ID) }
+
+// bearing lists the first targets, least reading first, whose callers bear a part.
+func (s *Scratch) bearing(p *Params, targets []Target, part float64, parts int) []int {
+	chosen := s.chosen[:0]
+	for _, i := range s.readers {
+		t := &targets[i]
+		if t.Reading > holdReading {
+			break
+		}
+		if t.Reading+part > bears(p, t) {
+			continue
+		}
+		if chosen = append(chosen, i); len(chosen) == parts {
+			break
+		}
+	}
+	s.chosen = chosen
+	return chosen
+}
+
+// bears is how much reading the callers of a target's writers bear. All that is before
+// an engine may fall into one pass: a step reads up to a chunk of tokens, which takes
+// the longer the more stands before them.
+func bears(p *Params, t *Target) float64 {
+	if t.GapGoal <= 0 {
+		return math.Inf(1)
+	}
+	return gapShare*t.GapGoal - p.Timing.Pass(t.Load.Requests, t.Load.MemoryTokens)
+}
