--- a/core/routing/timed_bench_test.go
+++ b/core/routing/timed_bench_test.go
@@ -15,28 +15,14 @@
 	return list
 }
 
-// The time of one decision about a long prompt that waits, by the size of the pool.
-func BenchmarkLongPromptWaits(b *testing.B) {
-	for _, n := range []int{18, 60, 330} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			list := busyEngines(n)
-			r := referral(225_000, 0.2)
-			p := timedParams()
-			var s Scratch
-			b.ReportAllocs()
-			for b.Loop() {
-				s.Decide(r, p, list)
-			}
-		})
-	}
-}
+// The time of one decision about a long prompt that waits, and about a chat.
+func BenchmarkLongPromptWaits(b *testing.B) { benchmarkTimed(b, referral(225_000, 0.2)) }
+func BenchmarkChat(b *testing.B)            { benchmarkTimed(b, chat()) }
 
-// The time of one decision about a chat.
-func BenchmarkChat(b *testing.B) {
+func benchmarkTimed(b *testing.B, r *Request) {
 	for _, n := range []int{18, 60, 330} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			list := busyEngines(n)
-			r := chat()
 			p := timedParams()
 			var s Scratch
 			b.ReportAllocs()
