--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -43,8 +43,8 @@
 	Hold time.Duration
 }
 
-// PlanOf decides for one daemon. Members that are listed twice count once; a daemon that
-// is not among them is alone as far as it knows, and watches.
+// PlanOf decides for one daemon. One that is not among the members is alone as far as it
+// knows, and watches.
 func PlanOf(self string, members []Member) Plan {
 	byCentre := map[string][]string{}
 	known := false
