--- a/core/routing/disturb.go
+++ b/core/routing/disturb.go
@@ -16,8 +16,8 @@
 )
 
 // spreadDisturbing cuts a prompt into parts on engines whose writers do not bear them,
-// where the prompt weighs more than all of those. Of the ways to be in time it takes
-// the one that disturbs least.
+// where the prompt is about three times as long as all of those together. Of the ways to
+// be in time it takes the one that disturbs least.
 func (s *Scratch) spreadDisturbing(r *Request, p *Params, targets []Target, d *Decision) bool {
 	if r.Goal <= 0 || r.Waited < disturbAfter*r.Goal {
 		return false
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -67,7 +67,8 @@
 	}
 }
 
-// holdLeast is the least part of the longest hold that a watch is held.
+// holdLeast is the least part of the longest hold that a watch is held: enough spread that
+// daemons with equal holds do not ask together, at a tenth more calls.
 const holdLeast = 0.85
 
 // heldFor draws how long a watch is held.
