--- a/node/onplatform/answers_test.go
+++ b/node/onplatform/answers_test.go
@@ -325,3 +325,48 @@
 		t.Fatalf("%d reservations, %d releases", count("reserve"), count("release"))
 	}
 }
+
+// hang reads a call and says nothing until its caller leaves; after says what is written
+// first.
+func hang(after func(http.ResponseWriter, *http.Request, standin.Call)) func(http.ResponseWriter, *http.Request, standin.Call) {
+	return func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		if after != nil {
+			after(w, r, c)
+		}
+		<-r.Context().Done()
+	}
+}
+
+// TestASilentTargetIsLeft: a call goes to another target when the first has said nothing
+// for much longer than the route's goal, if it may run twice; the wait for one that may
+// not goes on.
+func TestASilentTargetIsLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		path        string
+		first, then func(http.ResponseWriter, *http.Request, standin.Call)
+		body        string
+		sends       int
+	}{
+		"plain":         {safe, hang(nil), standin.Succeed("second"), "second", 2},
+		"before events": {stream, hang(nil), standin.Stream(1, 3, false), events(1, 3), 2},
+		"after events":  {stream, hang(standin.Stream(1, 3, false)), standin.Stream(4, 6, false), events(1, 6), 2},
+		"unsafe":        {unsafe, hang(nil), standin.Succeed("second"), "", 1},
+		"not resumable": {once, hang(nil), standin.Stream(1, 3, false), "", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, 2)
+			f.scriptOnce(c.first, c.then)
+			a := f.ask(c.path)
+			got := f.do(a)
+			if served := got.Err == nil && got.Status == 200 && got.Body == c.body; served != (c.sends == 2) {
+				t.Errorf("%+v", got)
+			}
+			if got.Status == 503 || got.Status == 429 {
+				t.Errorf("a call that may have run is said not to have: %+v", got)
+			}
+			if n := len(f.calls(a.ID)); n != c.sends {
+				t.Errorf("%d sends, want %d", n, c.sends)
+			}
+		})
+	}
+}
--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -89,7 +89,7 @@
 		Services: []standin.Service{{Name: plain}, {Name: engines, Engine: standin.Engine(100_000)}},
 		Tenants:  []standin.Tenant{{Name: "a", Keys: []string{key}}},
 	}
-	c.Routes[2].Resumable = true
+	c.Routes[2].Resumable, c.Routes[2].GapMS = true, 100
 	c.Routes[4].Resumable, c.Routes[4].GapMS, c.Routes[4].AimMS = true, 250, 3000
 	c.Routes[5].NoAuth = true
 	return c
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"doorstack.dev/core/decision"
@@ -46,6 +47,10 @@
 	last, atFault string
 	// readBy is the last attempt whose target has read the prompt.
 	readBy string
+	// watched is the watch over the attempt under way.
+	watched *silence
+	// repeatTaken tells that the fleet's budget has been asked for the next send already.
+	repeatTaken atomic.Bool
 }
 
 // wholeAnswer is an answer that has been read to its end.
@@ -94,6 +99,9 @@
 	if f.progress.Sends() == 0 {
 		return true // Nothing has reached a target, so nothing is repeated.
 	}
+	if f.repeatTaken.Swap(false) {
+		return true
+	}
 	d := f.director
 	return d.Board.Repeats.Take(f.request.Route.Pool.Name, d.Board.Members.Sharers(), time.Now())
 }
@@ -240,13 +248,15 @@
 		return err // Nothing has been sent of the call itself.
 	}
 	defer tickets.release(ctx)
-	reply, err := d.Exchange.Send(ctx, p.Address, &call)
+	watched, silence := f.watch(ctx, p)
+	f.watched = silence
+	reply, err := d.Exchange.Send(watched, p.Address, &call)
 	if err != nil {
 		execution := target.ExecutionOf(err)
 		f.progress.Failed(execution, execution != fault.NotRun)
-		return err
+		return silence.stop(watched, err)
 	}
-	err = f.take(reply, p)
+	err = silence.stop(watched, f.take(reply, p))
 	d.Exchange.Close(reply)
 	switch {
 	case err == nil:
--- a/node/requestcontrol/relay.go
+++ b/node/requestcontrol/relay.go
@@ -53,6 +53,7 @@
 }
 
 func (f *forwarding) giveEvent(e eventstream.Event, reply *target.Reply, p *blackboard.Placement) error {
+	f.watched.heard()
 	f.clock(time.Now())
 	f.promptRead(p)
 	f.begin(reply)
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -62,6 +62,14 @@
 	return r.Path.GapGoal
 }
 
+// patience is how long a target may say nothing.
+func (r *Request) patience() forward.Patience {
+	if r.Path != nil && r.Path.Kind == settings.CallStreaming {
+		return forward.StreamPatience(r.goal(), r.gapGoal())
+	}
+	return forward.PlainPatience(r.goal())
+}
+
 // prepare works out what routing needs from the prompt, once.
 func (r *Request) prepare() {
 	if r.Call != nil || r.Forward != nil {
--- /dev/null
+++ b/node/requestcontrol/silence.go
@@ -0,0 +1,113 @@
+package requestcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"doorstack.dev/core/forward"
+	"doorstack.dev/node/blackboard"
+	"github.com/go-faster/errors"
+)
+
+// errSilent ends an attempt whose target has said nothing for too long.
+var errSilent = errors.New("the target fell silent")
+
+// unusedTickets is how long a call may wait for the first event of an answer that uses
+// memory set aside at helpers. Such memory keeps others out, and the users' bound for
+// memory that nobody uses is 9 s; setting it aside and releasing it take up to 1 s each.
+const unusedTickets = 7 * time.Second
+
+// readAgain is the reading time, in seconds, up to which a prompt is read a second time
+// because a target is silent. A longer one takes from others more than its caller gains,
+// whose answer would be late: trials in docs/design/routing.md. A target that is dead shows
+// at its connection.
+const readAgain = 1.0
+
+// silence watches one attempt and cancels it when its target has been silent for longer
+// than the route's goals explain, if the call may then go to another target. Where it may
+// not, the target's silence ends nothing: the answer may still come.
+type silence struct {
+	forwarding *forwarding
+	patience   forward.Patience
+	cancel     context.CancelCauseFunc
+	// mu guards the timer against a run of tooLong that ends after the attempt.
+	mu    sync.Mutex
+	timer *time.Timer // nil where nothing is watched, or no longer
+	// mustEnd ends the attempt also where the call may not go elsewhere.
+	mustEnd bool
+	// another tells whether the rules allow one more send after this one.
+	another bool
+}
+
+// watch begins to watch an attempt. The context that it returns ends when the target has
+// been silent for too long.
+func (f *forwarding) watch(ctx context.Context, p *blackboard.Placement) (context.Context, *silence) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &silence{
+		forwarding: f, cancel: cancel,
+		patience: f.request.patience(),
+		another:  f.progress.MayTryAfter() && p.Decision.Reading <= readAgain,
+		mustEnd:  len(p.Decision.Tickets) > 0,
+	}
+	if s.mustEnd {
+		s.patience = s.patience.Before(unusedTickets)
+	}
+	if s.patience.First > 0 && (s.another || s.mustEnd) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.timer = time.AfterFunc(s.patience.First, s.tooLong)
+	}
+	return ctx, s
+}
+
+// heard notes an event of the answer.
+func (s *silence) heard() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer == nil {
+		return
+	}
+	if s.patience.Pause <= 0 {
+		s.timer.Stop()
+		return
+	}
+	s.timer.Reset(s.patience.Pause)
+}
+
+// tooLong runs when the patience with the target is at its end.
+func (s *silence) tooLong() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer == nil {
+		return // The attempt has ended meanwhile.
+	}
+	f := s.forwarding
+	d := f.director
+	if s.another && d.Board.Repeats.Take(f.request.Route.Pool.Name, d.Board.Members.Sharers(), time.Now()) {
+		f.repeatTaken.Store(true)
+		s.cancel(errSilent)
+		return
+	}
+	if s.mustEnd {
+		s.cancel(errSilent)
+		return
+	}
+	s.timer.Reset(s.patience.First) // The fleet's budget may have room later.
+}
+
+// stop ends the watch; err is how the attempt ended. It returns errSilent in its place
+// where that was the cause.
+func (s *silence) stop(ctx context.Context, err error) error {
+	s.mu.Lock()
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+	s.mu.Unlock()
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		err = errors.Wrap(errSilent, err.Error())
+	}
+	s.cancel(nil)
+	return err
+}
