Membership of an open fleet and the coordinator are model checked

A rule's switch makes the checker find a violation; with all rules there is none. Ruled out on the way: a violation in a fleet whose only seed ends before the others have met, which nothing can mend.

--- a/model/check.sh
+++ b/model/check.sh
@@ -72,5 +72,13 @@
 for rule in NO_DOUBT NO_READ NO_SILENCE NO_WHOLE NO_REVISION NO_REMEMBER NO_TICK; do
 	expect violated facts.pml "-D$rule"
 done
+expect safe membership.pml
+for rule in NO_DENY NO_RAISE NO_NEWER NO_DIGEST NO_LOST NO_LEAVE; do
+	expect violated membership.pml "-D$rule"
+done
+expect safe coordinator.pml
+for rule in NO_FORGET NO_CHECK NO_SAME NO_EXPIRY; do
+	expect violated coordinator.pml "-D$rule"
+done
 wait
 [ ! -e "$work/failed" ]
