A part does not go before prompts that cannot be held up

Change: an engine tells how long its unread prompts can be held up; parts respect it, or count the prompts as disturbed.

--- a/core/routing/disturb.go
+++ b/core/routing/disturb.go
@@ -68,7 +68,7 @@
 func (s *Scratch) leastDisturbed(targets []Target, part float64, parts int) (chosen []int, harm int64) {
 	for i := range s.harms {
 		h := &s.harms[i]
-		h.tokens = disturbed(&targets[h.index], h.pause+part)
+		h.tokens = disturbed(&targets[h.index], h.pause+part) + heldUp(&targets[h.index], part)
 	}
 	slices.SortStableFunc(s.harms, func(a, b harmed) int { return cmp.Compare(a.tokens, b.tokens) })
 	chosen = s.chosen[:0]
@@ -99,3 +99,12 @@
 	}
 	return tokens
 }
+
+// heldUp is the length of a target's prompts that would be answered late if a part went
+// before them.
+func heldUp(t *Target, part float64) int64 {
+	if part > t.HoldUp {
+		return t.UnreadTokens
+	}
+	return 0
+}
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -96,6 +96,11 @@
 	// Writers are the requests at the target by their goals for the pause between two
 	// events, the closest first, but for those whose goal has been missed already.
 	Writers []Writers `json:"writers,omitempty"`
+	// UnreadTokens is the length of the prompts that the target has not read its part of,
+	// and HoldUp how long, in seconds, all of them can be held up and still be answered in
+	// time; what is given to an engine to read for another one goes before them.
+	UnreadTokens int64   `json:"unread_tokens,omitempty"`
+	HoldUp       float64 `json:"hold_up_s,omitempty"`
 	// Trouble counts the target's lately failed calls; older ones count less.
 	Trouble float64 `json:"trouble,omitempty"`
 	// Unloaded is true while the target does not serve the pool's model.
--- a/core/routing/spread.go
+++ b/core/routing/spread.go
@@ -171,7 +171,7 @@
 		if t.Reading > holdReading {
 			break
 		}
-		if t.Reading+part > bears(p, t) {
+		if t.Reading+part > bears(p, t) || t.UnreadTokens > 0 && part > t.HoldUp {
 			continue
 		}
 		if chosen = append(chosen, i); len(chosen) == parts {
--- a/core/routing/timed_test.go
+++ b/core/routing/timed_test.go
@@ -214,3 +214,51 @@
 		t.Errorf("verdict %s, %d parts of %.1f s, want at most 7 of 18 engines", d.Verdict, 1+len(d.Helpers), d.Part)
 	}
 }
+
+// TestPartsGoBeforeWhatIsUnread: an engine reads the newest part first, so a part goes
+// where the prompts that are not read yet can be held up by it, and elsewhere if there is
+// room.
+func TestPartsGoBeforeWhatIsUnread(t *testing.T) {
+	for name, c := range map[string]struct {
+		holdUp float64
+		avoid  bool
+	}{
+		"cannot be held up": {0.01, true},
+		"can be held up":    {2.0, false},
+	} {
+		list := engines(6)
+		for i := range 3 {
+			list[i].Reading, list[i].UnreadTokens, list[i].HoldUp = 0.05, 100_000, c.holdUp
+		}
+		d := decide(referral(154_000, 0), list)
+		if d.Verdict != Place {
+			t.Fatalf("%s: %s", name, d.Verdict)
+		}
+		used := 0
+		for _, id := range append([]string{d.Chosen}, d.Helpers...) {
+			if id < "e03" {
+				used++
+			}
+		}
+		if c.avoid != (used == 0) {
+			t.Errorf("%s: %d of the engines with unread prompts are used", name, used)
+		}
+	}
+}
+
+// TestHeldUpPromptsCountAsDisturbed: where there is no other room, a prompt goes before
+// those that weigh less and would be late.
+func TestHeldUpPromptsCountAsDisturbed(t *testing.T) {
+	for _, c := range []struct {
+		unread int64
+		want   Verdict
+	}{{1_000, Place}, {50_000, Wait}} {
+		list := engines(17)
+		for i := range list {
+			list[i].Reading, list[i].UnreadTokens, list[i].HoldUp = 0.05, c.unread, 0.01
+		}
+		if d := decide(referral(120_000, 0.2), list); d.Verdict != c.want {
+			t.Errorf("before %d unread tokens an engine: %s, want %s", c.unread, d.Verdict, c.want)
+		}
+	}
+}
--- a/node/blackboard/reading_test.go
+++ b/node/blackboard/reading_test.go
@@ -25,7 +25,7 @@
 	if view.Tight != 1 || view.GapGoal != 0.25 || len(view.Writers) != 3 {
 		t.Fatalf("before: %d close writers, least goal %v, %v", view.Tight, view.GapGoal, view.Writers)
 	}
-	s.reading.give("reader", 0.6, now)
+	s.reading.give(reader, 0.6, now)
 	s.markDisturbed(reader, now)
 	write("new chat", 0.25)
 	s.refreshTimed(&view, now)
@@ -36,3 +36,56 @@
 		t.Error("the wrong calls count as disturbed")
 	}
 }
+
+// TestHowLongUnreadPromptsCanBeHeldUp: the shortest time of all counts; a prompt that
+// misses its goal anyway is still answered before its caller leaves.
+func TestHowLongUnreadPromptsCanBeHeldUp(t *testing.T) {
+	now := time.Now()
+	s := &targetState{calls: map[string]*ownCall{}}
+	give := func(id string, tokens int64, goal, waited, work float64) {
+		c := &ownCall{id: id, state: s, prompt: tokens}
+		c.setGoal(goal, waited, now)
+		s.reading.give(c, work, now)
+	}
+	var view routing.Target
+	s.refreshTimed(&view, now)
+	if view.UnreadTokens != 0 || view.HoldUp != 0 {
+		t.Fatalf("nothing is unread: %+v", view)
+	}
+	near := func(want float64) bool { return view.HoldUp > want-0.001 && view.HoldUp < want+0.001 }
+	give("long", 150_000, 3, 0.5, 0.09)
+	s.refreshTimed(&view, now)
+	if view.UnreadTokens != 150_000 || !near(2.5-view.Reading-toFirstEvent) {
+		t.Errorf("one prompt: %+v", view)
+	}
+	give("chat", 5_000, 0.5, 0, 0.027)
+	s.refreshTimed(&view, now)
+	if view.UnreadTokens != 155_000 || !near(0.5-view.Reading-toFirstEvent) {
+		t.Errorf("two prompts: %+v", view)
+	}
+	s.reading.end("chat", now)
+	s.reading.end("long", now)
+	give("late", 1_000, 1, 2, 0.09)
+	s.refreshTimed(&view, now)
+	if !near(lateGoals - 1 - view.Reading - toFirstEvent) {
+		t.Errorf("a late one: %+v", view)
+	}
+	give("no goal", 1_000, 0, 0, 0.09)
+	before := view.UnreadTokens
+	s.refreshTimed(&view, now)
+	if view.UnreadTokens != before {
+		t.Errorf("without a goal there is nothing to miss: %+v", view)
+	}
+}
+
+// TestACallIsToldWithItsGoal: another daemon that takes a call over knows when its answer
+// is due.
+func TestACallIsToldWithItsGoal(t *testing.T) {
+	now := time.Now()
+	c := &ownCall{id: "c", state: &targetState{id: "t"}, prompt: 7}
+	c.setGoal(3, 1, now)
+	told := c.describe(now.Add(time.Second))
+	if told.Goal != 3 || told.PromptTokens != 7 || told.Waited < 1.999 || told.Waited > 2.001 {
+		t.Errorf("%+v", told)
+	}
+}
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -15,6 +15,11 @@
 	read  bool       // the prompt has been read: the first token came
 	parts []readPart // where the prompt is read, for engines of known timing
 	gap   float64    // the goal for the pause between two events, in seconds
+	// goal is the route's goal for the first event in seconds, zero if there is none, due
+	// when it is over, and prompt the length of the prompt in tokens.
+	goal   float64
+	due    time.Time
+	prompt int64
 	// disturbed means that reading beside the call has made it miss that goal.
 	disturbed bool
 	gone      chan struct{} // closed when the target is taken to be gone
@@ -71,6 +76,7 @@
 		tp.short.add(load.BacklogTokens, at)
 	}
 	placement.Gone = t.begin(s, attempt, load, at)
+	t.calls[attempt].prompt = r.PromptTokens
 	if p.Timing != nil {
 		placement.Helpers = t.beginReading(attempt, &d, at)
 	}
--- a/node/blackboard/target_reading.go
+++ b/node/blackboard/target_reading.go
@@ -22,7 +22,13 @@
 	// until is when it will have read all that it was given.
 	until time.Time
 	// unread holds the parts given and not yet known to be read, by call.
-	unread map[string]float64
+	unread map[string]unreadPart
+}
+
+// unreadPart is a part of a call's prompt with its reading time in seconds.
+type unreadPart struct {
+	call *ownCall
+	work float64
 }
 
 // readingShare is the part of an engine's time that goes into reading while it has
@@ -30,11 +36,11 @@
 const readingShare = 0.9
 
 // give adds a part.
-func (r *readingState) give(attempt string, work float64, at time.Time) {
+func (r *readingState) give(c *ownCall, work float64, at time.Time) {
 	if r.unread == nil {
-		r.unread = map[string]float64{}
+		r.unread = map[string]unreadPart{}
 	}
-	r.unread[attempt] = work
+	r.unread[c.id] = unreadPart{c, work}
 	if r.until.Before(at) {
 		r.until = at
 	}
@@ -49,8 +55,8 @@
 	}
 	delete(r.unread, attempt)
 	left := 0.0
-	for _, work := range r.unread {
-		left += work
+	for _, part := range r.unread {
+		left += part.work
 	}
 	if limit := at.Add(engine.Seconds(left / readingShare)); r.until.After(limit) {
 		r.until = limit
@@ -62,9 +68,51 @@
 func (t *TargetTable) beginReading(attempt string, d *routing.Decision, at time.Time) []TargetAddress {
 	c := t.calls[attempt]
 	c.gap = d.Request.GapGoal
+	c.setGoal(d.Request.Goal, d.Request.Waited, at)
 	return t.giveParts(c, d.Helpers, d.Tickets, d.Reading/float64(1+len(d.Helpers)), at)
 }
 
+// setGoal keeps when the first event is due, of a goal in seconds of which so much is over.
+func (c *ownCall) setGoal(goal, waited float64, at time.Time) {
+	c.goal = goal
+	c.due = at.Add(engine.Seconds(goal - waited))
+}
+
+// The time that a prompt which is not read yet can be held up.
+const (
+	// toFirstEvent is the time from the end of reading to the first event, in seconds:
+	// one and a half passes of a target that writes.
+	toFirstEvent = 0.1
+	// lateGoals is how many more goals a call may take that misses its own: callers leave
+	// after four.
+	lateGoals = 2
+)
+
+// holdUp is how long, in seconds, a call's prompt can be held up at a target that has so
+// much to read.
+func (c *ownCall) holdUp(reading float64, at time.Time) float64 {
+	left := c.due.Sub(at).Seconds() - reading - toFirstEvent
+	if left < 0 {
+		left += lateGoals * c.goal
+	}
+	return max(0, left)
+}
+
+// refreshUnread works out what is not read yet, and how long all of it can be held up.
+func (s *targetState) refreshUnread(view *routing.Target, at time.Time) {
+	view.UnreadTokens, view.HoldUp = 0, 0
+	for _, part := range s.reading.unread {
+		if part.call.goal <= 0 {
+			continue
+		}
+		left := part.call.holdUp(view.Reading, at)
+		if view.UnreadTokens == 0 || left < view.HoldUp {
+			view.HoldUp = left
+		}
+		view.UnreadTokens += max(1, part.call.prompt)
+	}
+}
+
 // giveParts counts the parts of a call's prompt at its target and the helpers.
 func (t *TargetTable) giveParts(c *ownCall, ids []string, tickets []routing.Ticket, work float64, at time.Time) []TargetAddress {
 	c.parts = append(c.parts, readPart{state: c.state, work: work})
@@ -78,7 +126,7 @@
 		helpers = append(helpers, TargetAddress{ID: s.id, Address: s.address})
 	}
 	for _, part := range c.parts {
-		part.state.reading.give(c.id, part.work, at)
+		part.state.reading.give(c, part.work, at)
 		part.state.markDisturbed(c, at)
 		part.state.setAside += part.memory
 		part.state.refresh(at)
@@ -131,6 +179,7 @@
 // refreshTimed works out what a target of known timing has before it.
 func (s *targetState) refreshTimed(view *routing.Target, at time.Time) {
 	view.Reading = max(0, s.reading.until.Sub(at).Seconds())
+	s.refreshUnread(view, at)
 	view.GapGoal, view.Tight, view.Writers = 0, 0, nil
 	view.Load.MemoryTokens += s.setAside
 	for _, c := range s.calls {
--- a/node/blackboard/target_remote.go
+++ b/node/blackboard/target_remote.go
@@ -22,6 +22,11 @@
 	Read bool `cbor:"7,keyasint,omitempty"`
 	// Tickets are what helpers set aside.
 	Tickets []routing.Ticket `cbor:"8,keyasint,omitempty"`
+	// Goal is the goal for the first event and Waited what of it is over, in seconds.
+	Goal   float64 `cbor:"9,keyasint,omitempty"`
+	Waited float64 `cbor:"10,keyasint,omitempty"`
+	// PromptTokens is the length of the prompt.
+	PromptTokens int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // StateOf makes the state of a call from the decision that placed it.
@@ -29,6 +34,7 @@
 	state := CallState{
 		Attempt: attempt, Target: d.Chosen, Helpers: d.Helpers, MemoryTokens: d.Request.MemoryTokens(),
 		Part: d.Reading / float64(1+len(d.Helpers)), GapGoal: d.Request.GapGoal, Tickets: d.Tickets,
+		Goal: d.Request.Goal, Waited: d.Request.Waited, PromptTokens: d.Request.PromptTokens,
 	}
 	for _, ticket := range d.Tickets {
 		state.MemoryTokens = max(0, state.MemoryTokens-ticket.Tokens)
@@ -49,6 +55,8 @@
 	call := t.calls[c.Attempt]
 	call.read = c.Read
 	call.gap = c.GapGoal
+	call.prompt = c.PromptTokens
+	call.setGoal(c.Goal, c.Waited, at)
 	if !c.Read && c.Part > 0 {
 		t.giveParts(call, c.Helpers, c.Tickets, c.Part, at)
 	}
@@ -67,7 +75,7 @@
 
 // Calls lists the calls in progress of a pool, by the attempts' states that were
 // counted here.
-func (t *TargetTable) Calls(pool string) []CallState {
+func (t *TargetTable) Calls(pool string, at time.Time) []CallState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pools[pool]
@@ -77,15 +85,16 @@
 	var list []CallState
 	for _, s := range p.states {
 		for _, c := range s.calls {
-			list = append(list, c.describe())
+			list = append(list, c.describe(at))
 		}
 	}
 	return list
 }
 
 // describe is the call's state for another daemon.
-func (c *ownCall) describe() CallState {
-	state := CallState{Attempt: c.id, Target: c.state.id, MemoryTokens: c.load.MemoryTokens, GapGoal: c.gap, Read: c.read}
+func (c *ownCall) describe(at time.Time) CallState {
+	state := CallState{Attempt: c.id, Target: c.state.id, MemoryTokens: c.load.MemoryTokens, GapGoal: c.gap, Read: c.read, Goal: c.goal, PromptTokens: c.prompt}
+	state.Waited = c.goal - c.due.Sub(at).Seconds()
 	for _, part := range c.parts {
 		state.Part = part.work
 		if part.state != c.state {
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -273,7 +273,7 @@
 // not know them. It is told of their ends from now on; what it never heard the end of,
 // it would count until the callers' deadlines.
 func (p *Placements) handOver(pool, coordinator string) []blackboard.CallState {
-	calls := p.cluster.Board.Targets.Calls(pool)
+	calls := p.cluster.Board.Targets.Calls(pool, time.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	calls = slices.DeleteFunc(calls, func(c blackboard.CallState) bool { return p.held[c.Attempt] != nil })
