--- a/node/internal/fleet/operations_test.go
+++ b/node/internal/fleet/operations_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -12,6 +11,7 @@
 	"doorstack.dev/examples"
 	"doorstack.dev/node/admin"
 	"doorstack.dev/node/internal/standin"
+	"doorstack.dev/node/internal/testlog"
 )
 
 // revisions lists the settings revision in force at each daemon.
@@ -181,7 +181,7 @@
 // TestExplainFromAnyHost: and each decision replays to the same outcome.
 func TestExplainFromAnyHost(t *testing.T) {
 	t.Parallel()
-	var logs lockedBuffer
+	var logs testlog.Buffer
 	o := claraOptions(3, 2)
 	o.Log = &logs
 	f := start(t, o)
@@ -212,24 +212,6 @@
 	}
 }
 
-// lockedBuffer is a log that several daemons write to.
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // TestLimitsHoldOverTheFleet: however requests are spread, no more of an account
 // run at one time than its limit allows.
 func TestLimitsHoldOverTheFleet(t *testing.T) {
--- /dev/null
+++ b/node/internal/soak/link_test.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo starts a server that returns each line, and a link before it.
+func echo(t *testing.T) (*Link, func() net.Conn) {
+	t.Helper()
+	server, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
+		}
+	}()
+	l, err := NewLink("127.0.0.1:0", server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(); _ = server.Close() })
+	return l, func() net.Conn {
+		c, err := net.Dial("tcp4", l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+}
+
+// says writes a line and tells whether it comes back within the time.
+func says(c net.Conn, within time.Duration) bool {
+	if _, err := io.WriteString(c, "line\n"); err != nil {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	line, err := bufio.NewReader(c).ReadString('\n')
+	return err == nil && line == "line\n"
+}
+
+const (
+	soon = 10 * time.Second
+	hold = 50 * time.Millisecond
+)
+
+func TestLinks(t *testing.T) {
+	l, dial := echo(t)
+	open := dial()
+	if !says(open, soon) {
+		t.Fatal("a fine link carries nothing")
+	}
+	for _, f := range []Fault{Silent, OneWay} {
+		l.Set(f)
+		c := dial()
+		if says(c, hold) {
+			t.Errorf("fault %d: a line came back", f)
+		}
+		l.Set(Fine)
+		_ = c.SetReadDeadline(time.Now().Add(soon))
+		if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || line != "line\n" {
+			t.Errorf("fault %d: what was held back is lost: %q %v", f, line, err)
+		}
+	}
+	l.Set(Late)
+	began := time.Now()
+	if !says(open, soon) || time.Since(began) < 2*lateBy {
+		t.Errorf("a late link took %v", time.Since(began))
+	}
+	l.Set(Refusing)
+	if says(open, soon) || says(dial(), soon) {
+		t.Error("a refusing link carries something")
+	}
+	l.Set(Fine)
+	again := dial()
+	if !says(again, soon) {
+		t.Error("the link does not come back")
+	}
+	l.Reset(1)
+	if says(again, soon) {
+		t.Error("a connection that was reset carries something")
+	}
+}
+
+// TestEndsPass: the end of one side reaches the other, in order.
+func TestEndsPass(t *testing.T) {
+	_, dial := echo(t)
+	c := dial()
+	if _, err := io.WriteString(c, "all"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(c); err != nil || string(got) != "all" {
+		t.Fatalf("%q %v", got, err)
+	}
+}
--- /dev/null
+++ b/node/internal/soak/process.go
@@ -0,0 +1,157 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"doorstack.dev/node/internal/testaddr"
+	"doorstack.dev/platform/standin"
+)
+
+// grace is how long a daemon that is asked to end may take.
+const grace = 8 * time.Second
+
+// process is a daemon that is started again whenever it ends.
+type process struct {
+	number  int
+	program string
+	boot    standin.Boot
+	file    string // the settings file
+	metrics string // the port for operators
+	front   *Link  // what callers connect to
+	log     *os.File
+
+	// work is held while the process is ended, paused or started.
+	work sync.Mutex
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	starts []time.Time
+}
+
+// newProcess prepares a daemon; its log goes to dir.
+func newProcess(number int, dir, program string, seeds []string, peers, store string) (*process, error) {
+	addresses := make([]string, 4)
+	for i := range addresses {
+		var err error
+		if addresses[i], err = testaddr.Find(); err != nil {
+			return nil, err
+		}
+	}
+	ip, metrics, err := net.SplitHostPort(addresses[2])
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprint("d", number+1)
+	p := &process{
+		number: number, program: program, metrics: metrics, file: filepath.Join(dir, name+".toml"),
+		boot: standin.Boot{
+			Name: name, IP: ip, DataCentre: fmt.Sprint("z", number%2+1), Callers: addresses[0], Ready: addresses[1],
+			Peers: peers, Seeds: seeds, Store: store,
+		},
+	}
+	if p.front, err = NewLink(addresses[3], p.boot.Callers); err != nil {
+		return nil, err
+	}
+	if p.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(p.file, []byte(p.boot.Text()), 0o600); err != nil {
+		return nil, err
+	}
+	return p, p.start()
+}
+
+// start begins the process.
+func (p *process) start() error {
+	cmd := exec.Command(p.program, "--platform", "--metrics", p.metrics)
+	cmd.Env = append(os.Environ(), standin.BootEnvironment(p.file))
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.exited = cmd, exited
+	p.starts = append(p.starts, time.Now())
+	p.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // How it ended shows in its log; what matters is that it did.
+		close(exited)
+	}()
+	return nil
+}
+
+func (p *process) running() (*os.Process, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process, p.exited
+}
+
+// signal sends a signal to the process, which may have ended by itself.
+func (p *process) signal(s syscall.Signal) {
+	proc, _ := p.running()
+	_ = proc.Signal(s)
+}
+
+// end asks the process to end, with a kill when the grace is over, and waits for that.
+func (p *process) end(s syscall.Signal) {
+	proc, exited := p.running()
+	_ = proc.Signal(s)
+	select {
+	case <-exited:
+	case <-time.After(grace):
+		_ = proc.Kill()
+		<-exited
+	}
+}
+
+// ready asks whether the daemon takes callers.
+func (p *process) ready(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.boot.Ready+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := readiness.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// readiness asks on a new connection each time, as a balancer does.
+var readiness = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// awaitReady waits until the daemon is ready, or ctx ends.
+func (p *process) awaitReady(ctx context.Context) bool {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for !p.ready(ctx) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// close ends the process for good.
+func (p *process) close() {
+	p.signal(syscall.SIGCONT)
+	p.end(syscall.SIGKILL)
+	p.front.Close()
+	_ = p.log.Close()
+}
--- /dev/null
+++ b/node/internal/soak/soak_test.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// By hand, for so many fresh seeds, a length and the directory where logs of runs with
+// violations stay:
+//
+//	go test ./node/internal/soak -run Soak -soak.seeds 50 -soak.for 25s -soak.keep DIR -timeout 2h
+var (
+	seeds   = flag.Int("soak.seeds", 0, "runs with fresh seeds, beside those of CI")
+	first   = flag.Uint64("soak.first", 0, "first of those seeds; zero takes the time")
+	length  = flag.Duration("soak.for", 20*time.Second, "how long faults are injected in a run with a fresh seed")
+	daemons = flag.Int("soak.daemons", 5, "daemons in a run with a fresh seed")
+	keep    = flag.String("soak.keep", "", "directory for the logs of runs with violations")
+)
+
+// regressions are seeds that failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// ciSeeds and ciLength are what CI plays beside the regressions.
+var ciSeeds = []uint64{1, 2}
+
+const ciLength = 12 * time.Second
+
+func TestSoak(t *testing.T) {
+	program := build(t)
+	play := func(seed uint64, length time.Duration, size Size) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			dir := t.TempDir()
+			result, err := Do(context.Background(), Options{Seed: seed, Length: length, Size: size, Program: program, Dir: dir})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d events, %d calls, %d served", result.Events, result.Calls, result.Served)
+			if result.Served < result.Calls/4 {
+				t.Errorf("only %d of %d calls were served", result.Served, result.Calls)
+			}
+			for _, v := range result.Violations {
+				t.Error(v)
+			}
+			if t.Failed() && *keep != "" {
+				to := filepath.Join(*keep, fmt.Sprint("seed-", seed))
+				if err := os.CopyFS(to, os.DirFS(dir)); err != nil {
+					t.Error(err)
+				}
+				t.Log("logs: " + to)
+			}
+		})
+	}
+	for _, r := range regressions {
+		t.Log(r.seed, r.cause)
+		play(r.seed, ciLength, Size{Daemons: 3, Plain: 3, Engines: 4})
+	}
+	for _, seed := range ciSeeds {
+		play(seed, ciLength, Size{Daemons: 3, Plain: 3, Engines: 4})
+	}
+	from := *first
+	if from == 0 {
+		from = uint64(time.Now().UnixNano())
+	}
+	for i := range *seeds {
+		play(from+uint64(i), *length, Size{Daemons: *daemons, Plain: 3, Engines: 6})
+	}
+}
+
+// build makes the program that is soaked.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "doorstackd")
+	if out, err := exec.Command("go", "build", "-o", program, "doorstack.dev/node/cmd/doorstackd").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
--- a/node/internal/testaddr/testaddr.go
+++ b/node/internal/testaddr/testaddr.go
@@ -20,25 +20,37 @@
 // connection between being found free here and being listened on.
 func Free(t testing.TB) string {
 	t.Helper()
+	addr, err := Find()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
+// Find is Free outside a test's own goroutine.
+func Find() (string, error) {
 	mu.Lock()
 	defer mu.Unlock()
 	for {
-		if addr := find(t); !given[addr] {
+		addr, err := find()
+		if err != nil {
+			return "", err
+		}
+		if !given[addr] {
 			given[addr] = true
-			return addr
+			return addr, nil
 		}
 	}
 }
 
 // find asks the system for a free port.
-func find(t testing.TB) string {
-	t.Helper()
+func find() (string, error) {
 	pid := os.Getpid()
 	own := net.IPv4(127, byte(1+pid>>16), byte(pid>>8), byte(pid))
 	l, err := net.Listen("tcp", net.JoinHostPort(own.String(), "0"))
 	if err != nil {
-		t.Fatal(err)
+		return "", err
 	}
 	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return l.Addr().String(), nil
 }
--- /dev/null
+++ b/node/internal/testlog/testlog.go
@@ -0,0 +1,27 @@
+// Package testlog collects the log lines of daemons under test.
+package testlog
+
+import (
+	"bytes"
+	"sync"
+)
+
+// Buffer is a log that several goroutines write to.
+type Buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *Buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// String is all that was written.
+func (b *Buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
--- a/node/onplatform/findings_test.go
+++ b/node/onplatform/findings_test.go
@@ -12,6 +12,7 @@
 
 	"doorstack.dev/core/hostlist"
 	"doorstack.dev/node/internal/testaddr"
+	"doorstack.dev/node/internal/testlog"
 	"doorstack.dev/platform"
 	"doorstack.dev/platform/standin"
 )
@@ -71,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	buffer := &lockedBuffer{}
+	buffer := &testlog.Buffer{}
 	log := slog.New(slog.NewJSONHandler(buffer, nil))
 	boot.Callers, boot.Ready, boot.Peers = testaddr.Free(t), testaddr.Free(t), testaddr.Free(t)
 	d, err := New(boot, "0", log)
--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -1,7 +1,6 @@
 package onplatform
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +14,7 @@
 
 	"doorstack.dev/node/daemon"
 	"doorstack.dev/node/internal/testaddr"
+	"doorstack.dev/node/internal/testlog"
 	"doorstack.dev/platform"
 	"doorstack.dev/platform/standin"
 )
@@ -34,29 +34,11 @@
 	*daemon.Daemon
 	door  *standin.Door
 	boot  *platform.Boot
-	log   *lockedBuffer
+	log   *testlog.Buffer
 	ended chan struct{}
 	stop  context.CancelFunc
 }
 
-// lockedBuffer collects log lines.
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // The routes of the test configuration.
 const (
 	host     = "calls.example"
@@ -140,7 +122,7 @@
 	for _, other := range f.daemons {
 		boot.Seeds = append(boot.Seeds, other.boot.Peers)
 	}
-	d := &testDaemon{door: door, boot: boot, log: &lockedBuffer{}, ended: make(chan struct{})}
+	d := &testDaemon{door: door, boot: boot, log: &testlog.Buffer{}, ended: make(chan struct{})}
 	// The store's address differs by daemon here; the fleet's key must not.
 	file := fileOf(boot, metrics)
 	file.PeerKeys = []string{"the key of the fleet under test"}
