--- a/node/requestcontrol/silence.go
+++ b/node/requestcontrol/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -86,16 +87,23 @@
 	d := f.director
 	if s.another && d.Board.Repeats.Take(f.request.Route.Pool.Name, d.Board.Members.Sharers(), time.Now()) {
 		f.repeatTaken.Store(true)
-		s.cancel(errSilent)
+		s.end()
 		return
 	}
 	if s.mustEnd {
-		s.cancel(errSilent)
+		s.end()
 		return
 	}
 	s.timer.Reset(s.patience.First) // The fleet's budget may have room later.
 }
 
+// end cancels the attempt.
+func (s *silence) end() {
+	f := s.forwarding
+	f.director.Record.Metrics.Silent.WithLabelValues(f.request.Route.Pool.Name).Inc()
+	s.cancel(errSilent)
+}
+
 // stop ends the watch; err is how the attempt ended. It returns errSilent in its place
 // where that was the cause.
 func (s *silence) stop(ctx context.Context, err error) error {
@@ -106,7 +114,7 @@
 	}
 	s.mu.Unlock()
 	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
-		err = errors.Wrap(errSilent, err.Error())
+		err = errors.Wrap(errSilent, fmt.Sprintf("%v; bounds %v to the first event, %v between two", err, s.patience.First, s.patience.Pause))
 	}
 	s.cancel(nil)
 	return err
--- a/node/requestcontrol/silence_test.go
+++ b/node/requestcontrol/silence_test.go
@@ -13,6 +13,7 @@
 	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/telemetry"
 	"github.com/go-faster/errors"
 )
 
@@ -21,7 +22,7 @@
 	board := blackboard.New(blackboard.Identity{Name: "d1"}, blackboard.Limits{})
 	board.Repeats.SetLimit(admission.RepeatLimit{Slack: budget, Window: 10 * time.Second})
 	return &forwarding{
-		director: &Director{Board: board},
+		director: &Director{Board: board, Record: &telemetry.Recorder{Metrics: telemetry.NewMetrics()}},
 		request: &Request{
 			Path:  &settings.ResolvedPath{Kind: settings.CallStreaming, Goal: 300 * time.Millisecond, GapGoal: 250 * time.Millisecond},
 			Route: &settings.ResolvedRoute{Pool: &settings.ResolvedPool{Name: "p"}},
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -22,6 +22,7 @@
 	FirstToken   *prometheus.HistogramVec
 	Tokens       prometheus.Counter
 	Retries      *prometheus.CounterVec
+	Silent       *prometheus.CounterVec
 	Decisions    *prometheus.CounterVec
 	Queue        *prometheus.GaugeVec
 	Claims       *prometheus.CounterVec
@@ -68,6 +69,7 @@
 		FirstToken:   firstToken(),
 		Tokens:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "relayed_tokens_total", Help: "Tokens relayed to callers."}),
 		Retries:      counter("retries_total", "Attempts after the first, by pool.", "pool"),
+		Silent:       counter("silent_targets_total", "Attempts ended because the target fell silent, by pool.", "pool"),
 		Decisions:    counter("decisions_total", "Decisions, by kind and outcome.", "kind", "outcome"),
 		Queue:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_requests", Help: "Requests that wait, by pool."}, []string{"pool"}),
 		Claims:       counter("claims_total", "Claims of idempotency keys, by outcome.", "outcome"),
@@ -82,7 +84,7 @@
 		Orders:       counter("orders_total", "Orders to targets, by outcome.", "outcome"),
 		LinesLeftOut: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Decisions, m.Queue, m.Claims,
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Silent, m.Decisions, m.Queue, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
 		m.Orders, m.LinesLeftOut, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
