Links between daemons that die without a word are given up

Cause: by reading: only writes on a link had a limit, which the system's buffers hide. A daemon that asks a coordinator over such a link lost 40 ms each second and decided alone. Ruled out: keep-alive probes, which a peer's system answers while its process stands still. Change: a link on which nothing has come for 2 s while questions wait is closed.

--- a/core/forward/patience.go
+++ b/core/forward/patience.go
@@ -19,9 +19,9 @@
 	Pause time.Duration
 }
 
-// Callers of streams leave after a silence of callersLeast, callersGoals times the route's
-// goal for the first event or callersPauses times its goal for a pause, whichever is the
-// longest; that is the word of the users' page on what is spoken.
+// The users' callers leave a stream after a silence of callersLeast, of callersGoals times
+// the route's goal for the first event, or of callersPauses times its goal for a pause,
+// whichever is the longest.
 const (
 	callersLeast  = 2 * time.Second
 	callersGoals  = 4
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -24,8 +24,15 @@
 	mu      sync.Mutex
 	next    uint64
 	waiting map[uint64]chan Frame
+	// unanswered is when the first question was sent of those since which nothing has come;
+	// zero when something has.
+	unanswered time.Time
 }
 
+// silentAfter is how long a peer may say nothing while questions wait: two heartbeats. An
+// open connection may go silent for good without an error, while a new one works.
+const silentAfter = 2 * time.Second
+
 // outQueue bounds the frames that wait for a slow peer; when it is full the link
 // is closed, so that a slow peer holds nobody up.
 const outQueue = 256
@@ -64,6 +71,9 @@
 			return
 		}
 		l.hub.count("in", f.Kind, len(data))
+		l.mu.Lock()
+		l.unanswered = time.Time{}
+		l.mu.Unlock()
 		l.receive(ctx, f)
 	}
 }
@@ -161,6 +171,9 @@
 	l.next++
 	id := l.next
 	l.waiting[id] = answer
+	if l.unanswered.IsZero() {
+		l.unanswered = time.Now()
+	}
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
@@ -179,10 +192,24 @@
 	case <-l.done:
 		return nil, errClosed
 	case <-ctx.Done():
+		l.closeIfSilent(time.Now())
 		return nil, ctx.Err()
 	}
 }
 
+// closeIfSilent gives a link up whose peer has answered nothing for too long, so that the
+// next question goes over a new one.
+func (l *link) closeIfSilent(now time.Time) {
+	l.mu.Lock()
+	since := l.unanswered
+	l.mu.Unlock()
+	if since.IsZero() || now.Sub(since) < silentAfter {
+		return
+	}
+	l.hub.refused("silent")
+	l.close(websocket.StatusGoingAway, "silent")
+}
+
 func (l *link) close(code websocket.StatusCode, reason string) {
 	l.once.Do(func() {
 		close(l.done)
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"doorstack.dev/node/telemetry"
 	"github.com/fxamacker/cbor/v2"
@@ -112,3 +113,49 @@
 		_ = cbor.Unmarshal(frame.Body, &q)
 	})
 }
+
+// TestASilentLinkIsGivenUp: a link on which nothing comes while questions wait is closed
+// and the next question dials; one that only was not needed for long is kept.
+func TestASilentLinkIsGivenUp(t *testing.T) {
+	server, address := serve(t, "server", oldKey)
+	muted := make(chan struct{})
+	server.Handle(KindHosts, Serve(func(ctx context.Context, _ string, q question) (question, error) {
+		select {
+		case <-muted:
+		case <-ctx.Done():
+		}
+		return q, nil
+	}))
+	client := NewHub("client", []string{oldKey}, telemetry.NewMetrics())
+	defer client.Close()
+	ask := func(kind Kind, within time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		return client.Ask(ctx, address, kind, question{"why"}, &question{})
+	}
+	open := func() *link {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		return client.links["server"]
+	}
+	const soon, long = 20 * time.Millisecond, 20 * time.Second
+	if err := ask(KindExplain, long); err != nil {
+		t.Fatal(err)
+	}
+	first := open()
+	first.closeIfSilent(time.Now().Add(time.Hour))
+	if open() != first {
+		t.Fatal("a link that answered is given up for being idle")
+	}
+	if ask(KindHosts, soon) == nil || open() != first {
+		t.Fatal("one question without an answer ends the link")
+	}
+	first.closeIfSilent(time.Now().Add(silentAfter))
+	if open() != nil {
+		t.Fatal("a silent link is kept")
+	}
+	close(muted)
+	if err := ask(KindHosts, long); err != nil || open() == first {
+		t.Errorf("no new link: %v", err)
+	}
+}
