Connections to targets are kept again

Ruled out: targets' idle times. Change: the context is released after the close. The test failed first: nine connections for nine calls in turn.

--- a/node/onplatform/answers_test.go
+++ b/node/onplatform/answers_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,6 +100,35 @@
 	}
 }
 
+// TestConnectionsToTargetsAreKept: calls in turn go over one connection.
+func TestConnectionsToTargetsAreKept(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	var mu sync.Mutex
+	from := map[string]bool{}
+	f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		mu.Lock()
+		from[r.RemoteAddr] = true
+		mu.Unlock()
+		if strings.HasPrefix(c.URI, stream) {
+			standin.Stream(1, 3, false)(w, r, c)
+			return
+		}
+		standin.Succeed("ok")(w, r, c)
+	})
+	for range 3 {
+		for _, path := range []string{safe, unsafe, stream} {
+			if got := f.do(f.ask(path)); got.Status != 200 {
+				t.Fatalf("%+v", got)
+			}
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(from) != 1 {
+		t.Errorf("nine calls in turn came over %d connections", len(from))
+	}
+}
+
 func TestSafeGoesToAnotherTarget(t *testing.T) {
 	for name, first := range map[string]func(http.ResponseWriter, *http.Request, standin.Call){
 		"cut": standin.Cut, "own failure": standin.Answer(500, "no"), "truncated": standin.Truncate,
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -249,6 +249,7 @@
 	}
 	defer tickets.release(ctx)
 	watched, silence := f.watch(ctx, p)
+	defer silence.release()
 	f.watched = silence
 	reply, err := d.Exchange.Send(watched, p.Address, &call)
 	if err != nil {
--- a/node/requestcontrol/silence.go
+++ b/node/requestcontrol/silence.go
@@ -105,7 +105,7 @@
 }
 
 // stop ends the watch; err is how the attempt ended. It returns errSilent in its place
-// where that was the cause.
+// where that was the cause. The attempt's context goes on until release.
 func (s *silence) stop(ctx context.Context, err error) error {
 	s.mu.Lock()
 	if s.timer != nil {
@@ -116,6 +116,9 @@
 	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
 		err = errors.Wrap(errSilent, fmt.Sprintf("%v; bounds %v to the first event, %v between two", err, s.patience.First, s.patience.Pause))
 	}
-	s.cancel(nil)
 	return err
 }
+
+// release ends the attempt's context. It comes after the answer was closed: a connection
+// whose context has ended is not kept.
+func (s *silence) release() { s.cancel(nil) }
