A removal that one peer withholds is asked for at another

Cause: facts of a peer raised the receiver's revision by each entry in them. A peer that was cut off from the store withholds removals in doubt but tells of the changes after them; whoever heard those from it took itself to know everything up to them and asked nobody for the removal. It sent calls to the target that had left for as long as the doubt lasted.

Change: a peer's facts count up to its own word (AsOf) only. The test failed before: the receiver took itself to know revision 7 without the removal at 5.

--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -117,11 +117,23 @@
 	if f.Whole {
 		t.whole = max(t.whole, f.AsOf)
 	}
+	t.revision = max(t.revision, f.completeTo(doubt))
+	return changed
+}
+
+// completeTo is the revision up to which nothing is missing in facts whose removals are in
+// doubt until then. A peer withholds removals that it doubts but tells of later changes, so
+// only its own word counts; the store's changes come in order, and what is in doubt of them
+// is taken off by Revision.
+func (f *Facts) completeTo(doubt time.Time) int64 {
 	if f.Confirmed || f.Whole && doubt.IsZero() {
-		// Nothing older is missing, also where a removal here had no entry to remove.
-		t.revision = max(t.revision, f.AsOf)
+		return f.AsOf
 	}
-	return changed
+	newest := int64(0)
+	for _, h := range f.Hosts {
+		newest = max(newest, h.Revision)
+	}
+	return newest
 }
 
 // doubt is when so many removals in one answer count; zero means at once.
@@ -209,7 +221,6 @@
 	if e != nil && h.Revision <= max(e.host.Revision, e.removed) {
 		return false
 	}
-	t.revision = max(t.revision, h.Revision)
 	t.entries[h.ID] = &entry{host: h}
 	if e == nil || e.host.State == Gone {
 		return true
@@ -236,7 +247,6 @@
 func (t *Table) confirm(e *entry, revision int64, now time.Time) {
 	e.host.State, e.host.Revision, e.goneAt = Gone, revision, now
 	e.removed, e.doubtUntil = 0, time.Time{}
-	t.revision = max(t.revision, revision)
 }
 
 // Tick ends doubts and forgets old removals. It tells whether the list has changed.
@@ -251,6 +261,7 @@
 			}
 		case e.doubtUntil.IsZero() || t.away || now.Before(e.doubtUntil):
 		default:
+			t.revision = max(t.revision, e.removed)
 			t.confirm(e, e.removed, now)
 			changed = true
 		}
--- a/core/hostlist/table_test.go
+++ b/core/hostlist/table_test.go
@@ -216,3 +216,37 @@
 		t.Error("its entry did not come back, and it is still listed")
 	}
 }
+
+// TestAWithheldRemovalIsAskedForElsewhere: a peer that was cut off doubts a removal and
+// tells of the changes after it. Whoever heard those from it took itself to know all of
+// them, asked nobody for the removal, and sent to the target for the time of the doubt.
+func TestAWithheldRemovalIsAskedForElsewhere(t *testing.T) {
+	start := Facts{Whole: true, AsOf: 3, Hosts: []Host{live("a", 1), live("b", 2), live("c", 3)}}
+	leaving := live("b", 5)
+	leaving.State = Leaving
+	news := Facts{AsOf: 6, Hosts: []Host{live("d", 4), gone("a", 5), leaving, live("c", 7)}}
+	news.Hosts[2].Revision, news.AsOf = 6, 7
+	tables := map[string]*Table{}
+	for _, name := range []string{"cut off", "sound", "receiver"} {
+		tables[name] = NewTable()
+		tables[name].Merge(start, epoch)
+	}
+	now := epoch.Add(time.Minute)
+	tables["cut off"].StoreAway()
+	tables["cut off"].StoreAnswered(now)
+	tables["cut off"].Merge(news, now)
+	tables["sound"].Merge(news, now)
+
+	receiver := tables["receiver"]
+	receiver.Merge(tables["cut off"].Since(receiver.Revision()), now)
+	if names(receiver) != "[a:live b:leaving c:live d:live]" {
+		t.Fatal(names(receiver))
+	}
+	if receiver.Revision() != 4 {
+		t.Fatalf("it takes itself to know all changes up to %d; the removal at 5 is missing", receiver.Revision())
+	}
+	receiver.Merge(tables["sound"].Since(receiver.Revision()), now)
+	if names(receiver) != "[b:leaving c:live d:live]" || receiver.Revision() != 7 {
+		t.Fatal(names(receiver), receiver.Revision())
+	}
+}
