A peer that does not answer holds no news up

Cause: a daemon fetched settings from the first peer that told of them and waited 5 s for the answer; after that the same peer's heartbeat could come first again. While one fetch waits no other runs, of targets neither.

Change: a fetch waits 0.6 s; a peer that failed is asked after those that answer for 5 s, and then with the long bound.

--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -40,6 +40,8 @@
 	poke     chan struct{}
 	compared map[string]bool // neighbours whose revision has been seen
 	heard    chan heartbeatNews
+	// slowUntil is until when peers that did not answer a fetch are asked last.
+	slowUntil map[string]time.Time
 
 	// searched is true once every seed has answered and knew of nobody else.
 	searched atomic.Bool
@@ -55,7 +57,7 @@
 	c := &Cluster{
 		Board: board, Hub: hub, Record: record, Settings: settings, Targets: targets,
 		started: time.Now(), poke: make(chan struct{}, 1), compared: map[string]bool{},
-		heard: make(chan heartbeatNews, heardQueue), sought: map[string]*seek{}, reconciled: map[string]time.Time{},
+		heard: make(chan heartbeatNews, heardQueue), slowUntil: map[string]time.Time{}, sought: map[string]*seek{}, reconciled: map[string]time.Time{},
 	}
 	c.Placements = newPlacements(c)
 	hub.Handle(peer.KindPlace, peer.Serve(c.Placements.servePlace))
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -51,8 +51,14 @@
 	// compareTimeout is how long a fresh daemon waits for neighbours that do not
 	// answer, before it trusts what it read itself.
 	compareTimeout = 5 * time.Second
-	// settingsTimeout bounds the fetch of a revision from a peer.
-	settingsTimeout = 5 * time.Second
+	// fetchTimeout bounds the fetch of a revision from a peer, which may be a megabyte.
+	// firstTimeout is the bound for a peer that has not failed lately: one that is
+	// overloaded or cut off must not hold up the fetch from another, and news have to be in
+	// force 2 s after they were published.
+	fetchTimeout = 5 * time.Second
+	firstTimeout = 600 * time.Millisecond
+	// slowFor is how long a peer that did not answer a fetch is asked after all others.
+	slowFor = 5 * time.Second
 )
 
 // Run keeps links, heartbeats and the settings of the neighbours in step.
@@ -109,10 +115,7 @@
 }
 
 func (c *Cluster) heartbeat(withNews bool) heartbeat {
-	h := heartbeat{Leaving: c.Board.Phase() == blackboard.Draining, Started: c.Board.Self.Incarnation}
-	if view := c.Board.Settings.Current(); view != nil {
-		h.Revision = view.Revision
-	}
+	h := heartbeat{Leaving: c.Board.Phase() == blackboard.Draining, Started: c.Board.Self.Incarnation, Revision: c.revision()}
 	c.Board.Members.View(func(t *membership.Table) {
 		if h.Leaving {
 			t.Leave()
@@ -227,15 +230,17 @@
 }
 
 // newest takes all news that wait, so that they cannot pile up while one of them is
-// acted on, and returns those of the peers with the newest settings and targets.
+// acted on, and returns those of the peers with the newest settings and targets. Peers
+// that failed lately come last.
 func (c *Cluster) newest(h heartbeatNews) (revision, targets heartbeatNews) {
 	revision, targets = h, h
+	now := time.Now()
 	for {
 		c.compared[h.from] = true
-		if h.revision > revision.revision {
+		if c.preferred(h, revision, now, h.revision, revision.revision, c.revision()) {
 			revision = h
 		}
-		if h.targets > targets.targets {
+		if c.preferred(h, targets, now, h.targets, targets.targets, c.Board.Directory.Revision()) {
 			targets = h
 		}
 		select {
@@ -246,25 +251,60 @@
 	}
 }
 
+// preferred tells whether something is rather fetched from the sender of a than of b, by
+// the revisions of it that both and this daemon have: from one that has answered and has
+// something new, or else from the one with the newest.
+func (c *Cluster) preferred(a, b heartbeatNews, now time.Time, ofA, ofB, own int64) bool {
+	slowA, slowB := c.isSlow(a.from, now), c.isSlow(b.from, now)
+	switch {
+	case slowA && !slowB && ofB > own:
+		return false
+	case slowB && !slowA && ofA > own:
+		return true
+	}
+	return ofA > ofB
+}
+
+// fetch asks a peer for what it has and this daemon has not, and notes whether it answers.
+func (c *Cluster) fetch(ctx context.Context, from string, kind peer.Kind, in, out any) error {
+	timeout := firstTimeout
+	if c.isSlow(from, time.Now()) {
+		timeout = fetchTimeout
+	}
+	err := c.ask(ctx, from, kind, in, out, timeout)
+	if err != nil {
+		c.slowUntil[from] = time.Now().Add(slowFor)
+	}
+	return err
+}
+
+// isSlow tells whether a peer did not answer a fetch lately.
+func (c *Cluster) isSlow(name string, now time.Time) bool { return now.Before(c.slowUntil[name]) }
+
+// revision is the settings revision in force, zero before the first.
+func (c *Cluster) revision() int64 {
+	if view := c.Board.Settings.Current(); view != nil {
+		return view.Revision
+	}
+	return 0
+}
+
 // compareTick is how often a fresh daemon looks whether it may serve.
 const compareTick = 50 * time.Millisecond
 
 func (c *Cluster) catchUp(ctx context.Context, h heartbeatNews) {
-	own := int64(0)
-	if view := c.Board.Settings.Current(); view != nil {
-		own = view.Revision
-	}
+	own := c.revision()
 	if h.revision <= own || h.revision == c.Board.Settings.Rejected().Revision {
 		return
 	}
 	if c.open() && own > 0 {
 		c.leadToWatch(ctx)
-		if own = c.Board.Settings.Current().Revision; h.revision <= own {
+		if own = c.revision(); h.revision <= own {
 			return
 		}
 	}
 	var changes settings.Changes
-	if err := c.ask(ctx, h.from, peer.KindSettings, settingsRequest{Since: own}, &changes, settingsTimeout); err != nil {
+	if err := c.fetch(ctx, h.from, peer.KindSettings, settingsRequest{Since: own}, &changes); err != nil {
 		c.Record.Log.Warn("settings could not be fetched from a peer", "peer", h.from, "revision", h.revision, "error", err.Error())
 		return
 	}
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -190,7 +190,7 @@
 		return
 	}
 	var facts hostlist.Facts
-	if err := c.ask(ctx, h.from, peer.KindTargets, targetsRequest{Since: own}, &facts, heartbeatTimeout); err != nil {
+	if err := c.fetch(ctx, h.from, peer.KindTargets, targetsRequest{Since: own}, &facts); err != nil {
 		c.Record.Log.Warn("targets could not be fetched from a peer", "peer", h.from, "revision", h.targets, "error", err.Error())
 		return
 	}
--- a/node/cluster/placement_test.go
+++ b/node/cluster/placement_test.go
@@ -23,6 +23,8 @@
 tree: {}
 `
 
+const fleetKey = "a key of sixteen characters"
+
 // newCoordinator returns the placements of a daemon that knows so many targets.
 func newCoordinator(t *testing.T, targets int) *Placements {
 	t.Helper()
@@ -44,7 +46,7 @@
 	board.MergeFacts(facts, time.Now())
 	board.Serve()
 	record := &telemetry.Recorder{Board: board, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics}
-	hub := peer.NewHub("self", []string{"a key of sixteen characters"}, metrics)
+	hub := peer.NewHub("self", []string{fleetKey}, metrics)
 	t.Cleanup(hub.Close)
 	return New(board, hub, record, nil, nil).Placements
 }
