Long prompts are answered where others write already

Cause: an engine with a writer bears no part of 0.75 s and more, and audits over 300,000 tokens need such parts on several engines. Each audit was answered by whichever engine had the fewest close writers and came first, so that three audits that write took three engines from the large ones.

Change: among engines with equally few close writers the one with the most requests answers.

--- a/core/routing/settle.go
+++ b/core/routing/settle.go
@@ -43,10 +43,16 @@
 	return true
 }
 
-// compareFirst prefers a target whose calls did not fail lately, and then the one with
-// the fewest writers whose callers wait closely.
+// compareFirst prefers a target whose calls did not fail lately, then the one with the
+// fewest writers whose callers wait closely, and then the one with the most requests: where
+// long prompts write beside each other, more engines are free for parts that no writer
+// bears. That is worth 0.011 of a day (60 plays: 0.685 to 0.696).
 func compareFirst(a, b *Target) int {
-	return cmp.Or(cmp.Compare(int(a.Trouble), int(b.Trouble)), cmp.Compare(a.Tight, b.Tight))
+	return cmp.Or(
+		cmp.Compare(int(a.Trouble), int(b.Trouble)),
+		cmp.Compare(a.Tight, b.Tight),
+		cmp.Compare(b.Load.Requests, a.Load.Requests),
+	)
 }
 
 // divide finds memory for a prompt that no target has room for: the target that
