Slow engines are known and avoided

Cause: an engine that turns slow answers its calls all the same.

Learning the pace from foreseen and seen times: a part's own time is seen nowhere.

Tests: three slow engines of 18 get no part and no chat (failed before), a real daemon learns of a slow stand-in and of its recovery.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -51,6 +51,12 @@
 	Ticket string
 }
 
+// Report is what a target says of itself when it is asked.
+type Report struct {
+	// Pace is how many times as long as usual its work takes: 1 for a sound target.
+	Pace float64
+}
+
 // Message is what goes to a target: a caller's call unchanged, or an order.
 type Message struct {
 	// ID is the id that the answer must carry; orders have none.
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -103,6 +103,9 @@
 	HoldUp       float64 `json:"hold_up_s,omitempty"`
 	// Trouble counts the target's lately failed calls; older ones count less.
 	Trouble float64 `json:"trouble,omitempty"`
+	// Pace is the factor by which the target's work takes longer than its timing says; zero
+	// and one are a sound target's.
+	Pace float64 `json:"pace,omitempty"`
 	// Unloaded is true while the target does not serve the pool's model.
 	Unloaded bool `json:"unloaded,omitempty"`
 }
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -94,10 +94,11 @@
 // scanTimed filters and scores the targets.
 func (s *Scratch) scanTimed(r *Request, p *Params, targets []Target, d *Decision) {
 	s.best, s.rejected, s.readers = s.best[:0], s.rejected[:0], s.readers[:0]
+	sound := anySound(targets)
 	for i := range targets {
 		t := &targets[i]
 		f := filterTimed(r, t)
-		if f == "" || f == FilterMemory || f == FilterConcurrency {
+		if (f == "" || f == FilterMemory || f == FilterConcurrency) && (t.pace() == 1 || !sound) {
 			s.readers = append(s.readers, i) // It may still read a part for another.
 		}
 		if f != "" {
@@ -110,6 +111,20 @@
 	}
 }
 
+// anySound tells whether a live target works at its usual pace. Then slow ones read no
+// parts: a prompt has been read when its last part has.
+func anySound(targets []Target) bool {
+	for i := range targets {
+		if targets[i].State == Live && targets[i].pace() == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// pace is the factor by which the target's work takes longer than usual.
+func (t *Target) pace() float64 { return max(1, t.Pace) }
+
 // filterTimed returns the first filter that rejects the target, or "".
 func filterTimed(r *Request, t *Target) Filter {
 	switch {
@@ -130,7 +145,8 @@
 // scoreTimed estimates the time to the first event of a prompt read in one piece, and
 // what the prompt costs others.
 func scoreTimed(r *Request, p *Params, t *Target, reading float64) Scores {
-	pass := p.Timing.Pass(t.Load.Requests+1, t.Load.MemoryTokens+r.PromptTokens)
+	pass := t.pace() * p.Timing.Pass(t.Load.Requests+1, t.Load.MemoryTokens+r.PromptTokens)
+	reading *= t.pace()
 	s := Scores{Backlog: t.Reading, Prefill: reading, Batch: 1.5 * pass, Trouble: trouble(t)}
 	if t.DataCentre != r.DataCentre {
 		s.Locality = p.RemotePenalty
--- a/core/routing/timed_test.go
+++ b/core/routing/timed_test.go
@@ -277,3 +277,31 @@
 		}
 	}
 }
+
+// TestSlowEnginesReadNoParts: three of 18 engines take 4.5 times as long. A long prompt is
+// read when its last part is; with parts on the slow ones its first event was foreseen in
+// time and came 4.5 times as late.
+func TestSlowEnginesReadNoParts(t *testing.T) {
+	list := engines(18)
+	for i := range 3 {
+		list[i].Pace = 4.5
+	}
+	d := decide(referral(150_000, 0), list)
+	if d.Verdict != Place {
+		t.Fatalf("%+v", d)
+	}
+	for _, id := range append(d.Helpers, d.Chosen) {
+		if id == "e00" || id == "e01" || id == "e02" {
+			t.Errorf("%s is slow and reads a part", id)
+		}
+	}
+	if d := decide(chat(), list); d.Chosen == "e00" || d.Chosen == "e01" || d.Chosen == "e02" {
+		t.Errorf("a chat goes to %s, which is slow", d.Chosen)
+	}
+	for i := range list {
+		list[i].Pace = 2
+	}
+	if d := decide(referral(150_000, 0), list); d.Verdict != Place || len(d.Helpers) < 5 {
+		t.Errorf("where all are slow: %s with %d helpers", d.Verdict, len(d.Helpers))
+	}
+}
--- /dev/null
+++ b/node/blackboard/target_pace.go
@@ -0,0 +1,64 @@
+package blackboard
+
+import (
+	"time"
+
+	"doorstack.dev/core/engine"
+	"doorstack.dev/core/routing"
+)
+
+// pace is how fast a target of known timing said that it works.
+type pace struct {
+	factor float64
+	// until is when the report is too old to be used.
+	until time.Time
+}
+
+// SetPace takes in the factor by which a target says that its work takes longer, to be used
+// until a later moment.
+func (t *TargetTable) SetPace(id string, reported float64, until, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.byID[id]; s != nil {
+		s.pace = pace{factor: engine.Pace(reported), until: until}
+		s.refresh(at)
+	}
+}
+
+// now is the factor that counts at a moment.
+func (p *pace) now(at time.Time) float64 {
+	if at.After(p.until) {
+		return 1
+	}
+	return max(1, p.factor)
+}
+
+// TimedPools lists the pools whose engines' timing is known.
+func (t *TargetTable) TimedPools() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, p := range t.pools {
+		if p.timed {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// LiveAddresses lists the live targets of a pool.
+func (t *TargetTable) LiveAddresses(pool string) []TargetAddress {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil {
+		return nil
+	}
+	var list []TargetAddress
+	for _, s := range p.states {
+		if s.state() == routing.Live {
+			list = append(list, TargetAddress{ID: s.id, Pool: pool, Address: s.address})
+		}
+	}
+	return list
+}
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -30,6 +30,8 @@
 	index     map[string]int
 	refreshed time.Time
 	short     shortRate
+	// timed tells whether the engines' timing is known.
+	timed bool
 }
 
 // shortRate is a decaying average of the short prompts' tokens that this daemon
@@ -80,6 +82,7 @@
 	reading  readingState
 	setAside int64     // tokens of memory for calls that other targets answer
 	suspect  time.Time // until when nothing is sent to it, after it turned a call away
+	pace     pace
 }
 
 // trouble is a decaying count of failed calls.
@@ -134,7 +137,7 @@
 		}
 		p := pools[pool.Name]
 		if p == nil {
-			p = &targetPool{name: pool.Name, model: pool.Model, index: map[string]int{}}
+			p = &targetPool{name: pool.Name, model: pool.Model, index: map[string]int{}, timed: pool.Timing != nil}
 			if old := t.pools[pool.Name]; old != nil {
 				p.short = old.short
 			}
@@ -198,6 +201,7 @@
 	}
 	view.Load = reported.Sub(s.ended).Add(s.since)
 	s.refreshTimed(view, at)
+	view.Pace = s.pace.now(at)
 	view.Trouble = s.trouble.now(at)
 	if s.report.MemoryTokens > 0 {
 		view.MemoryTokens = s.report.MemoryTokens
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -147,6 +147,11 @@
 	return coordinator{owner, incarnations[owner]}
 }
 
+// Coordinates tells whether this daemon places a pool's calls for all.
+func (p *Placements) Coordinates(pool string) bool {
+	return p.cluster.Board.Phase() == blackboard.Serving && p.coordinatorOf(pool, time.Now()).name == p.cluster.Board.Self.Name
+}
+
 // askedInTurn is how many coordinators are asked for one call: the second where the
 // first says at once that it leaves.
 const askedInTurn = 2
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -162,7 +162,8 @@
 	d.director.Placer = d.cluster.Placements
 	d.cluster.MembersOnly = true
 	d.director.Exchange = target.NewExchanger(d.adapter.Dialect)
-	d.loops = append(d.loops, directory.Run, d.director.Exchange.Run)
+	paces := &controller.Paces{Board: d.Board, Exchange: d.director.Exchange, Record: d.record, Coordinates: d.cluster.Placements.Coordinates}
+	d.loops = append(d.loops, directory.Run, d.director.Exchange.Run, paces.Run)
 }
 
 // adopted takes a new revision to the targets and to the neighbours.
--- a/node/onplatform/findings_test.go
+++ b/node/onplatform/findings_test.go
@@ -225,3 +225,27 @@
 		}
 	}
 }
+
+// TestSlowEnginesAreKnown: an engine that turns slow answers its calls all the same and is
+// in nobody's list. Its coordinator asks and learns of it, and of its recovery.
+func TestSlowEnginesAreKnown(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.addTarget("slow", engines, 16).SetPace(4.5)
+	f.addTarget("sound", engines, 16)
+	d := f.daemons[0]
+	f.waitReady(d)
+	pace := func(id string) float64 {
+		for _, v := range d.Board.Targets.Views(engines, time.Now()) {
+			if v.ID == id {
+				return v.Pace
+			}
+		}
+		return 0
+	}
+	f.eventually("the slow engine's pace", func() bool { return pace("slow") == 4.5 })
+	if got := pace("sound"); got != 1 {
+		t.Errorf("the sound engine's pace is %v", got)
+	}
+	f.targets["slow"].SetPace(1)
+	f.eventually("the slow engine's recovery", func() bool { return pace("slow") == 1 })
+}
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -28,6 +28,10 @@
 	// long; the same order again renews it. Release makes the order that ends it.
 	Reserve(target, id string, tokens int64, hold time.Duration) forward.Message
 	Release(target, id string) forward.Message
+	// Report makes the question for a target's report of itself, and ReadReport decodes
+	// the body of the answer.
+	Report(target string) forward.Message
+	ReadReport(body []byte) (forward.Report, error)
 	// WriteFailure sets what callers read beside a failure of the daemon's own.
 	WriteFailure(h http.Header, requestID string, retry bool, after time.Duration)
 }
--- a/node/target/exchange_test.go
+++ b/node/target/exchange_test.go
@@ -22,6 +22,10 @@
 func (plainDialect) ReadCall(http.Header) forward.Call      { return forward.Call{} }
 func (plainDialect) WriteSend(http.Header, *forward.Send)   {}
 func (plainDialect) Release(string, string) forward.Message { return forward.Message{} }
+func (plainDialect) Report(string) forward.Message          { return forward.Message{} }
+
+func (plainDialect) ReadReport([]byte) (forward.Report, error) { return forward.Report{}, nil }
+
 func (plainDialect) ReadHead(s int, h http.Header) forward.Head {
 	return forward.Head{Status: s, RequestID: h.Get("Id")}
 }
