--- a/node/onplatform/answers_test.go
+++ b/node/onplatform/answers_test.go
@@ -288,30 +288,6 @@
 	}
 }
 
-// TestATargetStopsWhenItsCallerLeaves: the target's connection ends with the caller's.
-func TestATargetStopsWhenItsCallerLeaves(t *testing.T) {
-	f := newFleet(t, 1, 1)
-	started, stopped := make(chan struct{}), make(chan struct{})
-	f.scriptAll(func(_ http.ResponseWriter, r *http.Request, _ standin.Call) {
-		close(started)
-		<-r.Context().Done()
-		close(stopped)
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		<-started
-		cancel()
-	}()
-	if got := f.ask(safe).Do(ctx, f.client); got.Err == nil {
-		t.Fatal("the caller had left")
-	}
-	select {
-	case <-stopped:
-	case <-time.After(waitMost):
-		t.Fatal("the target still works")
-	}
-}
-
 func TestAnotherTargetAtTheAddress(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	f.targets["t1"].ID = "somebody-else"
