--- a/node/onplatform/answers_test.go
+++ b/node/onplatform/answers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"net"
 	"net/http"
