What daemons tell each other of settings and targets in a file of its own

members.go keeps heartbeats and membership; news.go the fetching that they lead to, which stood in two files. No change of behaviour.

--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -8,10 +8,8 @@
 
 	"doorstack.dev/core/claim"
 	"doorstack.dev/core/membership"
-	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/peer"
-	"github.com/go-faster/errors"
 )
 
 // heartbeat is sent on each link once a second, and answered by the same. Links
@@ -32,16 +30,6 @@
 	Targets int64 `cbor:"7,keyasint,omitempty"`
 }
 
-// heartbeatNews tells the members' loop what a neighbour said.
-type heartbeatNews struct {
-	from     string
-	revision int64
-	targets  int64
-}
-
-// heardQueue bounds the news that wait for the loop.
-const heardQueue = 64
-
 // The pace and the bounds of the members' loop.
 const (
 	heartbeatTimeout = membership.HeartbeatEvery
@@ -51,14 +39,6 @@
 	// compareTimeout is how long a fresh daemon waits for neighbours that do not
 	// answer, before it trusts what it read itself.
 	compareTimeout = 5 * time.Second
-	// fetchTimeout bounds the fetch of a revision from a peer, which may be a megabyte.
-	// firstTimeout is the bound for a peer that has not failed lately: one that is
-	// overloaded or cut off must not hold up the fetch from another, and news have to be in
-	// force 2 s after they were published.
-	fetchTimeout = 5 * time.Second
-	firstTimeout = 600 * time.Millisecond
-	// slowFor is how long a peer that did not answer a fetch is asked after all others.
-	slowFor = 5 * time.Second
 )
 
 // Run keeps links, heartbeats and the settings of the neighbours in step.
@@ -197,122 +177,6 @@
 	}
 }
 
-// settingsRequest asks for what changed after a revision.
-type settingsRequest struct {
-	Since int64 `cbor:"1,keyasint"`
-}
-
-func (c *Cluster) serveSettings(_ context.Context, _ string, in settingsRequest) (settings.Changes, error) {
-	view := c.Board.Settings.Current()
-	if view == nil {
-		return settings.Changes{}, errors.New("there are no settings here yet")
-	}
-	return view.Snapshot.Since(in.Since), nil
-}
-
-// fetchLoop fetches newer settings from whoever has them, and opens the doors of
-// a fresh daemon once it has compared with its neighbours.
-func (c *Cluster) fetchLoop(ctx context.Context) {
-	ticker := time.NewTicker(compareTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case h := <-c.heard:
-			revision, targets := c.newest(h)
-			c.catchUp(ctx, revision)
-			c.catchUpTargets(ctx, targets)
-		case <-ticker.C:
-		}
-		c.serveWhenCompared(ctx)
-	}
-}
-
-// newest takes all news that wait, so that they cannot pile up while one of them is
-// acted on, and returns those of the peers with the newest settings and targets. Peers
-// that failed lately come last.
-func (c *Cluster) newest(h heartbeatNews) (revision, targets heartbeatNews) {
-	revision, targets = h, h
-	now := time.Now()
-	for {
-		c.compared[h.from] = true
-		if c.preferred(h, revision, now, h.revision, revision.revision, c.revision()) {
-			revision = h
-		}
-		if c.preferred(h, targets, now, h.targets, targets.targets, c.Board.Directory.Revision()) {
-			targets = h
-		}
-		select {
-		case h = <-c.heard:
-		default:
-			return revision, targets
-		}
-	}
-}
-
-// preferred tells whether something is rather fetched from the sender of a than of b, by
-// the revisions of it that both and this daemon have: from one that has answered and has
-// something new, or else from the one with the newest.
-func (c *Cluster) preferred(a, b heartbeatNews, now time.Time, ofA, ofB, own int64) bool {
-	slowA, slowB := c.isSlow(a.from, now), c.isSlow(b.from, now)
-	switch {
-	case slowA && !slowB && ofB > own:
-		return false
-	case slowB && !slowA && ofA > own:
-		return true
-	}
-	return ofA > ofB
-}
-
-// fetch asks a peer for what it has and this daemon has not, and notes whether it answers.
-func (c *Cluster) fetch(ctx context.Context, from string, kind peer.Kind, in, out any) error {
-	timeout := firstTimeout
-	if c.isSlow(from, time.Now()) {
-		timeout = fetchTimeout
-	}
-	err := c.ask(ctx, from, kind, in, out, timeout)
-	if err != nil {
-		c.slowUntil[from] = time.Now().Add(slowFor)
-	}
-	return err
-}
-
-// isSlow tells whether a peer did not answer a fetch lately.
-func (c *Cluster) isSlow(name string, now time.Time) bool { return now.Before(c.slowUntil[name]) }
-
-// revision is the settings revision in force, zero before the first.
-func (c *Cluster) revision() int64 {
-	if view := c.Board.Settings.Current(); view != nil {
-		return view.Revision
-	}
-	return 0
-}
-
-// compareTick is how often a fresh daemon looks whether it may serve.
-const compareTick = 50 * time.Millisecond
-
-func (c *Cluster) catchUp(ctx context.Context, h heartbeatNews) {
-	own := c.revision()
-	if h.revision <= own || h.revision == c.Board.Settings.Rejected().Revision {
-		return
-	}
-	if c.open() && own > 0 {
-		c.leadToWatch(ctx)
-		if own = c.revision(); h.revision <= own {
-			return
-		}
-	}
-	var changes settings.Changes
-	if err := c.fetch(ctx, h.from, peer.KindSettings, settingsRequest{Since: own}, &changes); err != nil {
-		c.Record.Log.Warn("settings could not be fetched from a peer", "peer", h.from, "revision", h.revision, "error", err.Error())
-		return
-	}
-	if err := c.Settings.Offer(changes, "peer "+h.from); err != nil && !errors.Is(err, settings.ErrOlder) {
-		c.Record.Log.Warn("settings of a peer were not adopted", "peer", h.from, "revision", h.revision, "error", err.Error())
-	}
-}
-
 // serveWhenCompared opens the doors once every neighbour has told its revision,
 // or has been silent for long enough.
 func (c *Cluster) serveWhenCompared(ctx context.Context) {
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/membership"
 	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
@@ -157,42 +156,3 @@
 	c.reconciled[peerName] = now
 	return true
 }
-
-// targetsRequest asks for the facts of targets above a revision.
-type targetsRequest struct {
-	Since int64 `cbor:"1,keyasint"`
-}
-
-func (c *Cluster) serveTargets(_ context.Context, _ string, in targetsRequest) (hostlist.Facts, error) {
-	return c.Board.Directory.Since(in.Since), nil
-}
-
-// watchLead is how long a daemon leaves its own watch of the store to bring what a
-// peer knows already: both hear of a change within some milliseconds, and fetching it
-// from the peer as well would double the bytes between data centres.
-const watchLead = 100 * time.Millisecond
-
-// leadToWatch waits for this daemon's own watch, if it has one.
-func (c *Cluster) leadToWatch(ctx context.Context) {
-	if c.Settings.Watches() {
-		controller.Sleep(ctx, watchLead)
-	}
-}
-
-// catchUpTargets fetches what a peer knows of targets and this daemon does not.
-func (c *Cluster) catchUpTargets(ctx context.Context, h heartbeatNews) {
-	if !c.open() || h.targets <= c.Board.Directory.Revision() {
-		return
-	}
-	c.leadToWatch(ctx)
-	own := c.Board.Directory.Revision()
-	if h.targets <= own {
-		return
-	}
-	var facts hostlist.Facts
-	if err := c.fetch(ctx, h.from, peer.KindTargets, targetsRequest{Since: own}, &facts); err != nil {
-		c.Record.Log.Warn("targets could not be fetched from a peer", "peer", h.from, "revision", h.targets, "error", err.Error())
-		return
-	}
-	c.Directory.MergeFrom(h.from, facts)
-}
