--- a/node/controller/paces.go
+++ b/node/controller/paces.go
@@ -27,10 +27,10 @@
 	// Coordinates tells whether this daemon places the calls of a pool for all.
 	Coordinates func(pool string) bool
 
-	// next is when each pool is asked next; slow are the targets that said they are slow.
+	// next is when each pool is asked next, and slow are its targets that last said that
+	// they are slow.
 	next map[string]time.Time
-	mu   sync.Mutex
-	slow map[string]bool
+	slow map[string]map[string]bool
 }
 
 const (
@@ -48,7 +48,7 @@
 
 // Run asks until ctx ends.
 func (c *Paces) Run(ctx context.Context) {
-	c.next, c.slow = map[string]time.Time{}, map[string]bool{}
+	c.next, c.slow = map[string]time.Time{}, map[string]map[string]bool{}
 	for ctx.Err() == nil {
 		for _, pool := range c.Board.Targets.TimedPools() {
 			if c.Coordinates(pool) && time.Now().After(c.next[pool]) {
@@ -62,36 +62,41 @@
 
 // askAll asks all live targets of a pool.
 func (c *Paces) askAll(ctx context.Context, pool string) {
+	before, slow := c.slow[pool], map[string]bool{}
 	slots := make(chan struct{}, paceParallel)
+	var mu sync.Mutex // guards slow
 	var asking sync.WaitGroup
 	for _, t := range c.Board.Targets.LiveAddresses(pool) {
 		slots <- struct{}{}
 		asking.Go(func() {
 			defer func() { <-slots }()
-			c.ask(ctx, t)
+			isSlow := c.ask(ctx, t, before[t.ID])
+			mu.Lock()
+			defer mu.Unlock()
+			if isSlow {
+				slow[t.ID] = true
+			}
 		})
 	}
 	asking.Wait()
+	c.slow[pool] = slow
 }
 
-// ask takes in one target's report.
-func (c *Paces) ask(ctx context.Context, t blackboard.TargetAddress) {
+// ask takes in one target's report, and tells whether it is slow. One that does not answer
+// is what it was.
+func (c *Paces) ask(ctx context.Context, t blackboard.TargetAddress, before bool) bool {
 	report, err := c.read(ctx, t)
 	if err != nil {
 		c.Record.Log.Debug("a target does not report", "target", t.ID, "error", err.Error())
-		return
+		return before
 	}
 	now := time.Now()
 	c.Board.Targets.SetPace(t.ID, report.Pace, now.Add(paceEvery+paceTimeout+paceTick), now)
 	slow := engine.Pace(report.Pace) > 1
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if slow != c.slow[t.ID] {
+	if slow != before {
 		c.Record.Log.Info("target's pace", "target", t.ID, "pool", t.Pool, "pace", report.Pace, "slow", slow)
 	}
-	if c.slow[t.ID] = slow; !slow {
-		delete(c.slow, t.ID)
-	}
+	return slow
 }
 
 func (c *Paces) read(ctx context.Context, t blackboard.TargetAddress) (forward.Report, error) {
