--- a/node/cluster/news.go
+++ b/node/cluster/news.go
@@ -75,10 +75,11 @@
 	now := time.Now()
 	for {
 		c.compared[h.from] = true
-		if c.preferred(h, revision, now, h.revision, revision.revision, c.revision()) {
+		slow, slowRevision, slowTargets := c.isSlow(h.from, now), c.isSlow(revision.from, now), c.isSlow(targets.from, now)
+		if (offer{slow, h.revision}).over(offer{slowRevision, revision.revision}, c.revision()) {
 			revision = h
 		}
-		if c.preferred(h, targets, now, h.targets, targets.targets, c.Board.Directory.Revision()) {
+		if (offer{slow, h.targets}).over(offer{slowTargets, targets.targets}, c.Board.Directory.Revision()) {
 			targets = h
 		}
 		select {
@@ -89,18 +90,23 @@
 	}
 }
 
-// preferred tells whether something is rather fetched from the sender of a than of b, by
-// the revisions of it that both and this daemon have: from one that has answered and has
-// something new, or else from the one with the newest.
-func (c *Cluster) preferred(a, b heartbeatNews, now time.Time, ofA, ofB, own int64) bool {
-	slowA, slowB := c.isSlow(a.from, now), c.isSlow(b.from, now)
+// offer is what a peer has that this daemon may fetch.
+type offer struct {
+	// slow is true for a peer that did not answer a fetch lately.
+	slow     bool
+	revision int64
+}
+
+// over tells whether an offer is taken rather than another, where this daemon has a revision
+// of its own: that of a peer that answers if it is new, or else the newest.
+func (o offer) over(other offer, own int64) bool {
 	switch {
-	case slowA && !slowB && ofB > own:
+	case o.slow && !other.slow && other.revision > own:
 		return false
-	case slowB && !slowA && ofA > own:
+	case other.slow && !o.slow && o.revision > own:
 		return true
 	}
-	return ofA > ofB
+	return o.revision > other.revision
 }
 
 // fetch asks a peer for what it has and this daemon has not, and notes whether it answers.
