--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -23,7 +23,8 @@
 // Hold is the longest time that a watch is held. A change that all watches miss is found
 // after it and the time allowed for an answer (0.8 s), by the next call, which comes at
 // once. It has to be known everywhere within the 3 s in which the users' store settles:
-// 2.6 s, and 0.4 s for the way through the fleet (measured over 76 hosts). Six watchers make 3.6 calls a second.
+// 2.6 s, and 0.4 s for the way through the fleet (measured over 76 hosts). Six watchers
+// make 3.6 calls a second.
 const Hold = 1800 * time.Millisecond
 
 // Member is a living daemon of the fleet.
