Sight: frames that wait, answers nobody waits for, what a fetch of settings took

Cause: logs and metrics could not tell whether a change is late because copies of the settings fill the links, because other news stands behind them, or because checking takes long. Change: a histogram and a line for frames that wait to be written, a counter for answers that come too late, a line for each fetch, the part of the store's answer that came. No change of logic.

--- a/node/cluster/news.go
+++ b/node/cluster/news.go
@@ -147,16 +147,27 @@
 			return
 		}
 	}
+	began := time.Now()
 	var changes settings.Changes
 	if err := c.fetch(ctx, h.from, peer.KindSettings, settingsRequest{Since: own}, &changes); err != nil {
 		c.Record.Log.Warn("settings could not be fetched from a peer", "peer", h.from, "revision", h.revision, "error", err.Error())
 		return
 	}
+	c.Record.Log.Info("settings were fetched", "peer", h.from, "revision", changes.Revision, "since", changes.Since, "bytes", sizeOf(changes), "took_ms", time.Since(began).Milliseconds())
 	if err := c.Settings.Offer(changes, "peer "+h.from); err != nil && !errors.Is(err, settings.ErrOlder) {
 		c.Record.Log.Warn("settings of a peer were not adopted", "peer", h.from, "revision", h.revision, "error", err.Error())
 	}
 }
 
+// sizeOf is the size of the parts that changes bring, in bytes.
+func sizeOf(changes settings.Changes) int {
+	size := 0
+	for _, part := range changes.Parts {
+		size += len(part.Data)
+	}
+	return size
+}
+
 // targetsRequest asks for the facts of targets above a revision.
 type targetsRequest struct {
 	Since int64 `cbor:"1,keyasint"`
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -140,6 +140,7 @@
 		Adopted:  func(*blackboard.SettingsView) { d.adopted() },
 	}
 	d.hub = peer.NewHub(d.Config.Name, d.Config.PeerKeys, d.Metrics)
+	d.hub.LogTo(d.Log)
 	d.cluster = cluster.New(d.Board, d.hub, d.record, d.settings, client)
 	d.director.Claims, d.director.Shares = d.cluster, d.cluster
 	d.Board.Accounts.SetShares(d.Board.Shares.Share)
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	self     string
 	keys     [][]byte
 	metrics  *telemetry.Metrics
+	log      *slog.Logger
 	handlers map[Kind]Handler
 
 	mu      sync.Mutex
@@ -33,7 +35,7 @@
 // NewHub returns a hub without links. The first key signs, all are accepted.
 func NewHub(self string, keys []string, metrics *telemetry.Metrics) *Hub {
 	h := &Hub{
-		self: self, metrics: metrics, handlers: map[Kind]Handler{}, links: map[string]*link{},
+		self: self, metrics: metrics, log: slog.New(slog.DiscardHandler), handlers: map[Kind]Handler{}, links: map[string]*link{},
 		dialing: map[string]chan struct{}{}, blocked: map[string]bool{},
 	}
 	for _, k := range keys {
@@ -43,6 +45,9 @@
 	return h
 }
 
+// LogTo sets where frames that waited long are reported. It is set before the hub is used.
+func (h *Hub) LogTo(log *slog.Logger) { h.log = log }
+
 // Handle sets the handler of a kind. All are set before the hub is used.
 func (h *Hub) Handle(kind Kind, serve Handler) { h.handlers[kind] = serve }
 
@@ -62,6 +67,19 @@
 	h.metrics.PeerBytes.WithLabelValues(direction).Add(float64(bytes))
 }
 
+// longWait is the time for which a frame waits to be written until a line tells of it: a
+// quarter of the time in which a heartbeat has to be answered.
+const longWait = 250 * time.Millisecond
+
+// written notes how long a frame waited behind others and took to be written.
+func (h *Hub) written(to string, out outgoing) {
+	waited := time.Since(out.queued)
+	h.metrics.PeerWait.WithLabelValues(out.kind.String()).Observe(waited.Seconds())
+	if waited > longWait {
+		h.log.Warn("a frame waited to be sent", "peer", to, "frame", out.kind.String(), "bytes", len(out.data), "waited_ms", waited.Milliseconds())
+	}
+}
+
 func (h *Hub) refused(reason string) { h.metrics.PeerRefused.WithLabelValues(reason).Inc() }
 
 // handshakeTimeout bounds the proof of both sides.
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -16,7 +16,7 @@
 	peer string
 	hub  *Hub
 	conn *websocket.Conn
-	out  chan []byte
+	out  chan outgoing
 	done chan struct{}
 	once sync.Once
 	used atomic.Int64 // when it last carried a question, in Unix seconds
@@ -29,6 +29,13 @@
 	unanswered time.Time
 }
 
+// outgoing is a frame that waits to be written.
+type outgoing struct {
+	kind   Kind
+	data   []byte
+	queued time.Time
+}
+
 // silentAfter is how long a peer may say nothing while questions wait: two heartbeats. An
 // open connection may go silent for good without an error, while a new one works.
 const silentAfter = 2 * time.Second
@@ -46,7 +53,7 @@
 )
 
 func newLink(h *Hub, peer string, conn *websocket.Conn) *link {
-	l := &link{peer: peer, hub: h, conn: conn, out: make(chan []byte, outQueue), done: make(chan struct{}), waiting: map[uint64]chan Frame{}}
+	l := &link{peer: peer, hub: h, conn: conn, out: make(chan outgoing, outQueue), done: make(chan struct{}), waiting: map[uint64]chan Frame{}}
 	l.touch()
 	return l
 }
@@ -84,9 +91,11 @@
 		waiting := l.waiting[f.ID]
 		delete(l.waiting, f.ID)
 		l.mu.Unlock()
-		if waiting != nil {
-			waiting <- f
+		if waiting == nil {
+			l.hub.metrics.PeerUnwanted.WithLabelValues(f.Kind.String()).Add(float64(len(f.Body)))
+			return
 		}
+		waiting <- f
 		return
 	}
 	serve := l.hub.handlers[f.Kind]
@@ -136,7 +145,7 @@
 	select {
 	case <-l.done:
 		return errClosed
-	case l.out <- data:
+	case l.out <- outgoing{f.Kind, data, time.Now()}:
 		return nil
 	default:
 		l.close(websocket.StatusPolicyViolation, errSlow.Error())
@@ -151,10 +160,11 @@
 			return
 		case <-l.done:
 			return
-		case data := <-l.out:
+		case out := <-l.out:
 			writing, cancel := context.WithTimeout(ctx, writeTimeout)
-			err := l.conn.Write(writing, websocket.MessageBinary, data)
+			err := l.conn.Write(writing, websocket.MessageBinary, out.data)
 			cancel()
+			l.hub.written(l.peer, out)
 			if err != nil {
 				l.close(websocket.StatusPolicyViolation, "write failed")
 				return
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -29,6 +29,8 @@
 	PeerFrames   *prometheus.CounterVec
 	PeerBytes    *prometheus.CounterVec
 	PeerRefused  *prometheus.CounterVec
+	PeerUnwanted *prometheus.CounterVec
+	PeerWait     *prometheus.HistogramVec
 	Revision     prometheus.Gauge
 	SettingsLag  prometheus.Histogram
 	PlatformRead *prometheus.CounterVec
@@ -76,6 +78,8 @@
 		PeerFrames:   counter("peer_frames_total", "Frames between daemons, by direction and kind.", "direction", "kind"),
 		PeerBytes:    counter("peer_bytes_total", "Bytes between daemons, by direction.", "direction"),
 		PeerRefused:  counter("peer_refused_total", "Peers and frames refused, by reason.", "reason"),
+		PeerUnwanted: counter("peer_unwanted_bytes_total", "Bytes of answers that came when nobody waited for them any more, by kind.", "kind"),
+		PeerWait:     peerWait(),
 		Revision:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "settings_revision", Help: "Revision of the settings in force."}),
 		SettingsLag:  prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "settings_parse_seconds", Help: "Time to check and adopt a revision.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
 		PlatformRead: counter("platform_reads_total", "Reads of the platform, by what and result.", "what", "result"),
@@ -85,7 +89,7 @@
 		LinesLeftOut: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Silent, m.Decisions, m.Queue, m.Claims,
-		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
+		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwanted, m.PeerWait, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
 		m.Orders, m.LinesLeftOut, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -103,6 +107,15 @@
 	}, []string{"length"})
 }
 
+func peerWait() *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "peer_wait_seconds",
+		Help:      "Time until a frame for a peer was written, behind others on its link, by kind.",
+		Buckets:   prometheus.ExponentialBuckets(0.004, 4, 6),
+	}, []string{"kind"})
+}
+
 // CountDropped serves the number of log lines that could not be written.
 func (m *Metrics) CountDropped(dropped func() int64) {
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
