A change of settings costs its difference; targets' news has a way of its own

Cause: settings went from daemon to daemon whole, 0.9 MB, to all that asked at once, behind links of 2.5 MB/s; fetches were given up after 0.6 s while their bytes were on the way, and went on to be sent. Heartbeats waited behind them, and one loop fetched settings and targets' facts in turn. Ruled out as the cause: the store's delivery alone (four watchers had the change 1 s after it was written). Change: the adapter splits the configuration into parts; a daemon asks for what changed after its revision, compressed, checked against the sender's digest; a sender answers two at a time; an answer on its way is waited for; only changed parts are read; settings and targets have a follower each.

--- /dev/null
+++ b/core/settings/partparser.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"bytes"
+	"sync"
+)
+
+// PartParser resolves settings that are published in small parts. It remembers what it read,
+// so that of a new revision only the parts that changed are read: a third of 4,440 routes
+// that are new cost 0.25 s on a fifth of a core where the whole was read. It is safe for
+// concurrent use.
+type PartParser struct {
+	// Empty returns a document without parts.
+	Empty func() *Document
+	// Read reads a part and returns what adds it to a document. What it adds is shared by
+	// documents and may not change.
+	Read func(key string, data []byte) (func(*Document), error)
+
+	mu    sync.Mutex
+	parts map[string]readPart
+}
+
+// readPart is a part that was read.
+type readPart struct {
+	data []byte
+	add  func(*Document)
+}
+
+// Parse checks the parts of a revision whole and resolves them.
+func (p *PartParser) Parse(parts map[string][]byte) (*Tree, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	read := make(map[string]readPart, len(parts))
+	document := p.Empty()
+	for key, data := range parts {
+		part, ok := p.parts[key]
+		if !ok || !bytes.Equal(part.data, data) {
+			add, err := p.Read(key, data)
+			if err != nil {
+				return nil, err
+			}
+			part = readPart{data, add}
+		}
+		read[key] = part
+		part.add(document)
+	}
+	p.parts = read
+	return Resolve(document)
+}
--- a/core/settings/revision.go
+++ b/core/settings/revision.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
@@ -17,6 +18,8 @@
 	Revision int64 `json:"revision" cbor:"1,keyasint"`
 	// Data is the part's YAML; the service holds up to a megabyte.
 	Data []byte `json:"data" cbor:"2,keyasint"`
+
+	digest uint64 // of key and data, once it is in a snapshot
 }
 
 // Changes are the parts that differ from an earlier revision.
@@ -30,23 +33,50 @@
 	Parts map[string]Part `json:"values" cbor:"3,keyasint"`
 	// Deleted are the keys that are gone.
 	Deleted []string `json:"deleted,omitempty" cbor:"4,keyasint,omitempty"`
+	// Digest identifies the content of the revision that they lead to; zero where the
+	// sender does not tell.
+	Digest uint64 `json:"-" cbor:"5,keyasint,omitempty"`
+}
+
+// Size is the size of the changed parts, in bytes.
+func (c Changes) Size() int {
+	size := 0
+	for _, part := range c.Parts {
+		size += len(part.Data)
+	}
+	return size
 }
 
-// Snapshot is the whole of one revision. It never changes.
+// Snapshot is the whole of one revision. It never changes. Parts that two revisions have in
+// common are held once.
+//
+// The revision of a part is the one at which whoever made the snapshot saw it change. It may
+// have skipped revisions, so two daemons may note different ones, and a part that changed
+// and changed back may pass for one that never did. Differences therefore carry a digest of
+// what they lead to, and one that leads elsewhere is refused.
 type Snapshot struct {
 	Revision int64
 	Parts    map[string]Part
 	// Deleted holds the revisions at which keys went away, so that differences
 	// can be made for others.
 	Deleted map[string]int64
+
+	digest uint64 // the sum of the parts' digests
 }
 
+// maxDeleted bounds the deletions that are remembered. Beyond it they are forgotten: whoever
+// would have needed them gets a difference whose digest does not fit, and reads the whole.
+const maxDeleted = 10_000
+
 // ErrGap means that a difference starts from a revision that is not here yet.
 var ErrGap = errors.New("the difference starts from a newer revision; read the whole")
 
 // ErrOlder means that the changes lead nowhere new.
 var ErrOlder = errors.New("the revision in force is at least as new")
 
+// ErrContent means that changes do not lead to the content that their sender has.
+var ErrContent = errors.New("the difference does not lead to the sender's content; read the whole")
+
 // Apply returns the snapshot that changes lead to from s. It never returns one
 // that is older than s. The zero Snapshot stands for nothing read yet.
 func (s Snapshot) Apply(c Changes) (Snapshot, error) {
@@ -56,32 +86,64 @@
 	if c.Since > s.Revision {
 		return s, ErrGap
 	}
-	next := Snapshot{Revision: c.Revision, Parts: map[string]Part{}, Deleted: map[string]int64{}}
-	if c.Since > 0 {
-		maps.Copy(next.Parts, s.Parts)
-		maps.Copy(next.Deleted, s.Deleted)
+	next := Snapshot{Revision: c.Revision, Parts: maps.Clone(s.Parts), Deleted: maps.Clone(s.Deleted), digest: s.digest}
+	if s.Parts == nil {
+		next.Parts, next.Deleted = map[string]Part{}, map[string]int64{}
 	}
-	for key, part := range c.Parts {
-		// A difference that starts before s may hold parts that s has newer.
-		if old, ok := next.Parts[key]; ok && old.Revision > part.Revision {
-			continue
+	if c.Since == 0 {
+		for key := range s.Parts {
+			if _, kept := c.Parts[key]; !kept {
+				next.remove(key)
+			}
 		}
-		next.Parts[key] = part
-		delete(next.Deleted, key)
+	}
+	for key, part := range c.Parts {
+		next.put(key, part, c.Since > 0)
 	}
 	for _, key := range c.Deleted {
-		delete(next.Parts, key)
-		next.Deleted[key] = c.Revision
+		next.remove(key)
+	}
+	if len(next.Deleted) > maxDeleted {
+		next.Deleted = map[string]int64{}
+	}
+	if c.Digest != 0 && c.Digest != next.digest {
+		return s, ErrContent
 	}
 	return next, nil
 }
 
+// put takes a part in. One that is here with the same content stays as it is. Of a
+// difference, which may start before the snapshot and hold what that has newer, only newer
+// parts are taken.
+func (s *Snapshot) put(key string, part Part, onlyNewer bool) {
+	old, ok := s.Parts[key]
+	if ok && (bytes.Equal(old.Data, part.Data) || onlyNewer && old.Revision > part.Revision) {
+		return
+	}
+	if ok {
+		s.digest -= old.digest
+	}
+	part.digest = partDigest(key, part.Data)
+	s.digest += part.digest
+	s.Parts[key] = part
+	delete(s.Deleted, key)
+}
+
+func (s *Snapshot) remove(key string) {
+	old, ok := s.Parts[key]
+	if ok {
+		s.digest -= old.digest
+		delete(s.Parts, key)
+	}
+	s.Deleted[key] = s.Revision
+}
+
 // Since is what somebody with an earlier revision needs to have this one.
 func (s Snapshot) Since(revision int64) Changes {
 	if revision <= 0 || revision > s.Revision {
-		return Changes{Revision: s.Revision, Parts: s.Parts}
+		return Changes{Revision: s.Revision, Parts: s.Parts, Digest: s.digest}
 	}
-	c := Changes{Since: revision, Revision: s.Revision, Parts: map[string]Part{}}
+	c := Changes{Since: revision, Revision: s.Revision, Parts: map[string]Part{}, Digest: s.digest}
 	for key, part := range s.Parts {
 		if part.Revision > revision {
 			c.Parts[key] = part
@@ -96,13 +158,13 @@
 	return c
 }
 
-// Digest identifies the content of the snapshot.
-func (s Snapshot) Digest() uint64 {
+// Digest identifies the content of the snapshot, in whatever order it was put together.
+func (s Snapshot) Digest() uint64 { return s.digest }
+
+func partDigest(key string, data []byte) uint64 {
 	digest := xxhash.New()
-	for _, key := range slices.Sorted(maps.Keys(s.Parts)) {
-		_, _ = fmt.Fprintf(digest, "%q %d\n", key, len(s.Parts[key].Data)) // A digest never fails.
-		_, _ = digest.Write(s.Parts[key].Data)
-	}
+	_, _ = fmt.Fprintf(digest, "%q %d\n", key, len(data)) // A digest never fails.
+	_, _ = digest.Write(data)
 	return digest.Sum64()
 }
 
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -40,8 +40,10 @@
 	poke     chan struct{}
 	compared map[string]bool // neighbours whose revision has been seen
 	heard    chan heartbeatNews
-	// slowUntil is until when peers that did not answer a fetch are asked last.
-	slowUntil map[string]time.Time
+	told     heartbeatNews // the newest of which any peer has told
+	// settingsNews and targetNews fetch what peers have and this daemon has not.
+	settingsNews, targetNews *follower
+	packed                   packedChanges
 
 	// searched is true once every seed has answered and knew of nobody else.
 	searched atomic.Bool
@@ -57,15 +59,17 @@
 	c := &Cluster{
 		Board: board, Hub: hub, Record: record, Settings: settings, Targets: targets,
 		started: time.Now(), poke: make(chan struct{}, 1), compared: map[string]bool{},
-		heard: make(chan heartbeatNews, heardQueue), slowUntil: map[string]time.Time{}, sought: map[string]*seek{}, reconciled: map[string]time.Time{},
+		heard: make(chan heartbeatNews, heardQueue), sought: map[string]*seek{}, reconciled: map[string]time.Time{},
 	}
+	c.settingsNews = c.newFollower(func(h heartbeatNews) int64 { return h.revision }, c.revision, c.catchUp)
+	c.targetNews = c.newFollower(func(h heartbeatNews) int64 { return h.targets }, board.Directory.Revision, c.catchUpTargets)
 	c.Placements = newPlacements(c)
 	hub.Handle(peer.KindPlace, peer.Serve(c.Placements.servePlace))
 	hub.Handle(peer.KindPlaced, peer.Serve(c.Placements.servePlaced))
 	hub.Handle(peer.KindProgress, peer.Serve(c.Placements.serveProgress))
 	hub.Handle(peer.KindHeartbeat, peer.Serve(c.serveHeartbeat))
 	hub.Handle(peer.KindRumor, peer.Serve(c.serveRumors))
-	hub.Handle(peer.KindSettings, peer.Serve(c.serveSettings))
+	hub.HandleBulk(peer.KindChanges, peer.Serve(c.serveChanges))
 	hub.Handle(peer.KindHosts, peer.Serve(c.serveHosts))
 	hub.Handle(peer.KindClaim, peer.Serve(c.serveClaim))
 	hub.Handle(peer.KindGiveUp, peer.Serve(c.serveGiveUp))
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -48,7 +48,9 @@
 		work.Go(func() { c.runShares(ctx) })
 		work.Go(func() { c.runLeases(ctx) })
 	}
-	work.Go(func() { c.fetchLoop(ctx) })
+	work.Go(func() { c.compareLoop(ctx) })
+	work.Go(func() { c.settingsNews.run(ctx) })
+	work.Go(func() { c.targetNews.run(ctx) })
 	if c.open() {
 		work.Go(func() { c.join(ctx) })
 		work.Go(func() { c.Placements.run(ctx) })
@@ -197,6 +199,9 @@
 			return
 		}
 	}
+	if patient && c.behind() {
+		return
+	}
 	if !c.MembersOnly {
 		c.learnHostLists(ctx, neighbours)
 		c.collectHoldings(ctx)
@@ -205,6 +210,14 @@
 	c.Record.Log.Info("serving", "revision", c.Board.Settings.Current().Revision, "compared_with", len(c.compared))
 }
 
+// behind tells whether a peer has told of something newer that this daemon can still take.
+func (c *Cluster) behind() bool {
+	if c.told.revision > max(c.revision(), c.Board.Settings.Rejected().Revision) {
+		return true
+	}
+	return c.open() && c.told.targets > c.Board.Directory.Revision()
+}
+
 // hostLists is a host list's history on the wire.
 type hostLists struct {
 	Lists []wireList `cbor:"1,keyasint"`
--- a/node/cluster/news_test.go
+++ b/node/cluster/news_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"doorstack.dev/core/membership"
@@ -20,25 +21,51 @@
 func TestNewsDoesNotPileUp(t *testing.T) {
 	c := newCoordinator(t, 1).cluster
 	for i := range 20 {
-		c.heard <- heartbeatNews{from: "a", revision: int64(i), targets: int64(100 - i)}
+		h := heartbeatNews{from: "a", revision: int64(i), targets: int64(100 - i)}
+		c.settingsNews.tell(h)
+		c.targetNews.tell(h)
 	}
-	c.heard <- heartbeatNews{from: "b", revision: 7, targets: 200}
-	revision, targets := c.newest(heartbeatNews{from: "c", revision: 3, targets: 1})
-	if len(c.heard) != 0 || revision.revision != 19 || targets.targets != 200 || targets.from != "b" {
-		t.Fatalf("%d left, settings of %+v, targets of %+v", len(c.heard), revision, targets)
+	last := heartbeatNews{from: "b", revision: 7, targets: 200}
+	c.settingsNews.tell(last)
+	c.targetNews.tell(last)
+	revision, targets := c.settingsNews.newest(<-c.settingsNews.told), c.targetNews.newest(<-c.targetNews.told)
+	if len(c.settingsNews.told)+len(c.targetNews.told) != 0 || revision.revision != 19 || targets.targets != 200 || targets.from != "b" {
+		t.Fatalf("%d left, settings of %+v, targets of %+v", len(c.settingsNews.told), revision, targets)
 	}
-	for _, name := range []string{"a", "b", "c"} {
-		if !c.compared[name] {
-			t.Errorf("%s has told its revision and does not count as compared", name)
+}
+
+// TestAllWhoToldCountAsCompared: a fresh daemon has compared with every peer whose heartbeat
+// waited, also where another's news is taken.
+func TestAllWhoToldCountAsCompared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCoordinator(t, 1).cluster
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i, name := range []string{"a", "b", "c"} {
+			c.heard <- heartbeatNews{from: name, revision: int64(i), targets: int64(i)}
 		}
-	}
+		go c.compareLoop(ctx)
+		synctest.Wait()
+		for _, name := range []string{"a", "b", "c"} {
+			if !c.compared[name] {
+				t.Errorf("%s has told its revision and does not count as compared", name)
+			}
+		}
+	})
 }
 
 // servePeer starts a peer whose settings are served by the function given.
 func servePeer(t *testing.T, name string, serve func(context.Context) (settings.Changes, error)) membership.Rumor {
 	t.Helper()
 	hub := peer.NewHub(name, []string{fleetKey}, telemetry.NewMetrics())
-	hub.Handle(peer.KindSettings, peer.Serve(func(ctx context.Context, _ string, _ settingsRequest) (settings.Changes, error) { return serve(ctx) }))
+	hub.HandleBulk(peer.KindChanges, peer.Serve(func(ctx context.Context, _ string, _ settingsRequest) (settingsAnswer, error) {
+		changes, err := serve(ctx)
+		if err != nil {
+			return settingsAnswer{}, err
+		}
+		packed, err := packChanges(changes)
+		return settingsAnswer{packed}, err
+	}))
 	server := httptest.NewServer(hub.Handler())
 	t.Cleanup(func() { hub.Close(); server.Close() })
 	return membership.Rumor{Name: name, Incarnation: 1, Address: strings.TrimPrefix(server.URL, "http://")}
@@ -65,10 +92,9 @@
 	c.Directory = &controller.Directory{}
 	began := time.Now()
 	for c.revision() != 5 {
-		c.heard <- heartbeatNews{from: "silent", revision: 5}
-		c.heard <- heartbeatNews{from: "good", revision: 5}
-		revision, _ := c.newest(<-c.heard)
-		c.catchUp(t.Context(), revision)
+		c.settingsNews.tell(heartbeatNews{from: "silent", revision: 5})
+		c.settingsNews.tell(heartbeatNews{from: "good", revision: 5})
+		c.catchUp(t.Context(), c.settingsNews.newest(<-c.settingsNews.told))
 	}
 	if took := time.Since(began); took > 2*time.Second {
 		t.Fatalf("the revision was in force after %v", took)
@@ -79,10 +105,11 @@
 // is asked all the same.
 func TestANewerRevisionOfASlowPeer(t *testing.T) {
 	c := newCoordinator(t, 1).cluster
-	c.slowUntil["slow"] = time.Now().Add(time.Minute)
-	c.heard <- heartbeatNews{from: "good", revision: 1}
-	c.heard <- heartbeatNews{from: "slow", revision: 5}
-	if revision, _ := c.newest(<-c.heard); revision.from != "slow" {
+	f := c.settingsNews
+	f.slowUntil["slow"] = time.Now().Add(time.Minute)
+	f.told <- heartbeatNews{from: "good", revision: 1}
+	f.told <- heartbeatNews{from: "slow", revision: 5}
+	if revision := f.newest(<-f.told); revision.from != "slow" {
 		t.Fatalf("%+v is asked", revision)
 	}
 }
--- a/node/onplatform/onplatform.go
+++ b/node/onplatform/onplatform.go
@@ -112,7 +112,7 @@
 		log.Warn("an entry of the store cannot be read and is left out", "error", err.Error())
 	})
 	return &daemon.Adapter{
-		Settings: feed, Targets: feed, Parse: platform.ParseConfig, Dialect: platform.Headers{},
+		Settings: feed, Targets: feed, Parse: platform.NewParser().Parse, Dialect: platform.Headers{},
 		Ready: boot.Ready, Seeds: boot.Seeds, Grace: boot.Bounds.Grace,
 		Repeats: repeatsOf(boot), Cores: boot.Cores,
 	}
--- a/node/onplatform/spread_test.go
+++ b/node/onplatform/spread_test.go
@@ -1,6 +1,7 @@
 package onplatform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -57,7 +58,7 @@
 type spreadFleet struct {
 	t       *testing.T
 	daemons []*spreadDaemon
-	parsed  sync.Map // trees by revision: all daemons of the test may share one
+	parsed  sync.Map // trees by the number of parts: all daemons of the test may share one
 	dead    *deadLines
 	stop    []func()
 }
@@ -153,20 +154,28 @@
 	return d
 }
 
-// parseAt checks settings in the time that a host needs for their bytes.
+// parseAt checks settings in the time that a host needs for the bytes of them that it has not
+// read before.
 func (f *spreadFleet) parseAt(secondsPerByte float64) func(map[string][]byte) (*settings.Tree, error) {
+	var mu sync.Mutex
+	before := map[string][]byte{}
 	return func(parts map[string][]byte) (*settings.Tree, error) {
-		size, key := 0, ""
-		for _, data := range parts {
-			size, key = size+len(data), string(data[:min(len(data), 40)])
+		mu.Lock()
+		size := 0
+		for key, data := range parts {
+			if !bytes.Equal(before[key], data) {
+				size += len(data)
+			}
 		}
+		before = parts
+		mu.Unlock()
 		pass(time.Duration(float64(size) * secondsPerByte * float64(time.Second)))
-		if tree, ok := f.parsed.Load(key); ok {
+		if tree, ok := f.parsed.Load(len(parts)); ok {
 			return tree.(*settings.Tree), nil
 		}
-		tree, err := platform.ParseConfig(parts)
+		tree, err := platform.NewParser().Parse(parts)
 		if err == nil {
-			f.parsed.Store(key, tree)
+			f.parsed.Store(len(parts), tree)
 		}
 		return tree, err
 	}
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -38,6 +38,7 @@
 	KindPlace     Kind = 18
 	KindPlaced    Kind = 19
 	KindProgress  Kind = 20
+	KindChanges   Kind = 21
 )
 
 var kindNames = map[Kind]string{
@@ -47,6 +48,7 @@
 	KindExplain: "explain", KindHosts: "hosts", KindHoldings: "holdings",
 	KindJoin: "join", KindTargets: "targets",
 	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
+	KindChanges: "settings_changes",
 }
 
 // String names the kind for metrics.
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -24,6 +24,10 @@
 	log      *slog.Logger
 	client   *http.Client // dials; nil for the default one
 	handlers map[Kind]Handler
+	// bulk holds the kinds whose answers may be large, and a place for each of them that is
+	// under way.
+	bulk      map[Kind]bool
+	bulkSlots chan struct{}
 
 	mu      sync.Mutex
 	links   map[string]*link
@@ -38,6 +42,7 @@
 	h := &Hub{
 		self: self, metrics: metrics, log: slog.New(slog.DiscardHandler), handlers: map[Kind]Handler{}, links: map[string]*link{},
 		dialing: map[string]chan struct{}{}, blocked: map[string]bool{},
+		bulk: map[Kind]bool{}, bulkSlots: make(chan struct{}, bulkAtOnce),
 	}
 	for _, k := range keys {
 		h.keys = append(h.keys, []byte(k))
@@ -56,6 +61,12 @@
 // Handle sets the handler of a kind. All are set before the hub is used.
 func (h *Hub) Handle(kind Kind, serve Handler) { h.handlers[kind] = serve }
 
+// HandleBulk sets the handler of a kind whose answers may be large.
+func (h *Hub) HandleBulk(kind Kind, serve Handler) {
+	h.Handle(kind, serve)
+	h.bulk[kind] = true
+}
+
 // Serve wraps a typed function as a handler.
 func Serve[In, Out any](serve func(ctx context.Context, from string, in In) (Out, error)) Handler {
 	return func(ctx context.Context, from string, body cbor.RawMessage) (any, error) {
@@ -291,7 +302,7 @@
 	if err != nil {
 		return "", err
 	}
-	answer, err := l.ask(ctx, kind, body)
+	answer, err := l.ask(ctx, kind, body, 0)
 	if err != nil {
 		return l.peer, err
 	}
@@ -300,21 +311,38 @@
 
 // Ask sends a question to a peer and decodes its answer into out.
 func (h *Hub) Ask(ctx context.Context, to Address, kind Kind, in, out any) error {
+	return h.AskPatiently(ctx, to, kind, in, out, 0)
+}
+
+// AskPatiently is Ask for a large answer: it is waited for as long as something comes over the
+// link, and given up when nothing has come for silence; zero leaves the bound to ctx.
+func (h *Hub) AskPatiently(ctx context.Context, to Address, kind Kind, in, out any, silence time.Duration) error {
 	body, err := cbor.Marshal(in)
 	if err != nil {
 		return err
 	}
-	l, err := h.link(ctx, to)
+	l, err := h.linkWithin(ctx, to, silence)
 	if err != nil {
 		return err
 	}
-	answer, err := l.ask(ctx, kind, body)
+	answer, err := l.ask(ctx, kind, body, silence)
 	if err != nil {
 		return err
 	}
 	return cbor.Unmarshal(answer, out)
 }
 
+// linkWithin returns a link that is open, or can be opened in some time; zero leaves the bound
+// to ctx.
+func (h *Hub) linkWithin(ctx context.Context, to Address, most time.Duration) (*link, error) {
+	if most > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, most)
+		defer cancel()
+	}
+	return h.link(ctx, to)
+}
+
 // Tell sends news to a peer over an open link, or over a new one.
 func (h *Hub) Tell(ctx context.Context, to Address, kind Kind, in any) error {
 	body, err := cbor.Marshal(in)
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	done chan struct{}
 	once sync.Once
 	used atomic.Int64 // when it last carried a question, in Unix seconds
+	came atomic.Int64 // when anything last came over it, in Unix nanoseconds
 
 	mu      sync.Mutex
 	next    uint64
@@ -34,6 +36,8 @@
 	kind   Kind
 	data   []byte
 	queued time.Time
+	// written is called once it has been written; nil where nobody asks.
+	written func()
 }
 
 // silentAfter is how long a peer may say nothing while questions wait: two heartbeats. An
@@ -49,6 +53,7 @@
 
 var (
 	errClosed = errors.New("the link to the peer is closed")
+	errSilent = errors.New("nothing came from the peer in time")
 	errSlow   = errors.New("the peer does not read fast enough")
 )
 
@@ -66,7 +71,7 @@
 	defer cancel()
 	go l.write(ctx)
 	for {
-		_, data, err := l.conn.Read(ctx)
+		data, err := l.read(ctx)
 		if err != nil {
 			l.close(websocket.StatusNormalClosure, "done")
 			return
@@ -85,6 +90,27 @@
 	}
 }
 
+// read reads a message and notes that something comes while it does.
+func (l *link) read(ctx context.Context) ([]byte, error) {
+	_, message, err := l.conn.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(&notingReader{message, &l.came})
+}
+
+// notingReader notes when something was read.
+type notingReader struct {
+	from io.Reader
+	at   *atomic.Int64
+}
+
+func (r *notingReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	r.at.Store(time.Now().UnixNano())
+	return n, err
+}
+
 func (l *link) receive(ctx context.Context, f Frame) {
 	if f.Answer {
 		l.mu.Lock()
@@ -102,7 +128,7 @@
 	if serve == nil {
 		l.hub.refused("unknown_kind")
 		if f.ID != 0 {
-			l.answer(Frame{Kind: f.Kind, ID: f.ID, Answer: true, Error: "this daemon does not know the message; it may be an older version"})
+			l.answer(Frame{Kind: f.Kind, ID: f.ID, Answer: true, Error: "this daemon does not know the message; it may be an older version"}, nil)
 		}
 		return
 	}
@@ -114,8 +140,46 @@
 	go l.serve(ctx, serve, f)
 }
 
+// bulkAtOnce is how many large answers a daemon sends at a time. Whoever asks for more waits
+// for its turn: one after the other the first is through, and can pass it on, in the time of
+// one copy, and all in the time that they would take together.
+const bulkAtOnce = 2
+
+// bulkWait is how long a question waits for its turn: less than the silence after which it is
+// given up (0.6 s), so that no answer is sent that nobody waits for.
+const bulkWait = 400 * time.Millisecond
+
+var errBusy = errors.New("the daemon sends to others; ask another, or later")
+
+// takeSlot waits for the turn of a large answer and returns what ends it.
+func (h *Hub) takeSlot(ctx context.Context) (release func(), err error) {
+	timer := time.NewTimer(bulkWait)
+	defer timer.Stop()
+	select {
+	case h.bulkSlots <- struct{}{}:
+	case <-timer.C:
+		return nil, errBusy
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	var once sync.Once
+	release = func() { once.Do(func() { <-h.bulkSlots }) }
+	// A frame that a closed link drops is never written.
+	time.AfterFunc(writeTimeout, release)
+	return release, nil
+}
+
 func (l *link) serve(ctx context.Context, serve Handler, f Frame) {
 	answer := Frame{Kind: f.Kind, ID: f.ID, Answer: true}
+	var release func()
+	if l.hub.bulk[f.Kind] {
+		var err error
+		if release, err = l.hub.takeSlot(ctx); err != nil {
+			answer.Error = err.Error()
+			l.answer(answer, nil)
+			return
+		}
+	}
 	body, err := serve(ctx, l.peer, f.Body)
 	if err == nil {
 		answer.Body, err = cbor.Marshal(body)
@@ -123,17 +187,20 @@
 	if err != nil {
 		answer.Error = err.Error()
 	}
-	l.answer(answer)
+	l.answer(answer, release)
 }
 
-func (l *link) answer(f Frame) {
-	if err := l.send(f); err != nil {
+func (l *link) answer(f Frame, written func()) {
+	if err := l.sendThen(f, written); err != nil {
 		l.close(websocket.StatusPolicyViolation, err.Error())
 	}
 }
 
 // send queues a frame.
-func (l *link) send(f Frame) error {
+func (l *link) send(f Frame) error { return l.sendThen(f, nil) }
+
+// sendThen queues a frame and calls written, if it is not nil, once that is sent.
+func (l *link) sendThen(f Frame, written func()) error {
 	data, err := cbor.Marshal(f)
 	if err != nil {
 		return err
@@ -145,7 +212,7 @@
 	select {
 	case <-l.done:
 		return errClosed
-	case l.out <- outgoing{f.Kind, data, time.Now()}:
+	case l.out <- outgoing{f.Kind, data, time.Now(), written}:
 		return nil
 	default:
 		l.close(websocket.StatusPolicyViolation, errSlow.Error())
@@ -164,6 +231,9 @@
 			writing, cancel := context.WithTimeout(ctx, writeTimeout)
 			err := l.conn.Write(writing, websocket.MessageBinary, out.data)
 			cancel()
+			if out.written != nil {
+				out.written()
+			}
 			l.hub.written(l.peer, out)
 			if err != nil {
 				l.close(websocket.StatusPolicyViolation, "write failed")
@@ -173,9 +243,11 @@
 	}
 }
 
-// ask sends a question and waits for its answer.
-func (l *link) ask(ctx context.Context, kind Kind, body cbor.RawMessage) (cbor.RawMessage, error) {
+// ask sends a question and waits for its answer, until ctx ends or, where silence is above
+// zero, nothing has come over the link for so long.
+func (l *link) ask(ctx context.Context, kind Kind, body cbor.RawMessage, silence time.Duration) (cbor.RawMessage, error) {
 	l.touch()
+	asked := time.Now()
 	answer := make(chan Frame, 1)
 	l.mu.Lock()
 	l.next++
@@ -193,20 +265,36 @@
 	if err := l.send(Frame{Kind: kind, ID: id, Body: body}); err != nil {
 		return nil, err
 	}
-	select {
-	case f := <-answer:
-		if f.Error != "" {
-			return nil, errors.New("the peer answered: " + f.Error)
+	var silent <-chan time.Time
+	if silence > 0 {
+		timer := time.NewTicker(silence / silenceLooks)
+		defer timer.Stop()
+		silent = timer.C
+	}
+	for {
+		select {
+		case f := <-answer:
+			if f.Error != "" {
+				return nil, errors.New("the peer answered: " + f.Error)
+			}
+			return f.Body, nil
+		case <-l.done:
+			return nil, errClosed
+		case now := <-silent:
+			if now.Sub(asked) >= silence && now.Sub(time.Unix(0, l.came.Load())) >= silence {
+				l.closeIfSilent(now)
+				return nil, errSilent
+			}
+		case <-ctx.Done():
+			l.closeIfSilent(time.Now())
+			return nil, ctx.Err()
 		}
-		return f.Body, nil
-	case <-l.done:
-		return nil, errClosed
-	case <-ctx.Done():
-		l.closeIfSilent(time.Now())
-		return nil, ctx.Err()
 	}
 }
 
+// silenceLooks is how often in the time of a silence it is looked for.
+const silenceLooks = 8
+
 // closeIfSilent gives a link up whose peer has answered nothing for too long, so that the
 // next question goes over a new one.
 func (l *link) closeIfSilent(now time.Time) {
