Only what changed of the settings is checked and resolved; routes are looked up by prefix

Cause: each revision, also one that changes nothing, had all routes checked, resolved and sorted again, 0.2 s on a fifth of a core with 5,000 routes, and each call tried all routes of its host. Ruled out: reading, which the parts made cheap already. Change: path routes that are the very same as in the last tree are taken from it; the index is by host and prefix.

--- a/core/settings/check.go
+++ b/core/settings/check.go
@@ -17,6 +17,8 @@
 	document *Document
 	problems strictyaml.Problems
 	keyOwner map[string]string
+	// before is a checked tree with the same pools, or nil.
+	before *Tree
 }
 
 func (c *checker) check() {
@@ -30,7 +32,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.document.Priorities)) {
 		c.priority(c.document.Priorities[name], "priorities."+name)
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.document.Paths)) {
+	for _, name := range c.changedPaths() {
 		c.path(c.document.Paths[name], "paths."+name)
 	}
 	if c.document.Tree == nil {
--- a/core/settings/partparser.go
+++ b/core/settings/partparser.go
@@ -18,6 +18,7 @@
 
 	mu    sync.Mutex
 	parts map[string]readPart
+	last  *Tree // of the last settings that passed
 }
 
 // readPart is a part that was read.
@@ -45,5 +46,9 @@
 		part.add(document)
 	}
 	p.parts = read
-	return Resolve(document)
+	tree, err := finish(document, nil, p.last)
+	if err == nil {
+		p.last = tree
+	}
+	return tree, err
 }
--- a/core/settings/paths.go
+++ b/core/settings/paths.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"net"
@@ -110,42 +109,77 @@
 // Anonymous is the account of calls that need no key.
 func (t *Tree) Anonymous() *ClientAccount { return t.anonymous }
 
-// Path finds the route of a host name and path: the longest prefix of the host.
+// pathKey is what calls are looked up by.
+type pathKey struct {
+	host, prefix string
+}
+
+// Path finds the route of a host name and path: the longest prefix of the host. Prefixes end
+// with a slash, so the path is tried up to each of its slashes, which does not grow with the
+// number of routes: 0.3 us among 4,440, and 10 us where all of the host were tried.
 func (t *Tree) Path(host, path string) *ResolvedPath {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	for _, p := range t.paths[strings.ToLower(host)] {
-		if strings.HasPrefix(path, p.Prefix) {
+	host = strings.ToLower(host)
+	for end := len(path); ; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if p := t.paths[pathKey{host, path[:slash+1]}]; p != nil {
 			return p
 		}
+		end = slash
 	}
-	return nil
 }
 
-// resolvePaths indexes the path routes by host, longest prefix first.
-func (t *Tree) resolvePaths() {
-	t.paths = map[string][]*ResolvedPath{}
+// resolvePaths resolves the path routes and indexes them. Of two with one prefix, that with
+// the first name is taken.
+func (t *Tree) resolvePaths(before *Tree) {
+	t.paths = make(map[pathKey]*ResolvedPath, len(t.document.Paths))
+	t.byRoute = make(map[string]*ResolvedPath, len(t.document.Paths))
 	for name, r := range t.document.Paths {
-		p := &ResolvedPath{
-			Name: name, Host: strings.ToLower(r.Host), Prefix: r.Prefix,
-			Kind: r.Kind, Resumable: r.Resumable, Open: r.Open,
-			Timeout: time.Duration(r.Timeout), Goal: time.Duration(r.Goal), GapGoal: time.Duration(r.GapGoal),
-			MaxAttempts: r.MaxAttempts, Level: r.Level,
+		var p *ResolvedPath
+		if before != nil && before.document.Paths[name] == r {
+			p = before.byRoute[name]
+		} else {
+			p = t.resolvePath(name, r)
 		}
-		sum := 0.0
-		for _, pool := range slices.Sorted(maps.Keys(r.Pools)) {
-			sum += r.Pools[pool]
-			route := &ResolvedRoute{Name: name, Pool: t.pools[pool], Repeatable: p.Repeatable()}
-			p.branches = append(p.branches, pathBranch{route, sum})
+		t.byRoute[name] = p
+		key := pathKey{p.Host, p.Prefix}
+		if other := t.paths[key]; other == nil || name < other.Name {
+			t.paths[key] = p
 		}
-		t.paths[p.Host] = append(t.paths[p.Host], p)
 	}
-	for _, list := range t.paths {
-		slices.SortFunc(list, func(a, b *ResolvedPath) int {
-			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix), cmp.Compare(a.Name, b.Name))
-		})
+}
+
+func (t *Tree) resolvePath(name string, r *PathRoute) *ResolvedPath {
+	p := &ResolvedPath{
+		Name: name, Host: strings.ToLower(r.Host), Prefix: r.Prefix,
+		Kind: r.Kind, Resumable: r.Resumable, Open: r.Open,
+		Timeout: time.Duration(r.Timeout), Goal: time.Duration(r.Goal), GapGoal: time.Duration(r.GapGoal),
+		MaxAttempts: r.MaxAttempts, Level: r.Level,
+	}
+	sum := 0.0
+	for _, pool := range slices.Sorted(maps.Keys(r.Pools)) {
+		sum += r.Pools[pool]
+		route := &ResolvedRoute{Name: name, Pool: t.pools[pool], Repeatable: p.Repeatable()}
+		p.branches = append(p.branches, pathBranch{route, sum})
+	}
+	return p
+}
+
+// changedPaths lists the path routes that are not the very same as in the earlier tree.
+func (c *checker) changedPaths() []string {
+	var names []string
+	for name, r := range c.document.Paths {
+		if c.before == nil || c.before.document.Paths[name] != r {
+			names = append(names, name)
+		}
 	}
+	slices.Sort(names)
+	return names
 }
 
 // path checks a path route.
--- /dev/null
+++ b/core/settings/paths_bench_test.go
@@ -0,0 +1,39 @@
+package settings
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"doorstack.dev/core/strictyaml"
+)
+
+// BenchmarkPath finds the route of a call among 4,440 of one host: 0.30 us with the path made,
+// and 10.2 us where all routes of the host were tried.
+func BenchmarkPath(b *testing.B) {
+	const routes = 4440
+	d := &Document{
+		EngineKinds: map[string]*EngineKind{"rest": {Protocol: ProtocolService}},
+		Pools:       map[string]*Pool{"svc": {Kind: "rest"}},
+		Paths:       map[string]*PathRoute{},
+		Tree:        &Node{},
+	}
+	for i := range routes {
+		name := fmt.Sprintf("r%04d", i)
+		d.Paths[name] = &PathRoute{
+			Host: "calls.example", Prefix: "/" + name + "/", Kind: CallSafe, Timeout: strictyaml.Duration(time.Second), MaxAttempts: 1,
+			Pools: map[string]float64{"svc": 1},
+		}
+	}
+	tree, err := Resolve(d)
+	if err != nil {
+		b.Fatal(err)
+	}
+	i := 0
+	for b.Loop() {
+		i++
+		if tree.Path("calls.example", fmt.Sprintf("/r%04d/x", i%routes)) == nil {
+			b.Fatal("no route")
+		}
+	}
+}
--- a/core/settings/revision.go
+++ b/core/settings/revision.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 
 	"doorstack.dev/core/strictyaml"
@@ -194,15 +195,25 @@
 		}
 		problems = append(problems, graft(document, key, parts[key])...)
 	}
-	return finish(document, problems)
+	return finish(document, problems, nil)
 }
 
-func finish(document *Document, problems strictyaml.Problems) (*Tree, error) {
-	c := &checker{document: document, problems: problems}
+// finish checks a document and resolves it. Path routes that are the very same as in an
+// earlier tree, which may be nil, are taken from there.
+func finish(document *Document, problems strictyaml.Problems, before *Tree) (*Tree, error) {
+	if before != nil && !samePools(document, before.document) {
+		before = nil
+	}
+	c := &checker{document: document, problems: problems, before: before}
 	c.check()
 	if len(c.problems) > 0 {
 		c.problems.Sort()
 		return nil, c.problems
 	}
-	return resolve(document), nil
+	return resolve(document, before), nil
+}
+
+// samePools tells whether path routes mean the same in two documents.
+func samePools(a, b *Document) bool {
+	return reflect.DeepEqual(a.Pools, b.Pools) && reflect.DeepEqual(a.EngineKinds, b.EngineKinds)
 }
--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -26,7 +26,9 @@
 	accounts map[string]*ClientAccount
 	byKey    map[KeyHash]*ClientAccount
 	pools    map[string]*ResolvedPool
-	paths    map[string][]*ResolvedPath
+	paths    map[pathKey]*ResolvedPath
+	// byRoute holds the resolved path routes by their name.
+	byRoute map[string]*ResolvedPath
 
 	anonymous *ClientAccount
 }
@@ -92,36 +94,44 @@
 
 // Resolve checks a document that was built by a program and resolves it. On failure
 // the error is of type strictyaml.Problems.
-func Resolve(document *Document) (*Tree, error) { return finish(document, nil) }
+func Resolve(document *Document) (*Tree, error) { return finish(document, nil, nil) }
 
 // Parse checks a settings file whole and resolves it. On failure the error is
 // of type strictyaml.Problems and holds every problem in the file.
 func Parse(data []byte) (*Tree, error) {
 	document := &Document{}
-	return finish(document, strictyaml.Decode(data, document))
+	return finish(document, strictyaml.Decode(data, document), nil)
 }
 
-func resolve(document *Document) *Tree {
+func resolve(document *Document, before *Tree) *Tree {
 	t := &Tree{
 		document: document,
 		accounts: map[string]*ClientAccount{},
 		byKey:    map[KeyHash]*ClientAccount{},
 		pools:    map[string]*ResolvedPool{},
 	}
-	for name, p := range document.Pools {
+	if before != nil {
+		t.pools = before.pools
+	} else {
+		t.resolvePools()
+	}
+	builtin := Builtin()
+	t.anonymous = &ClientAccount{Rules: t.rules(builtin)}
+	t.resolveNode(document.Tree, "/", builtin, nil)
+	t.resolvePaths(before)
+	return t
+}
+
+func (t *Tree) resolvePools() {
+	for name, p := range t.document.Pools {
 		t.pools[name] = &ResolvedPool{
 			Name:   name,
 			Model:  p.Model,
-			Kind:   *document.EngineKinds[p.Kind],
+			Kind:   *t.document.EngineKinds[p.Kind],
 			Policy: p.Policy.withDefaults(),
-			Timing: document.EngineKinds[p.Kind].timing(),
+			Timing: t.document.EngineKinds[p.Kind].timing(),
 		}
 	}
-	builtin := Builtin()
-	t.anonymous = &ClientAccount{Rules: t.rules(builtin)}
-	t.resolveNode(document.Tree, "/", builtin, nil)
-	t.resolvePaths()
-	return t
 }
 
 // timing turns the costs of an engine's work into seconds.
