Targets that start anew under their id; entries of other writers name no target

Cause: what is believed of a target was kept by its id alone, so a process that crashed and came back within its lease kept the calls, open breaker and pace of the one before; an entry that was no target's was left out, so that an earlier one stayed believed, or passed with any state and no slots. Left: the start in a target's report, calls under way ended by belief, a metric by reason, the model of facts.

--- a/core/hostlist/hostlist.go
+++ b/core/hostlist/hostlist.go
@@ -28,7 +28,7 @@
 
 // Host is an entry of the host list.
 type Host struct {
-	// ID names the host; a replaced host has a new one.
+	// ID names the host; a replaced host has a new one, a restarted one may keep it.
 	ID string `json:"id" cbor:"1,keyasint"`
 	// Role says what runs on it.
 	Role Role `json:"role" cbor:"2,keyasint"`
@@ -47,6 +47,9 @@
 	Slots int `json:"slots,omitempty" cbor:"8,keyasint,omitempty"`
 	// Revision is the store's revision of the host's last change, in facts.
 	Revision int64 `json:"revision,omitempty" cbor:"9,keyasint,omitempty"`
+	// Incarnation is when the process on the host started, in Unix milliseconds; zero where
+	// it is not told. A later process under the same id holds nothing of an earlier one.
+	Incarnation int64 `json:"incarnation,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // List is the platform's view of the hosts, which lags, or what differs from
--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -219,6 +219,16 @@
 func (t *Table) put(h Host) bool {
 	e := t.entries[h.ID]
 	if e != nil && h.Revision <= max(e.host.Revision, e.removed) {
+		if e.host.State == Gone || e.removed > 0 || h.Incarnation <= e.host.Incarnation {
+			return false
+		}
+		h.Revision = e.host.Revision // What was heard since is of an earlier process.
+	}
+	if e != nil {
+		h = afterStart(e.host, h)
+	}
+	if h.State == Gone {
+		e.host = h
 		return false
 	}
 	t.entries[h.ID] = &entry{host: h}
@@ -230,6 +240,24 @@
 	return before != h
 }
 
+// afterStart is what a newer entry says of a host that is known. An entry of an earlier process
+// under the same id, written late, says nothing of the living one; but a target that said it
+// leaves gets no new work until the living one says that it does not.
+func afterStart(known, h Host) Host {
+	switch {
+	case h.Incarnation == 0:
+		h.Incarnation = known.Incarnation
+	case h.Incarnation < known.Incarnation:
+		late := h
+		h = known
+		h.Revision = late.Revision
+		if late.State == Leaving && known.State == Live {
+			h.State = Leaving
+		}
+	}
+	return h
+}
+
 // remove marks a host as gone, or as removed in doubt, which leaves it listed.
 func (t *Table) remove(h Host, doubt, now time.Time) {
 	e := t.entries[h.ID]
--- /dev/null
+++ b/node/blackboard/started_anew_test.go
@@ -0,0 +1,56 @@
+package blackboard
+
+import (
+	"testing"
+	"time"
+
+	"doorstack.dev/core/hostlist"
+	"doorstack.dev/core/routing"
+	"doorstack.dev/core/settings"
+)
+
+// TestATargetThatStartedAnewIsUnknown: a target's process crashed and another started under
+// its id before its entry ran out. What was believed of the first, a breaker that is open,
+// calls that fill it, a slow pace, kept calls from the second or sent it too many.
+func TestATargetThatStartedAnewIsUnknown(t *testing.T) {
+	tree, err := settings.Parse([]byte("engine_kinds: {rest: {protocol: service, max_concurrent: 2}}\npools: {svc: {kind: rest}}\ntree: {}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := map[string]struct {
+		incarnation int64
+		anew        bool
+	}{
+		"a later start":           {200, true},
+		"the same":                {100, false},
+		"an earlier one":          {50, false},
+		"one that tells no start": {0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			table := newTargetTable()
+			host := hostlist.Host{ID: "a", Role: hostlist.RoleTarget, Address: "10.0.0.1:80", Pool: "svc", State: hostlist.Live, Incarnation: 100}
+			table.Sync([]hostlist.Host{host}, tree, now)
+			for _, attempt := range []string{"x", "y"} {
+				table.Occupy("a", attempt, routing.Load{Requests: 1}, now)
+			}
+			table.SetPace("a", 4, now.Add(time.Minute), now)
+			table.Suspect("a", now.Add(time.Minute), now)
+			host.Incarnation = c.incarnation
+			table.Sync([]hostlist.Host{host}, tree, now)
+			view := table.Views("svc", now)[0]
+			if anew := view.Load.Requests == 0 && !view.BreakerOpen && view.Pace <= 1; anew != c.anew {
+				t.Fatalf("%+v", view)
+			}
+			// The calls of the earlier process end without a trace at the later one.
+			table.Finish("x", CallFailed, now)
+			if view := table.Views("svc", now)[0]; c.anew && (view.Load.Requests != 0 || view.Trouble != 0) {
+				t.Errorf("the end of an earlier call counts: %+v", view)
+			}
+			if table.Active("x") || !table.Active("y") {
+				t.Error("the calls are not known any more")
+			}
+		})
+	}
+}
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -65,6 +65,7 @@
 type targetState struct {
 	id       string
 	address  string
+	started  int64 // when its process started, in Unix milliseconds; zero where it is not told
 	pool     *targetPool
 	index    int
 	listed   routing.State // the host list's word
@@ -124,7 +125,7 @@
 }
 
 // Sync takes over the host list and the pools of a settings tree. What is known
-// of targets that stay is kept.
+// of targets that stay is kept, unless their process started anew.
 func (t *TargetTable) Sync(hosts []hostlist.Host, tree *settings.Tree, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -144,9 +145,10 @@
 			pools[pool.Name] = p
 		}
 		s := t.byID[h.ID]
-		if s == nil || s.address != h.Address {
+		if s == nil || s.address != h.Address || s.startedAnew(h.Incarnation) {
 			s = &targetState{id: h.ID, address: h.Address, calls: map[string]*ownCall{}}
 		}
+		s.started = max(s.started, h.Incarnation)
 		s.listed = routing.Live
 		if h.State == hostlist.Leaving {
 			s.listed = routing.Leaving
@@ -171,6 +173,13 @@
 	}
 }
 
+// startedAnew tells whether a target's process is a later one than that of which this state
+// is believed. It holds no calls, no memory set aside and no prompts of the earlier one, and
+// its failures and its pace say nothing.
+func (s *targetState) startedAnew(incarnation int64) bool {
+	return s.started > 0 && incarnation > s.started
+}
+
 func (p *targetPool) add(s *targetState, view routing.Target) {
 	s.pool, s.index = p, len(p.targets)
 	p.index[s.id] = s.index
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -139,7 +139,7 @@
 	c.Changed()
 	for _, h := range facts.Hosts {
 		c.Record.Log.Info("target", "target", h.ID, "state", string(h.State), "address", h.Address, "pool", h.Pool,
-			"revision", h.Revision, "from", from)
+			"revision", h.Revision, "incarnation", h.Incarnation, "from", from)
 	}
 }
 
--- a/node/onplatform/onplatform.go
+++ b/node/onplatform/onplatform.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"reflect"
+	"sync"
 	"time"
 
 	"doorstack.dev/core/admission"
@@ -108,12 +109,35 @@
 }
 
 func adapterOf(boot *platform.Boot, log *slog.Logger) *daemon.Adapter {
-	feed := platform.NewFeed(platform.NewStore(boot.Store), boot.Regions, func(err error) {
-		log.Warn("an entry of the store cannot be read and is left out", "error", err.Error())
-	})
+	foreign := &foreignLog{log: log}
+	feed := platform.NewFeed(platform.NewStore(boot.Store), boot.Regions, foreign.warn)
 	return &daemon.Adapter{
 		Settings: feed, Targets: feed, Parse: platform.NewParser().Parse, Dialect: platform.Headers{},
 		Ready: boot.Ready, Seeds: boot.Seeds, Grace: boot.Bounds.Grace,
 		Repeats: repeatsOf(boot), Cores: boot.Cores,
 	}
 }
+
+// foreignEvery is the least time between two lines about entries of other writers, which may
+// come many at a time and again and again.
+const foreignEvery = time.Second
+
+// foreignLog tells of entries in the store that name no target to use.
+type foreignLog struct {
+	log *slog.Logger
+
+	mu      sync.Mutex
+	last    time.Time
+	leftOut int
+}
+
+func (f *foreignLog) warn(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.last) < foreignEvery {
+		f.leftOut++
+		return
+	}
+	f.log.Warn("an entry of the store names no target", "error", err.Error(), "left_out", f.leftOut)
+	f.last, f.leftOut = time.Now(), 0
+}
