A link over which a large answer comes is not given up for silent

Cause: found by reading the change: a heartbeat that was not answered in 1 s gave the link up when no whole message had come for 2 s, also while a large answer was on its way, which then began again. Change: parts of a message count as a sign of life.

--- a/node/peer/bulk_test.go
+++ b/node/peer/bulk_test.go
@@ -121,3 +121,29 @@
 		}
 	})
 }
+
+// TestALinkWithALargeAnswerOnItsWayIsKept: heartbeats that are not answered in time, because a
+// large answer fills the link, gave the link up for silent, and the answer with it.
+func TestALinkWithALargeAnswerOnItsWayIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startLargeAnswers(1, 14*answerBytes)
+		defer f.close()
+		var beating sync.WaitGroup
+		beats, stop := context.WithCancel(t.Context())
+		beating.Go(func() {
+			for beats.Err() == nil {
+				ctx, cancel := context.WithTimeout(beats, time.Second)
+				var here string
+				_ = f.peers[0].Ask(ctx, f.address, KindExplain, "", &here) // Its answer may be late.
+				<-ctx.Done()
+				cancel()
+			}
+		})
+		var answer []byte
+		if err := f.peers[0].AskPatiently(t.Context(), f.address, KindChanges, "", &answer, silence); err != nil {
+			t.Error(err)
+		}
+		stop()
+		beating.Wait()
+	})
+}
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -239,7 +239,7 @@
 		case <-l.done:
 			return nil, errClosed
 		case now := <-silent:
-			if now.Sub(asked) >= silence && now.Sub(time.Unix(0, l.came.Load())) >= silence {
+			if now.Sub(asked) >= silence && l.quietFor(now) >= silence {
 				l.closeIfSilent(now)
 				return nil, errSilent
 			}
@@ -253,13 +253,16 @@
 // silenceLooks is how often in the time of a silence it is looked for.
 const silenceLooks = 8
 
+// quietFor is how long nothing has come over the link, parts of a message included.
+func (l *link) quietFor(now time.Time) time.Duration { return now.Sub(time.Unix(0, l.came.Load())) }
+
 // closeIfSilent gives a link up whose peer has answered nothing for too long, so that the
-// next question goes over a new one.
+// next question goes over a new one. One over which a large answer comes is not silent.
 func (l *link) closeIfSilent(now time.Time) {
 	l.mu.Lock()
 	since := l.unanswered
 	l.mu.Unlock()
-	if since.IsZero() || now.Sub(since) < silentAfter {
+	if since.IsZero() || now.Sub(since) < silentAfter || l.quietFor(now) < silentAfter {
 		return
 	}
 	l.hub.refused("silent")
