--- a/node/peer/bulk_test.go
+++ b/node/peer/bulk_test.go
@@ -21,6 +21,9 @@
 	silence     = 600 * time.Millisecond
 )
 
+// closing is longer than the handshake that closes a link may take, in virtual time.
+const closing = 20 * time.Second
+
 // largeAnswers is a daemon behind a slow link that answers with so many bytes, and peers of it.
 type largeAnswers struct {
 	sender  *Hub
@@ -51,7 +54,7 @@
 		}
 		_ = server.Close()
 		serving.Wait()
-		time.Sleep(20 * time.Second) // Links close with a handshake; the time is virtual.
+		<-time.After(closing)
 	}
 	return f
 }
--- /dev/null
+++ b/node/peer/handshake.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// handshakeTimeout bounds the proof of both sides.
+const handshakeTimeout = 2 * time.Second
+
+func (h *Hub) acceptHandshake(conn *websocket.Conn) (string, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, handshakeTimeout)
+	defer cancel()
+	nonce := newNonce()
+	if err := writeFrame(ctx, conn, KindChallenge, challenge{Name: h.self, Nonce: nonce}); err != nil {
+		return "", err
+	}
+	var in hello
+	if err := readFrame(ctx, conn, KindHello, &in); err != nil {
+		return "", err
+	}
+	key, err := knownKey(h.keys, func(key []byte) []byte {
+		return proof(key, proofOfClient, in.Name, h.self, in.Nonce, nonce)
+	}, in.Proof)
+	if err != nil {
+		return "", err
+	}
+	return in.Name, writeFrame(ctx, conn, KindWelcome, welcome{Proof: proof(key, proofOfServer, in.Name, h.self, in.Nonce, nonce)})
+}
+
+// dialHandshake proves who both sides are. An empty name takes whoever answers.
+func (h *Hub) dialHandshake(ctx context.Context, conn *websocket.Conn, name string) (string, error) {
+	var c challenge
+	if err := readFrame(ctx, conn, KindChallenge, &c); err != nil {
+		return "", err
+	}
+	if name == "" {
+		name = c.Name
+	}
+	if c.Name != name {
+		return "", errors.New("another daemon answers at the peer's address: " + c.Name)
+	}
+	nonce := newNonce()
+	out := hello{Name: h.self, Nonce: nonce, Proof: proof(h.keys[0], proofOfClient, h.self, name, nonce, c.Nonce)}
+	if err := writeFrame(ctx, conn, KindHello, out); err != nil {
+		return "", err
+	}
+	var in welcome
+	if err := readFrame(ctx, conn, KindWelcome, &in); err != nil {
+		return "", err
+	}
+	_, err := knownKey(h.keys[:1], func(key []byte) []byte {
+		return proof(key, proofOfServer, h.self, name, nonce, c.Nonce)
+	}, in.Proof)
+	return name, err
+}
+
+func writeFrame(ctx context.Context, conn *websocket.Conn, kind Kind, body any) error {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	data, err := cbor.Marshal(Frame{Kind: kind, Body: raw})
+	if err != nil {
+		return err
+	}
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func readFrame(ctx context.Context, conn *websocket.Conn, kind Kind, into any) error {
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return err
+	}
+	var f Frame
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return err
+	}
+	if f.Kind != kind {
+		return errors.New("want " + kind.String() + ", got " + f.Kind.String())
+	}
+	return cbor.Unmarshal(f.Body, into)
+}
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -87,9 +87,6 @@
 
 func (h *Hub) refused(reason string) { h.metrics.PeerRefused.WithLabelValues(reason).Inc() }
 
-// handshakeTimeout bounds the proof of both sides.
-const handshakeTimeout = 2 * time.Second
-
 // Handler accepts links of peers.
 func (h *Hub) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -115,80 +112,6 @@
 	})
 }
 
-func (h *Hub) acceptHandshake(conn *websocket.Conn) (string, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, handshakeTimeout)
-	defer cancel()
-	nonce := newNonce()
-	if err := writeFrame(ctx, conn, KindChallenge, challenge{Name: h.self, Nonce: nonce}); err != nil {
-		return "", err
-	}
-	var in hello
-	if err := readFrame(ctx, conn, KindHello, &in); err != nil {
-		return "", err
-	}
-	key, err := knownKey(h.keys, func(key []byte) []byte {
-		return proof(key, proofOfClient, in.Name, h.self, in.Nonce, nonce)
-	}, in.Proof)
-	if err != nil {
-		return "", err
-	}
-	return in.Name, writeFrame(ctx, conn, KindWelcome, welcome{Proof: proof(key, proofOfServer, in.Name, h.self, in.Nonce, nonce)})
-}
-
-// dialHandshake proves who both sides are. An empty name takes whoever answers.
-func (h *Hub) dialHandshake(ctx context.Context, conn *websocket.Conn, name string) (string, error) {
-	var c challenge
-	if err := readFrame(ctx, conn, KindChallenge, &c); err != nil {
-		return "", err
-	}
-	if name == "" {
-		name = c.Name
-	}
-	if c.Name != name {
-		return "", errors.New("another daemon answers at the peer's address: " + c.Name)
-	}
-	nonce := newNonce()
-	out := hello{Name: h.self, Nonce: nonce, Proof: proof(h.keys[0], proofOfClient, h.self, name, nonce, c.Nonce)}
-	if err := writeFrame(ctx, conn, KindHello, out); err != nil {
-		return "", err
-	}
-	var in welcome
-	if err := readFrame(ctx, conn, KindWelcome, &in); err != nil {
-		return "", err
-	}
-	_, err := knownKey(h.keys[:1], func(key []byte) []byte {
-		return proof(key, proofOfServer, h.self, name, nonce, c.Nonce)
-	}, in.Proof)
-	return name, err
-}
-
-func writeFrame(ctx context.Context, conn *websocket.Conn, kind Kind, body any) error {
-	raw, err := cbor.Marshal(body)
-	if err != nil {
-		return err
-	}
-	data, err := cbor.Marshal(Frame{Kind: kind, Body: raw})
-	if err != nil {
-		return err
-	}
-	return conn.Write(ctx, websocket.MessageBinary, data)
-}
-
-func readFrame(ctx context.Context, conn *websocket.Conn, kind Kind, into any) error {
-	_, data, err := conn.Read(ctx)
-	if err != nil {
-		return err
-	}
-	var f Frame
-	if err := cbor.Unmarshal(data, &f); err != nil {
-		return err
-	}
-	if f.Kind != kind {
-		return errors.New("want " + kind.String() + ", got " + f.Kind.String())
-	}
-	return cbor.Unmarshal(f.Body, into)
-}
-
 func (h *Hub) add(l *link) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -280,71 +203,6 @@
 	return l, nil
 }
 
-// AskAt sends a question to whoever listens at an address, and returns its name. The
-// link is kept under that name.
-func (h *Hub) AskAt(ctx context.Context, address string, kind Kind, in, out any) (string, error) {
-	body, err := cbor.Marshal(in)
-	if err != nil {
-		return "", err
-	}
-	l, err := h.connect(ctx, Address{Address: address})
-	if err != nil {
-		return "", err
-	}
-	answer, err := l.ask(ctx, kind, body, 0)
-	if err != nil {
-		return l.peer, err
-	}
-	return l.peer, cbor.Unmarshal(answer, out)
-}
-
-// Ask sends a question to a peer and decodes its answer into out.
-func (h *Hub) Ask(ctx context.Context, to Address, kind Kind, in, out any) error {
-	return h.AskPatiently(ctx, to, kind, in, out, 0)
-}
-
-// AskPatiently is Ask for a large answer: it is waited for as long as something comes over the
-// link, and given up when nothing has come for silence; zero leaves the bound to ctx.
-func (h *Hub) AskPatiently(ctx context.Context, to Address, kind Kind, in, out any, silence time.Duration) error {
-	body, err := cbor.Marshal(in)
-	if err != nil {
-		return err
-	}
-	l, err := h.linkWithin(ctx, to, silence)
-	if err != nil {
-		return err
-	}
-	answer, err := l.ask(ctx, kind, body, silence)
-	if err != nil {
-		return err
-	}
-	return cbor.Unmarshal(answer, out)
-}
-
-// linkWithin returns a link that is open, or can be opened in some time; zero leaves the bound
-// to ctx.
-func (h *Hub) linkWithin(ctx context.Context, to Address, most time.Duration) (*link, error) {
-	if most > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, most)
-		defer cancel()
-	}
-	return h.link(ctx, to)
-}
-
-// Tell sends news to a peer over an open link, or over a new one.
-func (h *Hub) Tell(ctx context.Context, to Address, kind Kind, in any) error {
-	body, err := cbor.Marshal(in)
-	if err != nil {
-		return err
-	}
-	l, err := h.link(ctx, to)
-	if err != nil {
-		return err
-	}
-	return l.send(Frame{Kind: kind, Body: body})
-}
-
 // Linked lists the peers with an open link.
 func (h *Hub) Linked() []string {
 	h.mu.Lock()
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -68,7 +68,7 @@
 	m := &Metrics{
 		Registry:     prometheus.NewRegistry(),
 		Requests:     counter("requests_total", "Requests ended, by route and kind of outcome.", "route", "outcome"),
-		FirstToken:   firstToken(),
+		FirstToken:   histogram("first_token_seconds", "Time from arrival to the first token, by prompt length.", "length", prometheus.ExponentialBuckets(0.005, 2, 16)),
 		Tokens:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "relayed_tokens_total", Help: "Tokens relayed to callers."}),
 		Retries:      counter("retries_total", "Attempts after the first, by pool.", "pool"),
 		Silent:       counter("silent_targets_total", "Attempts ended because the target fell silent, by pool.", "pool"),
@@ -79,7 +79,7 @@
 		PeerBytes:    counter("peer_bytes_total", "Bytes between daemons, by direction.", "direction"),
 		PeerRefused:  counter("peer_refused_total", "Peers and frames refused, by reason.", "reason"),
 		PeerUnwanted: counter("peer_unwanted_bytes_total", "Bytes of answers that came when nobody waited for them any more, by kind.", "kind"),
-		PeerWait:     peerWait(),
+		PeerWait:     histogram("peer_wait_seconds", "Time until a frame for a peer was written, behind others on its link, by kind.", "kind", prometheus.ExponentialBuckets(0.004, 4, 6)),
 		Revision:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "settings_revision", Help: "Revision of the settings in force."}),
 		SettingsLag:  prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "settings_parse_seconds", Help: "Time to check and adopt a revision.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
 		PlatformRead: counter("platform_reads_total", "Reads of the platform, by what and result.", "what", "result"),
@@ -98,22 +98,8 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
-func firstToken() *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace,
-		Name:      "first_token_seconds",
-		Help:      "Time from arrival to the first token, by prompt length.",
-		Buckets:   prometheus.ExponentialBuckets(0.005, 2, 16),
-	}, []string{"length"})
-}
-
-func peerWait() *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace,
-		Name:      "peer_wait_seconds",
-		Help:      "Time until a frame for a peer was written, behind others on its link, by kind.",
-		Buckets:   prometheus.ExponentialBuckets(0.004, 4, 6),
-	}, []string{"kind"})
+func histogram(name, help, label string, buckets []float64) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, []string{label})
 }
 
 // CountDropped serves the number of log lines that could not be written.
