--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -55,6 +55,8 @@
 type Report struct {
 	// Pace is how many times as long as usual its work takes: 1 for a sound target.
 	Pace float64
+	// Started is when its process started, in Unix milliseconds; zero where it does not tell.
+	Started int64
 }
 
 // Message is what goes to a target: a caller's call unchanged, or an order.
--- a/node/blackboard/started_anew_test.go
+++ b/node/blackboard/started_anew_test.go
@@ -54,3 +54,57 @@
 		})
 	}
 }
+
+// TestCallsOfAnEarlierProcessAreTold: a call that was sent before the process started waits for
+// an answer that cannot come; one that was sent after it is the new process's.
+func TestCallsOfAnEarlierProcessAreTold(t *testing.T) {
+	tree, err := settings.Parse([]byte("engine_kinds: {rest: {protocol: service}}\npools: {svc: {kind: rest}}\ntree: {}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const started = int64(500_000) // Unix milliseconds
+	before, after := time.UnixMilli(started-100), time.UnixMilli(started+100)
+	host := hostlist.Host{ID: "a", Role: hostlist.RoleTarget, Address: "10.0.0.1:80", Pool: "svc", State: hostlist.Live, Incarnation: 100}
+	learn := map[string]func(*TargetTable){
+		"from its entry": func(table *TargetTable) {
+			later := host
+			later.Incarnation = started
+			table.Sync([]hostlist.Host{later}, tree, after)
+		},
+		"from its report": func(table *TargetTable) {
+			if !table.Started("a", started, after) {
+				t.Error("it is not believed")
+			}
+		},
+	}
+	for name, learned := range learn {
+		t.Run(name, func(t *testing.T) {
+			table := newTargetTable()
+			table.Sync([]hostlist.Host{host}, tree, before)
+			early := table.Occupy("a", "early", routing.Load{Requests: 1}, before)
+			late := table.Occupy("a", "late", routing.Load{Requests: 1}, after)
+			learned(table)
+			select {
+			case <-early:
+			default:
+				t.Error("the call that was sent to the earlier process is not told")
+			}
+			select {
+			case <-late:
+				t.Error("the call that was sent to the new process is told")
+			default:
+			}
+			if view := table.Views("svc", after)[0]; view.Load.Requests != 0 {
+				t.Errorf("%+v", view)
+			}
+			table.Finish("early", CallFailed, after)
+			table.Occupy("a", "next", routing.Load{Requests: 1}, after)
+			if view := table.Views("svc", after)[0]; view.Load.Requests != 1 || view.Trouble != 0 {
+				t.Errorf("%+v", view)
+			}
+			if table.Started("a", 100, after) || table.Started("a", 0, after) || table.Started("nobody", started, after) {
+				t.Error("an earlier start, none, or an unknown target's is believed")
+			}
+		})
+	}
+}
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -23,6 +23,7 @@
 	// disturbed means that reading beside the call has made it miss that goal.
 	disturbed bool
 	gone      chan struct{} // closed when the target is taken to be gone
+	told      bool          // gone is closed
 }
 
 // remaining is the load of a call, less its prompt once that has been read.
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -145,7 +145,11 @@
 			pools[pool.Name] = p
 		}
 		s := t.byID[h.ID]
-		if s == nil || s.address != h.Address || s.startedAnew(h.Incarnation) {
+		if s != nil && s.startedAnew(h.Incarnation) {
+			s.endCallsBefore(h.Incarnation)
+			s = nil
+		}
+		if s == nil || s.address != h.Address {
 			s = &targetState{id: h.ID, address: h.Address, calls: map[string]*ownCall{}}
 		}
 		s.started = max(s.started, h.Incarnation)
@@ -173,13 +177,6 @@
 	}
 }
 
-// startedAnew tells whether a target's process is a later one than that of which this state
-// is believed. It holds no calls, no memory set aside and no prompts of the earlier one, and
-// its failures and its pace say nothing.
-func (s *targetState) startedAnew(incarnation int64) bool {
-	return s.started > 0 && incarnation > s.started
-}
-
 func (p *targetPool) add(s *targetState, view routing.Target) {
 	s.pool, s.index = p, len(p.targets)
 	p.index[s.id] = s.index
@@ -248,7 +245,7 @@
 	}
 	if s.silent >= maxSilent {
 		for _, c := range s.calls {
-			c.gone = make(chan struct{}) // Those that still wait were told already.
+			c.gone, c.told = make(chan struct{}), false // Those that still wait were told already.
 		}
 	}
 	s.silent = 0
@@ -282,7 +279,7 @@
 	}
 	// A frozen target keeps its connections open: whoever waits there is told.
 	for _, c := range s.calls {
-		close(c.gone)
+		c.endGone()
 	}
 }
 
--- a/node/controller/paces.go
+++ b/node/controller/paces.go
@@ -91,6 +91,9 @@
 		return before
 	}
 	now := time.Now()
+	if c.Board.Targets.Started(t.ID, report.Started, now) {
+		c.Record.Log.Info("target started anew", "target", t.ID, "pool", t.Pool, "incarnation", report.Started, "from", "its report")
+	}
 	c.Board.Targets.SetPace(t.ID, report.Pace, now.Add(paceEvery+paceTimeout+paceTick), now)
 	slow := engine.Pace(report.Pace) > 1
 	if slow != before {
--- a/node/requestcontrol/silence.go
+++ b/node/requestcontrol/silence.go
@@ -58,10 +58,23 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.timer = time.AfterFunc(s.patience.First, s.tooLong)
+		if p.Gone != nil {
+			go s.untilGone(ctx, p.Gone)
+		}
 	}
 	return ctx, s
 }
 
+// untilGone ends the patience with a target whose process has ended and started anew: its
+// connection may stay open, and nothing comes over it.
+func (s *silence) untilGone(ctx context.Context, gone <-chan struct{}) {
+	select {
+	case <-gone:
+		s.tooLong()
+	case <-ctx.Done():
+	}
+}
+
 // heard notes an event of the answer.
 func (s *silence) heard() {
 	s.mu.Lock()
--- a/node/requestcontrol/silence_test.go
+++ b/node/requestcontrol/silence_test.go
@@ -128,3 +128,28 @@
 		}
 	})
 }
+
+// TestATargetThatStartedAnewIsLeft: the connection to a process that ended with its host's power
+// stays open. A call that may go elsewhere does so at once; one that may not waits on, since the
+// clocks of two hosts do not prove that its answer cannot come.
+func TestATargetThatStartedAnewIsLeft(t *testing.T) {
+	const limit = 10 * time.Second
+	for name, c := range map[string]struct {
+		rules forward.Rules
+		left  bool
+	}{
+		"repeatable":     {twice, true},
+		"not repeatable": {forward.Rules{MaxAttempts: 2}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				gone := make(chan struct{})
+				close(gone)
+				took := untilSilent(attemptOf(c.rules, 10), &blackboard.Placement{Gone: gone}, limit, nothing)
+				if left := took < 100*time.Millisecond; left != c.left {
+					t.Errorf("it was left after %v", took)
+				}
+			})
+		})
+	}
+}
