A test of the coordinator in virtual time; targets that start anew and foreign entries in the soak

Change: the test runs in virtual time, as strict as before. The soak's targets tell their start, are ended and start again under their id, at once or after a loss of power, and another writer leaves entries; these events are drawn beside a seed's plan, which stays what it was.

--- a/node/cluster/placement_test.go
+++ b/node/cluster/placement_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"doorstack.dev/core/admission"
@@ -82,8 +83,13 @@
 }
 
 // TestACoordinatorCountsEachCallOnce: whatever order questions, their repetitions, calls
-// handed over and ends come in, what has ended is not counted.
+// handed over and ends come in, what has ended is not counted. A question is held for 5 ms and
+// then answered later; in virtual time that does not pass before the answer is there.
 func TestACoordinatorCountsEachCallOnce(t *testing.T) {
+	synctest.Test(t, countsEachCallOnce)
+}
+
+func countsEachCallOnce(t *testing.T) {
 	p := newCoordinator(t, 2)
 	ctx := context.Background()
 	answers := make(chan placeAnswer, 4)
--- a/node/internal/soak/plan.go
+++ b/node/internal/soak/plan.go
@@ -110,8 +110,7 @@
 			add(e)
 		}
 	}
-	slices.SortStableFunc(plan, func(a, b Event) int { return int(a.At - b.At) })
-	return plan
+	return withAnew(plan, seed, length)
 }
 
 // draw is a time below a bound.
--- a/node/internal/soak/world.go
+++ b/node/internal/soak/world.go
@@ -103,7 +103,7 @@
 	w.mu.Lock()
 	w.backends = append(w.backends, b)
 	w.mu.Unlock()
-	w.store.PutAddress(id, b.link.Address(), service, slots)
+	w.store.PutStarted(b.target, b.link.Address(), service, slots)
 	return nil
 }
 
@@ -222,6 +222,11 @@
 	case FrontDelay, FrontReset, FrontOneWay, FrontSilent:
 		defer w.disturb(e.Kind, daemon.number)()
 		harm(ctx, daemon.front, e)
+	case TargetAnew:
+		defer w.disturb(e.Kind, everywhere)()
+		w.startAnew(ctx, e)
+	case StoreForeign:
+		w.writeForeign(e.Which)
 	case TargetReset, TargetOneWay, TargetSilent, TargetFails:
 		defer w.disturb(e.Kind, everywhere)()
 		w.harmTarget(ctx, e)
