--- a/node/target/exchange_test.go
+++ b/node/target/exchange_test.go
@@ -69,8 +69,10 @@
 	return listener.Addr().String(), received
 }
 
-func answer(conn net.Conn, id, body string) {
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+func answer(conn net.Conn, id, body string) { _, _ = io.WriteString(conn, textOf(id, body)) }
+
+func textOf(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
 func drainBody(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
@@ -142,10 +144,11 @@
 func TestConnectionsThatAreNotKept(t *testing.T) {
 	address, _ := peer(t, func(conn net.Conn, r *http.Request, connection, call int) bool {
 		drainBody(r)
-		answer(conn, "x", fmt.Sprint(connection, call))
+		text := textOf("x", fmt.Sprint(connection, call))
 		if connection == 1 {
-			answer(conn, "x", "nobody's")
+			text += textOf("x", "nobody's") // In one write, so that it is there when the answer is.
 		}
+		_, _ = io.WriteString(conn, text)
 		return true
 	})
 	e := NewExchanger(plainDialect{})
