Daemons that decide alone spread their calls

Cause: found with hosts that serve before they know each other: 78 of the first 91 chats of 123 daemons went to five of 66 engines, and were late by up to 4 s. Who decides alone knows no call of the others; the same engine, or the first of its data centre, looked best to each, and writers are packed. The same happens wherever a coordinator is lost. Besides, each took itself for the coordinator and asked all engines for their pace: 8,433 questions for 1,657.

Ruled out: waiting for the coordinator (the seeds were back 0.5 s later).

Change: a request that is placed alone is blind: a chance of up to 15 ms, less than another data centre costs, in place of packing, drawn from the seed, so that the record replays. A daemon coordinates once it has found others or has looked for 5 s.

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -153,6 +153,9 @@
 	Recorded bool `json:"-"`
 	// Seed makes the pick; it differs from daemon to daemon.
 	Seed uint64 `json:"seed"`
+	// Blind is true where a daemon that does not place the pool's calls for all decides
+	// alone: it knows its own calls at the targets and none of the others'.
+	Blind bool `json:"blind,omitempty"`
 }
 
 // MemoryTokens is the KV cache that the request takes when it is done.
@@ -217,11 +220,13 @@
 	Trouble     float64 `json:"trouble_s,omitempty"`
 	// Lateness is the cost of a time that is likely to pass the caller's goal.
 	Lateness float64 `json:"lateness_s,omitempty"`
+	// Chance keeps daemons that decide alone from all choosing the same target.
+	Chance float64 `json:"chance_s,omitempty"`
 }
 
 // Total is the estimated time to first token in seconds.
 func (s *Scores) Total() float64 {
-	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality + s.Packing + s.Trouble + s.Lateness - s.PrefixSaved
+	return s.Backlog + s.Prefill + s.Batch + s.Memory + s.LongMix + s.Locality + s.Packing + s.Trouble + s.Lateness + s.Chance - s.PrefixSaved
 }
 
 // Candidate is a target with what the filters and scorers said of it.
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -22,7 +22,7 @@
 // score estimates the time to first token of the request at the target. It writes
 // to s, because copying a result for each of 2,300 targets takes half the time.
 func (s *Scores) score(r *Request, p *Params, long bool, t *Target) {
-	*s = Scores{Trouble: trouble(t)}
+	*s = Scores{Trouble: trouble(t), Chance: chance(r, t)}
 	s.Batch = secondsPerRunning * float64(t.Load.Requests)
 	if t.DataCentre != r.DataCentre {
 		s.Locality = p.RemotePenalty
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -157,6 +157,10 @@
 	if r.Goal > 0 {
 		s.Lateness = lateness * max(0, s.Backlog+s.Prefill+s.Batch-safeShare*r.Goal)
 	}
+	if r.Blind {
+		s.Chance = chance(r, t)
+		return s // Where others pack writers is not known.
+	}
 	s.Packing = packing(t)
 	return s
 }
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -82,6 +82,14 @@
 	return alone
 }
 
+// knowsFleet tells whether this daemon has found others, or has looked for them and there are
+// none.
+func (c *Cluster) knowsFleet() bool {
+	others := 0
+	c.Board.Members.View(func(t *membership.Table) { others, _ = t.Others() })
+	return others > 0 || c.searched.Load() || time.Since(c.started) > compareTimeout
+}
+
 // introduceToAll introduces this daemon at several addresses at once, so that a seed without
 // power holds up none of the others, and counts who answers; its own address does.
 func (c *Cluster) introduceToAll(ctx context.Context, addresses []string) int {
--- a/node/onplatform/herd_test.go
+++ b/node/onplatform/herd_test.go
@@ -114,3 +114,24 @@
 		t.Errorf("a daemon sent %d frames of rumors, want %d at most", most, herdFrames)
 	}
 }
+
+// TestWhoKnowsNobodyDoesNotCoordinate: a daemon whose seeds do not answer serves, but takes
+// itself for the coordinator only once it has looked for the others for long enough. Each of a
+// herd did at once, and asked all engines how fast they work.
+func TestWhoKnowsNobodyDoesNotCoordinate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startSpreadFleet(t, 1, 0, time.Second)
+		defer f.close()
+		d := f.daemons[0]
+		d.cluster.SetSeeds([]string{"10.9.9.9:8229"}) // Nobody is there.
+		f.restart(func(int) bool { return true })
+		f.until("service", func(d *spreadDaemon) bool { return d.board.Phase() == blackboard.Serving })
+		if d.cluster.Placements.Coordinates("svc") {
+			t.Error("it coordinates though it has not found anybody")
+		}
+		pass(5 * time.Second)
+		if !d.cluster.Placements.Coordinates("svc") {
+			t.Error("it does not coordinate though nobody else is there")
+		}
+	})
+}
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -72,6 +72,8 @@
 type Placer interface {
 	// Place returns the coordinator's placement, or false where this daemon decides.
 	Place(ctx context.Context, t *blackboard.Ticket) (blackboard.Placement, bool)
+	// Coordinates tells whether this daemon places a pool's calls for all.
+	Coordinates(pool string) bool
 	// PromptRead and Finished tell the coordinator of a call's progress; Finished also
 	// of a target that nothing should be sent to for some time.
 	PromptRead(attempt string)
@@ -185,6 +187,7 @@
 		if ctx.Err() != nil {
 			return blackboard.Placement{}, waitError(ctx, r)
 		}
+		ticket.Request.Blind = !d.Placer.Coordinates(r.Route.Pool.Name)
 	}
 	d.Board.Queues.Push(ticket)
 	var placement blackboard.Placement
