Members are compared in parts

Cause: wherever two heartbeats' digests differed both sides sent all members, 5 KB at 59 daemons, 25 KB at 295 and 44 KB at 520, at most every 2 s a peer; in a rolling restart digests differ nearly always.

Ruled out: incarnations in the digest (every denial would start comparisons).

Change: digests of 64 parts of the members, 0.6 KB; each side tells what it knows of the parts that differ. A peer whose digests are of another form is told of everybody. Bytes between daemons are counted by kind.

Measured: TestComparingCostsWhatDiffers, 520 daemons of which one is new: 520 rumors a side before, at most 40 in all after.

--- a/core/membership/open.go
+++ b/core/membership/open.go
@@ -42,21 +42,49 @@
 	}
 }
 
-// Digest identifies who is alive in an open fleet. Daemons with different digests
-// exchange all that they know.
+// Digest identifies who is alive in an open fleet. Daemons with different digests compare
+// their Digests.
 func (t *Table) Digest() uint64 {
 	sum := uint64(0)
-	for name, m := range t.members {
-		if name == t.self || m.State == Alive {
-			sum += rendezvous.Score(digestKey, name)
-		}
+	for _, d := range t.Digests() {
+		sum += d
 	}
 	return sum
 }
 
+// digestBuckets is the number of parts in which the members of an open fleet are compared: a
+// part has some five members of 295 and eight of 520, and the digests of all take half a
+// kilobyte, where all members take 25 and 44.
+const digestBuckets = 64
+
 // digestKey keeps the scores of a digest apart from others.
 const digestKey = "digest"
 
+// Digests identify who is alive in an open fleet, in parts.
+func (t *Table) Digests() []uint64 {
+	digests := make([]uint64, digestBuckets)
+	for name, m := range t.members {
+		if name == t.self || m.State == Alive {
+			score := rendezvous.Score(digestKey, name)
+			digests[score%digestBuckets] += score
+		}
+	}
+	return digests
+}
+
+// Differing lists what is known of the members in whose parts a peer's digests differ. When
+// both sides have told each other that, both know what either knew.
+func (t *Table) Differing(theirs []uint64) []Rumor {
+	if len(theirs) != digestBuckets {
+		return t.Everybody() // The peer's version compares in other parts.
+	}
+	own := t.Digests()
+	return slices.DeleteFunc(t.Everybody(), func(r Rumor) bool {
+		part := rendezvous.Score(digestKey, r.Name) % digestBuckets
+		return own[part] == theirs[part]
+	})
+}
+
 // Lost lists the daemons of an open fleet that died and may come back.
 func (t *Table) Lost() []Member {
 	var lost []Member
--- a/core/membership/open_test.go
+++ b/core/membership/open_test.go
@@ -1,8 +1,12 @@
 package membership
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 func openTable(name string, incarnation int64) *Table {
@@ -97,3 +101,72 @@
 		t.Fatalf("it is %v", m.State)
 	}
 }
+
+// herd is an open table of so many daemons beside its own, by number from first on.
+func herd(self string, first, daemons int) *Table {
+	t := openTable(self, 1)
+	for i := first; i < first+daemons; i++ {
+		name := fmt.Sprint("d", i)
+		t.Receive(Rumor{Name: name, Incarnation: 1, Address: "10.0.0.2:" + name, DataCentre: "dc", Region: "r", Cores: 0.2})
+	}
+	return t
+}
+
+// compare exchanges what two daemons know where their digests differ, and returns how many
+// rumors that takes.
+func compare(a, b *Table) int {
+	toA, toB := b.Differing(a.Digests()), a.Differing(b.Digests())
+	for _, r := range toA {
+		a.Receive(r)
+	}
+	for _, r := range toB {
+		b.Receive(r)
+	}
+	return len(toA) + len(toB)
+}
+
+// TestComparingCostsWhatDiffers: of 520 daemons one is known to one side only. Each side tells
+// of the part that it is in, some eight daemons; before, all 520 of them.
+func TestComparingCostsWhatDiffers(t *testing.T) {
+	a, b := herd("a", 0, 519), herd("b", 0, 520)
+	compare(a, b) // They know each other now.
+	a.Receive(Rumor{Name: "new", Incarnation: 1, Address: "10.0.0.3:1"})
+	if told := compare(a, b); told > 40 {
+		t.Errorf("%d rumors for one daemon of 520", told)
+	}
+	if a.Digest() != b.Digest() {
+		t.Error("the digests differ after the comparison")
+	}
+	if told := compare(a, b); told != 0 {
+		t.Errorf("%d rumors though both know the same", told)
+	}
+}
+
+// TestAnotherVersionIsToldAll: a peer whose digests are in other parts is told of everybody.
+func TestAnotherVersionIsToldAll(t *testing.T) {
+	if got := len(herd("a", 0, 10).Differing(make([]uint64, 3))); got != 11 {
+		t.Errorf("told of %d of 11 daemons", got)
+	}
+}
+
+// TestComparedTablesAgree: whatever two daemons know of who lives, died and left, they agree
+// after at most two comparisons; the second is for what the first one brought into parts that
+// were alike.
+func TestComparedTablesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{openTable("a", 1), openTable("b", 1)}
+		for range rapid.IntRange(0, 60).Draw(t, "rumors") {
+			name := fmt.Sprint("d", rapid.IntRange(0, 40).Draw(t, "daemon"))
+			r := Rumor{
+				Name: name, Incarnation: rapid.Int64Range(1, 3).Draw(t, "incarnation"), Address: "10.0.0.2:" + name,
+				State: State(rapid.IntRange(int(Alive), int(Left)).Draw(t, "state")),
+			}
+			tables[rapid.IntRange(0, 1).Draw(t, "at")].Receive(r)
+		}
+		compare(tables[0], tables[1])
+		compare(tables[0], tables[1])
+		if a, b := tables[0].Living(), tables[1].Living(); !slices.Equal(a, b) {
+			t.Fatalf("%v and %v", a, b)
+		}
+	})
+}
--- a/model/membership.pml
+++ b/model/membership.pml
@@ -17,7 +17,8 @@
  *   NO_DENY    a daemon that hears of its own death denies it
  *   NO_RAISE   a denial has a higher incarnation than what it denies
  *   NO_NEWER   a rumor replaces only an older one
- *   NO_DIGEST  daemons whose digests differ tell each other all that they know
+ *   NO_DIGEST  daemons whose digests differ tell each other what they know; the program
+ *              compares in 64 parts and tells of those that differ, the model has one part
  *   NO_LOST    daemons that were lost are looked for again
  *   NO_LEAVE   a daemon that leaves does not deny it
  */
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -73,6 +73,7 @@
 	hub.Handle(peer.KindProgress, peer.Serve(c.Placements.serveProgress))
 	hub.Handle(peer.KindHeartbeat, peer.Serve(c.serveHeartbeat))
 	hub.Handle(peer.KindRumor, peer.Serve(c.serveRumors))
+	hub.Handle(peer.KindDigests, peer.Serve(c.serveDigests))
 	hub.Handle(peer.KindChanges, peer.Serve(c.serveChanges))
 	hub.Handle(peer.KindHosts, peer.Serve(c.serveHosts))
 	hub.Handle(peer.KindClaim, peer.Serve(c.serveClaim))
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -28,7 +28,7 @@
 	// rejoinEvery is the mean pause between tries to find a daemon that was lost, or a
 	// seed, which is what joins two parts of a fleet again after a cut.
 	rejoinEvery = 2 * time.Second
-	// reconcileEvery is the least time between two full exchanges with one peer.
+	// reconcileEvery is the least time between two comparisons of members with one peer.
 	reconcileEvery = 2 * time.Second
 )
 
@@ -147,26 +147,35 @@
 	c.spread(ctx, news, from)
 }
 
-// reconcile sends all that is known to a peer that knows of other daemons than this
-// one does. The peer does the same, so both end with the union.
+// reconcile sends the digests of all members to a peer that knows of other daemons than this
+// one does, and gets what the peer knows where they differ. The peer does the same, so both
+// end with the union.
 func (c *Cluster) reconcile(ctx context.Context, from string, digest uint64) {
 	if !c.open() {
 		return
 	}
-	var all []membership.Rumor
-	now := time.Now()
+	var digests []uint64
 	c.Board.Members.View(func(t *membership.Table) {
-		if t.Digest() == digest {
-			return
+		if t.Digest() != digest {
+			digests = t.Digests()
 		}
-		all = t.Everybody()
 	})
-	if all == nil || !c.mayReconcile(from, now) {
+	if digests == nil || !c.mayReconcile(from, time.Now()) {
 		return
 	}
-	if err := c.Hub.Tell(ctx, c.address(from), peer.KindRumor, all); err != nil {
-		c.Record.Log.Debug("members could not be told to a peer", "peer", from, "error", err.Error())
+	if err := c.Hub.Tell(ctx, c.address(from), peer.KindDigests, digests); err != nil {
+		c.Record.Log.Debug("digests of members could not be told to a peer", "peer", from, "error", err.Error())
+	}
+}
+
+// serveDigests tells a peer what this daemon knows where their digests differ.
+func (c *Cluster) serveDigests(ctx context.Context, from string, theirs []uint64) (done, error) {
+	var rumors []membership.Rumor
+	c.Board.Members.View(func(t *membership.Table) { rumors = t.Differing(theirs) })
+	if len(rumors) == 0 {
+		return done{}, nil
 	}
+	return done{}, c.Hub.Tell(ctx, c.address(from), peer.KindRumor, rumors)
 }
 
 func (c *Cluster) mayReconcile(peerName string, now time.Time) bool {
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -39,6 +39,7 @@
 	KindPlaced    Kind = 19
 	KindProgress  Kind = 20
 	KindChanges   Kind = 21
+	KindDigests   Kind = 22
 )
 
 var kindNames = map[Kind]string{
@@ -48,7 +49,7 @@
 	KindExplain: "explain", KindHosts: "hosts", KindHoldings: "holdings",
 	KindJoin: "join", KindTargets: "targets",
 	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
-	KindChanges: "settings_changes",
+	KindChanges: "settings_changes", KindDigests: "digests",
 }
 
 // String names the kind for metrics.
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -69,7 +69,7 @@
 
 func (h *Hub) count(direction string, kind Kind, bytes int) {
 	h.metrics.PeerFrames.WithLabelValues(direction, kind.String()).Inc()
-	h.metrics.PeerBytes.WithLabelValues(direction).Add(float64(bytes))
+	h.metrics.PeerBytes.WithLabelValues(direction, kind.String()).Add(float64(bytes))
 }
 
 // longWait is the time for which a frame waits to be written until a line tells of it: a
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -76,7 +76,7 @@
 		Queue:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_requests", Help: "Requests that wait, by pool."}, []string{"pool"}),
 		Claims:       counter("claims_total", "Claims of idempotency keys, by outcome.", "outcome"),
 		PeerFrames:   counter("peer_frames_total", "Frames between daemons, by direction and kind.", "direction", "kind"),
-		PeerBytes:    counter("peer_bytes_total", "Bytes between daemons, by direction.", "direction"),
+		PeerBytes:    counter("peer_bytes_total", "Bytes between daemons, by direction and kind.", "direction", "kind"),
 		PeerRefused:  counter("peer_refused_total", "Peers and frames refused, by reason.", "reason"),
 		PeerUnwanted: counter("peer_unwanted_bytes_total", "Bytes of answers that came when nobody waited for them any more, by kind.", "kind"),
 		PeerWait:     histogram("peer_wait_seconds", "Time until a frame for a peer was written, behind others on its link, by kind.", "kind", prometheus.ExponentialBuckets(0.004, 4, 6)),
