A test that gathered rumors outlive the link they came over

Cause: read in the change that gathers rumors: they wait up to 20 ms, with others', under the context of the link that brought them. Ruled out as a fault: only a dial uses that context, and rumors go over open links only. Conclusion: no change of the program, the test guards it.

--- a/node/onplatform/herd_test.go
+++ b/node/onplatform/herd_test.go
@@ -9,6 +9,8 @@
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/peer"
+	"doorstack.dev/node/telemetry"
 	"doorstack.dev/platform"
 	"github.com/go-faster/errors"
 )
@@ -135,3 +137,34 @@
 		}
 	})
 }
+
+// TestRumorsOutliveTheLinkTheyCameOver: a peer tells of two daemons one after the other and its
+// link ends while the second rumor waits for its frame. All others hear of both at once, not at
+// the next comparison of members, 1 s and more later.
+func TestRumorsOutliveTheLinkTheyCameOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startSpreadFleet(t, 4, 0, 0)
+		defer f.close()
+		pass(5 * time.Second)
+		leaver := f.network.Add("10.0.1.1:8229", strongLink)
+		hub := peer.NewHub("leaver", []string{fleetKey}, telemetry.NewMetrics())
+		hub.DialWith(leaver.Client())
+		for _, name := range []string{"first", "second"} {
+			rumors := []membership.Rumor{{Name: name, Incarnation: 1, Address: "10.0.1.2:8229", DataCentre: "dc0", Region: "r"}}
+			if err := hub.Tell(t.Context(), peer.Address{Name: "edge-0", Address: fleetSeed}, peer.KindRumor, rumors); err != nil {
+				t.Fatal(err)
+			}
+			pass(5 * time.Millisecond)
+		}
+		hub.Close()
+		const soon = 100 * time.Millisecond
+		took := f.until("both daemons", func(d *spreadDaemon) bool {
+			size := 0
+			d.board.Members.View(func(members *membership.Table) { size = members.Size() })
+			return size == len(f.daemons)+2
+		})
+		if took > soon {
+			t.Errorf("all know of both daemons after %v, want %v", took, soon)
+		}
+	})
+}
--- a/node/onplatform/spread_test.go
+++ b/node/onplatform/spread_test.go
@@ -60,6 +60,7 @@
 	daemons []*spreadDaemon
 	parsed  sync.Map // trees by the number of parts: all daemons of the test may share one
 	dead    *deadLines
+	network *slownet.Net
 	stop    []func()
 }
 
@@ -98,12 +99,11 @@
 // startSpreadFleet starts a fleet of so many strong and weak hosts, one after the other in an
 // order of their names' hashes, over so much time.
 func startSpreadFleet(t *testing.T, strong, weak int, over time.Duration) *spreadFleet {
-	f := &spreadFleet{t: t, dead: &deadLines{Handler: slog.DiscardHandler}}
-	network := &slownet.Net{Delay: time.Millisecond}
+	f := &spreadFleet{t: t, dead: &deadLines{Handler: slog.DiscardHandler}, network: &slownet.Net{Delay: time.Millisecond}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for i := range strong + weak {
-		d := f.newDaemon(network, i, i < strong)
+		d := f.newDaemon(i, i < strong)
 		server := &http.Server{Handler: d.cluster.Hub.Handler()}
 		place := settings.HashKey(d.name)
 		d.starts = over * time.Duration(place[0]) / 255
@@ -132,23 +132,26 @@
 // pass lets virtual time pass.
 func pass(d time.Duration) { controller.Sleep(context.Background(), d) }
 
+// fleetKey is what daemons of the fleet know each other by.
+const fleetKey = "a-shared-secret-of-the-fleet"
+
 // fleetSeed is the address of the first daemon, which the others introduce themselves to.
 const fleetSeed = "10.0.0.0:8229"
 
-func (f *spreadFleet) newDaemon(network *slownet.Net, i int, strong bool) *spreadDaemon {
+func (f *spreadFleet) newDaemon(i int, strong bool) *spreadDaemon {
 	cores, link, check := 0.192, weakLink, weakCheck
 	if strong {
 		cores, link, check = 0.8, strongLink, strongCheck
 	}
 	d := &spreadDaemon{name: fmt.Sprint("edge-", i), centre: fmt.Sprint("dc", i%3)}
 	address := fmt.Sprintf("10.0.0.%d:8229", i)
-	d.host = network.Add(address, link)
+	d.host = f.network.Add(address, link)
 	d.board = blackboard.New(blackboard.Identity{
 		Name: d.name, Incarnation: 1, DataCentre: d.centre, Region: "r", Peer: address, Cores: cores,
 	}, blackboard.DefaultLimits())
 	d.metrics = telemetry.NewMetrics()
 	record := &telemetry.Recorder{Board: d.board, Log: slog.New(f.dead), Metrics: d.metrics}
-	hub := peer.NewHub(d.name, []string{"a-shared-secret-of-the-fleet"}, d.metrics)
+	hub := peer.NewHub(d.name, []string{fleetKey}, d.metrics)
 	hub.DialWith(d.host.Client())
 	d.settings = &controller.Settings{
 		Board: d.board, Record: record, Watches: func() bool { return f.watches(d) },
