Times between daemons keep their fractions of a second

Cause: the CBOR library writes times in whole seconds unless told otherwise. The birth of an idempotency key lost up to a second on its way to a witness, so a witness that had started 2 to 3 s before the key was made took it for too young and refused it, while the asking daemon, which has the exact time, granted it. Ruled out: a step of the clock (it would make all witnesses say young, the asker too); a witness started late (all start before the test's wait begins). Change: one encoder for frames and bodies, with times as text with fractions. Older daemons read both. Measured: TestAKeyIsAsOldAtEveryWitness fails before (born at 2.9 s heard as 2 s, answer young), passes after.

--- a/node/peer/ask.go
+++ b/node/peer/ask.go
@@ -10,7 +10,7 @@
 // AskAt sends a question to whoever listens at an address, and returns its name. The
 // link is kept under that name.
 func (h *Hub) AskAt(ctx context.Context, address string, kind Kind, in, out any) (string, error) {
-	body, err := cbor.Marshal(in)
+	body, err := encode(in)
 	if err != nil {
 		return "", err
 	}
@@ -33,7 +33,7 @@
 // AskPatiently is Ask for a large answer: it is waited for as long as something comes over the
 // link, and given up when nothing has come for silence; zero leaves the bound to ctx.
 func (h *Hub) AskPatiently(ctx context.Context, to Address, kind Kind, in, out any, silence time.Duration) error {
-	body, err := cbor.Marshal(in)
+	body, err := encode(in)
 	if err != nil {
 		return err
 	}
@@ -61,7 +61,7 @@
 
 // Tell sends news to a peer over an open link, or over a new one.
 func (h *Hub) Tell(ctx context.Context, to Address, kind Kind, in any) error {
-	body, err := cbor.Marshal(in)
+	body, err := encode(in)
 	if err != nil {
 		return err
 	}
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -60,6 +60,20 @@
 	return "unknown"
 }
 
+// encode writes a message as CBOR. Times keep their fractions of a second, which the library drops
+// unless told otherwise: a key that a caller made 2.9 s after a witness had started seemed less
+// than 2 s younger, and the claim was refused (TestAKeyIsAsOldAtEveryWitness). Daemons that write
+// whole seconds read both forms.
+func encode(message any) ([]byte, error) { return encoding.Marshal(message) }
+
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err) // The options are constants.
+	}
+	return mode
+}()
+
 // MaxFrame bounds a frame: a whole settings tree of a large fleet fits.
 const MaxFrame = 8 << 20
 
--- a/node/peer/handshake.go
+++ b/node/peer/handshake.go
@@ -60,11 +60,11 @@
 }
 
 func writeFrame(ctx context.Context, conn *websocket.Conn, kind Kind, body any) error {
-	raw, err := cbor.Marshal(body)
+	raw, err := encode(body)
 	if err != nil {
 		return err
 	}
-	data, err := cbor.Marshal(Frame{Kind: kind, Body: raw})
+	data, err := encode(Frame{Kind: kind, Body: raw})
 	if err != nil {
 		return err
 	}
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -146,7 +146,7 @@
 	answer := Frame{Kind: f.Kind, ID: f.ID, Answer: true}
 	body, err := serve(ctx, l.peer, f.Body)
 	if err == nil {
-		answer.Body, err = cbor.Marshal(body)
+		answer.Body, err = encode(body)
 	}
 	if err != nil {
 		answer.Error = err.Error()
@@ -162,7 +162,7 @@
 
 // send queues a frame.
 func (l *link) send(f Frame) error {
-	data, err := cbor.Marshal(f)
+	data, err := encode(f)
 	if err != nil {
 		return err
 	}
