--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -93,6 +93,11 @@
 	Targets     []blackboard.TargetStatus  `json:"targets"`
 	Explain     ExplainStatus              `json:"explain"`
 	Fleet       FleetStatus                `json:"fleet"`
+	// Started is when this process started; Traffic counts since then.
+	Started time.Time           `json:"started,omitzero"`
+	Traffic []telemetry.Traffic `json:"traffic,omitempty"`
+	// Incomplete says what could not be told and why.
+	Incomplete string `json:"incomplete,omitempty"`
 }
 
 // TargetStatus is a target in a Status.
@@ -169,6 +174,7 @@
 		Accounts:    s.Board.Accounts.Status(),
 		Targets:     s.Board.Targets.Status(now),
 		Explain:     ExplainStatus{Bytes: bytes, Evicted: evicted},
+		Started:     now.Add(-s.Board.Age()),
 	}
 	if view := s.Board.Settings.Current(); view != nil {
 		status.Revision = view.Revision
@@ -178,6 +184,11 @@
 	if s.Fleet != nil {
 		status.Fleet = s.Fleet.Status()
 	}
+	traffic, err := s.Metrics.Traffic()
+	if err != nil {
+		status.Incomplete = "traffic between daemons: " + err.Error()
+	}
+	status.Traffic = traffic
 	return status
 }
 
--- a/node/cmd/doorstack/status.go
+++ b/node/cmd/doorstack/status.go
@@ -14,8 +14,9 @@
 // statusCommand shows a daemon and its fleet.
 type statusCommand struct {
 	adminFlags
-	Watch bool          `help:"Show it again and again until interrupted."`
-	Every time.Duration `default:"1s" help:"The pause between two looks with --watch."`
+	Watch   bool          `help:"Show it again and again until interrupted."`
+	Every   time.Duration `default:"1s" help:"The pause between two looks with --watch."`
+	Traffic bool          `help:"Show what the daemon exchanges with its peers, by kind of message."`
 }
 
 // clearScreen moves the cursor home and clears a terminal.
@@ -37,6 +38,9 @@
 			}
 		} else {
 			printStatus(os.Stdout, &s)
+			if c.Traffic {
+				printTraffic(os.Stdout, &s, time.Now())
+			}
 		}
 		if !c.Watch {
 			return nil
@@ -79,6 +83,21 @@
 	t.flush()
 }
 
+// printTraffic shows the messages between the daemon and its peers, a second since it started.
+func printTraffic(out io.Writer, s *admin.Status, now time.Time) {
+	_, _ = fmt.Fprintln(out)
+	if s.Incomplete != "" {
+		_, _ = fmt.Fprintln(out, "not known: "+s.Incomplete)
+	}
+	seconds := max(1, now.Sub(s.Started).Seconds())
+	rate := func(n int64) string { return fmt.Sprintf("%.1f", float64(n)/seconds) }
+	t := newTable(out, "MESSAGE", "FRAMES IN/S", "BYTES IN/S", "FRAMES OUT/S", "BYTES OUT/S")
+	for _, k := range s.Traffic {
+		t.row(k.Kind, rate(k.FramesIn), rate(k.BytesIn), rate(k.FramesOut), rate(k.BytesOut))
+	}
+	t.flush()
+}
+
 var stateNames = map[routing.State]string{routing.Live: "live", routing.Leaving: "leaving", routing.Gone: "gone"}
 
 func printTargets(out io.Writer, targets []admin.TargetStatus) {
--- /dev/null
+++ b/node/cmd/doorstack/status_test.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"doorstack.dev/node/admin"
+	"doorstack.dev/node/telemetry"
+)
+
+func TestTrafficIsShownASecond(t *testing.T) {
+	started := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := &admin.Status{Started: started, Traffic: []telemetry.Traffic{{Kind: "heartbeat", FramesIn: 20, BytesIn: 4000, FramesOut: 10, BytesOut: 2500}}}
+	var out strings.Builder
+	printTraffic(&out, s, started.Add(10*time.Second))
+	fields := strings.Fields(strings.Split(strings.TrimSpace(out.String()), "\n")[1])
+	if got := strings.Join(fields, " "); got != "heartbeat 2.0 400.0 1.0 250.0" {
+		t.Errorf("got %q in\n%s", got, out.String())
+	}
+}
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"doorstack.dev/node/telemetry"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
@@ -80,7 +81,7 @@
 			l.close(websocket.StatusProtocolError, "garbled frame")
 			return
 		}
-		l.hub.count("in", f.Kind, len(data))
+		l.hub.count(telemetry.DirectionIn, f.Kind, len(data))
 		l.mu.Lock()
 		l.unanswered = time.Time{}
 		l.mu.Unlock()
@@ -169,7 +170,7 @@
 	if len(data) > MaxFrame {
 		return errors.New("the frame is over the bound of a frame")
 	}
-	l.hub.count("out", f.Kind, len(data))
+	l.hub.count(telemetry.DirectionOut, f.Kind, len(data))
 	select {
 	case <-l.done:
 		return errClosed
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -38,6 +38,9 @@
 	Released     prometheus.Counter
 	Orders       *prometheus.CounterVec
 	LinesLeftOut prometheus.Counter
+
+	// traffic holds the counters that Traffic reads, and nothing else.
+	traffic *prometheus.Registry
 }
 
 // lengthClasses are the bounds of the prompt length label, in tokens.
@@ -63,6 +66,16 @@
 
 const namespace = "doorstack"
 
+// The name and labels of the counters of messages between daemons.
+const (
+	peerFramesName = "peer_frames_total"
+	labelDirection = "direction"
+	labelKind      = "kind"
+	// DirectionIn and DirectionOut are the values of the direction.
+	DirectionIn  = "in"
+	DirectionOut = "out"
+)
+
 // NewMetrics returns the metrics in a registry of their own.
 func NewMetrics() *Metrics {
 	m := &Metrics{
@@ -75,8 +88,8 @@
 		Decisions:    counter("decisions_total", "Decisions, by kind and outcome.", "kind", "outcome"),
 		Queue:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_requests", Help: "Requests that wait, by pool."}, []string{"pool"}),
 		Claims:       counter("claims_total", "Claims of idempotency keys, by outcome.", "outcome"),
-		PeerFrames:   counter("peer_frames_total", "Frames between daemons, by direction and kind.", "direction", "kind"),
-		PeerBytes:    counter("peer_bytes_total", "Bytes between daemons, by direction and kind.", "direction", "kind"),
+		PeerFrames:   counter(peerFramesName, "Frames between daemons, by direction and kind.", labelDirection, labelKind),
+		PeerBytes:    counter("peer_bytes_total", "Bytes between daemons, by direction and kind.", labelDirection, labelKind),
 		PeerRefused:  counter("peer_refused_total", "Peers and frames refused, by reason.", "reason"),
 		PeerUnwanted: counter("peer_unwanted_bytes_total", "Bytes of answers that came when nobody waited for them any more, by kind.", "kind"),
 		PeerWait:     histogram("peer_wait_seconds", "Time until a frame for a peer was written, behind others on its link, by kind.", "kind", prometheus.ExponentialBuckets(0.004, 4, 6)),
@@ -91,6 +104,8 @@
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Silent, m.Decisions, m.Queue, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwanted, m.PeerWait, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
 		m.Orders, m.LinesLeftOut, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.traffic = prometheus.NewRegistry()
+	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
 	return m
 }
 
--- /dev/null
+++ b/node/telemetry/traffic.go
@@ -0,0 +1,65 @@
+package telemetry
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Traffic is what a daemon has exchanged with its peers in one kind of message since it started.
+type Traffic struct {
+	Kind      string `json:"kind"`
+	FramesIn  int64  `json:"frames_in"`
+	BytesIn   int64  `json:"bytes_in"`
+	FramesOut int64  `json:"frames_out"`
+	BytesOut  int64  `json:"bytes_out"`
+}
+
+// bytes counts both directions.
+func (t Traffic) bytes() int64 { return t.BytesIn + t.BytesOut }
+
+// Traffic reads the counters of frames and bytes between daemons, the kind with the most bytes
+// first.
+func (m *Metrics) Traffic() ([]Traffic, error) {
+	families, err := m.traffic.Gather()
+	if err != nil {
+		return nil, err
+	}
+	kinds := map[string]*Traffic{}
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			labels := map[string]string{}
+			for _, l := range metric.GetLabel() {
+				labels[l.GetName()] = l.GetValue()
+			}
+			kind := kinds[labels[labelKind]]
+			if kind == nil {
+				kind = &Traffic{Kind: labels[labelKind]}
+				kinds[kind.Kind] = kind
+			}
+			*kind.counter(family.GetName(), labels[labelDirection]) += int64(metric.GetCounter().GetValue())
+		}
+	}
+	list := make([]Traffic, 0, len(kinds))
+	for _, kind := range kinds {
+		list = append(list, *kind)
+	}
+	slices.SortFunc(list, func(a, b Traffic) int {
+		return cmp.Or(cmp.Compare(b.bytes(), a.bytes()), cmp.Compare(a.Kind, b.Kind))
+	})
+	return list, nil
+}
+
+// counter is the field that a metric with a direction counts in.
+func (t *Traffic) counter(metric, direction string) *int64 {
+	frames := metric == namespace+"_"+peerFramesName
+	switch {
+	case frames && direction == DirectionIn:
+		return &t.FramesIn
+	case frames:
+		return &t.FramesOut
+	case direction == DirectionIn:
+		return &t.BytesIn
+	default:
+		return &t.BytesOut
+	}
+}
