A calm fleet's traffic has a test; two runs of the linter can stand beside each other

Cause: nothing showed whether what daemons tell each other while nothing happens grows with the fleet; rumors were counted by a reader of metrics of the test's own. Ruled out: news and members as what fills the links of a large calm fleet: only heartbeats are left. Change: TestACalmFleetSaysLittle, in virtual time, with the status's own account of messages; the linter is allowed beside another one.

--- /dev/null
+++ b/node/onplatform/calm_test.go
@@ -0,0 +1,120 @@
+package onplatform
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"doorstack.dev/core/membership"
+)
+
+const (
+	// calmFor is how long a fleet without calls and changes is watched: ten rounds of
+	// heartbeats, the slowest thing that daemons repeat.
+	calmFor = 10 * time.Second
+	// controlBudget is what a daemon may exchange for control, in bytes a second.
+	controlBudget = 6000
+	// calmGrowth is how much more the middle daemon of a fleet may say than that of one a
+	// third of its size: a share of the fleet in each message would make it three times as much.
+	calmGrowth = 1.3
+	// allKinds stands for messages of every kind.
+	allKinds = "all"
+)
+
+// exchanged is what daemons send and receive in a calm second by one kind of message, in bytes.
+type exchanged struct {
+	kind            string
+	middle, busiest float64
+}
+
+// TestACalmFleetSaysLittle: while nothing happens, what a daemon exchanges with the others does
+// not grow with the fleet. FLEETS names other sizes than those that every run plays, as in
+// FLEETS="30 100 300": 1,078, 1,183 and 1,183 bytes a second at the middle daemon, 1,720, 2,258
+// and 3,010 at the busiest, all of it heartbeats.
+func TestACalmFleetSaysLittle(t *testing.T) {
+	sizes := cmp.Or(os.Getenv("FLEETS"), "20 60")
+	smallest := 0.0
+	for _, field := range strings.Fields(sizes) {
+		size, err := strconv.Atoi(field)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(fmt.Sprint(size, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := playCalm(t, size)
+				if all.busiest > controlBudget {
+					t.Errorf("the busiest daemon exchanges %.0f bytes a second, want %d at most", all.busiest, controlBudget)
+				}
+				smallest = cmp.Or(smallest, all.middle)
+				if all.middle > calmGrowth*smallest {
+					t.Errorf("the middle daemon exchanges %.0f bytes a second, that of the smallest fleet %.0f", all.middle, smallest)
+				}
+			})
+		})
+	}
+}
+
+// playCalm starts a fleet, lets it settle and returns what its daemons exchange then.
+func playCalm(t *testing.T, size int) exchanged {
+	strong := max(1, size/20)
+	f := startSpreadFleet(t, strong, size-strong, herdStarts)
+	defer f.close()
+	f.restart(func(int) bool { return true })
+	f.until("all others", func(d *spreadDaemon) bool {
+		known := 0
+		d.board.Members.View(func(members *membership.Table) { known = members.Size() })
+		return known == size
+	})
+	pass(calmFor)
+	before := f.exchangedSoFar()
+	pass(calmFor)
+	var all exchanged
+	for _, kind := range difference(before, f.exchangedSoFar()) {
+		if kind.busiest > 0 {
+			t.Logf("%-12s middle %6.0f, busiest %6.0f bytes a second", kind.kind, kind.middle, kind.busiest)
+		}
+		if kind.kind == allKinds {
+			all = kind
+		}
+	}
+	return all
+}
+
+// exchangedSoFar is what each daemon has sent and received, in bytes by kind and in all.
+func (f *spreadFleet) exchangedSoFar() []map[string]int64 {
+	var list []map[string]int64
+	for _, d := range f.daemons {
+		kinds := map[string]int64{}
+		for _, k := range d.traffic(f.t) {
+			kinds[k.Kind] = k.BytesIn + k.BytesOut
+			kinds[allKinds] += kinds[k.Kind]
+		}
+		list = append(list, kinds)
+	}
+	return list
+}
+
+// difference compares two looks at a fleet, calmFor apart; the kind that says most comes first.
+func difference(before, after []map[string]int64) []exchanged {
+	rates := map[string][]float64{}
+	for i := range after {
+		for kind, bytes := range after[i] {
+			rates[kind] = append(rates[kind], float64(bytes-before[i][kind])/calmFor.Seconds())
+		}
+	}
+	var list []exchanged
+	for kind, of := range rates {
+		slices.Sort(of)
+		list = append(list, exchanged{kind, of[len(of)/2], of[len(of)-1]})
+	}
+	slices.SortFunc(list, func(a, b exchanged) int {
+		return cmp.Or(cmp.Compare(b.busiest, a.busiest), cmp.Compare(a.kind, b.kind))
+	})
+	return list
+}
--- a/node/onplatform/herd_test.go
+++ b/node/onplatform/herd_test.go
@@ -53,27 +53,23 @@
 
 // rumorFrames is the number of frames of rumors that a daemon has sent.
 func (d *spreadDaemon) rumorFrames(t *testing.T) int {
-	families, err := d.metrics.Registry.Gather()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, family := range families {
-		if family.GetName() != "doorstack_peer_frames_total" {
-			continue
-		}
-		for _, m := range family.GetMetric() {
-			labels := map[string]string{}
-			for _, l := range m.GetLabel() {
-				labels[l.GetName()] = l.GetValue()
-			}
-			if labels["direction"] == "out" && labels["kind"] == "rumor" {
-				return int(m.GetCounter().GetValue())
-			}
+	for _, kind := range d.traffic(t) {
+		if kind.Kind == peer.KindRumor.String() {
+			return int(kind.FramesOut)
 		}
 	}
 	return 0
 }
 
+// traffic is what a daemon has exchanged with its peers, by kind of message.
+func (d *spreadDaemon) traffic(t *testing.T) []telemetry.Traffic {
+	traffic, err := d.metrics.Traffic()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return traffic
+}
+
 // TestAllRestartedServeSoon: 120 daemons start together and know nobody. Whoever has read the
 // store serves at once; the others as soon as they have the settings from a peer and have
 // compared them with their neighbours; and all know each other soon after. With neighbours
--- a/test.sh
+++ b/test.sh
@@ -17,7 +17,7 @@
 
 echo "== linter"
 for module in "${modules[@]}"; do
-	(cd "$module" && GOFLAGS=-mod=mod GOWORK=off go run "$lint" run --config ../.golangci.yml ./...)
+	(cd "$module" && GOFLAGS=-mod=mod GOWORK=off go run "$lint" run --allow-parallel-runners --config ../.golangci.yml ./...)
 done
 
 if [ -d model ]; then
