The director and the daemon in files by concern

Cause: director.go (392 lines) and daemon.go (378) held admission, placing, refusing, listeners and the orderly end in one file each. Ruled out: new packages: what moved shares unexported state. Moves only, no line of logic changed.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -4,12 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,8 +14,6 @@
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/core/watch"
-	"doorstack.dev/node/admin"
-	"doorstack.dev/node/api"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/cluster"
 	"doorstack.dev/node/config"
@@ -32,7 +26,6 @@
 	"doorstack.dev/node/worker"
 	"github.com/go-faster/errors"
 	"github.com/go-kratos/kratos/v2"
-	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
@@ -203,75 +196,6 @@
 	return watch.Watches(d.Config.Name, members)
 }
 
-// readHeaderTimeout bounds a caller that opens a connection and says nothing.
-const readHeaderTimeout = 10 * time.Second
-
-func (d *Daemon) provisionServers() error {
-	setKratosLogger(d.Log)
-	limits := api.DefaultLimits()
-	limits.BodyMemory = d.Config.BodyMemoryMB << 20
-	callers := api.NewServer(d.Board, d.director, d.Metrics, limits)
-	operators := &admin.Server{Board: d.Board, Metrics: d.Metrics, Fleet: d.cluster}
-	d.cluster.HandleExplain(func(request string) ([]byte, error) { return json.Marshal(operators.Explain(request)) })
-	var err error
-	handler := callers.Handler()
-	if d.adapter != nil {
-		handler = callers.PathHandler(d.adapter.Dialect)
-	}
-	if d.callers, err = newServer("listen", &d.Config.Listen, handler); err != nil {
-		return err
-	}
-	adminServer, err := newServer("admin", &d.Config.Admin, operators.Handler())
-	if err != nil {
-		return err
-	}
-	peerServer, err := newServer("peer", &d.Config.Peer, d.hub.Handler())
-	if err != nil {
-		return err
-	}
-	servers := []transport.Server{d.callers, adminServer, peerServer}
-	if d.adapter != nil {
-		ready, err := newServer("ready", &d.adapter.Ready, operators.ReadyHandler())
-		if err != nil {
-			return err
-		}
-		servers = append(servers, ready)
-		idle := &api.IdleConns{Board: d.Board}
-		d.callers.ConnState = idle.Track
-	}
-	d.app = kratos.New(
-		kratos.Name("doorstackd"),
-		kratos.ID(d.Config.Name),
-		kratos.Server(servers...),
-		kratos.StopTimeout(stopTimeout),
-		// Draining is done before Stop, so signals are not the library's: it
-		// would stop the listeners at once.
-		kratos.Signal(noSignal),
-	)
-	return nil
-}
-
-// newServer opens a listener and writes the address back, whose port may have been
-// left to the system. The library's own request timeout of one second is
-// switched off: requests carry their own deadlines.
-func newServer(key string, address *string, handler http.Handler) (*khttp.Server, error) {
-	listener, err := net.Listen("tcp", *address)
-	if err != nil {
-		return nil, errors.Wrap(err, fmt.Sprintf("open the address of %q; free the port or change the file", key))
-	}
-	*address = listener.Addr().String()
-	server := khttp.NewServer(
-		khttp.Listener(listener),
-		khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
-		khttp.Timeout(0),
-		khttp.StrictSlash(false),
-	)
-	// The library's router would answer some paths with a redirect to a tidier one.
-	server.Handler = handler
-	server.ReadHeaderTimeout = readHeaderTimeout
-	return server, nil
-}
-
 // Adapt takes over settings of a platform that change while the daemon runs.
 func (d *Daemon) Adapt(seeds []string, repeats admission.RepeatLimit, grace time.Duration) {
 	d.cluster.SetSeeds(seeds)
@@ -318,61 +242,3 @@
 
 // stopTimeout bounds the closing of listeners after everything has been drained.
 const stopTimeout = 5 * time.Second
-
-// drainPoll is how often a leaving daemon looks whether all has ended.
-const drainPoll = 20 * time.Millisecond
-
-// Drain takes nothing new, waits for all that is in flight, each bounded by its
-// own deadline, and then lets Run return.
-func (d *Daemon) Drain() {
-	d.drainOne.Do(func() {
-		d.Board.Drain()
-		d.cluster.Poke()
-		d.Log.Info("draining", "in_flight", d.Board.InFlight())
-		go d.waitDrained()
-	})
-}
-
-func (d *Daemon) waitDrained() {
-	began := time.Now()
-	if d.adapter != nil {
-		d.leaveRotation()
-	} else {
-		// The balancer needs a moment to see that this host is not ready.
-		time.Sleep(time.Duration(d.Config.DrainDelay))
-	}
-	for d.Board.InFlight() > 0 && !d.graceOver(began) {
-		time.Sleep(drainPoll)
-	}
-	d.Log.Info("drained", "cut", d.Board.InFlight(), "took", time.Since(began).Round(time.Millisecond).String())
-	close(d.drained)
-}
-
-// killMargin is how long before the kill a daemon that still has calls ends by itself,
-// so that its last lines are written.
-const killMargin = 200 * time.Millisecond
-
-// graceOver tells whether the process is about to be killed.
-func (d *Daemon) graceOver(began time.Time) bool {
-	grace := time.Duration(d.grace.Load())
-	return grace > 0 && time.Since(began) > grace-killMargin
-}
-
-// The steps of leaving on a platform, from the request to end. The balancer asks once
-// a second and takes a daemon out of rotation after two answers that it is not ready,
-// so calls that come later come on kept connections, whose callers have been told
-// with their last answer that this one closes. They are refused, so that what is
-// still running can end before the process is killed; the rest of the time lets the
-// refusals reach them.
-const (
-	refuseAfter = 2500 * time.Millisecond
-	closeAfter  = 500 * time.Millisecond
-)
-
-// leaveRotation serves until the balancer sends nobody any more, and then refuses.
-func (d *Daemon) leaveRotation() {
-	time.Sleep(refuseAfter)
-	d.Board.CloseForward()
-	d.Log.Info("refusing new calls", "in_flight", d.Board.InFlight())
-	time.Sleep(closeAfter)
-}
--- /dev/null
+++ b/node/daemon/servers.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"doorstack.dev/node/admin"
+	"doorstack.dev/node/api"
+	"github.com/go-faster/errors"
+	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// readHeaderTimeout bounds a caller that opens a connection and says nothing.
+const readHeaderTimeout = 10 * time.Second
+
+func (d *Daemon) provisionServers() error {
+	setKratosLogger(d.Log)
+	limits := api.DefaultLimits()
+	limits.BodyMemory = d.Config.BodyMemoryMB << 20
+	callers := api.NewServer(d.Board, d.director, d.Metrics, limits)
+	operators := &admin.Server{Board: d.Board, Metrics: d.Metrics, Fleet: d.cluster}
+	d.cluster.HandleExplain(func(request string) ([]byte, error) { return json.Marshal(operators.Explain(request)) })
+	var err error
+	handler := callers.Handler()
+	if d.adapter != nil {
+		handler = callers.PathHandler(d.adapter.Dialect)
+	}
+	if d.callers, err = newServer("listen", &d.Config.Listen, handler); err != nil {
+		return err
+	}
+	adminServer, err := newServer("admin", &d.Config.Admin, operators.Handler())
+	if err != nil {
+		return err
+	}
+	peerServer, err := newServer("peer", &d.Config.Peer, d.hub.Handler())
+	if err != nil {
+		return err
+	}
+	servers := []transport.Server{d.callers, adminServer, peerServer}
+	if d.adapter != nil {
+		ready, err := newServer("ready", &d.adapter.Ready, operators.ReadyHandler())
+		if err != nil {
+			return err
+		}
+		servers = append(servers, ready)
+		idle := &api.IdleConns{Board: d.Board}
+		d.callers.ConnState = idle.Track
+	}
+	d.app = kratos.New(
+		kratos.Name("doorstackd"),
+		kratos.ID(d.Config.Name),
+		kratos.Server(servers...),
+		kratos.StopTimeout(stopTimeout),
+		// Draining is done before Stop, so signals are not the library's: it
+		// would stop the listeners at once.
+		kratos.Signal(noSignal),
+	)
+	return nil
+}
+
+// newServer opens a listener and writes the address back, whose port may have been
+// left to the system. The library's own request timeout of one second is
+// switched off: requests carry their own deadlines.
+func newServer(key string, address *string, handler http.Handler) (*khttp.Server, error) {
+	listener, err := net.Listen("tcp", *address)
+	if err != nil {
+		return nil, errors.Wrap(err, fmt.Sprintf("open the address of %q; free the port or change the file", key))
+	}
+	*address = listener.Addr().String()
+	server := khttp.NewServer(
+		khttp.Listener(listener),
+		khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
+		khttp.Timeout(0),
+		khttp.StrictSlash(false),
+	)
+	// The library's router would answer some paths with a redirect to a tidier one.
+	server.Handler = handler
+	server.ReadHeaderTimeout = readHeaderTimeout
+	return server, nil
+}
--- /dev/null
+++ b/node/requestcontrol/admit.go
@@ -0,0 +1,85 @@
+package requestcontrol
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"doorstack.dev/core/admission"
+	"doorstack.dev/core/decision"
+	"doorstack.dev/core/fault"
+)
+
+// admit takes the request into its account's limits and refuses it early where
+// its deadline cannot be met. Every admitted request needs one call of done.
+func (d *Director) admit(ctx context.Context, r *Request) (done func(), err error) {
+	r.prepare()
+	if err := checkLength(r); err != nil {
+		return nil, err
+	}
+	rules := &r.Route.Rules
+	verdict := d.Board.Accounts.Admit(r.Account.Path, rules, r.promptTokens, r.Arrived)
+	if verdict.Limit != admission.LimitNone && d.Shares.Seek(ctx, r.Account.Path, rules, r.promptTokens) {
+		verdict = d.Board.Accounts.Admit(r.Account.Path, rules, r.promptTokens, time.Now())
+	}
+	if verdict.Limit != admission.LimitNone {
+		err := limitError(verdict)
+		d.record(r, decision.Record{Kind: decision.KindLimit, Outcome: decision.OutcomeRefused, Reason: err.Message, Limit: &verdict})
+		return nil, err
+	}
+	done = func() { d.Board.Accounts.Done(r.Account.Path) }
+	if err := d.checkEstimate(r); err != nil {
+		done()
+		return nil, err
+	}
+	return done, nil
+}
+
+func checkLength(r *Request) error {
+	rules := &r.Route.Rules
+	if r.promptTokens > rules.MaxPromptTokens {
+		return fault.New(fault.TooLarge,
+			fmt.Sprintf("the prompt has about %d tokens and the account allows %d", r.promptTokens, rules.MaxPromptTokens),
+			"shorten the prompt, or have max_prompt_tokens raised in the settings")
+	}
+	if r.MaxTokens > rules.MaxOutputTokens {
+		return fault.New(fault.BadRequest,
+			fmt.Sprintf("max_tokens is %d and the account allows %d", r.MaxTokens, rules.MaxOutputTokens),
+			"ask for fewer tokens, or have max_output_tokens raised in the settings")
+	}
+	return nil
+}
+
+func limitError(v admission.Verdict) *fault.Error {
+	message := fmt.Sprintf("the account's limit %s is reached at this daemon", v.Limit)
+	if v.Limit == admission.LimitConcurrent {
+		message = fmt.Sprintf("%d requests of the account run here and its share is %d", v.Running, v.Allowed)
+	}
+	return fault.New(fault.RateLimited, message, "send again after the time in Retry-After, or have the limit raised").
+		WithRetry(v.RetryAfter)
+}
+
+// checkEstimate refuses a request whose deadline passes before its first token
+// can be expected, or whose account already fills its part of the queue.
+func (d *Director) checkEstimate(r *Request) error {
+	pool := r.Route.Pool
+	waiting, ahead := d.Board.Queues.Waiting(pool.Name, r.Account.Path, r.Route.Rules.Level)
+	if waiting >= r.Route.Rules.MaxWaiting {
+		return fault.New(fault.QueueFull,
+			fmt.Sprintf("%d requests of the account wait here already", waiting),
+			"send again later, or have max_waiting raised").WithRetry(time.Second)
+	}
+	capacity := d.Board.Targets.Capacity(pool.Name, time.Now())
+	rate := capacity.Rate / float64(max(1, d.Board.Members.Sharers()))
+	estimate := admission.NewEstimate(ahead, r.promptTokens, rate, capacity.TargetRate, r.Deadline.Sub(r.Arrived))
+	rec := decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeAdmitted, Estimate: &estimate}
+	if !estimate.Late() {
+		d.record(r, rec)
+		return nil
+	}
+	rec.Outcome = decision.OutcomeRefused
+	rec.Reason = fmt.Sprintf("the first token is expected after %v and the deadline is in %v", (estimate.Wait + estimate.Prefill).Round(time.Millisecond), estimate.Left.Round(time.Millisecond))
+	d.record(r, rec)
+	return fault.New(fault.DeadlineTooShort, rec.Reason, "send again later, or allow more time").
+		WithRetry(estimate.RetryAfter())
+}
--- /dev/null
+++ b/node/requestcontrol/collaborators.go
@@ -0,0 +1,72 @@
+package requestcontrol
+
+import (
+	"context"
+	"time"
+
+	"doorstack.dev/core/decision"
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/blackboard"
+)
+
+// Claimer makes sure that a call with an idempotency key runs at most once in
+// the whole fleet.
+type Claimer interface {
+	// Claim returns nil when this daemon, and no other, may send the call until
+	// the permit ends. An earlier call's answer comes back as a Duplicate.
+	Claim(ctx context.Context, c Claim) (*Permit, error)
+	// Conclude tells how a claimed call ended, for duplicates to come.
+	Conclude(c Claim, o blackboard.Outcome)
+}
+
+// Claim asks for the right to send a call.
+type Claim struct {
+	// Key is scoped to the account and the route.
+	Key string
+	// Stamp is the key as the caller wrote it; a UUIDv7 carries its time.
+	Stamp   string
+	Attempt string
+	Request string
+	// Region is the region of the call's targets.
+	Region   string
+	Deadline time.Time
+}
+
+// Permit is the right to send a call once, before it ends.
+type Permit struct {
+	// Ends is on the monotonic clock; it is checked last thing before the send.
+	Ends time.Time
+	// Attempt is the claim that won, which may be a later one than asked for.
+	Attempt string
+	// Tally is how the witnesses answered.
+	Tally decision.ClaimTally
+}
+
+// Duplicate is the error for a key that an earlier call used; it carries that
+// call's outcome.
+type Duplicate struct {
+	Outcome blackboard.Outcome
+}
+
+// Error implements error.
+func (d *Duplicate) Error() string {
+	return "an earlier call used this idempotency key: " + string(d.Outcome.Execution)
+}
+
+// ShareSeeker asks for a larger share of an account's limits.
+type ShareSeeker interface {
+	// Seek tells whether it asked, so that another look makes sense.
+	Seek(ctx context.Context, account string, rules *settings.Rules, promptTokens int64) bool
+}
+
+// Placer asks the daemon that coordinates a pool, which knows of all daemons' calls.
+type Placer interface {
+	// Place returns the coordinator's placement, or false where this daemon decides.
+	Place(ctx context.Context, t *blackboard.Ticket) (blackboard.Placement, bool)
+	// Coordinates tells whether this daemon places a pool's calls for all.
+	Coordinates(pool string) bool
+	// PromptRead and Finished tell the coordinator of a call's progress; Finished also
+	// of a target that nothing should be sent to for some time.
+	PromptRead(attempt string)
+	Finished(attempt string, result blackboard.CallResult, suspect string, suspectFor time.Duration)
+}
--- /dev/null
+++ b/node/requestcontrol/place.go
@@ -0,0 +1,147 @@
+package requestcontrol
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"doorstack.dev/core/admission"
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/routing"
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/blackboard"
+	"github.com/go-faster/errors"
+)
+
+// place waits in the queue until the request has a target.
+func (d *Director) place(ctx context.Context, r *Request, attempt string, retry bool, exclude []string) (blackboard.Placement, error) {
+	ticket := d.ticket(r, attempt, retry, exclude)
+	if d.Placer != nil {
+		if placement, ok := d.Placer.Place(ctx, ticket); ok {
+			return placement, d.judgePlacement(r, ticket, &placement)
+		}
+		if ctx.Err() != nil {
+			return blackboard.Placement{}, waitError(ctx, r)
+		}
+		ticket.Request.Blind = !d.Placer.Coordinates(r.Route.Pool.Name)
+	}
+	d.Board.Queues.Push(ticket)
+	var placement blackboard.Placement
+	select {
+	case placement = <-ticket.Placed():
+	case <-ctx.Done():
+		if d.Board.Queues.Remove(ticket) {
+			d.recordWait(r, ticket)
+			return placement, waitError(ctx, r)
+		}
+		placement = <-ticket.Placed()
+		d.Board.Targets.Finish(attempt, blackboard.CallCancelled, time.Now())
+		return placement, waitError(ctx, r)
+	}
+	return placement, d.judgePlacement(r, ticket, &placement)
+}
+
+// When a prompt that found no room should come back: a short one after about the time
+// that an answer is written, a long one when a swing of the traffic may be over, and
+// neither later than callers bear, who wait a third of their time at most.
+const (
+	busyRetryShort = 2 * time.Second
+	busyRetryLong  = 4 * time.Second
+	busyRetryShare = 0.3
+)
+
+func retryWhenBusy(r *Request) time.Duration {
+	after := busyRetryShort
+	if r.promptTokens >= r.Route.Pool.Policy.LongPromptTokens {
+		after = busyRetryLong
+	}
+	return min(after, time.Duration(busyRetryShare*float64(time.Until(r.Deadline))))
+}
+
+// judgePlacement records a placement and tells whether it leads to a target.
+func (d *Director) judgePlacement(r *Request, ticket *blackboard.Ticket, placement *blackboard.Placement) error {
+	d.recordRoute(r, ticket, *placement)
+	if placement.Decision.Verdict == routing.Refuse {
+		return fault.New(fault.DeadlineTooShort, "the targets are too busy to answer in the time that the route asks for", "send again after the time in Retry-After").
+			WithRetry(retryWhenBusy(r))
+	}
+	if placement.Decision.Verdict == routing.None {
+		return fault.New(fault.NoTarget,
+			fmt.Sprintf("none of the %d targets of pool %s can serve the request", placement.Decision.Considered, r.Route.Pool.Name),
+			"see \"doorstack explain\" for what each target lacks; send again later").WithRetry(time.Second)
+	}
+	return nil
+}
+
+func (d *Director) ticket(r *Request, attempt string, retry bool, exclude []string) *blackboard.Ticket {
+	pool := r.Route.Pool
+	capacity := d.Board.Targets.Capacity(pool.Name, time.Now())
+	params := ParamsOf(pool, capacity, d.Board.Members.Sharers())
+	return &blackboard.Ticket{
+		Pool:     pool,
+		Attempt:  attempt,
+		Deadline: r.Deadline,
+		Params:   params,
+		Holders:  d.Board.Prefixes.Lookup(r.prefixes),
+		Request: routing.Request{
+			ID:           r.ID,
+			PromptTokens: r.promptTokens,
+			OutputTokens: r.MaxTokens,
+			DataCentre:   d.Board.Self.DataCentre,
+			Exclude:      exclude,
+			Seed:         seedOf(d.Board.Self.Name, attempt),
+			Goal:         r.goal().Seconds(),
+			GapGoal:      r.gapGoal().Seconds(),
+		},
+		Item: &admission.Item{
+			ID:      r.ID,
+			Account: r.Account.Path,
+			Level:   r.Route.Rules.Level,
+			Tokens:  max(1, r.promptTokens),
+			Long:    params.IsLong(r.promptTokens),
+			Retry:   retry,
+			Arrived: r.Arrived,
+			Work:    ReadingWork(&params, r.promptTokens),
+		},
+	}
+}
+
+// ParamsOf turns a pool's policy into routing parameters, when so many daemons
+// share the pool. Long prompts may take LongShare of the targets, or more while
+// short ones need less than what is left.
+func ParamsOf(pool *settings.ResolvedPool, c blackboard.Capacity, sharers int) routing.Params {
+	policy := &pool.Policy
+	live := float64(c.Live)
+	needed := 0.0
+	if c.Rate > 0 {
+		needed = live * c.ShortRate * float64(sharers) / c.Rate
+	}
+	return routing.Params{
+		LongPromptTokens: policy.LongPromptTokens,
+		LongPerTarget:    policy.LongPerTarget,
+		LongTargets:      int(max(1, policy.LongShare*live, live-policy.ShortRoom*needed)),
+		MemoryHeadroom:   policy.MemoryHeadroom,
+		PrefixWeight:     policy.PrefixWeight,
+		RemotePenalty:    time.Duration(policy.RemotePenalty).Seconds(),
+		MaxBacklog:       time.Duration(policy.MaxBacklog).Seconds(),
+		Timing:           pool.Timing,
+	}
+}
+
+// ReadingWork is the reading time of a prompt, in seconds, or zero where engines'
+// timing is not known.
+func ReadingWork(p *routing.Params, promptTokens int64) float64 {
+	if p.Timing == nil || promptTokens <= 0 {
+		return 0
+	}
+	return p.Timing.Read(promptTokens)
+}
+
+func waitError(ctx context.Context, r *Request) *fault.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.New(fault.DeadlinePassed,
+			fmt.Sprintf("no target had room for the request within %v", r.Deadline.Sub(r.Arrived).Round(time.Millisecond)),
+			"send again later, or allow more time").WithRetry(0)
+	}
+	return fault.New(fault.Abandoned, "the caller went away while the request waited", "nothing to do")
+}
