A refused dial of a soak's link is a refusal

A refusing link accepts and resets; the reset may come before the dial has returned. Measured: 3 of 5,000 dials on an idle machine. Ruled out: a fault of the link (it resets what it takes, as it should) and of the program (no part in it). Change: a reset during the dial counts as refused; any other error fails the test; 200 dials where it was one.

--- a/node/internal/soak/link_test.go
+++ b/node/internal/soak/link_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // echo starts a server that returns each line, and a link before it.
@@ -54,6 +57,27 @@
 	hold = 50 * time.Millisecond
 )
 
+// refusedDials is how many callers meet a refusing link. Few see the reset while they still
+// connect (3 of 5,000 on an idle machine), so both ends of a refusal are met over some runs.
+const refusedDials = 200
+
+// refusedDial connects to a refusing link. The reset may come before the system has told the
+// caller of the connection, and is the outcome of the dial then.
+func refusedDial(t *testing.T, l *Link) {
+	t.Helper()
+	c, err := net.Dial("tcp4", l.Address())
+	if errors.Is(err, syscall.ECONNRESET) {
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if says(c, soon) {
+		t.Error("a refusing link carries something on a new connection")
+	}
+}
+
 func TestLinks(t *testing.T) {
 	l, dial := echo(t)
 	open := dial()
@@ -78,8 +102,11 @@
 		t.Errorf("a late link took %v", time.Since(began))
 	}
 	l.Set(Refusing)
-	if says(open, soon) || says(dial(), soon) {
-		t.Error("a refusing link carries something")
+	if says(open, soon) {
+		t.Error("a refusing link carries something on a connection that was open")
+	}
+	for range refusedDials {
+		refusedDial(t, l)
 	}
 	l.Set(Fine)
 	again := dial()
