Askers that are behind wait no longer for their coordinator again

Ruled out: the door (120 refusals, by the two slow hosts; the calls refused by coordinators rose from 261 to 472). Change: the longer wait is taken out. A call of an asker that is behind has the less time to spare. Result: reverted.

--- a/core/admission/lag.go
+++ b/core/admission/lag.go
@@ -38,16 +38,6 @@
 	return min(l.last, other)
 }
 
-// Longest is the longest wait of the last two samples and the one under way: how late this
-// daemon may see what has arrived in time.
-func (l *Lag) Longest(now time.Time) time.Duration {
-	longest := max(l.last, l.before)
-	if l.Pending() {
-		longest = max(longest, now.Sub(l.pending))
-	}
-	return longest
-}
-
 // Which calls a daemon that is behind refuses.
 const (
 	// lagShare is the part of a call's goal that one wait for the processor may take. A call has
--- a/node/blackboard/lag.go
+++ b/node/blackboard/lag.go
@@ -36,13 +36,6 @@
 	return t.lag.Standing(at)
 }
 
-// Longest is how late this daemon may see what has arrived in time.
-func (t *LagTable) Longest(now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.lag.Longest(now)
-}
-
 // Standing is how long what arrives has to wait at least.
 func (t *LagTable) Standing(now time.Time) time.Duration {
 	t.mu.Lock()
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -24,9 +24,6 @@
 	// placeTimeout is how long a daemon waits for the first answer: a round trip takes
 	// up to 2 ms, and a caller's shortest goal is 300 ms.
 	placeTimeout = 40 * time.Millisecond
-	// placeLagMost bounds what an asker that is behind its own events adds to that: with a
-	// fifth of the goals of a second and more, it leaves the call most of its time.
-	placeLagMost = 200 * time.Millisecond
 	// answerWithin is how long the coordinator holds a question that can be answered
 	// soon; later answers are sent by themselves.
 	answerWithin = 5 * time.Millisecond
@@ -256,7 +253,7 @@
 	}()
 	for {
 		var answer placeAnswer
-		if err := p.cluster.ask(ctx, c.name, peer.KindPlace, p.question(c, t), &answer, p.patience()); err != nil {
+		if err := p.cluster.ask(ctx, c.name, peer.KindPlace, p.question(c, t), &answer, placeTimeout); err != nil {
 			return answer, err
 		}
 		if answer.Verdict != routing.Wait {
@@ -276,12 +273,6 @@
 	}
 }
 
-// patience is how long the first answer is waited for. An asker that is behind its own events
-// sees an answer late that came in time, and would take a coordinator that is well for lost.
-func (p *Placements) patience() time.Duration {
-	return placeTimeout + min(p.cluster.Board.Lag.Longest(time.Now()), placeLagMost)
-}
-
 // question makes the wire form of a ticket. A coordinator that is asked for the first
 // time is told of all calls that this daemon has in the pool.
 func (p *Placements) question(c coordinator, t *blackboard.Ticket) placeRequest {
