One coordinator against several, played in virtual time

Cause: one daemon coordinates a pool; from 123 to 295 hosts its processor grows with the power 1.46, and several were 'the way on' without a figure for what callers would lose. Change: node/internal/coordbench plays engines that work in passes under the daemon's own queue and placement; its queue of events is shared with policybench (node/internal/vtime).

--- /dev/null
+++ b/node/internal/coordbench/coordbench_test.go
@@ -0,0 +1,100 @@
+package coordbench
+
+import (
+	"flag"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+)
+
+var (
+	length = flag.Duration("coord.length", 0, "virtual time of each play of the table; none is played without")
+	seeds  = flag.Int("coord.seeds", 3, "plays of each row of the table")
+	scale  = flag.Int("coord.engines", 150, "engines of the pool")
+)
+
+func play(t *testing.T, s Setup) *Result {
+	t.Helper()
+	r, err := Play(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestOneSeedGivesTheSameFigures is what makes two plays comparable.
+func TestOneSeedGivesTheSameFigures(t *testing.T) {
+	s := Setup{Engines: 20, DataCentres: 5, Parts: 2, Choice: Two, Load: 1, Move: true, Length: 6 * time.Second, Seed: 3}
+	if first, second := play(t, s), play(t, s); !reflect.DeepEqual(first, second) {
+		t.Errorf("two plays differ:\n%+v\n%+v", first, second)
+	}
+}
+
+// TestTable prints the table of docs/design/coordination.md.
+func TestTable(t *testing.T) {
+	if *length == 0 {
+		t.Log("give -coord.length to play it")
+		return
+	}
+	for _, move := range []bool{false, true} {
+		for _, load := range []float64{1, 1.3} {
+			for _, row := range []struct {
+				parts  int
+				choice Choice
+			}{{1, Home}, {2, Home}, {2, Two}, {3, Two}, {5, Home}, {5, Any}, {5, Two}, {5, Least}, {10, Two}} {
+				s := Setup{Engines: *scale, DataCentres: 5, Parts: row.parts, Choice: row.choice, Load: load, Move: move, Length: *length}
+				t.Log(line(t, s))
+			}
+		}
+	}
+}
+
+// line plays a setup with each seed.
+func line(t *testing.T, s Setup) string {
+	worth, least, most := 0.0, 1.0, 0.0
+	sum := map[string]ClassResult{}
+	for i := range *seeds {
+		s.Seed = uint64(i + 1)
+		r := play(t, s)
+		worth += r.Worth / float64(*seeds)
+		least, most = min(least, r.Worth), max(most, r.Worth)
+		for name, c := range r.Classes {
+			k := sum[name]
+			sum[name] = ClassResult{k.Asked + c.Asked, k.OnTime + c.OnTime, k.Late + c.Late, k.Refused + c.Refused}
+		}
+	}
+	text := fmt.Sprintf("move %v load %.1f parts %d %-5s worth %.3f (%.3f to %.3f)", s.Move, s.Load, s.Parts, s.Choice, worth, least, most)
+	for i := range classes {
+		k := sum[classes[i].name]
+		part := func(n int) float64 { return float64(n) / float64(k.Asked) }
+		text += fmt.Sprintf(", %s %.3f late %.3f refused %.3f", classes[i].name, part(k.OnTime), part(k.Late), part(k.Refused))
+	}
+	return text
+}
+
+// TestSeveralCoordinatorsServeAsMany: with the less loaded of two asked, two coordinators of 30
+// engines serve as much as one of 60 (worth 0.96 of each), also where half of the callers move
+// to one data centre. Where each daemon asks its own data centre's alone, that costs 0.05: one
+// part's engines cannot read the long prompts of three quarters of the callers.
+func TestSeveralCoordinatorsServeAsMany(t *testing.T) {
+	worth := func(parts int, choice Choice) float64 {
+		sum := 0.0
+		for seed := range uint64(2) {
+			s := Setup{Engines: 60, DataCentres: 2, Parts: parts, Choice: choice, Load: 1, Move: true, Length: 20 * time.Second, Seed: seed + 1}
+			sum += play(t, s).Worth / 2
+		}
+		return sum
+	}
+	one, two, home := worth(1, Home), worth(2, Two), worth(2, Home)
+	t.Logf("worth: one coordinator %.3f, two of which the less loaded is asked %.3f, own data centre's %.3f", one, two, home)
+	if one < 0.9 {
+		t.Errorf("one coordinator serves %.3f of what is owed: the play is not the users' load", one)
+	}
+	if two < one-0.03 {
+		t.Errorf("two coordinators serve %.3f, one %.3f", two, one)
+	}
+	if home > one-0.03 {
+		t.Errorf("asking the own data centre alone serves %.3f, one coordinator %.3f: callers did not move", home, one)
+	}
+}
--- /dev/null
+++ b/node/internal/coordbench/engine.go
@@ -0,0 +1,77 @@
+// Package coordbench plays a pool of model engines in virtual time, whose calls are placed by
+// one coordinator that knows all engines, or by several that know a part of them each. Queue
+// and placement are the daemon's own (blackboard, core/routing); engines and callers are
+// played. The same seed gives the same figures.
+//
+// It answers what a pool's callers lose when several daemons coordinate it, and how a caller's
+// daemon should choose among them. What several coordinators save in processor and bytes is
+// measured elsewhere (docs/CAPACITY.md).
+package coordbench
+
+import (
+	"time"
+
+	"doorstack.dev/core/engine"
+)
+
+// passEngine is an engine that works in passes, as the package engine describes them: a pass
+// with writers has Stride steps, each of which may read a chunk of prompts besides, and one
+// without writers has a single step.
+type passEngine struct {
+	timing *engine.Timing
+	// parts are what it has to read, the first of them now: parts of prompts that several
+	// engines read go before whole prompts, and the newest of them first.
+	parts   []*part
+	writers []*call
+	busy    bool
+}
+
+// part is what an engine reads of a prompt.
+type part struct {
+	call   *call
+	tokens int64
+	// perToken is the time to read a token of it, in seconds.
+	perToken float64
+	shared   bool
+}
+
+// chunk is the most prompt tokens that a step reads.
+const chunk = 2048
+
+// give adds a part to what is to be read.
+func (e *passEngine) give(p *part) {
+	if p.shared {
+		e.parts = append([]*part{p}, e.parts...)
+		return
+	}
+	e.parts = append(e.parts, p)
+}
+
+// pass works out the next pass: how long it takes and which parts it reads to their ends. It
+// is zero where there is nothing to do. A prompt that a pass with writers has read to its end
+// writes in the same pass.
+func (e *passEngine) pass() (length time.Duration, read []*part) {
+	if len(e.writers) == 0 && len(e.parts) == 0 {
+		return 0, nil
+	}
+	seconds, budget := e.timing.Step, int64(chunk)
+	if len(e.writers) > 0 {
+		contexts := int64(0)
+		for _, w := range e.writers {
+			contexts += w.prompt
+		}
+		seconds, budget = e.timing.Pass(len(e.writers), contexts), e.timing.Stride*chunk
+	}
+	for budget > 0 && len(e.parts) > 0 {
+		p := e.parts[0]
+		n := min(budget, p.tokens)
+		seconds += float64(n) * p.perToken
+		p.tokens -= n
+		budget -= n
+		if p.tokens == 0 {
+			e.parts = e.parts[1:]
+			read = append(read, p)
+		}
+	}
+	return engine.Seconds(seconds), read
+}
--- a/node/internal/policybench/run.go
+++ b/node/internal/policybench/run.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"slices"
 	"time"
 
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/internal/standin"
+	"doorstack.dev/node/internal/vtime"
 )
 
 // Setup is one measurement.
@@ -56,35 +56,12 @@
 	Long  = "long"
 )
 
-// event is something that happens at a time; events at one time happen in the
-// order in which they were made.
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // run is a measurement in progress. It works in the virtual time of a synctest
 // bubble, in one goroutine, so that nothing depends on scheduling.
 type run struct {
 	setup    Setup
 	start    time.Time
-	queue    events
-	order    int
+	queue    vtime.Queue
 	engines  []*standin.Engine
 	busy     []bool
 	dead     []bool
@@ -137,17 +114,12 @@
 	return m.meanPrompt()
 }
 
-func (r *run) after(at time.Duration, do func()) {
-	r.order++
-	heap.Push(&r.queue, event{at, r.order, do})
-}
-
 func (r *run) now() time.Duration { return time.Since(r.start) }
 
 func (r *run) schedule(requests []*request) {
 	for _, q := range requests {
 		r.all[q.id] = q
-		r.after(q.at, func() {
+		r.queue.At(q.at, func() {
 			r.policies[q.daemon].offer(q)
 			r.place(q.daemon)
 		})
@@ -158,7 +130,7 @@
 		r.every(offset, placeEvery, func() { r.place(d) })
 	}
 	if r.setup.Kill {
-		r.after(r.setup.Length/2, func() { r.kill(0) })
+		r.queue.At(r.setup.Length/2, func() { r.kill(0) })
 	}
 }
 
@@ -167,22 +139,25 @@
 	if at > r.setup.Length+tail {
 		return
 	}
-	r.after(at, func() {
+	r.queue.At(at, func() {
 		do()
 		r.every(at+period, period, do)
 	})
 }
 
 func (r *run) loop() {
-	for len(r.queue) > 0 {
-		e := heap.Pop(&r.queue).(event)
-		if wait := e.at - r.now(); wait > 0 {
+	for {
+		at, do, ok := r.queue.Next()
+		if !ok {
+			return
+		}
+		if wait := at - r.now(); wait > 0 {
 			time.Sleep(wait)
 		}
 		if r.now() > r.setup.Length+tail {
 			return
 		}
-		e.do()
+		do()
 	}
 }
 
@@ -205,7 +180,7 @@
 	r.jobs[engine] = append(r.jobs[engine], &job{q, running})
 	if !r.busy[engine] {
 		r.busy[engine] = true
-		r.after(r.now(), func() { r.step(engine) })
+		r.queue.At(r.now(), func() { r.step(engine) })
 	}
 }
 
@@ -213,7 +188,7 @@
 func (r *run) fail(q *request) {
 	p := r.policies[q.daemon]
 	p.failed(q, time.Now())
-	r.after(r.now()+time.Millisecond, func() {
+	r.queue.At(r.now()+time.Millisecond, func() {
 		p.offer(q)
 		r.place(q.daemon)
 	})
@@ -238,7 +213,7 @@
 		r.busy[engine] = false
 		return
 	}
-	r.after(r.now()+duration, func() {
+	r.queue.At(r.now()+duration, func() {
 		r.observe(engine)
 		r.step(engine)
 	})
--- /dev/null
+++ b/node/internal/vtime/vtime_test.go
@@ -0,0 +1,31 @@
+package vtime
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestEventsComeInOrder: by time, and at one time as they were added.
+func TestEventsComeInOrder(t *testing.T) {
+	var q Queue
+	var got []int
+	for i, at := range []time.Duration{3, 1, 2, 1} {
+		q.At(at, func() { got = append(got, i) })
+	}
+	last := time.Duration(0)
+	for {
+		at, do, ok := q.Next()
+		if !ok {
+			break
+		}
+		if at < last {
+			t.Errorf("%v comes after %v", at, last)
+		}
+		last = at
+		do()
+	}
+	if !slices.Equal(got, []int{1, 3, 2, 0}) {
+		t.Errorf("the order is %v", got)
+	}
+}
