Model of how settings spread

Cause: differences of settings were checked by a property test alone; loss, restart, a lagging peer and a garbled part together were not. Change: model/settings.pml, two daemons, three revisions of two parts; a switch for each of three rules. Ruled out: a switch for differences from a newer revision (ErrGap): without it the digest refuses them too.

--- a/model/check.sh
+++ b/model/check.sh
@@ -72,6 +72,10 @@
 for rule in NO_DOUBT NO_READ NO_SILENCE NO_WHOLE NO_REVISION NO_REMEMBER NO_TICK; do
 	expect violated facts.pml "-D$rule"
 done
+expect safe settings.pml
+for rule in NO_OLDER NO_DIGEST NO_WHOLE; do
+	expect violated settings.pml "-D$rule"
+done
 expect safe membership.pml
 for rule in NO_DENY NO_RAISE NO_NEWER NO_DIGEST NO_LOST NO_LEAVE; do
 	expect violated membership.pml "-D$rule"
