Test: a call of a caller that left is given up, without a word against its target

Cause: the path from the exchange's refusal to send to the call's end had no test. Change: TestACallOfACallerThatLeftIsGivenUp; the door's test takes the server of the start's. Ruled out: a second try. Result: covered.

--- a/node/api/lag_test.go
+++ b/node/api/lag_test.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,9 +10,6 @@
 
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
-	"doorstack.dev/node/requestcontrol"
-	"doorstack.dev/node/telemetry"
-	"doorstack.dev/platform"
 )
 
 // goals has a route with a short goal and one with a long one, both to a pool without targets.
@@ -34,10 +30,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		board := blackboard.New(blackboard.Identity{Name: "d1"}, blackboard.DefaultLimits())
-		metrics := telemetry.NewMetrics()
-		director := &requestcontrol.Director{Board: board, Record: &telemetry.Recorder{Board: board, Log: slog.New(slog.DiscardHandler), Metrics: metrics}}
-		handler := NewServer(board, director, metrics, DefaultLimits()).PathHandler(platform.Headers{})
+		board, handler := startingServer()
 		board.Settings.Adopt(&blackboard.SettingsView{Tree: tree, Revision: 1})
 		board.Serve()
 		ask := func(path string) (*httptest.ResponseRecorder, time.Duration) {
--- /dev/null
+++ b/node/requestcontrol/left_test.go
@@ -0,0 +1,89 @@
+package requestcontrol
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/forward"
+	"doorstack.dev/core/routing"
+	"doorstack.dev/core/settings"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/sock"
+	"doorstack.dev/node/target"
+	"doorstack.dev/node/telemetry"
+	"doorstack.dev/platform"
+)
+
+// onePlace places every call at one address, and notes how calls ended.
+type onePlace struct {
+	address string
+	placed  int
+	results []blackboard.CallResult
+}
+
+func (p *onePlace) Place(_ context.Context, t *blackboard.Ticket) (blackboard.Placement, bool) {
+	p.placed++
+	return blackboard.Placement{Attempt: t.Attempt, Address: p.address, Decision: routing.Decision{Verdict: routing.Place, Chosen: "t"}}, true
+}
+
+func (p *onePlace) PromptRead(string) {}
+
+func (p *onePlace) Finished(_ string, result blackboard.CallResult, _ string, _ time.Duration) {
+	p.results = append(p.results, result)
+}
+
+func (p *onePlace) Coordinates(string) bool { return true }
+
+// noAnswer is a caller that must be given nothing.
+type noAnswer struct{ t *testing.T }
+
+func (a noAnswer) Begin(int, http.Header, int64) { a.t.Error("an answer begins") }
+
+func (a noAnswer) Write([]byte) error {
+	a.t.Error("an answer is written")
+	return nil
+}
+
+// TestACallOfACallerThatLeftIsGivenUp: the caller's connection has ended and the call's context
+// has not. Nothing is sent, no other target is tried, and nothing is said against the target.
+func TestACallOfACallerThatLeftIsGivenUp(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	board := blackboard.New(blackboard.Identity{Name: "d1"}, blackboard.DefaultLimits())
+	placer := &onePlace{address: listener.Addr().String()}
+	d := &Director{
+		Board: board, Placer: placer, Exchange: target.NewExchanger(platform.Headers{}),
+		Record: &telemetry.Recorder{Board: board, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()},
+	}
+	r := &Request{
+		ID: "r", Account: &settings.ClientAccount{Path: "/a"}, Arrived: time.Now(), Deadline: time.Now().Add(5 * time.Second),
+		Route: &settings.ResolvedRoute{Pool: &settings.ResolvedPool{Name: "svc"}, Repeatable: true},
+		Path:  &settings.ResolvedPath{Kind: settings.CallSafe, Goal: time.Second, MaxAttempts: 3},
+		Forward: &forward.Message{
+			ID: "r", Method: "GET", URI: "/a/", Host: "h.example", Header: map[string][]string{}, CallerLeft: func() bool { return true },
+		},
+	}
+	failure := fault.From(d.Forward(context.Background(), r, noAnswer{t}))
+	if failure.Kind != fault.Abandoned || failure.Execution != fault.NotRun {
+		t.Errorf("the call ended with %+v", failure)
+	}
+	if placer.placed != 1 || len(placer.results) != 1 || placer.results[0] != blackboard.CallCancelled {
+		t.Errorf("placed %d times, %d ends were told", placer.placed, len(placer.results))
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if got := sock.Peek(conn); got != sock.Quiet {
+		t.Errorf("the target's connection is in state %d, want one that is kept and has received nothing", got)
+	}
+}
