--- a/core/admission/lag.go
+++ b/core/admission/lag.go
@@ -64,7 +64,7 @@
 
 // Refuse tells whether the call is refused at once, for which a daemon needs a fraction of the
 // time that serving it takes. Who takes all that comes at twice what the processor can serve
-// serves nobody in time: [TestADaemonThatIsBehindServesWhatItCan]. A caller comes back at once
+// serves nobody in time (TestADaemonThatIsBehindServesWhatItCan). A caller comes back at once
 // (elsewhereRetry), since it reaches another daemon; where three daemons were left of 76 a
 // second's wait served no more of them (worth 0.28 against 0.32, one play each).
 func (b Behind) Refuse() bool {
--- a/node/internal/coordbench/coordbench_test.go
+++ b/node/internal/coordbench/coordbench_test.go
@@ -74,8 +74,8 @@
 }
 
 // TestSeveralCoordinatorsServeAsMany: with the less loaded of two asked, two coordinators of 30
-// engines serve as much as one of 60 (worth 0.96 of each), also where half of the callers move
-// to one data centre. Where each daemon asks its own data centre's alone, that costs 0.05: one
+// engines serve as much as one of 60 (worth 0.944 and 0.947), also where half of the callers move
+// to one data centre. Where each daemon asks its own data centre's alone, that costs 0.07: one
 // part's engines cannot read the long prompts of three quarters of the callers.
 func TestSeveralCoordinatorsServeAsMany(t *testing.T) {
 	worth := func(parts int, choice Choice) float64 {
