Names in coordbench that a reader would stumble on

Cause: a variable shadowed a builtin, and the length of audits was not explained. Change: names, a comment. Result: no change of behaviour.

--- a/node/internal/coordbench/fleet.go
+++ b/node/internal/coordbench/fleet.go
@@ -192,13 +192,13 @@
 
 func (f *fleet) choose(c *call) *coordinator {
 	home := f.coordinators[c.dataCentre%len(f.coordinators)]
-	any := f.coordinators[f.rng.IntN(len(f.coordinators))]
+	drawn := f.coordinators[f.rng.IntN(len(f.coordinators))]
 	switch f.setup.Choice {
 	case Any:
-		return any
+		return drawn
 	case Two:
-		if any.told < home.told {
-			return any
+		if drawn.told < home.told {
+			return drawn
 		}
 	case Least:
 		for _, other := range f.coordinators {
--- a/node/internal/coordbench/load.go
+++ b/node/internal/coordbench/load.go
@@ -23,7 +23,8 @@
 }
 
 // The users' load on a pool of 150 engines (the largest deployment served), in calls for each
-// engine. Swings take their traffic from long prompts to short ones and back.
+// engine. Swings take their traffic from long prompts to short ones and back. Audits are a fifth
+// shorter than the users' own, so that each fits into the memory of one engine.
 var classes = []class{
 	{"chat", 1.38, 5_000, 24, 400 * time.Millisecond, 300 * time.Millisecond, 10 * time.Second, 1.3, [2]float64{2.5, 0.35}},
 	{"review", 0.101, 45_000, 14, 1500 * time.Millisecond, 800 * time.Millisecond, 10 * time.Second, 3.1, [2]float64{1, 1}},
