--- a/node/api/lag_test.go
+++ b/node/api/lag_test.go
@@ -43,7 +43,7 @@
 		}
 		wait := func(d time.Duration) {
 			board.Lag.Begin(time.Now())
-			time.Sleep(d)
+			<-time.After(d)
 			board.Lag.End(time.Now())
 		}
 		wait(150 * time.Millisecond)
