Failed attempts say which call they were of, whatever its request id

Callers saw targets end under one call that came again and again; logs could not tell that it was the same one. Cause of that: lines name request ids only, and each send of a caller has its own. Change: the attempt's line and record have 'call', a digest of account, method, host name, path and body, worked out only for attempts that failed. Ruled out: the prompt's length (many calls share one).

--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -52,6 +52,9 @@
 	// Target is the target concerned, Attempt the id of the call to it.
 	Target  string `json:"target,omitempty"`
 	Attempt string `json:"attempt,omitempty"`
+	// Call names what was asked for, which is the same when a caller sends it again under
+	// another request id.
+	Call string `json:"call,omitempty"`
 
 	// The inputs, by kind of decision.
 	Routing  *routing.Decision   `json:"routing,omitempty"`
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -182,7 +182,7 @@
 
 // recordAttempt records why an attempt led to no answer.
 func (f *forwarding) recordAttempt(ctx context.Context, attempt, culprit string, err error) {
-	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: culprit, Attempt: attempt, Reason: err.Error()}
+	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: culprit, Attempt: attempt, Reason: err.Error(), Call: f.request.poisonKey().String()}
 	if cause := ctx.Err(); cause != nil {
 		rec.Outcome, rec.Reason = decision.OutcomeCancelled, cause.Error()
 	}
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"doorstack.dev/core/forward"
+	"doorstack.dev/core/poison"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/target"
 )
@@ -38,6 +39,30 @@
 
 	promptTokens int64
 	prefixes     []uint64
+	key          *poison.Key
+}
+
+// poisonKey names what the request asks for. It is worked out when it is first needed: a
+// prompt of a million tokens takes some milliseconds.
+func (r *Request) poisonKey() poison.Key {
+	if r.key == nil {
+		k := r.makePoisonKey()
+		r.key = &k
+	}
+	return *r.key
+}
+
+func (r *Request) makePoisonKey() poison.Key {
+	account := r.Account.Path
+	switch {
+	case r.Forward != nil:
+		m := r.Forward
+		return poison.KeyOf(account, []byte(m.Method), []byte(m.Host), []byte(m.URI), m.Body)
+	case r.Call != nil:
+		return poison.KeyOf(account, []byte(r.Route.Name), []byte(r.Call.Method), []byte(r.Call.Path), r.Call.Body)
+	default:
+		return poison.KeyOf(account, []byte(r.Route.Name), []byte(r.Prompt))
+	}
 }
 
 // SetPromptTokens sets the length that the caller states.
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -196,6 +196,7 @@
 	add("pool", d.Pool)
 	add("target", d.Target)
 	add("attempt", d.Attempt)
+	add("call", d.Call)
 	add("by", d.By)
 	add("reason", d.Reason)
 	if d.Revision != 0 {
