Failing test: a call that ends its targets is kept away from further ones

What callers saw: waves of streams cut short and 502, 44 targets ended under one call that came again under new request ids at all daemons.

--- /dev/null
+++ b/node/onplatform/crashing_calls_test.go
@@ -0,0 +1,175 @@
+package onplatform
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"doorstack.dev/platform/standin"
+)
+
+// What callers saw: waves of streams cut short and of 502, while engine after engine ended.
+// Order of events: one call ended each engine that began to run it; the daemon sent it to a
+// second engine at once, which ended too; the caller sent it again, under a new request id and
+// by other daemons, and no daemon knew that engines had ended under it. 44 ended under one call.
+// Cause: what a daemon remembered of a failure belonged to a request id or to a target, never
+// to the call. Evidence: the lines of failed attempts of all daemons bear one digest of method,
+// path, account and body, and each of them was placed as if it were the first.
+
+const (
+	// crashing is the body of a call under which each target that runs it ends.
+	crashing = "a body that ends its target"
+	// beside is the body of a sound call.
+	beside = "a sound body"
+	// knownWithin is how long after the third end the fleet may take to know the call, and
+	// sentAfter how often it may be sent after that: the users' bounds.
+	knownWithin = 3 * time.Second
+	sentAfter   = 3
+)
+
+// crash cuts each call with the crashing body off without an answer, as a target that ends does.
+func crash(w http.ResponseWriter, r *http.Request, c standin.Call) {
+	switch {
+	case c.Body == crashing:
+		standin.Cut(w, r, c)
+	case strings.HasPrefix(c.URI, stream):
+		standin.Stream(1, 3, false)(w, r, c)
+	default:
+		standin.Succeed("ok")(w, r, c)
+	}
+}
+
+// ends counts the sends of the crashing call, each of which ends its target.
+func (f *fleet) ends() int {
+	n := 0
+	for _, target := range f.targets {
+		for _, c := range target.Calls() {
+			if c.Body == crashing {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// askOf is a call with a body by one of the daemons.
+func (f *fleet) askOf(d *testDaemon, path, body string) *standin.Ask {
+	a := f.ask(path)
+	a.Daemon, a.Body = d.boot.Callers, body
+	return a
+}
+
+// TestACallThatEndsItsTargetsIsKeptAway: it comes to all daemons in turn, again and again.
+func TestACallThatEndsItsTargetsIsKeptAway(t *testing.T) {
+	for name, path := range map[string]string{"repeatable": safe, "at most once": unsafe, "stream": stream} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, 8)
+			f.eventuallyAcquainted()
+			f.scriptAll(crash)
+			for i := 0; f.ends() < 3; i++ {
+				got := f.do(f.askOf(f.daemons[i%len(f.daemons)], path, crashing))
+				if got.Status == 503 {
+					t.Fatalf("the call ran and is answered %d, which says that it did not", got.Status)
+				}
+			}
+			known := time.Now().Add(knownWithin)
+			for !f.allRefuse(path, crashing) {
+				if time.Now().After(known) {
+					t.Fatalf("%d targets have ended and the call is still sent", f.ends())
+				}
+			}
+			before := f.ends()
+			for range 10 {
+				f.allRefuse(path, crashing)
+			}
+			if after := f.ends() - before; after > sentAfter {
+				t.Errorf("the call was sent %d times more, want %d at most", after, sentAfter)
+			}
+			for _, d := range f.daemons {
+				if got := f.do(f.askOf(d, path, beside)); got.Status != 200 {
+					t.Errorf("a sound call of the same account and path got %d by %s", got.Status, d.boot.Name)
+				}
+			}
+		})
+	}
+}
+
+// allRefuse sends a call by each daemon and tells whether all of them said that it did not run,
+// and when to come back.
+func (f *fleet) allRefuse(path, body string) bool {
+	all := true
+	for _, d := range f.daemons {
+		a := f.askOf(d, path, body)
+		got := f.do(a)
+		all = all && got.Status == 503 && got.ComeBack() != "" && len(f.calls(a.ID)) == 0
+	}
+	return all
+}
+
+// eventuallyAcquainted waits until each daemon knows all others.
+func (f *fleet) eventuallyAcquainted() {
+	f.t.Helper()
+	f.eventually("all daemons known to all", func() bool {
+		for _, d := range f.daemons {
+			if living, _ := d.Board.Members.Living(); len(living) != len(f.daemons) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestAFreshDaemonLearnsWhichCallsEndTheirTargets: it started after the call had been found.
+func TestAFreshDaemonLearnsWhichCallsEndTheirTargets(t *testing.T) {
+	f := newFleet(t, 2, 8)
+	f.eventuallyAcquainted()
+	f.scriptAll(crash)
+	known := time.Now().Add(knownWithin)
+	for !f.allRefuse(safe, crashing) {
+		if time.Now().After(known) {
+			t.Fatalf("%d targets have ended and the call is still sent", f.ends())
+		}
+	}
+	before := f.ends()
+	fresh := f.addDaemon(2)
+	f.waitReady(fresh)
+	within := time.Now().Add(knownWithin)
+	for got := f.do(f.askOf(fresh, safe, crashing)); got.Status != 503; got = f.do(f.askOf(fresh, safe, crashing)) {
+		if time.Now().After(within) {
+			t.Fatal("the fresh daemon still sends the call")
+		}
+	}
+	if after := f.ends() - before; after > sentAfter {
+		t.Errorf("the call was sent %d times more, want %d at most", after, sentAfter)
+	}
+}
+
+// TestASoundCallWhoseTargetsEndByChanceIsServed: two targets end under a call that did nothing
+// to them; a third one answers it, then and ever after.
+func TestASoundCallWhoseTargetsEndByChanceIsServed(t *testing.T) {
+	f := newFleet(t, 2, 4)
+	f.eventuallyAcquainted()
+	var mu sync.Mutex
+	cuts := 2
+	f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		mu.Lock()
+		unlucky := cuts > 0
+		cuts--
+		mu.Unlock()
+		if unlucky {
+			standin.Cut(w, r, c)
+			return
+		}
+		standin.Succeed("ok")(w, r, c)
+	})
+	f.do(f.askOf(f.daemons[0], safe, beside)) // It ends with the second target.
+	for range 3 {
+		for _, d := range f.daemons {
+			if got := f.do(f.askOf(d, safe, beside)); got.Status != 200 {
+				t.Errorf("a sound call got %d by %s", got.Status, d.boot.Name)
+			}
+		}
+	}
+}
