A call that ends its targets is kept away from further ones, by all daemons

Callers saw waves of 502 and of streams cut short: 44 targets ended under one call, each with a dozen sound calls. Cause: what was remembered of a failure belonged to a request id or to a target. The call came under new ids at all daemons, and each send was the first. Ruled out: repeats of one request id (at most four places each), a memory that daemons keep for themselves (there was none). Change: core/poison names a call by account, method, host name, path and body; three ends, not all at one moment, quarantine it; three keepers of its rendezvous order count, verdicts go to all daemons and are compared with heartbeats. The same for the project's own interface, whose calls go through the same place. Why it holds: each send asks the table last thing before and after it has a place; what a daemon misses it gets with the next heartbeat, and a lost verdict cannot bring an older one back (property test).

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -47,6 +47,7 @@
 	NotReady         Kind = "not_ready"
 	ShuttingDown     Kind = "shutting_down"
 	Overloaded       Kind = "overloaded"
+	CrashesTargets   Kind = "crashes_targets"
 	OutOfMemory      Kind = "body_memory_exhausted"
 	Internal         Kind = "internal"
 )
@@ -71,6 +72,7 @@
 	NotReady:         503,
 	ShuttingDown:     503,
 	Overloaded:       503,
+	CrashesTargets:   503,
 	OutOfMemory:      503,
 	Internal:         500,
 }
--- /dev/null
+++ b/core/poison/table_test.go
@@ -0,0 +1,227 @@
+package poison
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+var request = KeyOf("/a", []byte("request"))
+
+// crash notes ends at targets of different names and tells whether the request is refused then.
+func crash(t *Table, k Key, moments ...time.Duration) bool {
+	for i, m := range moments {
+		t.Crashed(Crash{Request: k, Target: fmt.Sprint("t", i)}, at(m))
+	}
+	return t.Ask(k, at(moments[len(moments)-1])).Quarantined
+}
+
+func TestARequestIsRefusedAfterItsThirdTarget(t *testing.T) {
+	s := time.Second
+	for name, c := range map[string]struct {
+		ends []time.Duration
+		want bool
+	}{
+		"two":                       {[]time.Duration{0, s}, false},
+		"three in turn":             {[]time.Duration{0, s, 2 * s}, true},
+		"two at once, then one":     {[]time.Duration{0, 0, s}, true},
+		"many at one moment":        {[]time.Duration{0, 0, 0, s / 10, s / 10, s / 5}, false},
+		"three, long after another": {[]time.Duration{0, 8 * 60 * s, 16 * 60 * s}, false},
+	} {
+		if got := crash(NewTable(), request, c.ends...); got != c.want {
+			t.Errorf("%s: refused %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// TestCopiesAtOneTargetEndWithIt: five copies of a request at one target are one end; its next
+// process is another one.
+func TestCopiesAtOneTargetEndWithIt(t *testing.T) {
+	table := NewTable()
+	for i := range 5 {
+		table.Crashed(Crash{Request: request, Target: "t"}, at(time.Duration(i)*100*time.Millisecond))
+	}
+	if table.Ask(request, at(time.Second)).Quarantined {
+		t.Fatal("one end counts more than once")
+	}
+	table.Crashed(Crash{Request: request, Target: "t"}, at(5*time.Second))
+	if table.Ask(request, at(5*time.Second)).Quarantined {
+		t.Fatal("two ends are taken for three")
+	}
+	if _, refused := table.Crashed(Crash{Request: request, Target: "t"}, at(10*time.Second)); !refused {
+		t.Fatal("three processes of one target ended, and the request is not refused")
+	}
+}
+
+// TestARepeatIsAnotherMoment: a request that is sent on as soon as its target has ended.
+func TestARepeatIsAnotherMoment(t *testing.T) {
+	table := NewTable()
+	for i := range 3 {
+		c := Crash{Request: request, Target: fmt.Sprint("t", i), Repeat: table.Ask(request, at(0)).Suspected}
+		if _, refused := table.Crashed(c, at(0)); refused != (i == 2) {
+			t.Errorf("after %d ends: refused %v", i+1, refused)
+		}
+	}
+}
+
+// TestAnAnswerShowsThatARequestIsSound: what was held against it is lifted, and a peer that
+// still holds it against the request hears so.
+func TestAnAnswerShowsThatARequestIsSound(t *testing.T) {
+	here, there := NewTable(), NewTable()
+	here.Crashed(Crash{Request: request, Target: "t0"}, at(0))
+	here.Crashed(Crash{Request: request, Target: "t1"}, at(time.Second))
+	here.Served(request, at(2*time.Second))
+	if _, refused := here.Crashed(Crash{Request: request, Target: "t2"}, at(3*time.Second)); refused {
+		t.Error("ends before an answer count")
+	}
+	here.Served(request, at(4*time.Second))
+
+	crash(there, request, 0, time.Second, 2*time.Second)
+	for _, v := range there.Verdicts(at(5 * time.Second)) {
+		answer, news := here.Learn(v, at(5*time.Second))
+		if !news || !answer.Lifted {
+			t.Fatalf("the verdict is taken as %+v", answer)
+		}
+		there.Learn(answer, at(5*time.Second))
+	}
+	for _, table := range []*Table{here, there} {
+		if table.Ask(request, at(6*time.Second)).Quarantined {
+			t.Error("a sound request is refused")
+		}
+	}
+	if crash(there, request, 10*time.Second, 11*time.Second, 12*time.Second) != true {
+		t.Error("three more ends are not held against it")
+	}
+}
+
+// TestAnAnswerBeforeTheLastEndShowsNothing: targets were changed, and what was sound is not.
+func TestAnAnswerBeforeTheLastEndShowsNothing(t *testing.T) {
+	here := NewTable()
+	here.Served(request, at(0))
+	here.Crashed(Crash{Request: request, Target: "t0"}, at(time.Second))
+	here.Learn(Verdict{Request: request, Count: 1}, at(2*time.Second))
+	if !here.Ask(request, at(2*time.Second)).Quarantined {
+		t.Error("the request is sent on")
+	}
+}
+
+// TestAQuarantineEnds: ten minutes after the request was last asked for.
+func TestAQuarantineEnds(t *testing.T) {
+	table := NewTable()
+	crash(table, request, 0, time.Second, 2*time.Second)
+	asked := at(keepFor)
+	if !table.Ask(request, asked).Quarantined {
+		t.Fatal("it has ended too soon")
+	}
+	if !table.Ask(request, asked.Add(keepFor-time.Second)).Quarantined {
+		t.Fatal("asking does not renew it")
+	}
+	if table.Ask(request, asked.Add(3*keepFor)).Quarantined {
+		t.Fatal("it does not end")
+	}
+	if table.Digest(asked.Add(3*keepFor)) != 0 || !table.Empty() {
+		t.Error("it is remembered for ever")
+	}
+}
+
+// TestAnAccountDrivesOutOnlyItsOwn: it invents requests under which targets end; what is held
+// of others' stays, and the memory is bounded.
+func TestAnAccountDrivesOutOnlyItsOwn(t *testing.T) {
+	table := NewTable()
+	crash(table, request, 0, time.Second, 2*time.Second)
+	now := at(3 * time.Second)
+	for i := range 3 * maxOfAccount {
+		body := binary.BigEndian.AppendUint32(nil, uint32(i))
+		now = now.Add(time.Millisecond)
+		table.Crashed(Crash{Request: KeyOf("/inventive", body), Target: "t"}, now)
+		table.Served(KeyOf("/another", body), now)
+	}
+	if !table.Ask(request, now).Quarantined {
+		t.Error("another account's request is forgotten")
+	}
+	if n := len(table.records); n > maxOfAccount+1 {
+		t.Errorf("%d requests are remembered", n)
+	}
+	if n := len(table.served.younger) + len(table.served.older); n > maxServed {
+		t.Errorf("%d answers are remembered", n)
+	}
+	for account := range maxRequests / 8 {
+		for i := range 10 {
+			now = now.Add(time.Millisecond)
+			table.Crashed(Crash{Request: KeyOf(fmt.Sprint("/", account), []byte{byte(i)}), Target: "t"}, now)
+		}
+	}
+	if n := len(table.records); n > maxRequests {
+		t.Errorf("%d requests are remembered of many accounts", n)
+	}
+	if !table.Ask(request, now).Quarantined {
+		t.Error("a quarantined request is forgotten for others that are not")
+	}
+}
+
+// TestAllDaemonsEndWithOneVerdict: whatever crashes and answers each of them sees, and in
+// whatever order verdicts come, late and twice, all hold the same in the end.
+func TestAllDaemonsEndWithOneVerdict(t *testing.T) {
+	keys := []Key{request, KeyOf("/a", []byte("other")), KeyOf("/b", []byte("request"))}
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{NewTable(), NewTable(), NewTable()}
+		var told []Verdict
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
+			table := rapid.SampledFrom(tables).Draw(t, "table")
+			k := rapid.SampledFrom(keys).Draw(t, "key")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				target := fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target"))
+				if v, news := table.Crashed(Crash{Request: k, Target: target, Repeat: table.Ask(k, now).Suspected}, now); news {
+					told = append(told, v)
+				}
+			case 2:
+				if v, news := table.Served(k, now); news {
+					told = append(told, v)
+				}
+			case 3:
+				if len(told) == 0 {
+					continue
+				}
+				if v, news := table.Learn(rapid.SampledFrom(told).Draw(t, "verdict"), now); news {
+					told = append(told, v)
+				}
+			case 4:
+				table.Ask(k, now)
+			}
+		}
+		for range 3 { // What a daemon makes of a verdict is news to others.
+			for _, from := range tables {
+				for _, v := range from.Verdicts(now) {
+					for _, to := range tables {
+						to.Learn(v, now)
+					}
+				}
+			}
+		}
+		for _, k := range keys {
+			var refused []bool
+			for _, table := range tables {
+				refused = append(refused, table.Ask(k, now).Quarantined)
+			}
+			if slices.Contains(refused, true) && slices.Contains(refused, false) {
+				t.Fatalf("of %v: %v", k, refused)
+			}
+		}
+		for _, table := range tables[1:] {
+			if table.Digest(now) != tables[0].Digest(now) {
+				t.Fatal("the digests differ")
+			}
+		}
+	})
+}
--- a/node/blackboard/blackboard.go
+++ b/node/blackboard/blackboard.go
@@ -63,6 +63,7 @@
 	Leases    *LeaseTable
 	Decisions *DecisionTable
 	Lag       *LagTable
+	Poison    *PoisonTable
 
 	sync     Mutex // makes SyncTargets one step
 	phase    atomic.Int32
@@ -103,6 +104,7 @@
 		Leases:    newLeaseTable(time.Now()),
 		Decisions: newDecisionTable(limits.DecisionBytes),
 		Lag:       newLagTable(),
+		Poison:    newPoisonTable(),
 		began:     time.Now(),
 		started:   make(chan struct{}),
 	}
--- a/node/blackboard/rank.go
+++ b/node/blackboard/rank.go
@@ -22,6 +22,7 @@
 	RankLeases
 	RankDecisions
 	RankLag
+	RankPoison
 )
 
 // Mutex is a lock with a rank.
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -50,8 +50,9 @@
 
 	// searched is true once every seed has answered and knew of nobody else.
 	searched atomic.Bool
-	// reconciled is when all members were last sent to a peer; seekMu guards it.
-	reconciled map[string]time.Time
+	// reconciled is when all members were last sent to a peer, and verdictsTold when all
+	// verdicts were; seekMu guards both.
+	reconciled, verdictsTold map[string]time.Time
 
 	seekMu sync.Mutex
 	sought map[string]*seek // the last question for a share out of turn, by account
@@ -64,6 +65,7 @@
 		started: time.Now(), poke: make(chan struct{}, 1), compared: map[string]bool{},
 		asked: map[string]bool{}, silent: map[string]bool{},
 		heard: make(chan heartbeatNews, heardQueue), sought: map[string]*seek{}, reconciled: map[string]time.Time{},
+		verdictsTold: map[string]time.Time{},
 	}
 	c.settingsNews = c.newFollower(func(h heartbeatNews) int64 { return h.revision }, c.revision, c.catchUp)
 	c.targetNews = c.newFollower(func(h heartbeatNews) int64 { return h.targets }, board.Directory.Revision, c.catchUpTargets)
@@ -85,6 +87,8 @@
 	hub.Handle(peer.KindJoin, peer.Serve(c.serveJoin))
 	hub.Handle(peer.KindTargets, peer.Serve(c.serveTargets))
 	hub.Handle(peer.KindAcquire, peer.Serve(c.serveAcquire))
+	hub.Handle(peer.KindCrash, peer.Serve(c.serveCrash))
+	hub.Handle(peer.KindVerdicts, peer.Serve(c.serveVerdicts))
 	return c
 }
 
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -29,6 +29,8 @@
 	Digest uint64 `cbor:"6,keyasint,omitempty"`
 	// Targets is the revision of the sender's newest fact of a target.
 	Targets int64 `cbor:"7,keyasint,omitempty"`
+	// Verdicts identifies what the sender holds of requests that end their targets.
+	Verdicts uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // The pace and the bounds of the members' loop.
@@ -113,6 +115,7 @@
 	if c.open() {
 		h.Targets = c.Board.Directory.Revision()
 	}
+	h.Verdicts = c.Board.Poison.Digest(time.Now())
 	return h
 }
 
@@ -163,6 +166,7 @@
 	})
 	c.spread(ctx, rumors, from)
 	c.reconcile(ctx, from, h.Digest)
+	c.compareVerdicts(from, h.Verdicts)
 	select {
 	case c.heard <- heartbeatNews{from: from, revision: h.Revision, targets: h.Targets}:
 	default: // The next heartbeat says it again.
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -179,11 +179,16 @@
 }
 
 func (c *Cluster) mayReconcile(peerName string, now time.Time) bool {
+	return c.mayTell(c.reconciled, peerName, now)
+}
+
+// mayTell tells whether all of something may be told to a peer again, and notes that it is.
+func (c *Cluster) mayTell(told map[string]time.Time, peerName string, now time.Time) bool {
 	c.seekMu.Lock()
 	defer c.seekMu.Unlock()
-	if now.Sub(c.reconciled[peerName]) < reconcileEvery {
+	if now.Sub(told[peerName]) < reconcileEvery {
 		return false
 	}
-	c.reconciled[peerName] = now
+	told[peerName] = now
 	return true
 }
--- /dev/null
+++ b/node/cluster/verdicts.go
@@ -0,0 +1,106 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"doorstack.dev/core/poison"
+	"doorstack.dev/core/rendezvous"
+	"doorstack.dev/node/peer"
+)
+
+// The same request comes to any daemon, so the ends of targets under it are counted in one
+// place: at its keepers, the first daemons of its rendezvous order. Few ends lead to anything,
+// most are told for sound requests that stood beside; so an end costs a frame to each keeper,
+// whatever the size of the fleet, and only verdicts, which are rare, go to all.
+
+const (
+	// keepers is how many daemons count the ends under a request. Two of them may be dead or
+	// cut off and not be known to be.
+	keepers = 3
+	// crashTimeout bounds a report to a keeper, which may have no link yet.
+	crashTimeout = time.Second
+)
+
+// Crashed implements requestcontrol.CrashReporter.
+func (c *Cluster) Crashed(crash poison.Crash) {
+	living, _ := c.Board.Members.Living()
+	for _, name := range rendezvous.Top(crash.Request.String(), living, keepers) {
+		if name != c.Board.Self.Name { // Its own table has it already.
+			go c.reportCrash(name, crash)
+		}
+	}
+}
+
+func (c *Cluster) reportCrash(keeper string, crash poison.Crash) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
+	defer cancel()
+	if err := c.Hub.Tell(ctx, c.address(keeper), peer.KindCrash, crash); err != nil {
+		c.Record.Log.Info("an end under a call could not be told to a peer", "peer", keeper, "call", crash.Request.String(),
+			"target", crash.Target, "error", err.Error())
+	}
+}
+
+// serveCrash counts an end that another daemon saw.
+func (c *Cluster) serveCrash(_ context.Context, from string, in poison.Crash) (done, error) {
+	if v, quarantined := c.Board.Poison.Crashed(in, time.Now()); quarantined {
+		c.Record.Log.Warn("a call is quarantined", "call", in.Request.String(), "target", in.Target, "count", v.Count,
+			"reason", "the last of several targets ended under it", "peer", from)
+		c.Spread(v)
+	}
+	return done{}, nil
+}
+
+// Spread implements requestcontrol.CrashReporter.
+func (c *Cluster) Spread(v poison.Verdict) { c.tellVerdicts([]poison.Verdict{v}, "") }
+
+// tellVerdicts tells verdicts over all links but the one that they came over. What is lost is
+// repaired when heartbeats are compared.
+func (c *Cluster) tellVerdicts(verdicts []poison.Verdict, from string) {
+	linked := c.Hub.Linked()
+	for _, name := range c.Board.Members.Links(time.Now()) {
+		if name != from && slices.Contains(linked, name) {
+			go c.tellVerdictsTo(name, verdicts)
+		}
+	}
+}
+
+func (c *Cluster) tellVerdictsTo(name string, verdicts []poison.Verdict) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
+	defer cancel()
+	if err := c.Hub.Tell(ctx, c.address(name), peer.KindVerdicts, verdicts); err != nil {
+		c.Record.Log.Debug("verdicts could not be told to a peer", "peer", name, "error", err.Error())
+	}
+}
+
+// serveVerdicts takes in what a peer holds, and passes on what was not known here.
+func (c *Cluster) serveVerdicts(_ context.Context, from string, in []poison.Verdict) (done, error) {
+	news := c.Board.Poison.Learn(in, time.Now())
+	if len(news) == 0 {
+		return done{}, nil
+	}
+	for _, v := range news {
+		c.Record.Log.Warn("a verdict on a call is learned", "call", v.Request.String(), "lifted", v.Lifted, "count", v.Count,
+			"age_s", v.Age.Seconds(), "peer", from)
+	}
+	if slices.ContainsFunc(news, func(v poison.Verdict) bool { return !slices.Contains(in, v) }) {
+		from = "" // What this daemon knows better goes back as well.
+	}
+	c.tellVerdicts(news, from)
+	return done{}, nil
+}
+
+// compareVerdicts tells a peer all that is held here, if the peer holds something else. The peer
+// does the same, so both end with the union.
+func (c *Cluster) compareVerdicts(from string, theirs uint64) {
+	now := time.Now()
+	if c.Board.Poison.Digest(now) == theirs {
+		return
+	}
+	verdicts := c.Board.Poison.Verdicts(now)
+	if len(verdicts) == 0 || !c.mayTell(c.verdictsTold, from, now) {
+		return
+	}
+	go c.tellVerdictsTo(from, verdicts)
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -138,7 +138,7 @@
 	d.hub = peer.NewHub(d.Config.Name, d.Config.PeerKeys, d.Metrics)
 	d.hub.LogTo(d.Log)
 	d.cluster = cluster.New(d.Board, d.hub, d.record, d.settings, client)
-	d.director.Claims, d.director.Shares = d.cluster, d.cluster
+	d.director.Claims, d.director.Shares, d.director.Crashes = d.cluster, d.cluster, d.cluster
 	d.Board.Accounts.SetShares(d.Board.Shares.Share)
 	pause := &controller.Pause{Board: d.Board, Record: d.record, Void: d.cluster.Void}
 	workers := &worker.Pool{Board: d.Board, Size: d.Config.Workers}
--- a/node/onplatform/crashing_calls_test.go
+++ b/node/onplatform/crashing_calls_test.go
@@ -87,6 +87,7 @@
 			if after := f.ends() - before; after > sentAfter {
 				t.Errorf("the call was sent %d times more, want %d at most", after, sentAfter)
 			}
+			t.Logf("%d targets ended until all daemons knew the call", before)
 			for _, d := range f.daemons {
 				if got := f.do(f.askOf(d, path, beside)); got.Status != 200 {
 					t.Errorf("a sound call of the same account and path got %d by %s", got.Status, d.boot.Name)
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -40,6 +40,8 @@
 	KindProgress  Kind = 20
 	KindChanges   Kind = 21
 	KindDigests   Kind = 22
+	KindCrash     Kind = 23
+	KindVerdicts  Kind = 24
 )
 
 var kindNames = map[Kind]string{
@@ -50,6 +52,7 @@
 	KindJoin: "join", KindTargets: "targets",
 	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
 	KindChanges: "settings_changes", KindDigests: "digests",
+	KindCrash: "crash", KindVerdicts: "verdicts",
 }
 
 // String names the kind for metrics.
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -23,9 +23,11 @@
 	Exchange *target.Exchanger
 	Record   *telemetry.Recorder
 	// Placer is nil where each daemon decides by itself.
-	Placer   Placer
-	Claims   Claimer
-	Shares   ShareSeeker
+	Placer Placer
+	Claims Claimer
+	Shares ShareSeeker
+	// Crashes is nil where no other daemon is told.
+	Crashes  CrashReporter
 	Retrying RetryPolicy
 }
 
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -173,6 +173,7 @@
 		}
 		f.recordAttempt(ctx, p.Attempt, culprit, err)
 	}
+	f.noteEnd(ctx, p, err)
 	d.Board.Targets.Finish(p.Attempt, result, time.Now())
 	if d.Placer != nil {
 		d.Placer.Finished(p.Attempt, result, suspect, suspectFor)
@@ -180,6 +181,17 @@
 	d.Board.Queues.Wake(f.request.Route.Pool.Name)
 }
 
+// noteEnd notes whether the target lived through the call. A failure that a target answers
+// itself shows that it did.
+func (f *forwarding) noteEnd(ctx context.Context, p *blackboard.Placement, err error) {
+	switch {
+	case err == nil || errors.Is(err, errErred):
+		f.director.noteAnswered(f.request)
+	case ctx.Err() == nil && !errors.Is(err, errSink):
+		f.director.noteFailed(f.request, p.Decision.Chosen, err)
+	}
+}
+
 // recordAttempt records why an attempt led to no answer.
 func (f *forwarding) recordAttempt(ctx context.Context, attempt, culprit string, err error) {
 	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: culprit, Attempt: attempt, Reason: err.Error(), Call: f.request.poisonKey().String()}
@@ -231,6 +243,9 @@
 	errErred      = errors.New("the target failed")
 )
 
+// brokenOff says that an answer broke off, and keeps the cause.
+func brokenOff(cause error) error { return fmt.Errorf("%w: %w", errBroken, cause) }
+
 // send makes one send and relays its answer.
 func (f *forwarding) send(ctx context.Context, p *blackboard.Placement) error {
 	d, r := f.director, f.request
@@ -305,7 +320,7 @@
 	}
 	answer, err := readWhole(reply)
 	if err != nil {
-		return errors.Wrap(errBroken, err.Error())
+		return brokenOff(err)
 	}
 	return f.giveWhole(answer)
 }
@@ -315,7 +330,7 @@
 func (f *forwarding) takeErred(reply *target.Reply) error {
 	answer, err := readWhole(reply)
 	if err != nil {
-		return errors.Wrap(errBroken, err.Error())
+		return brokenOff(err)
 	}
 	f.erred = answer
 	return errors.Wrap(errErred, fmt.Sprintf("status %d", reply.Status))
--- a/node/requestcontrol/generate.go
+++ b/node/requestcontrol/generate.go
@@ -128,6 +128,7 @@
 	switch {
 	case err == nil:
 		d.Board.Prefixes.Stored(id, g.request.prefixes)
+		d.noteAnswered(g.request)
 	case ctx.Err() != nil || errors.Is(err, errSink):
 		result = blackboard.CallCancelled
 	default:
@@ -136,6 +137,7 @@
 			g.exclude = append(g.exclude, id)
 		}
 		d.record(g.request, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: id, Attempt: attempt, Reason: err.Error()})
+		d.noteFailed(g.request, id, err)
 	}
 	d.Board.Targets.Finish(attempt, result, time.Now())
 	d.Board.Queues.Wake(g.request.Route.Pool.Name)
@@ -163,7 +165,7 @@
 			Kind: decision.KindAttempt, Outcome: "resumed", Target: id, Attempt: call.Attempt,
 			Reason: fmt.Sprintf("%v; from token %d", err, resume.From),
 		})
-		err = again
+		err = lastOf(err, again)
 	}
 	if err != nil {
 		d.cancelCall(ctx, address, call.Attempt, err)
@@ -173,6 +175,15 @@
 	return nil
 }
 
+// lastOf is how a stream ended that broke off and was taken up again. Where the engine cannot
+// be reached any more, that it broke off is what tells of the engine.
+func lastOf(brokeOff, again error) error {
+	if again != nil && target.ExecutionOf(again) == fault.NotRun {
+		return brokeOff
+	}
+	return again
+}
+
 func closeStream(a *stream.Assembler, err error) error {
 	if a.Complete() {
 		return nil // Whatever broke afterwards, the answer is whole.
--- a/node/requestcontrol/place.go
+++ b/node/requestcontrol/place.go
@@ -13,8 +13,24 @@
 	"github.com/go-faster/errors"
 )
 
-// place waits in the queue until the request has a target.
+// place waits in the queue until the request has a target. One that is found to end its targets
+// goes to none, also where that became known while it waited.
 func (d *Director) place(ctx context.Context, r *Request, attempt string, retry bool, exclude []string) (blackboard.Placement, error) {
+	if err := d.refuseQuarantined(r); err != nil {
+		return blackboard.Placement{}, err
+	}
+	placement, err := d.findPlace(ctx, r, attempt, retry, exclude)
+	if err != nil {
+		return placement, err
+	}
+	if err := d.refuseQuarantined(r); err != nil {
+		d.giveBack(r, &placement)
+		return blackboard.Placement{}, err
+	}
+	return placement, nil
+}
+
+func (d *Director) findPlace(ctx context.Context, r *Request, attempt string, retry bool, exclude []string) (blackboard.Placement, error) {
 	ticket := d.ticket(r, attempt, retry, exclude)
 	if d.Placer != nil {
 		if placement, ok := d.Placer.Place(ctx, ticket); ok {
--- /dev/null
+++ b/node/requestcontrol/poison.go
@@ -0,0 +1,85 @@
+package requestcontrol
+
+import (
+	"fmt"
+	"time"
+
+	"doorstack.dev/core/decision"
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/poison"
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/target"
+)
+
+// A request under which target after target ends is not sent to another one, whoever sends it
+// and by whichever daemon: see core/poison. Director tells the table how each send ended, and
+// asks it before each.
+
+// CrashReporter tells the other daemons of requests that end their targets.
+type CrashReporter interface {
+	// Crashed reports that a target has ended under a request.
+	Crashed(c poison.Crash)
+	// Spread tells all daemons a verdict that this one has come to.
+	Spread(v poison.Verdict)
+}
+
+// refuseQuarantined returns a failure for a request that would end one more target.
+func (d *Director) refuseQuarantined(r *Request) error {
+	r.suspected = false
+	if d.Board.Poison.Empty() {
+		return nil
+	}
+	standing := d.Board.Poison.Ask(r.poisonKey(), time.Now())
+	r.suspected = standing.Suspected
+	if !standing.Quarantined {
+		return nil
+	}
+	refusal := fault.New(fault.CrashesTargets, "target after target has ended under this request, so it is sent to no other one",
+		"do not send it again as it is; operators find the targets in the log by the field call").WithRetry(standing.Left)
+	d.record(r, decision.Record{
+		Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Call: r.poisonKey().String(), Reason: refusal.Error(),
+	})
+	return refusal
+}
+
+// giveBack returns a placement that is not used.
+func (d *Director) giveBack(r *Request, p *blackboard.Placement) {
+	d.Board.Targets.Finish(p.Attempt, blackboard.CallCancelled, time.Now())
+	if d.Placer != nil {
+		d.Placer.Finished(p.Attempt, blackboard.CallCancelled, "", 0)
+	}
+	d.Board.Queues.Wake(r.Route.Pool.Name)
+}
+
+// smallRequest is the size, in bytes, up to which the key of each answered request is worked
+// out. Larger ones are prompts that no two callers share, and hashing them costs milliseconds.
+const smallRequest = 64 << 10
+
+// noteAnswered notes that a target has lived through a request.
+func (d *Director) noteAnswered(r *Request) {
+	if r.size() > smallRequest && d.Board.Poison.Empty() {
+		return
+	}
+	if v, lifted := d.Board.Poison.Served(r.poisonKey(), time.Now()); lifted && d.Crashes != nil {
+		d.Crashes.Spread(v)
+	}
+}
+
+// noteFailed notes a target's end if that is how a send failed.
+func (d *Director) noteFailed(r *Request, id string, err error) {
+	if !target.ConnectionEnded(err) {
+		return
+	}
+	d.Record.Metrics.Crashes.WithLabelValues(r.Route.Pool.Name).Inc()
+	crash := poison.Crash{Request: r.poisonKey(), Target: id, Repeat: r.suspected}
+	v, quarantined := d.Board.Poison.Crashed(crash, time.Now())
+	if d.Crashes == nil {
+		return
+	}
+	d.Crashes.Crashed(crash)
+	if quarantined {
+		d.Record.Log.Warn("a call is quarantined", "request", r.ID, "call", r.poisonKey().String(), "pool", r.Route.Pool.Name,
+			"target", id, "count", v.Count, "reason", fmt.Sprintf("the last of several targets ended under it: %v", err))
+		d.Crashes.Spread(v)
+	}
+}
--- a/node/requestcontrol/relay.go
+++ b/node/requestcontrol/relay.go
@@ -33,10 +33,10 @@
 			continue
 		}
 		if !errors.Is(err, io.EOF) {
-			return errors.Wrap(errBroken, err.Error())
+			return brokenOff(err)
 		}
 		if splitter.Partial() {
-			return errors.Wrap(errBroken, "in the middle of an event")
+			return brokenOff(errors.Wrap(io.ErrUnexpectedEOF, "in the middle of an event"))
 		}
 		f.begin(reply)
 		return nil
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -40,6 +40,8 @@
 	promptTokens int64
 	prefixes     []uint64
 	key          *poison.Key
+	// suspected means that a target had ended under the request when it was last sent.
+	suspected bool
 }
 
 // poisonKey names what the request asks for. It is worked out when it is first needed: a
@@ -52,6 +54,18 @@
 	return *r.key
 }
 
+// size is the length of the request's body or prompt, in bytes.
+func (r *Request) size() int {
+	switch {
+	case r.Forward != nil:
+		return len(r.Forward.Body)
+	case r.Call != nil:
+		return len(r.Call.Body)
+	default:
+		return len(r.Prompt)
+	}
+}
+
 func (r *Request) makePoisonKey() poison.Key {
 	account := r.Account.Path
 	switch {
--- a/node/requestcontrol/service.go
+++ b/node/requestcontrol/service.go
@@ -139,6 +139,12 @@
 			Attempt: p.Attempt, Reason: fmt.Sprintf("%v", err),
 		})
 	}
+	switch {
+	case err == nil:
+		d.noteAnswered(r)
+	case ctx.Err() == nil:
+		d.noteFailed(r, p.Decision.Chosen, err)
+	}
 	d.Board.Targets.Finish(p.Attempt, result, time.Now())
 	d.Board.Queues.Wake(r.Route.Pool.Name)
 }
--- a/node/target/client.go
+++ b/node/target/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"doorstack.dev/core/fault"
@@ -46,6 +47,15 @@
 	return fault.Unknown
 }
 
+// ConnectionEnded tells whether a call that may have run failed because the target's end of the
+// connection was closed or reset, as it is when its process ends.
+func ConnectionEnded(err error) bool {
+	if ExecutionOf(err) == fault.NotRun {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Client speaks to targets over HTTP. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -40,6 +40,8 @@
 	LinesLeftOut prometheus.Counter
 	// Lag is how long what arrives waits for the processor.
 	Lag prometheus.Histogram
+	// Crashes counts the sends under which a target's connection ended.
+	Crashes *prometheus.CounterVec
 	// CoordinatorLost counts the questions that a coordinator left unanswered.
 	CoordinatorLost *prometheus.CounterVec
 
@@ -105,11 +107,12 @@
 		Orders:          counter("orders_total", "Orders to targets, by outcome.", "outcome"),
 		Lag:             prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "lag_seconds", Help: "How long what arrives waits for the processor.", Buckets: prometheus.ExponentialBuckets(0.001, 3, 8)}),
 		CoordinatorLost: counter("coordinator_lost_total", "Questions for a place that the pool's coordinator left unanswered, by pool and reason.", "pool", "reason"),
+		Crashes:         counter("crashes_total", "Sends whose connection the target's end closed before the answer was whole, by pool.", "pool"),
 		LinesLeftOut:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Silent, m.Decisions, m.Queue, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwanted, m.PeerWait, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
-		m.Orders, m.LinesLeftOut, m.Lag, m.CoordinatorLost, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.Orders, m.LinesLeftOut, m.Lag, m.CoordinatorLost, m.Crashes, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
 	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
 	return m
