What targets say of themselves beside answers binds the daemon at once

Callers saw calls sent to a target that had said in an answer, 2.3 s before, that it leaves, and targets that had asked for three seconds of rest got four calls in them. Cause: no type had a field for either word; a target that turned a call away was avoided for 0.1 s, and its leaving was known from the store alone, which was away. Ruled out: that the store's word overwrites the target's (nothing was kept to overwrite), that a daemon which knows better follows its coordinator (it checks each placement; it did not know). Such targets are left out of the daemon's own looks and of its questions to a coordinator, and no placement on one is used. Where all targets rest, a call is refused at once with the time that is left. Why it holds: the word is kept in the step that reads the head, before the answer goes on, and asked for last thing before a send.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -90,6 +90,16 @@
 	Encoded bool
 	// AtFault is the address of a helper that the call failed for.
 	AtFault string
+	// Notice is what the target that answered says of itself.
+	Notice Notice
+}
+
+// Said is what the target that was meant says of itself: nothing, where another one answered.
+func (h *Head) Said() Notice {
+	if h.Status == statusMisdirected {
+		return Notice{}
+	}
+	return h.Notice
 }
 
 // Verdict is what an answer is good for.
--- /dev/null
+++ b/core/forward/notice.go
@@ -0,0 +1,118 @@
+package forward
+
+import "time"
+
+// Notice is what a target says of itself beside an answer. The zero value says nothing.
+type Notice struct {
+	// Leaving means that the target's process is about to end and wants no new calls. The
+	// store may say so much later: it may be away.
+	Leaving bool
+	// Rest is how long the target wants no calls from this daemon.
+	Rest time.Duration
+}
+
+const (
+	// keepLeaving is how long the word that a target leaves holds after it was last said. Its
+	// process ends within a minute or two; the store tells of that unless it is away.
+	keepLeaving = 10 * time.Minute
+	// mostRest bounds what is believed of a time of rest.
+	mostRest = 10 * time.Minute
+)
+
+// Notices are what targets have said of themselves, by their ids. They outlive a target's entry,
+// which may run out and come back while the store is away.
+type Notices struct {
+	byTarget map[string]*noted
+}
+
+// noted is what one target said.
+type noted struct {
+	address string
+	// started is when the target's process started, in Unix milliseconds; zero where it was
+	// not known when the target spoke.
+	started   int64
+	leaving   time.Time // when it last said that it leaves; zero if it did not
+	restUntil time.Time
+}
+
+// NewNotices returns an empty collection.
+func NewNotices() *Notices { return &Notices{byTarget: map[string]*noted{}} }
+
+// Empty tells whether no target has said anything that may still hold.
+func (n *Notices) Empty() bool { return len(n.byTarget) == 0 }
+
+// Take takes in what a target at an address said, whose process started then, and tells whether
+// any of it is new.
+func (n *Notices) Take(id, address string, started int64, said Notice, at time.Time) bool {
+	if said == (Notice{}) {
+		return false
+	}
+	known := n.byTarget[id]
+	if known == nil {
+		known = &noted{address: address, started: started}
+		n.byTarget[id] = known
+	}
+	news := false
+	if said.Leaving {
+		news = !known.leaves(at)
+		known.leaving = at
+	}
+	if said.Rest > 0 {
+		news = news || !at.Before(known.restUntil)
+		known.restUntil = at.Add(min(said.Rest, mostRest))
+	}
+	return news
+}
+
+// Leaves tells whether a target has said that it leaves.
+func (n *Notices) Leaves(id string, at time.Time) bool {
+	known := n.byTarget[id]
+	return known != nil && known.leaves(at)
+}
+
+func (k *noted) leaves(at time.Time) bool {
+	return !k.leaving.IsZero() && at.Sub(k.leaving) < keepLeaving
+}
+
+// Rests is for how long a target still wants no calls; zero if it takes them.
+func (n *Notices) Rests(id string, at time.Time) time.Duration {
+	known := n.byTarget[id]
+	if known == nil {
+		return 0
+	}
+	return max(0, known.restUntil.Sub(at))
+}
+
+// Seen takes in under which address a target is listed, and when its process started if that is
+// told. What an earlier process said does not hold for a later one.
+func (n *Notices) Seen(id, address string, started int64) {
+	known := n.byTarget[id]
+	if known == nil {
+		return
+	}
+	later := known.started > 0 && started > known.started
+	if known.started == 0 && started > known.lastSaid() {
+		later = true // It started after it had last spoken, so it was another that spoke.
+	}
+	if later || known.address != address {
+		delete(n.byTarget, id)
+	}
+}
+
+// lastSaid is when the target last said that it leaves, in Unix milliseconds. For a time of
+// rest, which ends by itself, the end counts.
+func (k *noted) lastSaid() int64 {
+	if k.leaving.IsZero() {
+		return k.restUntil.UnixMilli()
+	}
+	return k.leaving.UnixMilli()
+}
+
+// Trim forgets what holds no longer.
+func (n *Notices) Trim(at time.Time) {
+	for id, known := range n.byTarget {
+		if !known.leaves(at) && !at.Before(known.restUntil) {
+			delete(n.byTarget, id)
+		}
+	}
+}
--- /dev/null
+++ b/node/blackboard/target_notices.go
@@ -0,0 +1,75 @@
+package blackboard
+
+import (
+	"slices"
+	"time"
+
+	"doorstack.dev/core/forward"
+	"doorstack.dev/core/routing"
+)
+
+// Notice takes in what a target said of itself beside an answer, and tells whether it is news.
+func (t *TargetTable) Notice(id string, said forward.Notice, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[id]
+	if s == nil {
+		return false
+	}
+	news := t.notices.Take(id, s.address, s.started, said, at)
+	s.saidLeaving = t.notices.Leaves(id, at)
+	s.refresh(at)
+	return news
+}
+
+// Unwilling lists the targets of a pool that have told this daemon that they want no calls: those
+// that leave, which nobody else may know yet, and those that rest from this daemon's calls.
+func (t *TargetTable) Unwilling(pool string, at time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil || t.notices.Empty() {
+		return nil
+	}
+	var ids []string
+	for _, s := range p.states {
+		if s.saidLeaving || t.notices.Rests(s.id, at) > 0 {
+			ids = append(ids, s.id)
+		}
+	}
+	return ids
+}
+
+// RestLeft tells whether no live target of a pool takes a call before some time is over: those
+// that the call has not been to rest from this daemon's calls, or there are none and some of the
+// others rest. It returns the shortest such time.
+func (t *TargetTable) RestLeft(pool string, exclude []string, at time.Time) (left time.Duration, all bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil || t.notices.Empty() {
+		return 0, false
+	}
+	for _, s := range p.states {
+		if s.state() != routing.Live {
+			continue
+		}
+		rest := t.notices.Rests(s.id, at)
+		if rest == 0 && !slices.Contains(exclude, s.id) {
+			return 0, false
+		}
+		if rest > 0 && (left == 0 || rest < left) {
+			left = rest
+		}
+	}
+	return left, left > 0
+}
+
+// Willing tells whether this daemon itself would send to a target: it knows it, not as one that
+// leaves or has gone, and the target has not asked it for rest.
+func (t *TargetTable) Willing(id string, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[id]
+	return s != nil && s.state() == routing.Live && t.notices.Rests(id, at) == 0
+}
--- a/node/blackboard/target_pace.go
+++ b/node/blackboard/target_pace.go
@@ -46,8 +46,8 @@
 	return names
 }
 
-// LiveAddresses lists the live targets of a pool.
-func (t *TargetTable) LiveAddresses(pool string) []TargetAddress {
+// Askable lists the live targets of a pool that have not asked this daemon for rest.
+func (t *TargetTable) Askable(pool string, at time.Time) []TargetAddress {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pools[pool]
@@ -56,7 +56,7 @@
 	}
 	var list []TargetAddress
 	for _, s := range p.states {
-		if s.state() == routing.Live {
+		if s.state() == routing.Live && t.notices.Rests(s.id, at) == 0 {
 			list = append(list, TargetAddress{ID: s.id, Pool: pool, Address: s.address})
 		}
 	}
--- a/node/blackboard/target_remote.go
+++ b/node/blackboard/target_remote.go
@@ -64,15 +64,6 @@
 	return gone
 }
 
-// Sendable tells whether this daemon itself knows a target, and not as one that leaves
-// or has gone.
-func (t *TargetTable) Sendable(id string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.byID[id]
-	return s != nil && s.state() == routing.Live
-}
-
 // Calls lists the calls in progress of a pool, by the attempts' states that were
 // counted here.
 func (t *TargetTable) Calls(pool string, at time.Time) []CallState {
--- a/node/blackboard/target_start.go
+++ b/node/blackboard/target_start.go
@@ -53,6 +53,7 @@
 		id: s.id, address: s.address, started: incarnation, listed: s.listed,
 		pool: s.pool, index: s.index, calls: map[string]*ownCall{},
 	}
+	t.notices.Seen(id, s.address, incarnation)
 	fresh.pool.states[fresh.index] = fresh
 	t.byID[id] = fresh
 	// The calls of the earlier process end at its state, which no decision looks at.
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"doorstack.dev/core/admission"
+	"doorstack.dev/core/forward"
 	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
@@ -20,6 +21,7 @@
 	byID    map[string]*targetState
 	calls   map[string]*ownCall
 	scratch routing.Scratch
+	notices *forward.Notices
 }
 
 type targetPool struct {
@@ -63,27 +65,29 @@
 }
 
 type targetState struct {
-	id       string
-	address  string
-	started  int64 // when its process started, in Unix milliseconds; zero where it is not told
-	pool     *targetPool
-	index    int
-	listed   routing.State // the host list's word
-	silent   int           // reports missed in a row
-	leaving  bool          // the target's own word
-	report   target.LoadReport
-	reportAt time.Time    // when the report was true, by this daemon's clock
-	since    routing.Load // own work sent after reportAt
-	ended    routing.Load // own work ended after reportAt, sent before
-	calls    map[string]*ownCall
-	breaker  admission.Breaker
-	reserved string
-	failures int64
-	trouble  trouble
-	reading  readingState
-	setAside int64     // tokens of memory for calls that other targets answer
-	suspect  time.Time // until when nothing is sent to it, after it turned a call away
-	pace     pace
+	id      string
+	address string
+	started int64 // when its process started, in Unix milliseconds; zero where it is not told
+	pool    *targetPool
+	index   int
+	listed  routing.State // the host list's word
+	silent  int           // reports missed in a row
+	leaving bool          // the word of its last report
+	// saidLeaving is the target's word beside an answer to a call.
+	saidLeaving bool
+	report      target.LoadReport
+	reportAt    time.Time    // when the report was true, by this daemon's clock
+	since       routing.Load // own work sent after reportAt
+	ended       routing.Load // own work ended after reportAt, sent before
+	calls       map[string]*ownCall
+	breaker     admission.Breaker
+	reserved    string
+	failures    int64
+	trouble     trouble
+	reading     readingState
+	setAside    int64     // tokens of memory for calls that other targets answer
+	suspect     time.Time // until when nothing is sent to it, after it turned a call away
+	pace        pace
 }
 
 // trouble is a decaying count of failed calls.
@@ -120,7 +124,7 @@
 		mu:    NewMutex(RankTargets),
 		pools: map[string]*targetPool{},
 		byID:  map[string]*targetState{},
-		calls: map[string]*ownCall{},
+		calls: map[string]*ownCall{}, notices: forward.NewNotices(),
 	}
 }
 
@@ -129,6 +133,7 @@
 func (t *TargetTable) Sync(hosts []hostlist.Host, tree *settings.Tree, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.notices.Trim(at)
 	pools := map[string]*targetPool{}
 	byID := map[string]*targetState{}
 	for _, h := range hosts {
@@ -153,6 +158,8 @@
 			s = &targetState{id: h.ID, address: h.Address, calls: map[string]*ownCall{}}
 		}
 		s.started = max(s.started, h.Incarnation)
+		t.notices.Seen(h.ID, h.Address, h.Incarnation)
+		s.saidLeaving = t.notices.Leaves(h.ID, at)
 		s.listed = routing.Live
 		if h.State == hostlist.Leaving {
 			s.listed = routing.Leaving
@@ -218,7 +225,7 @@
 	switch {
 	case s.silent >= maxSilent:
 		return routing.Gone
-	case s.listed == routing.Leaving || s.leaving:
+	case s.listed == routing.Leaving || s.leaving || s.saidLeaving:
 		return routing.Leaving
 	default:
 		return routing.Live
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -188,7 +188,7 @@
 	if answer.Verdict == routing.Place && !p.sendable(answer) {
 		// The coordinator lags behind what is known here, which binds.
 		p.cluster.Record.Log.Info("placement is not followed", "request", t.Request.ID, "peer", c.name, "target", answer.Target,
-			"reason", "the target or a helper leaves or is not known here")
+			"reason", "the target or a helper leaves, rests or is not known here")
 		p.tell(c.name, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
 		return blackboard.Placement{}, false
 	}
@@ -204,12 +204,13 @@
 
 // sendable tells whether this daemon itself would send to all targets of a placement.
 func (p *Placements) sendable(a *placeAnswer) bool {
+	targets, now := p.cluster.Board.Targets, time.Now()
 	for _, h := range a.Helpers {
-		if !p.cluster.Board.Targets.Sendable(h.Target) {
+		if !targets.Willing(h.Target, now) {
 			return false
 		}
 	}
-	return p.cluster.Board.Targets.Sendable(a.Target)
+	return targets.Willing(a.Target, now)
 }
 
 // Why a coordinator counts as lost: it did not answer in time, or the link or the coordinator
--- a/node/controller/paces.go
+++ b/node/controller/paces.go
@@ -70,7 +70,7 @@
 			}
 			if c.Coordinates(pool) && time.Now().After(p.next) {
 				p.next = time.Now().Add(paceEvery)
-				c.askRound(ctx, p, c.Board.Targets.LiveAddresses(pool))
+				c.askRound(ctx, p, c.Board.Targets.Askable(pool, time.Now()))
 			}
 		}
 		Sleep(ctx, paceTick)
@@ -159,6 +159,7 @@
 		return forward.Report{}, err
 	}
 	defer c.Exchange.Close(reply)
+	c.Record.Notice(t.Pool, t.ID, reply.Said())
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxReport))
 	if err != nil {
 		return forward.Report{}, errors.Wrap(err, "read the report")
--- a/node/requestcontrol/place.go
+++ b/node/requestcontrol/place.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"doorstack.dev/core/admission"
+	"doorstack.dev/core/decision"
 	"doorstack.dev/core/fault"
 	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
@@ -19,15 +21,39 @@
 	if err := d.refuseQuarantined(r); err != nil {
 		return blackboard.Placement{}, err
 	}
-	placement, err := d.findPlace(ctx, r, attempt, retry, exclude)
-	if err != nil {
-		return placement, err
-	}
-	if err := d.refuseQuarantined(r); err != nil {
-		d.giveBack(r, &placement)
-		return blackboard.Placement{}, err
+	for {
+		if left, all := d.Board.Targets.RestLeft(r.Route.Pool.Name, exclude, time.Now()); all {
+			return blackboard.Placement{}, d.refuseResting(r, left)
+		}
+		placement, err := d.findPlace(ctx, r, attempt, retry, exclude)
+		if err != nil {
+			return placement, err
+		}
+		if err := d.refuseQuarantined(r); err != nil {
+			d.giveBack(r, &placement)
+			return blackboard.Placement{}, err
+		}
+		if d.willing(r, &placement) {
+			return placement, nil
+		}
+		d.giveBack(r, &placement) // A target spoke while the call waited; the next look leaves it out.
 	}
-	return placement, nil
+}
+
+// refuseResting refuses a call at once where every target has asked this daemon for rest.
+func (d *Director) refuseResting(r *Request, left time.Duration) error {
+	refusal := fault.New(fault.NoTarget, "all targets of pool "+r.Route.Pool.Name+" have asked this host for rest",
+		"send again after the time in Retry-After").WithRetry(left)
+	d.record(r, decision.Record{Kind: decision.KindRoute, Outcome: decision.OutcomeRefused, Reason: refusal.Error()})
+	return refusal
+}
+
+// willing tells whether no target of a placement has said that it wants no call.
+func (d *Director) willing(r *Request, p *blackboard.Placement) bool {
+	unwilling := d.Board.Targets.Unwilling(r.Route.Pool.Name, time.Now())
+	return !slices.ContainsFunc(unwilling, func(id string) bool {
+		return id == p.Decision.Chosen || slices.Contains(p.Decision.Helpers, id)
+	})
 }
 
 func (d *Director) findPlace(ctx context.Context, r *Request, attempt string, retry bool, exclude []string) (blackboard.Placement, error) {
@@ -91,6 +117,7 @@
 
 func (d *Director) ticket(r *Request, attempt string, retry bool, exclude []string) *blackboard.Ticket {
 	pool := r.Route.Pool
+	unwilling := d.Board.Targets.Unwilling(pool.Name, time.Now())
 	capacity := d.Board.Targets.Capacity(pool.Name, time.Now())
 	params := ParamsOf(pool, capacity, d.Board.Members.Sharers())
 	return &blackboard.Ticket{
@@ -104,7 +131,7 @@
 			PromptTokens: r.promptTokens,
 			OutputTokens: r.MaxTokens,
 			DataCentre:   d.Board.Self.DataCentre,
-			Exclude:      exclude,
+			Exclude:      slices.Concat(exclude, unwilling),
 			Seed:         seedOf(d.Board.Self.Name, attempt),
 			Goal:         r.goal().Seconds(),
 			GapGoal:      r.gapGoal().Seconds(),
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -42,6 +42,8 @@
 	Lag prometheus.Histogram
 	// Crashes counts the sends under which a target's connection ended.
 	Crashes *prometheus.CounterVec
+	// Notices counts what targets said of themselves.
+	Notices *prometheus.CounterVec
 	// CoordinatorLost counts the questions that a coordinator left unanswered.
 	CoordinatorLost *prometheus.CounterVec
 
@@ -108,11 +110,12 @@
 		Lag:             prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "lag_seconds", Help: "How long what arrives waits for the processor.", Buckets: prometheus.ExponentialBuckets(0.001, 3, 8)}),
 		CoordinatorLost: counter("coordinator_lost_total", "Questions for a place that the pool's coordinator left unanswered, by pool and reason.", "pool", "reason"),
 		Crashes:         counter("crashes_total", "Sends whose connection the target's end closed before the answer was whole, by pool.", "pool"),
+		Notices:         counter("target_notices_total", "Targets that said in an answer that they leave or want rest, by pool and word.", "pool", "notice"),
 		LinesLeftOut:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Silent, m.Decisions, m.Queue, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwanted, m.PeerWait, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
-		m.Orders, m.LinesLeftOut, m.Lag, m.CoordinatorLost, m.Crashes, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.Orders, m.LinesLeftOut, m.Lag, m.CoordinatorLost, m.Crashes, m.Notices, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
 	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
 	return m
