Failing test: copies of a call that ends its targets are called back

What would be seen: further targets end after the call has been found out, under copies that wait there.

--- a/node/onplatform/crashing_calls_test.go
+++ b/node/onplatform/crashing_calls_test.go
@@ -174,3 +174,47 @@
 		}
 	}
 }
+
+// TestCopiesOnTheirWayAreCalledBack: two targets have ended under a call, and six copies of it
+// wait at others when the third one ends. The five that are left would end five targets more.
+func TestCopiesOnTheirWayAreCalledBack(t *testing.T) {
+	const copies = 6
+	f := newFleet(t, 3, copies+2)
+	f.eventuallyAcquainted()
+	f.scriptAll(standin.Cut)
+	for range 2 {
+		f.do(f.askOf(f.daemons[0], unsafe, crashing))
+	}
+	arrived, mayCrash, calledBack := make(chan struct{}, copies), make(chan struct{}), make(chan struct{}, copies)
+	f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		arrived <- struct{}{}
+		select {
+		case <-mayCrash:
+			standin.Cut(w, r, c)
+		case <-r.Context().Done():
+			calledBack <- struct{}{}
+		}
+	})
+	var callers sync.WaitGroup
+	for i := range copies {
+		a := f.askOf(f.daemons[i%len(f.daemons)], unsafe, crashing)
+		callers.Go(func() {
+			if got := f.do(a); got.Status != 502 {
+				t.Errorf("the call may have run and got %d: %s", got.Status, got.Body)
+			}
+		})
+	}
+	for range copies {
+		<-arrived
+	}
+	mayCrash <- struct{}{}
+	within := time.After(knownWithin)
+	for back := range copies - 1 {
+		select {
+		case <-calledBack:
+		case <-within:
+			t.Fatalf("%d of %d copies were called back", back, copies-1)
+		}
+	}
+	callers.Wait()
+}
