Copies of a call that ends its targets are called back when that is found

What would be seen: further targets end under copies that wait there when the third end shows what the call does. Cause: a send under way was bound to its target's answer alone. Change: sends are noted by their call, and a quarantine, own or learned, ends those of its call; the target drops what it has not begun. Why it holds: the send is noted before its first byte, and the quarantine ends what is noted under the same lock; what is sent after that has asked the table.

--- a/node/blackboard/poison.go
+++ b/node/blackboard/poison.go
@@ -6,14 +6,48 @@
 	"doorstack.dev/core/poison"
 )
 
-// PoisonTable holds which requests end the targets that run them.
+// PoisonTable holds which requests end the targets that run them, and which sends are under way.
 type PoisonTable struct {
 	mu    Mutex
 	table *poison.Table
+	sends map[poison.Key]map[*send]bool
+}
+
+// send is a send that is under way.
+type send struct {
+	// callBack ends it.
+	callBack func()
 }
 
 func newPoisonTable() *PoisonTable {
-	return &PoisonTable{mu: NewMutex(RankPoison), table: poison.NewTable()}
+	return &PoisonTable{mu: NewMutex(RankPoison), table: poison.NewTable(), sends: map[poison.Key]map[*send]bool{}}
+}
+
+// Sent notes that a request is sent. callBack is called, under the table's lock, if it is
+// quarantined before the send has ended, which the function that is returned tells.
+func (t *PoisonTable) Sent(k poison.Key, callBack func()) (ended func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := &send{callBack}
+	if t.sends[k] == nil {
+		t.sends[k] = map[*send]bool{}
+	}
+	t.sends[k][s] = true
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.sends[k], s)
+		if len(t.sends[k]) == 0 {
+			delete(t.sends, k)
+		}
+	}
+}
+
+// callBack ends the sends of a request that has been quarantined; the lock is held.
+func (t *PoisonTable) callBack(k poison.Key) {
+	for s := range t.sends[k] {
+		s.callBack()
+	}
 }
 
 // Empty tells whether nothing is held against any request.
@@ -28,7 +62,11 @@
 func (t *PoisonTable) Crashed(c poison.Crash, at time.Time) (poison.Verdict, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.Crashed(c, at)
+	v, quarantined := t.table.Crashed(c, at)
+	if quarantined {
+		t.callBack(c.Request)
+	}
+	return v, quarantined
 }
 
 // Served takes in that a target has answered a request. It returns the verdict and true where
@@ -53,6 +91,9 @@
 	for _, v := range verdicts {
 		if next, isNew := t.table.Learn(v, at); isNew {
 			news = append(news, next)
+			if !next.Lifted {
+				t.callBack(next.Request)
+			}
 		}
 	}
 	return news
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -90,7 +90,7 @@
 // mayTryAgain decides whether a failed attempt is followed by another one.
 func (f *forwarding) mayTryAgain(ctx context.Context, err error) bool {
 	var typed *fault.Error
-	if errors.As(err, &typed) || errors.Is(err, errSink) || ctx.Err() != nil {
+	if errors.As(err, &typed) || errors.Is(err, errSink) || errors.Is(err, errQuarantined) || ctx.Err() != nil {
 		return false
 	}
 	if !f.progress.MayTryAgain() {
@@ -158,7 +158,7 @@
 	result := blackboard.CallSucceeded
 	switch {
 	case err == nil:
-	case ctx.Err() != nil || errors.Is(err, errSink) || errors.Is(err, errTurnedAway):
+	case ctx.Err() != nil || errors.Is(err, errSink) || errors.Is(err, errTurnedAway) || errors.Is(err, errQuarantined):
 		result = blackboard.CallCancelled
 	default:
 		result = blackboard.CallFailed
@@ -266,6 +266,7 @@
 	defer tickets.release(ctx)
 	watched, silence := f.watch(ctx, p)
 	defer silence.release()
+	defer d.watchForQuarantine(r, silence.cancel)()
 	f.watched = silence
 	reply, err := d.Exchange.Send(watched, p.Address, &call)
 	if err != nil {
--- a/node/requestcontrol/poison.go
+++ b/node/requestcontrol/poison.go
@@ -1,6 +1,7 @@
 package requestcontrol
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -9,6 +10,7 @@
 	"doorstack.dev/core/poison"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/target"
+	"github.com/go-faster/errors"
 )
 
 // A request under which target after target ends is not sent to another one, whoever sends it
@@ -55,6 +57,19 @@
 // out. Larger ones are prompts that no two callers share, and hashing them costs milliseconds.
 const smallRequest = 64 << 10
 
+// errQuarantined ends a send whose request has been quarantined meanwhile: it may still wait at
+// its target, which drops it when the connection closes.
+var errQuarantined = errors.New("the call was found to end its targets")
+
+// watchForQuarantine ends a send under way if its request is quarantined. The function that it
+// returns ends the watch.
+func (d *Director) watchForQuarantine(r *Request, cancel context.CancelCauseFunc) func() {
+	if r.size() > smallRequest && d.Board.Poison.Empty() {
+		return func() {}
+	}
+	return d.Board.Poison.Sent(r.poisonKey(), func() { cancel(errQuarantined) })
+}
+
 // noteAnswered notes that a target has lived through a request.
 func (d *Director) noteAnswered(r *Request) {
 	if r.size() > smallRequest && d.Board.Poison.Empty() {
--- a/node/requestcontrol/silence.go
+++ b/node/requestcontrol/silence.go
@@ -125,8 +125,8 @@
 	s.cancel(errSilent)
 }
 
-// stop ends the watch; err is how the attempt ended. It returns errSilent in its place
-// where that was the cause. The attempt's context goes on until release.
+// stop ends the watch; err is how the attempt ended. It returns errSilent or errQuarantined in
+// its place where that was the cause. The attempt's context goes on until release.
 func (s *silence) stop(ctx context.Context, err error) error {
 	s.mu.Lock()
 	if s.timer != nil {
@@ -134,7 +134,11 @@
 		s.timer = nil
 	}
 	s.mu.Unlock()
-	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+	switch cause := context.Cause(ctx); {
+	case err == nil:
+	case errors.Is(cause, errQuarantined):
+		err = errors.Wrap(errQuarantined, err.Error())
+	case errors.Is(cause, errSilent):
 		err = errors.Wrap(errSilent, fmt.Sprintf("%v; bounds %v to the first event, %v between two", err, s.patience.First, s.patience.Pause))
 	}
 	return err
