--- /dev/null
+++ b/node/onplatform/verdicts_test.go
@@ -0,0 +1,108 @@
+package onplatform
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"doorstack.dev/core/membership"
+	"doorstack.dev/core/poison"
+	"doorstack.dev/node/peer"
+)
+
+const (
+	// badCalls is how many calls end targets at one time.
+	badCalls = 10
+	// endsApart is the time between two ends under one call: it waits in a target's queue.
+	endsApart = 300 * time.Millisecond
+	// soundBeside is how many sound calls lose each target that ends.
+	soundBeside = 15
+)
+
+// crashAt plays at a daemon what it does when a target ends under a call.
+func (d *spreadDaemon) crashAt(c poison.Crash) {
+	v, quarantined := d.board.Poison.Crashed(c, time.Now())
+	d.cluster.Crashed(c)
+	if quarantined {
+		d.cluster.Spread(v)
+	}
+}
+
+// TestAVerdictIsKnownEverywhereInTime: ten calls end targets at once, each comes to another
+// daemon after each end, and sound calls stand beside them. All daemons know the ten within the
+// time that the users give, and none of the sound ones is held. FLEETS names other sizes of
+// fleet than those that every run plays.
+func TestAVerdictIsKnownEverywhereInTime(t *testing.T) {
+	for _, field := range strings.Fields(cmp.Or(os.Getenv("FLEETS"), "6 59")) {
+		size, err := strconv.Atoi(field)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(fmt.Sprint(size, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playBadCalls(t, size) })
+		})
+	}
+}
+
+func playBadCalls(t *testing.T, size int) {
+	strong := max(1, size/10)
+	f := startSpreadFleet(t, strong, size-strong, herdStarts)
+	defer f.close()
+	f.restart(func(int) bool { return true })
+	f.until("all others", func(d *spreadDaemon) bool {
+		known := 0
+		d.board.Members.View(func(members *membership.Table) { known = members.Size() })
+		return known == size
+	})
+	var bad, sound []poison.Key
+	for i := range badCalls {
+		bad = append(bad, poison.KeyOf("/a", fmt.Appendf(nil, "bad %d", i)))
+	}
+	for end := range 3 {
+		for i, k := range bad {
+			target := fmt.Sprintf("target %d of call %d", end, i)
+			f.daemons[(7*i+end)%size].crashAt(poison.Crash{Request: k, Target: target})
+			for n := range soundBeside {
+				beside := poison.KeyOf("/b", fmt.Appendf(nil, "sound %d %d %d", i, end, n))
+				sound = append(sound, beside)
+				f.daemons[(3*n+i)%size].crashAt(poison.Crash{Request: beside, Target: target})
+			}
+		}
+		if end < 2 {
+			pass(endsApart)
+		}
+	}
+	took := f.until("ten calls", func(d *spreadDaemon) bool {
+		for _, k := range bad {
+			if !d.board.Poison.Ask(k, time.Now()).Quarantined {
+				return false
+			}
+		}
+		return true
+	})
+	if took > knownWithin {
+		t.Errorf("all daemons know the calls %v after the third end, want %v at most", took, knownWithin)
+	}
+	most, frames := 0, int64(0)
+	for _, d := range f.daemons {
+		_, others := d.board.Poison.Counts()
+		most = max(most, others)
+		for _, k := range sound {
+			if d.board.Poison.Ask(k, time.Now()).Quarantined {
+				t.Fatalf("a sound call is held at %s", d.name)
+			}
+		}
+		for _, kind := range d.traffic(t) {
+			if kind.Kind == peer.KindCrash.String() || kind.Kind == peer.KindVerdicts.String() {
+				frames += kind.FramesOut
+			}
+		}
+	}
+	t.Logf("known everywhere after %v; %d frames a daemon for 30 ends under %d calls; %d sound calls remembered at most",
+		took, frames/int64(size), len(bad)+len(sound), most)
+}
