The calm fleet's test compares averages, not the daemon in the middle

What was seen: the test failed once, 1,144 bytes a second at 60 daemons against 834 at 20 (bound 1.3). Traced: what the middle daemon says goes by its number of links, which is drawn, in steps of some 104 bytes; of 110 plays of the untouched code the middle of 20 was 834 once, 936 to 1,041 else, that of 60 1,040 to 1,248, so 834 beside 1,144 is a draw that the code before gives too. Bound and budget stay; a share of the fleet in each message would still make it three times as much.

--- a/node/onplatform/calm_test.go
+++ b/node/onplatform/calm_test.go
@@ -20,42 +20,52 @@
 	calmFor = 10 * time.Second
 	// controlBudget is what a daemon may exchange for control, in bytes a second.
 	controlBudget = 6000
-	// calmGrowth is how much more the middle daemon of a fleet may say than that of one a
+	// calmGrowth is how much more a daemon of a fleet may say on average than one of a fleet a
 	// third of its size: a share of the fleet in each message would make it three times as much.
 	calmGrowth = 1.3
+	// smallestPlays is how often the smallest fleet is played: whom its daemons link to is drawn,
+	// and one link more or less is a tenth of what each of them says.
+	smallestPlays = 4
 	// allKinds stands for messages of every kind.
 	allKinds = "all"
 )
 
 // exchanged is what daemons send and receive in a calm second by one kind of message, in bytes.
 type exchanged struct {
-	kind            string
-	middle, busiest float64
+	kind             string
+	average, busiest float64
 }
 
 // TestACalmFleetSaysLittle: while nothing happens, what a daemon exchanges with the others does
-// not grow with the fleet. FLEETS names other sizes than those that every run plays, as in
-// FLEETS="30 100 300": 1,078, 1,183 and 1,183 bytes a second at the middle daemon, 1,720, 2,258
-// and 3,010 at the busiest, all of it heartbeats.
+// not grow with the fleet. FLEETS names other sizes than those that every run plays.
 func TestACalmFleetSaysLittle(t *testing.T) {
 	sizes := cmp.Or(os.Getenv("FLEETS"), "20 60")
-	smallest := 0.0
+	smallest := 0.0 // the average of the smallest fleet's plays
 	for _, field := range strings.Fields(sizes) {
 		size, err := strconv.Atoi(field)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Run(fmt.Sprint(size, " daemons"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				all := playCalm(t, size)
-				if all.busiest > controlBudget {
-					t.Errorf("the busiest daemon exchanges %.0f bytes a second, want %d at most", all.busiest, controlBudget)
-				}
-				smallest = cmp.Or(smallest, all.middle)
-				if all.middle > calmGrowth*smallest {
-					t.Errorf("the middle daemon exchanges %.0f bytes a second, that of the smallest fleet %.0f", all.middle, smallest)
-				}
-			})
+			plays, average := 1, 0.0
+			if smallest == 0 {
+				plays = smallestPlays
+			}
+			for range plays {
+				synctest.Test(t, func(t *testing.T) {
+					all := playCalm(t, size)
+					if all.busiest > controlBudget {
+						t.Errorf("the busiest daemon exchanges %.0f bytes a second, want %d at most", all.busiest, controlBudget)
+					}
+					average += all.average / float64(plays)
+				})
+			}
+			if smallest == 0 {
+				smallest = average
+			}
+			if average > calmGrowth*smallest {
+				t.Errorf("a daemon exchanges %.0f bytes a second on average, one of the smallest fleet %.0f", average, smallest)
+			}
 		})
 	}
 }
@@ -77,7 +87,7 @@
 	var all exchanged
 	for _, kind := range difference(before, f.exchangedSoFar()) {
 		if kind.busiest > 0 {
-			t.Logf("%-12s middle %6.0f, busiest %6.0f bytes a second", kind.kind, kind.middle, kind.busiest)
+			t.Logf("%-12s average %6.0f, busiest %6.0f bytes a second", kind.kind, kind.average, kind.busiest)
 		}
 		if kind.kind == allKinds {
 			all = kind
@@ -110,8 +120,11 @@
 	}
 	var list []exchanged
 	for kind, of := range rates {
-		slices.Sort(of)
-		list = append(list, exchanged{kind, of[len(of)/2], of[len(of)-1]})
+		sum := 0.0
+		for _, rate := range of {
+			sum += rate
+		}
+		list = append(list, exchanged{kind, sum / float64(len(of)), slices.Max(of)})
 	}
 	slices.SortFunc(list, func(a, b exchanged) int {
 		return cmp.Or(cmp.Compare(b.busiest, a.busiest), cmp.Compare(a.kind, b.kind))
