--- a/core/hostlist/hostlist.go
+++ b/core/hostlist/hostlist.go
@@ -45,8 +45,8 @@
 	// Slots is the number of calls that a target works on at once; zero where the
 	// list does not say.
 	Slots int `json:"slots,omitempty" cbor:"8,keyasint,omitempty"`
-	// Revision is the store's revision of the host's last change, in facts.
-	Revision int64 `json:"revision,omitempty" cbor:"9,keyasint,omitempty"`
+	// Revision is the store's position at the host's last change, in facts.
+	Revision Position `json:"revision,omitempty" cbor:"9,keyasint,omitempty"`
 	// Incarnation is when the process on the host started, in Unix milliseconds; zero where
 	// it is not told. A later process under the same id holds nothing of an earlier one.
 	Incarnation int64 `json:"incarnation,omitempty" cbor:"10,keyasint,omitempty"`
--- a/core/hostlist/incarnation_test.go
+++ b/core/hostlist/incarnation_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-func started(id string, revision, incarnation int64, state State) Host {
+func started(id string, revision Position, incarnation int64, state State) Host {
 	return Host{ID: id, Role: RoleTarget, Address: "10.0.0.1:80", Pool: "p", State: state, Revision: revision, Incarnation: incarnation}
 }
 
@@ -60,7 +60,7 @@
 		// earlier process may be written late.
 		var history []Host
 		highest := int64(0)
-		for revision := int64(1); revision <= 8; revision++ {
+		for revision := Position(1); revision <= 8; revision++ {
 			incarnation := int64(rapid.IntRange(1, 4).Draw(t, "start"))
 			highest = max(highest, incarnation)
 			history = append(history, started("a", revision, incarnation, Live))
--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -10,14 +10,14 @@
 // list does not hold such hosts.
 const Gone State = "gone"
 
-// Facts are what a store or a peer says of hosts. Each host carries the revision at
+// Facts are what a store or a peer says of hosts. Each host carries the position at
 // which the store last changed its entry, so facts may come in any order, twice, and
 // from several sides.
 type Facts struct {
 	// Whole means that a host without a fact here has no entry as of AsOf.
 	Whole bool `cbor:"1,keyasint,omitempty"`
-	// AsOf is the store's revision up to which the facts are complete.
-	AsOf int64 `cbor:"2,keyasint"`
+	// AsOf is the store's position up to which the facts are complete.
+	AsOf Position `cbor:"2,keyasint"`
 	// Hosts are the facts; a host of state Gone has been removed.
 	Hosts []Host `cbor:"3,keyasint"`
 	// Confirmed means that removals are not in doubt: a peer tells of no others.
@@ -31,9 +31,9 @@
 // listed, and counts as gone only if no newer fact brings it back.
 type Table struct {
 	entries  map[string]*entry
-	revision int64
-	// whole is the revision of the last read of the whole list.
-	whole int64
+	revision Position
+	// whole is the position of the last read of the whole list.
+	whole Position
 	// away is true while the store does not answer; back is when it last returned.
 	away bool
 	back time.Time
@@ -43,7 +43,7 @@
 	host Host
 	// removed is the revision of a removal in doubt, and doubtUntil when it counts;
 	// both are zero where there is no doubt.
-	removed    int64
+	removed    Position
 	doubtUntil time.Time
 	// goneAt is when the removal was learned.
 	goneAt time.Time
@@ -71,7 +71,7 @@
 // Revision is the revision up to which all facts are known and count; a peer with a
 // lower one lacks news. A removal in doubt does not count yet, and a peer that was not
 // cut off from the store may know better.
-func (t *Table) Revision() int64 {
+func (t *Table) Revision() Position {
 	revision := t.revision
 	for _, e := range t.entries {
 		if e.removed > 0 {
@@ -84,6 +84,10 @@
 // ReadWhole tells whether the whole list has been read from the store itself.
 func (t *Table) ReadWhole() bool { return t.whole > 0 }
 
+// MayBeCopy tells whether the store has come back from an older copy before, so that what was
+// read from it alone may be older than what others know.
+func (t *Table) MayBeCopy() bool { return t.whole.Era() > FirstEra }
+
 // Away tells whether the store is known to be away.
 func (t *Table) Away() bool { return t.away }
 
@@ -102,6 +106,9 @@
 // Merge takes facts in and tells whether the list of hosts has changed.
 func (t *Table) Merge(f Facts, now time.Time) bool {
 	changed := false
+	if f.Whole && t.whole > 0 && f.AsOf.Era() > t.whole.Era() {
+		t.back = now // What the copy lacks is written again, as after an outage.
+	}
 	t.remember(f.Hosts, now)
 	removals := t.removals(f)
 	doubt := t.doubt(len(removals), now)
@@ -109,7 +116,7 @@
 		doubt = time.Time{}
 	}
 	for _, h := range f.Hosts {
-		if h.State != Gone && t.add(h, now) {
+		if h.State != Gone && t.add(h, &f, now) {
 			changed = true
 		}
 	}
@@ -117,22 +124,29 @@
 		t.remove(h, doubt, now)
 		changed = changed || doubt.IsZero()
 	}
+	complete := f.completeTo(len(removals) > 0 && !doubt.IsZero() || t.lacksLost(&f))
 	if f.Whole {
 		t.whole = max(t.whole, f.AsOf)
 	}
-	t.revision = max(t.revision, f.completeTo(doubt))
+	t.revision = max(t.revision, complete)
 	return changed
 }
 
-// completeTo is the revision up to which nothing is missing in facts whose removals are in
-// doubt until then. A peer withholds removals that it doubts but tells of later changes, so
+// lacksLost tells whether facts may lack what was lost when the store came back from a copy: the
+// first read of a daemon that has not seen the time before.
+func (t *Table) lacksLost(f *Facts) bool {
+	return f.Whole && t.whole == 0 && f.AsOf.Era() > FirstEra && !f.AsOf.isConfirmed()
+}
+
+// completeTo is the position up to which nothing is missing in facts of which something is in
+// doubt or not. A peer withholds removals that it doubts but tells of later changes, so
 // only its own word counts; the store's changes come in order, and what is in doubt of them
 // is taken off by Revision.
-func (f *Facts) completeTo(doubt time.Time) int64 {
-	if f.Confirmed || f.Whole && doubt.IsZero() {
+func (f *Facts) completeTo(doubtful bool) Position {
+	if f.Confirmed || f.Whole && !doubtful {
 		return f.AsOf
 	}
-	newest := int64(0)
+	newest := Position(0)
 	for _, h := range f.Hosts {
 		newest = max(newest, h.Revision)
 	}
@@ -205,7 +219,10 @@
 
 // add takes a host's entry in. One that a later read of the whole did not list is gone,
 // or, around an outage, in doubt like other removals.
-func (t *Table) add(h Host, now time.Time) bool {
+func (t *Table) add(h Host, f *Facts, now time.Time) bool {
+	if f.Whole {
+		return t.putListed(h, f.AsOf)
+	}
 	if t.entries[h.ID] != nil || h.Revision > t.whole {
 		return t.put(h)
 	}
@@ -218,6 +235,35 @@
 	return true
 }
 
+// putListed takes over an entry of a read of the whole. One that was changed before what is
+// known here, and was not known all the same, counts from the read on: peers that know as much
+// would not ask for it by its own position.
+func (t *Table) putListed(h Host, asOf Position) bool {
+	mayBeOld := h.Revision.Era() < asOf.Era()
+	if mayBeOld && t.entries[h.ID] == nil && h.Revision <= t.whole {
+		return false // A read after that did not list it, so most likely it has ended.
+	}
+	known := h.Revision <= t.revision
+	if !t.put(h) {
+		return mayBeOld && t.putLeaving(h, asOf)
+	}
+	if known {
+		t.entries[h.ID].host.Revision = max(h.Revision, asOf)
+	}
+	return true
+}
+
+// putLeaving takes over that a target leaves from an entry that may be older than what is known,
+// or may have been written again after the store's return: no process takes that word back.
+func (t *Table) putLeaving(h Host, asOf Position) bool {
+	e := t.entries[h.ID]
+	if h.State != Leaving || e.host.State != Live || h.Incarnation < e.host.Incarnation {
+		return false
+	}
+	e.host.State, e.host.Revision = Leaving, asOf
+	return true
+}
+
 // put takes over a host's entry if it is newer.
 func (t *Table) put(h Host) bool {
 	e := t.entries[h.ID]
@@ -250,6 +296,9 @@
 	switch {
 	case h.Incarnation == 0:
 		h.Incarnation = known.Incarnation
+		h.State = afterReturn(known, h)
+	case h.Incarnation == known.Incarnation:
+		h.State = afterReturn(known, h)
 	case h.Incarnation < known.Incarnation:
 		late := h
 		h = known
@@ -261,6 +310,16 @@
 	return h
 }
 
+// afterReturn is the state that a newer entry gives a process. A store that came back from an
+// older copy lists a process as it was before it said that it leaves, under its old revision.
+func afterReturn(known, h Host) State {
+	lost := h.Revision.Era() > known.Revision.Era() && h.Revision.Revision() <= known.Revision.Revision()
+	if lost && known.State == Leaving {
+		return Leaving
+	}
+	return h.State
+}
+
 // remove marks a host as gone, or as removed in doubt, which leaves it listed.
 func (t *Table) remove(h Host, doubt, now time.Time) {
 	e := t.entries[h.ID]
@@ -275,7 +334,7 @@
 }
 
 // confirm makes a removal count.
-func (t *Table) confirm(e *entry, revision int64, now time.Time) {
+func (t *Table) confirm(e *entry, revision Position, now time.Time) {
 	e.host.State, e.host.Revision, e.goneAt = Gone, revision, now
 	e.removed, e.doubtUntil = 0, time.Time{}
 }
@@ -312,9 +371,9 @@
 	return hosts
 }
 
-// Since lists the facts above a revision, removals included, for a peer. A removal in
+// Since lists the facts above a position, removals included, for a peer. A removal in
 // doubt is not told yet.
-func (t *Table) Since(revision int64) Facts {
+func (t *Table) Since(revision Position) Facts {
 	f := Facts{AsOf: t.Revision(), Confirmed: true}
 	for _, e := range t.entries {
 		if e.host.Revision > revision {
--- a/core/hostlist/table_test.go
+++ b/core/hostlist/table_test.go
@@ -11,11 +11,11 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func live(id string, revision int64) Host {
+func live(id string, revision Position) Host {
 	return Host{ID: id, State: Live, Address: "10.0.0.1:80", Revision: revision}
 }
 
-func gone(id string, revision int64) Host { return Host{ID: id, State: Gone, Revision: revision} }
+func gone(id string, revision Position) Host { return Host{ID: id, State: Gone, Revision: revision} }
 
 func names(t *Table) string {
 	var list []string
@@ -84,8 +84,8 @@
 	table := NewTable()
 	var hosts, removals []Host
 	for i := range 8 {
-		hosts = append(hosts, live(fmt.Sprint("h", i), int64(i+1)))
-		removals = append(removals, gone(fmt.Sprint("h", i), int64(i+20)))
+		hosts = append(hosts, live(fmt.Sprint("h", i), Position(i+1)))
+		removals = append(removals, gone(fmt.Sprint("h", i), Position(i+20)))
 	}
 	table.Merge(Facts{Whole: true, AsOf: 8, Hosts: hosts}, epoch)
 	now := epoch.Add(time.Minute)
@@ -109,9 +109,9 @@
 	facts := Facts{Whole: true, AsOf: 67}
 	var removals []Host
 	for i := range 67 {
-		facts.Hosts = append(facts.Hosts, live(fmt.Sprint("h", i), int64(i+1)))
+		facts.Hosts = append(facts.Hosts, live(fmt.Sprint("h", i), Position(i+1)))
 		if i < 7 {
-			removals = append(removals, gone(fmt.Sprint("h", i), int64(i+100)))
+			removals = append(removals, gone(fmt.Sprint("h", i), Position(i+100)))
 		}
 	}
 	table.Merge(facts, epoch)
@@ -166,7 +166,7 @@
 func TestFactsInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var facts []Host
-		for revision := int64(1); revision <= 12; revision++ {
+		for revision := Position(1); revision <= 12; revision++ {
 			h := live(fmt.Sprint("h", rapid.IntRange(0, 3).Draw(t, "host")), revision)
 			h.State = rapid.SampledFrom([]State{Live, Leaving, Gone}).Draw(t, "state")
 			facts = append(facts, h)
--- a/node/blackboard/directory.go
+++ b/node/blackboard/directory.go
@@ -24,15 +24,15 @@
 	f(t.table)
 }
 
-// Revision is the highest revision of a fact.
-func (t *DirectoryTable) Revision() int64 {
+// Revision is the position up to which all facts are known.
+func (t *DirectoryTable) Revision() hostlist.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.table.Revision()
 }
 
-// Since lists the facts above a revision, for a peer.
-func (t *DirectoryTable) Since(revision int64) hostlist.Facts {
+// Since lists the facts above a position, for a peer.
+func (t *DirectoryTable) Since(revision hostlist.Position) hostlist.Facts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.table.Since(revision)
@@ -61,7 +61,7 @@
 // syncDirectory takes the directory's list to the tables that work with it.
 func (b *Blackboard) syncDirectory(at time.Time) {
 	list := hostlist.List{AsOf: at}
-	b.Directory.View(func(t *hostlist.Table) { list.Hosts, list.Revision = t.Hosts(), t.Revision() })
+	b.Directory.View(func(t *hostlist.Table) { list.Hosts, list.Revision = t.Hosts(), int64(t.Revision()) })
 	b.Members.SetTargets(list, at)
 	b.SyncTargets()
 }
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -68,7 +68,7 @@
 		verdictsTold: map[string]time.Time{},
 	}
 	c.settingsNews = c.newFollower(func(h heartbeatNews) int64 { return h.revision }, c.revision, c.catchUp)
-	c.targetNews = c.newFollower(func(h heartbeatNews) int64 { return h.targets }, board.Directory.Revision, c.catchUpTargets)
+	c.targetNews = c.newFollower(func(h heartbeatNews) int64 { return int64(h.targets) }, func() int64 { return int64(board.Directory.Revision()) }, c.catchUpTargets)
 	c.Placements = newPlacements(c)
 	hub.Handle(peer.KindPlace, peer.Serve(c.Placements.servePlace))
 	hub.Handle(peer.KindPlaced, peer.Serve(c.Placements.servePlaced))
@@ -85,7 +85,7 @@
 	hub.Handle(peer.KindRenew, peer.Serve(c.serveRenew))
 	hub.Handle(peer.KindHoldings, peer.Serve(c.serveHoldings))
 	hub.Handle(peer.KindJoin, peer.Serve(c.serveJoin))
-	hub.Handle(peer.KindTargets, peer.Serve(c.serveTargets))
+	hub.Handle(peer.KindFacts, peer.Serve(c.serveTargets))
 	hub.Handle(peer.KindAcquire, peer.Serve(c.serveAcquire))
 	hub.Handle(peer.KindCrash, peer.Serve(c.serveCrash))
 	hub.Handle(peer.KindVerdicts, peer.Serve(c.serveVerdicts))
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -27,8 +27,9 @@
 	Started int64 `cbor:"5,keyasint,omitempty"`
 	// Digest identifies who is alive in an open fleet, as the sender knows it.
 	Digest uint64 `cbor:"6,keyasint,omitempty"`
-	// Targets is the revision of the sender's newest fact of a target.
-	Targets int64 `cbor:"7,keyasint,omitempty"`
+	// Targets is the position up to which the sender knows all facts of targets. Field 7 held
+	// bare revisions, which do not compare with positions.
+	Targets hostlist.Position `cbor:"9,keyasint,omitempty"`
 	// Verdicts identifies what the sender holds of requests that end their targets.
 	Verdicts uint64 `cbor:"8,keyasint,omitempty"`
 }
@@ -247,7 +248,7 @@
 		return false
 	}
 	read := false
-	c.Board.Directory.View(func(t *hostlist.Table) { read = t.ReadWhole() })
+	c.Board.Directory.View(func(t *hostlist.Table) { read = t.ReadWhole() && !t.MayBeCopy() })
 	return read
 }
 
--- a/node/cluster/news.go
+++ b/node/cluster/news.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"doorstack.dev/core/hostlist"
 	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
 )
@@ -28,7 +29,7 @@
 type heartbeatNews struct {
 	from     string
 	revision int64
-	targets  int64
+	targets  hostlist.Position
 	// silent is true where the peer did not answer.
 	silent bool
 }
--- a/node/cluster/news_test.go
+++ b/node/cluster/news_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
@@ -21,7 +22,7 @@
 func TestNewsDoesNotPileUp(t *testing.T) {
 	c := newCoordinator(t, 1).cluster
 	for i := range 20 {
-		h := heartbeatNews{from: "a", revision: int64(i), targets: int64(100 - i)}
+		h := heartbeatNews{from: "a", revision: int64(i), targets: hostlist.Position(100 - i)}
 		c.settingsNews.tell(h)
 		c.targetNews.tell(h)
 	}
@@ -42,7 +43,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		for i, name := range []string{"a", "b", "c"} {
-			c.heard <- heartbeatNews{from: name, revision: int64(i), targets: int64(i)}
+			c.heard <- heartbeatNews{from: name, revision: int64(i), targets: hostlist.Position(i)}
 		}
 		go c.compareLoop(ctx)
 		synctest.Wait()
--- a/node/cluster/targetnews.go
+++ b/node/cluster/targetnews.go
@@ -7,9 +7,9 @@
 	"doorstack.dev/node/peer"
 )
 
-// targetsRequest asks for the facts of targets above a revision.
+// targetsRequest asks for the facts of targets above a position.
 type targetsRequest struct {
-	Since int64 `cbor:"1,keyasint"`
+	Since hostlist.Position `cbor:"1,keyasint"`
 }
 
 func (c *Cluster) serveTargets(_ context.Context, _ string, in targetsRequest) (hostlist.Facts, error) {
@@ -27,8 +27,8 @@
 		return
 	}
 	var facts hostlist.Facts
-	if err := c.targetNews.fetch(ctx, h.from, peer.KindTargets, targetsRequest{Since: own}, &facts); err != nil {
-		c.Record.Log.Warn("targets could not be fetched from a peer", "peer", h.from, "revision", h.targets, "error", err.Error())
+	if err := c.targetNews.fetch(ctx, h.from, peer.KindFacts, targetsRequest{Since: own}, &facts); err != nil {
+		c.Record.Log.Warn("targets could not be fetched from a peer", "peer", h.from, "revision", h.targets.String(), "error", err.Error())
 		return
 	}
 	c.Directory.MergeFrom(h.from, facts)
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -34,6 +34,8 @@
 
 	// busy counts the reads in a row that brought news.
 	busy int
+	// era is the store's when it last answered.
+	era int64
 }
 
 const (
@@ -126,8 +128,9 @@
 	returned := false
 	c.Board.Directory.View(func(t *hostlist.Table) { returned = t.StoreAnswered(now) })
 	if returned {
-		c.Record.Log.Info("dependency is back", "dependency", "store", "revision", facts.AsOf)
+		c.Record.Log.Info("dependency is back", "dependency", "store", "revision", facts.AsOf.String())
 	}
+	c.noteEra(facts.AsOf)
 	c.merge(facts, "store", now)
 	if len(facts.Hosts) == 0 {
 		c.busy = 0
@@ -138,6 +141,16 @@
 	return true
 }
 
+// noteEra tells of a store that came back from an older copy. What is believed of targets goes
+// by the positions of facts; settings never go back.
+func (c *Directory) noteEra(at hostlist.Position) {
+	if at.Era() > c.era && c.era > 0 {
+		c.Record.Metrics.StoreReturns.Inc()
+		c.Record.Log.Warn("the store came back from an older copy", "era", at.Era(), "before", c.era, "revision", at.Revision())
+	}
+	c.era = max(c.era, at.Era())
+}
+
 // gatherFor is the pause after news that so many calls with news came before.
 func gatherFor(busy int) time.Duration {
 	pause := gather
@@ -187,10 +200,10 @@
 			continue
 		}
 		c.Record.Log.Info("target", "target", h.ID, "state", string(h.State), "address", h.Address, "pool", h.Pool,
-			"revision", h.Revision, "incarnation", h.Incarnation, "from", from)
+			"revision", h.Revision.String(), "incarnation", h.Incarnation, "from", from)
 	}
 	if len(living) > 0 {
-		c.Record.Log.Info("target", "targets", living, "state", string(hostlist.Live), "revision", facts.AsOf, "from", from)
+		c.Record.Log.Info("target", "targets", living, "state", string(hostlist.Live), "revision", facts.AsOf.String(), "from", from)
 	}
 }
 
--- a/node/controller/directory_test.go
+++ b/node/controller/directory_test.go
@@ -87,7 +87,7 @@
 	if len(s.called) == s.calls {
 		s.enough()
 	}
-	revision := int64(len(s.called))
+	revision := hostlist.Position(len(s.called))
 	return hostlist.Facts{AsOf: revision, Hosts: []hostlist.Host{{ID: "a", State: hostlist.Live, Address: "10.0.0.1:1", Revision: revision}}}, nil
 }
 
--- a/node/onplatform/restored_store_test.go
+++ b/node/onplatform/restored_store_test.go
@@ -69,9 +69,12 @@
 	late := f.addDaemon(2) // It reads the whole list at a revision that is given out again.
 	f.eventually("the late daemon serves", func() bool { return f.ready(late) && f.slotsOf(late, "t4") == 5 })
 	f.store.Restore(older)
+	for _, d := range f.daemons {
+		f.eventually("the copy is read", func() bool { return d.Board.Directory.Revision().Era() == 2 })
+	}
 	fresh := f.addTarget("t5", plain, 6)
-	f.allBelieve("t5", routing.Live)
 	f.store.PutTarget(f.targets["t4"], plain, "draining", 6)
+	f.allBelieve("t5", routing.Live)
 	f.allBelieve("t4", routing.Leaving)
 	for _, d := range f.daemons {
 		if got := f.stateOf(d, "t2"); got == routing.Live {
--- a/node/onplatform/spread_test.go
+++ b/node/onplatform/spread_test.go
@@ -220,7 +220,7 @@
 }
 
 // leave tells the daemons that watch the store that a target leaves.
-func (f *spreadFleet) leave(id string, revision int64) {
+func (f *spreadFleet) leave(id string, revision hostlist.Position) {
 	for _, d := range f.daemons {
 		if f.watches(d) {
 			f.tell(d, id, revision)
@@ -229,7 +229,7 @@
 }
 
 // tell gives one daemon the store's word that a target leaves.
-func (f *spreadFleet) tell(d *spreadDaemon, id string, revision int64) {
+func (f *spreadFleet) tell(d *spreadDaemon, id string, revision hostlist.Position) {
 	d.directory.MergeFrom("store", hostlist.Facts{AsOf: revision, Confirmed: true, Hosts: []hostlist.Host{{
 		ID: id, Role: hostlist.RoleTarget, Address: "10.1.0.1:1", Pool: "svc", State: hostlist.Leaving, Revision: revision,
 	}}})
@@ -316,8 +316,8 @@
 	var waiting sync.WaitGroup
 	waiting.Go(func() {
 		pass(300 * time.Millisecond)
-		f.leave(target, version)
-		leaving = f.until(target+" leaves", func(d *spreadDaemon) bool { return d.board.Directory.Revision() >= version })
+		f.leave(target, hostlist.Position(version))
+		leaving = f.until(target+" leaves", func(d *spreadDaemon) bool { return d.board.Directory.Revision() >= hostlist.Position(version) })
 	})
 	took := f.until(what, func(d *spreadDaemon) bool { return revisionOf(d) >= version })
 	waiting.Wait()
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -42,6 +42,7 @@
 	KindDigests   Kind = 22
 	KindCrash     Kind = 23
 	KindVerdicts  Kind = 24
+	KindFacts     Kind = 25
 )
 
 var kindNames = map[Kind]string{
@@ -52,7 +53,7 @@
 	KindJoin: "join", KindTargets: "targets",
 	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
 	KindChanges: "settings_changes", KindDigests: "digests",
-	KindCrash: "crash", KindVerdicts: "verdicts",
+	KindCrash: "crash", KindVerdicts: "verdicts", KindFacts: "facts",
 }
 
 // String names the kind for metrics.
