Failing tests: sound calls that outlive a wave of dying targets

What callers would see: a call that many send alike (one body) refused by all daemons for ten minutes, after targets died one after the other under it and came back.

--- a/node/onplatform/crashing_calls_test.go
+++ b/node/onplatform/crashing_calls_test.go
@@ -218,3 +218,44 @@
 	}
 	callers.Wait()
 }
+
+// TestASoundCallThatManySendOutlivesItsTargets: all targets end one after the other, several
+// times, under a call that every caller sends alike; then they live. Seen in a soak: the call
+// was refused by all daemons for ten minutes.
+func TestASoundCallThatManySendOutlivesItsTargets(t *testing.T) {
+	const recovered = 12 * time.Second // The time that the users give a fleet whose hosts are back.
+	f := newFleet(t, 3, 3)
+	f.eventuallyAcquainted()
+	for _, d := range f.daemons {
+		if got := f.do(f.askOf(d, safe, beside)); got.Status != 200 {
+			t.Fatalf("%+v", got)
+		}
+	}
+	f.scriptAll(standin.Cut)
+	for range 5 {
+		for _, d := range f.daemons {
+			f.do(f.askOf(d, safe, beside))
+		}
+	}
+	f.scriptAll(standin.Succeed("ok"))
+	began := time.Now()
+	for _, d := range f.daemons {
+		f.eventually("the call served by "+d.boot.Name, func() bool { return f.do(f.askOf(d, safe, beside)).Status == 200 })
+	}
+	if took := time.Since(began); took > recovered {
+		t.Errorf("served after %v", took)
+	}
+}
+
+// TestACallThatIsTakenForACrashingOneComesBack: no target had answered it before, and three died by
+// chance. One trial shows that it is sound, and all daemons serve it again.
+func TestACallThatIsTakenForACrashingOneComesBack(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	f.eventuallyAcquainted()
+	f.scriptAll(standin.Cut)
+	f.eventually("the call is refused", func() bool { return f.allRefuse(safe, beside) })
+	f.scriptAll(standin.Succeed("ok"))
+	for _, d := range f.daemons {
+		f.eventually("the call served by "+d.boot.Name, func() bool { return f.do(f.askOf(d, safe, beside)).Status == 200 })
+	}
+}
