A sound call that many send alike outlives a wave of dying targets

Callers would have seen a call refused by all daemons for ten minutes, after targets had died one after the other under it and come back. Cause: an answer counted for a call only until the next end under it, and a quarantine was never tried. Change: for a minute after an answer no end counts; a quarantined call is tried once after 5 s, 30 s, 3 min and so on, by one daemon of all. Why it holds: what ends every target that runs it is never answered, so nothing protects it, and a trial costs one target.

--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -24,8 +24,15 @@
 	// keepFor is how long a request is remembered after the last end under it, and a
 	// quarantined one after the last time that somebody asked for it.
 	keepFor = 10 * time.Minute
-	// soundFor is how long an answer shows that a request is sound.
+	// soundFor is how long an answer shows that a request is sound. Many callers may send the
+	// same one, under which targets then die as they do under any other.
 	soundFor = time.Minute
+	// firstTrial is when a quarantined request may be sent once more, to show that its targets
+	// died by chance, and trialGrowth how many times as long each further trial takes. A trial
+	// that is not heard of again within trialMost may be repeated.
+	firstTrial  = 5 * time.Second
+	trialGrowth = 6
+	trialMost   = 30 * time.Second
 	// maxRequests bounds the requests remembered, maxOfAccount those of one account: one
 	// that invents requests drives out only its own.
 	maxRequests  = 4096
@@ -47,9 +54,21 @@
 type Standing struct {
 	// Suspected means that a target has ended under it.
 	Suspected bool
-	// Quarantined requests are refused, for so long if nobody asks for them again.
+	// Quarantined requests are refused. Left is the time until the next trial, or until the
+	// quarantine ends if nobody asks again.
 	Quarantined bool
 	Left        time.Duration
+	// Due means that a quarantined request may be tried once more, by one daemon of all.
+	Due bool
+}
+
+// Finding is what the end of a target under a request leads to.
+type Finding struct {
+	// Counted ends are held against the request.
+	Counted bool
+	// Quarantined means that the request is refused from now on; Verdict is what to tell.
+	Quarantined bool
+	Verdict     Verdict
 }
 
 // Verdict is what the fleet holds of a request under which targets ended. Daemons tell each
@@ -57,7 +76,8 @@
 // quarantine that it was lifted.
 type Verdict struct {
 	Request Key `cbor:"1,keyasint"`
-	// Count is how often the request has been quarantined, this time included.
+	// Count is how often the request has been quarantined, this time included. A trial that
+	// ended one more target counts.
 	Count uint32 `cbor:"2,keyasint"`
 	// Lifted means that a target has answered the request since, so that it is sound.
 	Lifted bool `cbor:"3,keyasint,omitempty"`
@@ -85,6 +105,8 @@
 	count  uint32 // see Verdict
 	lifted bool
 	last   time.Time // when the record was last of use
+	// since is when this daemon learned of the quarantine, and trial when it let one through.
+	since, trial time.Time
 }
 
 // end is the end of a target under a request.
@@ -107,22 +129,51 @@
 // Empty tells whether nothing is held against any request.
 func (t *Table) Empty() bool { return len(t.records) == 0 }
 
-// Crashed takes in that a target has ended under a request. It returns the verdict and true
-// where the request is quarantined by that.
-func (t *Table) Crashed(c Crash, now time.Time) (Verdict, bool) {
+// Crashed takes in that a target has ended under a request. One that was answered lately
+// is not to blame.
+func (t *Table) Crashed(c Crash, now time.Time) Finding {
 	k := c.Request
-	t.served.forget(k)
+	if t.served.has(k, now) {
+		return Finding{}
+	}
 	r := t.record(k, now)
 	r.last = now
-	if r.quarantined() || !r.add(end{c.Target, now, c.Repeat}) {
-		return Verdict{}, false
+	if r.quarantined() {
+		return r.tried(k, now)
+	}
+	if !r.add(end{c.Target, now, c.Repeat}) {
+		return Finding{Counted: true}
 	}
 	r.ends = slices.DeleteFunc(r.ends, func(e end) bool { return now.Sub(e.at) > keepFor })
 	if len(r.ends) < quarantineAfter || r.moments() < leastMoments {
-		return Verdict{}, false
+		return Finding{Counted: true}
 	}
-	r.count, r.lifted, r.ends = r.count+1, false, nil
-	return r.verdict(k, now), true
+	return r.quarantine(k, now)
+}
+
+// quarantine begins a quarantine, or the next one.
+func (r *record) quarantine(k Key, now time.Time) Finding {
+	r.count++
+	r.lifted, r.ends, r.since, r.trial = false, nil, now, time.Time{}
+	return Finding{Counted: true, Quarantined: true, Verdict: r.verdict(k, now)}
+}
+
+// tried takes in an end under a quarantined request: that of a trial begins the next quarantine;
+// others are of copies that were on their way.
+func (r *record) tried(k Key, now time.Time) Finding {
+	if r.trial.IsZero() {
+		return Finding{Counted: true}
+	}
+	return r.quarantine(k, now)
+}
+
+// untilTrial is the time until the request may be tried.
+func (r *record) untilTrial(now time.Time) time.Duration {
+	wait := firstTrial
+	for n := uint32(1); n < r.count && wait < keepFor; n++ {
+		wait *= trialGrowth
+	}
+	return r.since.Add(wait).Sub(now)
 }
 
 // add notes an end in order of time, and tells whether it is another one than those known.
@@ -181,13 +232,31 @@
 		return Standing{Suspected: len(r.ends) > 0}
 	}
 	r.last = now
-	return Standing{Suspected: true, Quarantined: true, Left: keepFor}
+	left := r.untilTrial(now)
+	return Standing{Suspected: true, Quarantined: true, Left: max(firstTrial, left), Due: left <= 0}
+}
+
+// Try tells whether a quarantined request may be sent this once, and notes that it is. Of all
+// daemons one is asked; whoever sends the request notes its word by Grant.
+func (t *Table) Try(k Key, now time.Time) bool {
+	r := t.records[k]
+	if r == nil || !r.quarantined() || r.untilTrial(now) > 0 || now.Sub(r.trial) < trialMost {
+		return false
+	}
+	r.trial = now
+	return true
+}
+
+// Grant notes that this daemon sends a quarantined request once, on another one's word.
+func (t *Table) Grant(k Key, now time.Time) {
+	if r := t.records[k]; r != nil {
+		r.trial = now
+	}
 }
 
 // Learn takes in another daemon's verdict. It returns true, with the verdict to pass on,
 // where that is news. A quarantine of a request that this daemon has had an answer to lately
-// is lifted instead: many callers may send the same sound request, and others than this one
-// cannot know that it was served here.
+// is lifted instead: others than this one cannot know that it was served here.
 func (t *Table) Learn(v Verdict, now time.Time) (Verdict, bool) {
 	last := now.Add(-v.Age)
 	if v.Count == 0 || v.Age > keepFor {
@@ -201,6 +270,7 @@
 	}
 	r := t.record(v.Request, now)
 	r.count, r.lifted, r.last, r.ends = v.Count, v.Lifted, last, nil
+	r.since, r.trial = now, time.Time{}
 	if r.quarantined() && t.served.has(v.Request, now) {
 		r.lifted = true
 	}
@@ -332,8 +402,3 @@
 	}
 	return found && now.Sub(at) <= soundFor
 }
-
-func (s *served) forget(k Key) {
-	delete(s.younger, k)
-	delete(s.older, k)
-}
--- a/node/blackboard/poison.go
+++ b/node/blackboard/poison.go
@@ -57,16 +57,15 @@
 	return t.table.Empty()
 }
 
-// Crashed takes in that a target has ended under a request. It returns the verdict and true
-// where the request is quarantined by that.
-func (t *PoisonTable) Crashed(c poison.Crash, at time.Time) (poison.Verdict, bool) {
+// Crashed takes in that a target has ended under a request.
+func (t *PoisonTable) Crashed(c poison.Crash, at time.Time) poison.Finding {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v, quarantined := t.table.Crashed(c, at)
-	if quarantined {
+	f := t.table.Crashed(c, at)
+	if f.Quarantined {
 		t.callBack(c.Request)
 	}
-	return v, quarantined
+	return f
 }
 
 // Served takes in that a target has answered a request. It returns the verdict and true where
@@ -84,6 +83,20 @@
 	return t.table.Ask(k, at)
 }
 
+// Try tells whether a quarantined request may be sent this once, and notes that it is.
+func (t *PoisonTable) Try(k poison.Key, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Try(k, at)
+}
+
+// Grant notes that this daemon sends a quarantined request once, on another one's word.
+func (t *PoisonTable) Grant(k poison.Key, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Grant(k, at)
+}
+
 // Learn takes in other daemons' verdicts and returns those to pass on.
 func (t *PoisonTable) Learn(verdicts []poison.Verdict, at time.Time) (news []poison.Verdict) {
 	t.mu.Lock()
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -89,6 +89,7 @@
 	hub.Handle(peer.KindAcquire, peer.Serve(c.serveAcquire))
 	hub.Handle(peer.KindCrash, peer.Serve(c.serveCrash))
 	hub.Handle(peer.KindVerdicts, peer.Serve(c.serveVerdicts))
+	hub.Handle(peer.KindTrial, peer.Serve(c.serveTrial))
 	return c
 }
 
--- a/node/cluster/verdicts.go
+++ b/node/cluster/verdicts.go
@@ -21,6 +21,8 @@
 	keepers = 3
 	// crashTimeout bounds a report to a keeper, which may have no link yet.
 	crashTimeout = time.Second
+	// trialTimeout bounds the question for a trial. Its caller waits, and is refused otherwise.
+	trialTimeout = 100 * time.Millisecond
 )
 
 // Crashed implements requestcontrol.CrashReporter.
@@ -44,7 +46,8 @@
 
 // serveCrash counts an end that another daemon saw.
 func (c *Cluster) serveCrash(_ context.Context, from string, in poison.Crash) (done, error) {
-	if v, quarantined := c.Board.Poison.Crashed(in, time.Now()); quarantined {
+	if found := c.Board.Poison.Crashed(in, time.Now()); found.Quarantined {
+		v := found.Verdict
 		c.Record.Log.Warn("a call is quarantined", "call", in.Request.String(), "target", in.Target, "count", v.Count,
 			"reason", "the last of several targets ended under it", "peer", from)
 		c.Spread(v)
@@ -52,6 +55,31 @@
 	return done{}, nil
 }
 
+// MayTry implements requestcontrol.CrashReporter: the first keeper decides, so that one daemon
+// of all tries the request.
+func (c *Cluster) MayTry(ctx context.Context, request poison.Key) bool {
+	living, _ := c.Board.Members.Living()
+	first := rendezvous.Owner(request.String(), living)
+	if first == c.Board.Self.Name {
+		return c.Board.Poison.Try(request, time.Now())
+	}
+	granted := false
+	if err := c.ask(ctx, first, peer.KindTrial, request, &granted, trialTimeout); err != nil || !granted {
+		return false // The request is refused, and the next one asks again.
+	}
+	c.Board.Poison.Grant(request, time.Now())
+	return true
+}
+
+// serveTrial decides about a trial that another daemon would make.
+func (c *Cluster) serveTrial(_ context.Context, from string, request poison.Key) (bool, error) {
+	granted := c.Board.Poison.Try(request, time.Now())
+	if granted {
+		c.Record.Log.Info("a quarantined call is tried once more", "call", request.String(), "peer", from)
+	}
+	return granted, nil
+}
+
 // Spread implements requestcontrol.CrashReporter.
 func (c *Cluster) Spread(v poison.Verdict) { c.tellVerdicts([]poison.Verdict{v}, "") }
 
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -43,6 +43,7 @@
 	KindCrash     Kind = 23
 	KindVerdicts  Kind = 24
 	KindFacts     Kind = 25
+	KindTrial     Kind = 26
 )
 
 var kindNames = map[Kind]string{
@@ -53,7 +54,7 @@
 	KindJoin: "join", KindTargets: "targets",
 	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
 	KindChanges: "settings_changes", KindDigests: "digests",
-	KindCrash: "crash", KindVerdicts: "verdicts", KindFacts: "facts",
+	KindCrash: "crash", KindVerdicts: "verdicts", KindFacts: "facts", KindTrial: "trial",
 }
 
 // String names the kind for metrics.
--- a/node/requestcontrol/place.go
+++ b/node/requestcontrol/place.go
@@ -18,7 +18,8 @@
 // place waits in the queue until the request has a target. One that is found to end its targets
 // goes to none, also where that became known while it waited.
 func (d *Director) place(ctx context.Context, r *Request, attempt string, retry bool, exclude []string) (blackboard.Placement, error) {
-	if err := d.refuseQuarantined(r); err != nil {
+	trial, err := d.refuseQuarantined(ctx, r)
+	if err != nil {
 		return blackboard.Placement{}, err
 	}
 	for {
@@ -29,7 +30,7 @@
 		if err != nil {
 			return placement, err
 		}
-		if err := d.refuseQuarantined(r); err != nil {
+		if err := d.refuseIfFound(ctx, r, trial); err != nil {
 			d.giveBack(r, &placement)
 			return blackboard.Placement{}, err
 		}
@@ -40,6 +41,15 @@
 	}
 }
 
+// refuseIfFound looks again, for what became known while a request waited for its place.
+func (d *Director) refuseIfFound(ctx context.Context, r *Request, trial bool) error {
+	if trial {
+		return nil
+	}
+	_, err := d.refuseQuarantined(ctx, r)
+	return err
+}
+
 // refuseResting refuses a call at once where every target has asked this daemon for rest.
 func (d *Director) refuseResting(r *Request, left time.Duration) error {
 	refusal := fault.New(fault.NoTarget, "all targets of pool "+r.Route.Pool.Name+" have asked this host for rest",
--- a/node/requestcontrol/poison.go
+++ b/node/requestcontrol/poison.go
@@ -23,25 +23,42 @@
 	Crashed(c poison.Crash)
 	// Spread tells all daemons a verdict that this one has come to.
 	Spread(v poison.Verdict)
+	// MayTry asks the daemon that decides whether a quarantined request is sent this once.
+	MayTry(ctx context.Context, request poison.Key) bool
 }
 
-// refuseQuarantined returns a failure for a request that would end one more target.
-func (d *Director) refuseQuarantined(r *Request) error {
+// refuseQuarantined returns a failure for a request that would end one more target. One that is
+// let through as a trial is not asked about again before it is sent.
+func (d *Director) refuseQuarantined(ctx context.Context, r *Request) (trial bool, err error) {
 	r.suspected = false
 	if d.Board.Poison.Empty() {
-		return nil
+		return false, nil
 	}
 	standing := d.Board.Poison.Ask(r.poisonKey(), time.Now())
 	r.suspected = standing.Suspected
 	if !standing.Quarantined {
-		return nil
+		return false, nil
+	}
+	if standing.Due && d.mayTry(ctx, r.poisonKey()) {
+		d.record(r, decision.Record{
+			Kind: decision.KindAdmit, Outcome: decision.OutcomeAdmitted, Call: r.poisonKey().String(), Reason: "a quarantined call is tried once more",
+		})
+		return true, nil
 	}
 	refusal := fault.New(fault.CrashesTargets, "target after target has ended under this request, so it is sent to no other one",
 		"do not send it again as it is; operators find the targets in the log by the field call").WithRetry(standing.Left)
 	d.record(r, decision.Record{
 		Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Call: r.poisonKey().String(), Reason: refusal.Error(),
 	})
-	return refusal
+	return false, refusal
+}
+
+// mayTry asks for the one trial of a request that is due.
+func (d *Director) mayTry(ctx context.Context, k poison.Key) bool {
+	if d.Crashes == nil {
+		return d.Board.Poison.Try(k, time.Now())
+	}
+	return d.Crashes.MayTry(ctx, k)
 }
 
 // giveBack returns a placement that is not used.
@@ -87,14 +104,14 @@
 	}
 	d.Record.Metrics.Crashes.WithLabelValues(r.Route.Pool.Name).Inc()
 	crash := poison.Crash{Request: r.poisonKey(), Target: id, Repeat: r.suspected}
-	v, quarantined := d.Board.Poison.Crashed(crash, time.Now())
-	if d.Crashes == nil {
+	found := d.Board.Poison.Crashed(crash, time.Now())
+	if d.Crashes == nil || !found.Counted {
 		return
 	}
 	d.Crashes.Crashed(crash)
-	if quarantined {
+	if found.Quarantined {
 		d.Record.Log.Warn("a call is quarantined", "request", r.ID, "call", r.poisonKey().String(), "pool", r.Route.Pool.Name,
-			"target", id, "count", v.Count, "reason", fmt.Sprintf("the last of several targets ended under it: %v", err))
-		d.Crashes.Spread(v)
+			"target", id, "count", found.Verdict.Count, "reason", fmt.Sprintf("the last of several targets ended under it: %v", err))
+		d.Crashes.Spread(found.Verdict)
 	}
 }
