A host that slept drops its beliefs, and uses no permit that ended meanwhile

What callers could see: a call that must run at most once sent by a host whose permit had ended for its witnesses, and calls placed by loads from before the sleep. Cause: ages are taken from the steady clock, which stands still while a host is suspended. Change: node/clock reads the difference of the boot and the steady clock; a sleep counts as a pause; a permit's check adds the sleep since its claim. Ruled out: the time of day, which may step.

--- /dev/null
+++ b/node/clock/clock_test.go
@@ -0,0 +1,17 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAHostThatIsAwakeDoesNotSleep: two reads while the test runs differ by the time between
+// the reads of the two clocks at most.
+func TestAHostThatIsAwakeDoesNotSleep(t *testing.T) {
+	began := time.Now()
+	before := Slept()
+	after := Slept()
+	if took := time.Since(began); after-before > took || before-after > took {
+		t.Errorf("the host slept for %v in %v", after-before, took)
+	}
+}
--- a/node/controller/pause_test.go
+++ b/node/controller/pause_test.go
@@ -1,8 +1,11 @@
 package controller
 
 import (
+	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"doorstack.dev/core/hostlist"
@@ -34,12 +37,40 @@
 		Record: &telemetry.Recorder{Board: board, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()},
 		Void:   func(gap time.Duration) { voided = gap },
 	}
-	p.tick(now, now.Add(pauseTick))
+	p.tick(pauseTick, 0, now)
 	if voided != 0 || board.Targets.Views("llm", now)[0].Load.MemoryTokens != 900 {
 		t.Fatal("an ordinary tick voids beliefs")
 	}
-	p.tick(now, now.Add(time.Minute))
+	p.tick(time.Minute, 0, now)
 	if voided != time.Minute || board.Targets.Views("llm", now)[0].Load.MemoryTokens != 0 {
 		t.Fatal("beliefs survive a pause")
 	}
 }
+
+// TestASleepOfTheHostVoidsBeliefs: the steady clock goes on as if nothing had been.
+func TestASleepOfTheHostVoidsBeliefs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := blackboard.New(blackboard.Identity{Name: "d"}, blackboard.DefaultLimits())
+		var slept atomic.Int64
+		voided := make(chan time.Duration, 1)
+		p := &Pause{
+			Board:  board,
+			Record: &telemetry.Recorder{Board: board, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()},
+			Slept:  func() time.Duration { return time.Duration(slept.Load()) },
+			Void:   func(gap time.Duration) { voided <- gap },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.Run(ctx)
+		Sleep(ctx, 3*pauseTick)
+		slept.Store(int64(4 * time.Second))
+		began := time.Now()
+		if gap := <-voided; gap < 4*time.Second || time.Since(began) > 2*pauseTick {
+			t.Errorf("a pause of %v was noticed after %v", gap, time.Since(began))
+		}
+		Sleep(ctx, time.Minute)
+		if len(voided) > 0 {
+			t.Error("one sleep voids beliefs twice")
+		}
+	})
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"doorstack.dev/core/settings"
 	"doorstack.dev/core/watch"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/clock"
 	"doorstack.dev/node/cluster"
 	"doorstack.dev/node/config"
 	"doorstack.dev/node/confservice"
@@ -126,7 +127,7 @@
 	if d.adapter != nil {
 		source, parse = d.adapter.Settings, d.adapter.Parse
 	}
-	d.director = &requestcontrol.Director{Board: d.Board, Targets: client, Record: d.record, Retrying: requestcontrol.DefaultRetryPolicy()}
+	d.director = &requestcontrol.Director{Board: d.Board, Targets: client, Record: d.record, Slept: clock.Slept, Retrying: requestcontrol.DefaultRetryPolicy()}
 	d.settings = &controller.Settings{
 		Board:    d.Board,
 		Platform: source,
@@ -140,7 +141,7 @@
 	d.cluster = cluster.New(d.Board, d.hub, d.record, d.settings, client)
 	d.director.Claims, d.director.Shares, d.director.Crashes = d.cluster, d.cluster, d.cluster
 	d.Board.Accounts.SetShares(d.Board.Shares.Share)
-	pause := &controller.Pause{Board: d.Board, Record: d.record, Void: d.cluster.Void}
+	pause := &controller.Pause{Board: d.Board, Record: d.record, Slept: clock.Slept, Void: d.cluster.Void}
 	workers := &worker.Pool{Board: d.Board, Size: d.Config.Workers}
 	d.loops = []func(context.Context){d.settings.Run, pause.Run, workers.Run, d.cluster.Run}
 	if d.adapter != nil {
--- a/node/requestcontrol/collaborators.go
+++ b/node/requestcontrol/collaborators.go
@@ -34,14 +34,22 @@
 
 // Permit is the right to send a call once, before it ends.
 type Permit struct {
-	// Ends is on the monotonic clock; it is checked last thing before the send.
+	// Ends is on the monotonic clock; it is checked last thing before the send. What the host
+	// has slept since the claim began counts too: the witnesses did not.
 	Ends time.Time
+	// Slept is for how long the host had slept when the claim began.
+	Slept time.Duration
 	// Attempt is the claim that won, which may be a later one than asked for.
 	Attempt string
 	// Tally is how the witnesses answered.
 	Tally decision.ClaimTally
 }
 
+// ended tells whether the permit's time is over, where the host has slept for so long so far.
+func (p *Permit) ended(now time.Time, slept time.Duration) bool {
+	return !now.Add(slept - p.Slept).Before(p.Ends)
+}
+
 // Duplicate is the error for a key that an earlier call used; it carries that
 // call's outcome.
 type Duplicate struct {
--- a/node/requestcontrol/director.go
+++ b/node/requestcontrol/director.go
@@ -29,6 +29,8 @@
 	// Crashes is nil where no other daemon is told.
 	Crashes  CrashReporter
 	Retrying RetryPolicy
+	// Slept is for how long the host has slept so far, which the steady clock does not count.
+	Slept func() time.Duration
 }
 
 // RetryPolicy bounds the attempts of one request.
--- a/node/requestcontrol/service.go
+++ b/node/requestcontrol/service.go
@@ -40,12 +40,14 @@
 		Region:   d.Board.Self.Region,
 		Deadline: r.Deadline,
 	}
+	slept := d.Slept()
 	permit, err := d.Claims.Claim(ctx, claim)
 	d.recordClaim(r, claim, permit, err)
 	if err != nil {
 		return answerOfDuplicate(err)
 	}
 	claim.Attempt = permit.Attempt
+	permit.Slept = slept
 	answer, err := d.callService(ctx, r, permit)
 	outcome := blackboard.Outcome{Execution: fault.Ran, Answer: answer}
 	if err != nil {
@@ -111,15 +113,15 @@
 	return e
 }
 
-// sendService sends the call. The permit is looked at last thing before: a
-// process that was paused since it got the permit must not act on it.
+// sendService sends the call. The permit is looked at last thing before: a process that was
+// paused, or whose host slept, since it got the permit must not act on it.
 func (d *Director) sendService(ctx context.Context, r *Request, permit *Permit, p blackboard.Placement) (*target.ServiceAnswer, error) {
 	call := *r.Call
 	call.Header = r.Call.Header.Clone()
 	if r.IdempotencyKey != "" {
 		call.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
-	if permit != nil && !time.Now().Before(permit.Ends) {
+	if permit != nil && permit.ended(time.Now(), d.Slept()) {
 		return nil, fault.New(fault.NoQuorum,
 			"the permit to send this call ended before it could be sent",
 			"send again with the same key").WithRetry(0)
