Soak: calls that end their targets, targets that rest or say that they leave, a store that comes back from a copy

The judge holds the users' bounds: three sends more once all can know of a call that ends its targets, two calls in a target's time of rest, none to a target 2 s after its word that it leaves was passed on.

--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -73,6 +74,8 @@
 
 	mu    sync.Mutex
 	fails bool
+	// leaves and rests are what the target says of itself in its answers.
+	leaves, rests bool
 }
 
 // ledger is what targets have seen.
@@ -141,6 +144,15 @@
 func (b *backend) serve(w http.ResponseWriter, r *http.Request, c standin.Call) {
 	run := b.seen.begin(Run{ID: c.ID, Target: b.target.ID, Service: b.service, Account: c.Account(), Key: c.Key(), At: time.Now(), After: c.LastEvent()})
 	defer b.seen.note(func() { run.Ended = time.Now() })
+	if strings.HasPrefix(c.Body, crashBody) {
+		b.seen.note(func() { run.Crashed = true })
+		b.crash(w, r, c)
+		return
+	}
+	if b.speak(w, run) {
+		standin.TurnAway(w, r, c)
+		return
+	}
 	way := 1.0
 	if b.failing() {
 		way = rand.Float64()
--- a/node/internal/soak/caller.go
+++ b/node/internal/soak/caller.go
@@ -43,16 +43,20 @@
 	return &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}}
 }
 
-// call makes one request to a daemon and writes it down.
+// call makes one sound request to a daemon and writes it down.
 func (w *world) call(ctx context.Context, client *http.Client, daemon int, path *Path, route int) Call {
+	return w.callOf(ctx, client, daemon, path, route, "a body")
+}
+
+func (w *world) callOf(ctx context.Context, client *http.Client, daemon int, path *Path, route int, body string) Call {
 	ask := &standin.Ask{
 		Daemon: w.daemons[daemon].front.Address(), Host: host, Path: path.Prefix + "x", ID: w.diary.id(), Key: key,
-		Tokens: path.Tokens, LeftMS: int(path.Allowed.Milliseconds()), Body: "a body",
+		Tokens: path.Tokens, LeftMS: int(path.Allowed.Milliseconds()), Body: body,
 	}
 	if route > 0 {
 		ask.Path = passing(route) + "x"
 	}
-	c := Call{ID: ask.ID, Daemon: daemon, Path: path, Route: route, Sent: time.Now(), Allowed: path.Allowed}
+	c := Call{ID: ask.ID, Daemon: daemon, Path: path, Route: route, Sent: time.Now(), Allowed: path.Allowed, Asked: body}
 	got := ask.Do(ctx, client)
 	c.Done = time.Now()
 	c.Left = ctx.Err() != nil
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -26,6 +26,8 @@
 	Whole bool
 	// Again tells that a refusal named the time to come back.
 	Again bool
+	// Asked is the body of the request.
+	Asked string
 }
 
 // Run is a call as a target saw it.
@@ -36,6 +38,11 @@
 	TurnedAway bool
 	// After is the event after which the stream was to go on.
 	After string
+	// Leaves and Rest are what the target said of itself in its answer.
+	Leaves bool
+	Rest   time.Duration
+	// Crashed means that the target's process ended under the call.
+	Crashed bool
 }
 
 // Disturbance is a time in which something was wrong.
@@ -95,7 +102,7 @@
 			}
 		}
 	}
-	list = append(list, neverBack(r)...)
+	list = slices.Concat(list, neverBack(r), wordsKept(r), crashesStop(r))
 	for _, id := range r.Held {
 		list = append(list, Violation{"LEAK", id, "memory set aside was not released"})
 	}
--- a/node/internal/soak/judge_test.go
+++ b/node/internal/soak/judge_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -175,3 +177,57 @@
 		t.Errorf("other seed differs: %v, %d kinds", differs, len(seen))
 	}
 }
+
+// TestJudgeOfWords: what targets say of themselves, and calls that end them.
+func TestJudgeOfWords(t *testing.T) {
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	s := time.Second
+	call := func(id, body string, sent time.Duration) Call {
+		return Call{ID: id, Path: safePath, Sent: at(sent), Done: at(sent + s/10), Status: 200, Whole: true, Asked: body, Body: safePath.Answer(id)}
+	}
+	run := func(id string, begins time.Duration, change func(*Run)) Run {
+		r := Run{ID: id, Target: "t", Service: plain, Account: account, At: at(begins), Ended: at(begins + s/20)}
+		change(&r)
+		return r
+	}
+	nothing := func(*Run) {}
+	rests := func(r *Run) { r.Rest, r.TurnedAway = 3*s, true }
+	leaves := func(r *Run) { r.Leaves = true }
+	crashes := func(r *Run) { r.Crashed = true }
+	play := func(body string, first func(*Run), later func(*Run), gaps ...time.Duration) *Record {
+		r := &Record{Runs: map[string][]Run{}, Calls: []Call{call("0", body, 0)}, Lives: map[int][]time.Time{}}
+		r.Runs["0"] = []Run{run("0", 0, first)}
+		for i, gap := range gaps {
+			id := fmt.Sprint(i + 1)
+			r.Calls = append(r.Calls, call(id, body, gap))
+			r.Runs[id] = []Run{run(id, gap, later)}
+		}
+		return r
+	}
+	kill := func(r *Record) *Record {
+		r.Disturbances = []Disturbance{{From: at(s / 2), To: at(3 * s), Kind: Kill}}
+		return r
+	}
+	for name, c := range map[string]struct {
+		record *Record
+		rule   string
+	}{
+		"three in the time of rest": {play("b", rests, nothing, s, 2*s, 2*s+s/2), "BUDGET"},
+		"two in the time of rest":   {play("b", rests, nothing, s/4, s, 2*s, 4*s), ""},
+		"rest, and a kill":          {kill(play("b", rests, nothing, s, 2*s, 2*s+s/2)), ""},
+		"sent to one that leaves":   {play("b", leaves, nothing, s, 3*s), "DRAIN"},
+		"sent in the drain time":    {play("b", leaves, nothing, s, 2*s), ""},
+		"leaves, and a kill":        {kill(play("b", leaves, nothing, s, 3*s)), ""},
+		"four sends too many":       {play(crashBody, crashes, crashes, s, 2*s, 6*s, 7*s, 8*s, 9*s), "BUDGET"},
+		"three sends more":          {play(crashBody, crashes, crashes, s, 2*s, 6*s, 7*s, 8*s), ""},
+		"before all can know":       {play(crashBody, crashes, crashes, s, 2*s, 3*s, 4*s, 5*s, 5*s), ""},
+	} {
+		var rules []string
+		for _, v := range Judge(c.record) {
+			rules = append(rules, v.Rule)
+		}
+		if got := strings.Join(slices.Compact(rules), " "); got != c.rule {
+			t.Errorf("%s: found %q, want %q", name, got, c.rule)
+		}
+	}
+}
--- a/node/internal/soak/world.go
+++ b/node/internal/soak/world.go
@@ -33,6 +33,7 @@
 	gone         []*backend // those that have left
 	made         int
 	version      int
+	config       standin.Config // the newest
 	published    []Published
 	disturbances []Disturbance
 	isReady      []bool
@@ -127,6 +128,7 @@
 	for n := p.First; n <= p.Last; n++ {
 		c.Routes = append(c.Routes, safePath.route(passing(n)))
 	}
+	w.config = c
 	w.store.PutConfig(c)
 	p.At = time.Now()
 	w.published = append(w.published, p)
@@ -227,6 +229,15 @@
 		w.startAnew(ctx, e)
 	case StoreForeign:
 		w.writeForeign(e.Which)
+	case CallCrashes:
+		defer w.disturb(e.Kind, everywhere)()
+		w.crashCalls(ctx, e)
+	case TargetRests:
+		defer w.disturb(e.Kind, everywhere)()
+		w.restTargets(ctx, e)
+	case StoreRestore:
+		defer w.disturb(e.Kind, everywhere)()
+		w.restoreStore(ctx, e)
 	case TargetReset, TargetOneWay, TargetSilent, TargetFails:
 		defer w.disturb(e.Kind, everywhere)()
 		w.harmTarget(ctx, e)
@@ -354,6 +365,9 @@
 	if which%2 == 0 { // Others say nothing before their entry goes.
 		w.store.PutLeaving(b.target.ID, b.link.Address(), b.service, slots)
 		pause(ctx, drainFor)
+	} else { // Some of them say so in their answers.
+		b.say(func() { b.leaves = which%4 == 1 })
+		pause(ctx, drainFor)
 	}
 	w.store.RemoveTarget(b.target)
 	pause(ctx, drainFor)
