--- a/node/internal/soak/anew.go
+++ b/node/internal/soak/anew.go
@@ -40,6 +40,7 @@
 	w.mu.Lock()
 	b := w.backends[e.Which%len(w.backends)]
 	w.mu.Unlock()
+	defer w.disturbTarget(e.Kind, b)()
 	if e.Which%2 == 0 {
 		b.link.Set(Silent)
 		pause(ctx, e.For)
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -51,6 +51,8 @@
 	Kind     Kind
 	// Daemon is the one that was disturbed; everywhere means all of them.
 	Daemon int
+	// Target is the target whose link or process was disturbed, if it was one alone.
+	Target string
 }
 
 const everywhere = -1
--- a/node/internal/soak/words.go
+++ b/node/internal/soak/words.go
@@ -29,6 +29,8 @@
 	crashBody = "crash "
 	// crashAgain is the pause between two sends of such a call.
 	crashAgain = 120 * time.Millisecond
+	// lastRounds is how often each daemon gets it once all can know it.
+	lastRounds = 2
 	// restFor is the rest that targets ask for.
 	restFor = 2 * time.Second
 	// writeAgain is how soon after the store's return all that it lacks is written again.
@@ -50,7 +52,7 @@
 }
 
 // crashCalls sends a call that ends its targets by any daemon, for the event's time often and
-// at the end once more by each.
+// later by each of them in turn.
 func (w *world) crashCalls(ctx context.Context, e Event) {
 	path, body := paths[e.Which%3], crashBody+fmt.Sprint(e.At, " ", e.Which)
 	client := newClient()
@@ -67,8 +69,10 @@
 	}
 	sending.Wait()
 	pause(ctx, touch+busy)
-	for daemon := range w.daemons {
-		send(daemon)
+	for range lastRounds {
+		for daemon := range w.daemons {
+			send(daemon)
+		}
 	}
 }
 
@@ -140,9 +144,19 @@
 // A daemon that was told something may have lost it with its process, or in a freeze.
 func forgets(k Kind) bool { return k == Term || k == Kill || k == Pause }
 
-// unheard tells whether an answer of a target may not have reached the daemon.
-func unheard(k Kind) bool {
-	return forgets(k) || slices.Contains([]Kind{TargetReset, TargetOneWay, TargetSilent, TargetAnew, CallCrashes}, k)
+// heard tells whether a daemon must have had what a target said in an answer: the daemon went on,
+// and neither the target's link nor its process was disturbed around it.
+func (r *Record) heard(daemon int, said Run, runs []Run) bool {
+	from, to := said.At.Add(-answerSlack), said.Ended.Add(answerSlack)
+	if !r.calm(daemon, from, to, forgets) {
+		return false
+	}
+	for _, d := range r.Disturbances {
+		if d.Target == said.Target && d.From.Before(to) && d.To.After(from) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(runs, func(run Run) bool { return run.Crashed && run.At.After(from) && run.At.Before(to) })
 }
 
 // wordsKept checks what targets said of themselves against what they were sent afterwards.
@@ -179,11 +193,24 @@
 	return list
 }
 
+// at lists all calls that reached a target.
+func (r *Record) at(target string) []Run {
+	var list []Run
+	for _, runs := range r.Runs {
+		for _, run := range runs {
+			if run.Target == target {
+				list = append(list, run)
+			}
+		}
+	}
+	return list
+}
+
 // restKept: from half a second after a target has asked a daemon for rest until the end of that
 // time two calls of that daemon reach it at most.
 func (r *Record) restKept(daemon int, said Run, runs []Run) string {
 	ends := said.Ended.Add(said.Rest)
-	if said.Rest == 0 || !r.calm(daemon, said.At.Add(-answerSlack), said.Ended.Add(answerSlack), unheard) || !r.calm(daemon, said.At, ends, forgets) {
+	if said.Rest == 0 || !r.heard(daemon, said, r.at(said.Target)) || !r.calm(daemon, said.At, ends, forgets) {
 		return ""
 	}
 	n := 0
@@ -202,7 +229,7 @@
 // a target leaves does not reach that target.
 func (r *Record) leavingKept(daemon int, said Run, runs []Run, calls map[string]*Call) string {
 	told := calls[said.ID]
-	if !said.Leaves || told.Status != 200 || !told.Whole || !r.calm(daemon, said.At.Add(-answerSlack), said.Ended.Add(answerSlack), unheard) {
+	if !said.Leaves || told.Status != 200 || !told.Whole || !r.heard(daemon, said, r.at(said.Target)) {
 		return ""
 	}
 	for _, run := range runs {
--- a/node/internal/soak/world.go
+++ b/node/internal/soak/world.go
@@ -192,10 +192,20 @@
 
 // disturb notes that something is wrong, until the returned function is called.
 func (w *world) disturb(k Kind, daemon int) (over func()) {
+	return w.note(Disturbance{Kind: k, Daemon: daemon})
+}
+
+// disturbTarget notes that something is wrong with one target, as all daemons see it.
+func (w *world) disturbTarget(k Kind, b *backend) (over func()) {
+	return w.note(Disturbance{Kind: k, Daemon: everywhere, Target: b.target.ID})
+}
+
+func (w *world) note(d Disturbance) (over func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at := len(w.disturbances)
-	w.disturbances = append(w.disturbances, Disturbance{From: time.Now(), To: time.Now().Add(time.Hour), Kind: k, Daemon: daemon})
+	d.From, d.To = time.Now(), time.Now().Add(time.Hour)
+	w.disturbances = append(w.disturbances, d)
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -280,6 +290,7 @@
 	}
 	w.mu.Unlock()
 	if e.Kind != TargetFails {
+		defer w.disturbTarget(e.Kind, b)()
 		harm(ctx, b.link, e)
 		return
 	}
