--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -84,10 +84,6 @@
 // ReadWhole tells whether the whole list has been read from the store itself.
 func (t *Table) ReadWhole() bool { return t.whole > 0 }
 
-// MayBeCopy tells whether the store has come back from an older copy before, so that what was
-// read from it alone may be older than what others know.
-func (t *Table) MayBeCopy() bool { return t.whole.Era() > FirstEra }
-
 // Away tells whether the store is known to be away.
 func (t *Table) Away() bool { return t.away }
 
@@ -132,12 +128,6 @@
 	return changed
 }
 
-// lacksLost tells whether facts may lack what was lost when the store came back from a copy: the
-// first read of a daemon that has not seen the time before.
-func (t *Table) lacksLost(f *Facts) bool {
-	return f.Whole && t.whole == 0 && f.AsOf.Era() > FirstEra && !f.AsOf.isConfirmed()
-}
-
 // completeTo is the position up to which nothing is missing in facts of which something is in
 // doubt or not. A peer withholds removals that it doubts but tells of later changes, so
 // only its own word counts; the store's changes come in order, and what is in doubt of them
@@ -235,35 +225,6 @@
 	return true
 }
 
-// putListed takes over an entry of a read of the whole. One that was changed before what is
-// known here, and was not known all the same, counts from the read on: peers that know as much
-// would not ask for it by its own position.
-func (t *Table) putListed(h Host, asOf Position) bool {
-	mayBeOld := h.Revision.Era() < asOf.Era()
-	if mayBeOld && t.entries[h.ID] == nil && h.Revision <= t.whole {
-		return false // A read after that did not list it, so most likely it has ended.
-	}
-	known := h.Revision <= t.revision
-	if !t.put(h) {
-		return mayBeOld && t.putLeaving(h, asOf)
-	}
-	if known {
-		t.entries[h.ID].host.Revision = max(h.Revision, asOf)
-	}
-	return true
-}
-
-// putLeaving takes over that a target leaves from an entry that may be older than what is known,
-// or may have been written again after the store's return: no process takes that word back.
-func (t *Table) putLeaving(h Host, asOf Position) bool {
-	e := t.entries[h.ID]
-	if h.State != Leaving || e.host.State != Live || h.Incarnation < e.host.Incarnation {
-		return false
-	}
-	e.host.State, e.host.Revision = Leaving, asOf
-	return true
-}
-
 // put takes over a host's entry if it is newer.
 func (t *Table) put(h Host) bool {
 	e := t.entries[h.ID]
@@ -310,16 +271,6 @@
 	return h
 }
 
-// afterReturn is the state that a newer entry gives a process. A store that came back from an
-// older copy lists a process as it was before it said that it leaves, under its old revision.
-func afterReturn(known, h Host) State {
-	lost := h.Revision.Era() > known.Revision.Era() && h.Revision.Revision() <= known.Revision.Revision()
-	if lost && known.State == Leaving {
-		return Leaving
-	}
-	return h.State
-}
-
 // remove marks a host as gone, or as removed in doubt, which leaves it listed.
 func (t *Table) remove(h Host, doubt, now time.Time) {
 	e := t.entries[h.ID]
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -30,7 +30,7 @@
 	// firstTrial is when a quarantined request may be sent once more, to show that its targets
 	// died by chance, and trialGrowth how many times as long each further trial takes. A trial
 	// that is not heard of again within trialMost may be repeated.
-	firstTrial  = 5 * time.Second
+	firstTrial  = 15 * time.Second
 	trialGrowth = 6
 	trialMost   = 30 * time.Second
 	// maxRequests bounds the requests remembered, maxOfAccount those of one account: one
@@ -176,7 +176,7 @@
 	return r.since.Add(wait).Sub(now)
 }
 
-// add notes an end in order of time, and tells whether it is another one than those known.
+// add notes an end, and tells whether it is another one than those known.
 func (r *record) add(e end) bool {
 	for _, known := range r.ends {
 		if known.target == e.target && e.at.Sub(known.at) < sameEnd {
