--- a/node/requestcontrol/place.go
+++ b/node/requestcontrol/place.go
@@ -66,6 +66,7 @@
 	})
 }
 
+// findPlace asks the pool's coordinator for a target, or waits in this daemon's own queue.
 func (d *Director) findPlace(ctx context.Context, r *Request, attempt string, retry bool, exclude []string) (blackboard.Placement, error) {
 	ticket := d.ticket(r, attempt, retry, exclude)
 	if d.Placer != nil {
