doorstack status shows quarantined calls, targets that rest and the store's position

Operators who look into a refused call see at one host whether calls are quarantined there and which targets have asked it for rest, without its log. Status and the command's table only; no decision reads the new fields.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -77,15 +77,20 @@
 
 // Status is a daemon's answer to "doorstack status".
 type Status struct {
-	Name        string                     `json:"name"`
-	DataCentre  string                     `json:"data_centre"`
-	Region      string                     `json:"region"`
-	Phase       string                     `json:"phase"`
-	Incarnation int64                      `json:"incarnation"`
-	Revision    int64                      `json:"revision"`
-	Digest      string                     `json:"digest"`
-	Adopted     time.Time                  `json:"adopted,omitzero"`
-	Rejected    blackboard.Rejection       `json:"rejected,omitzero"`
+	Name        string               `json:"name"`
+	DataCentre  string               `json:"data_centre"`
+	Region      string               `json:"region"`
+	Phase       string               `json:"phase"`
+	Incarnation int64                `json:"incarnation"`
+	Revision    int64                `json:"revision"`
+	Digest      string               `json:"digest"`
+	Adopted     time.Time            `json:"adopted,omitzero"`
+	Rejected    blackboard.Rejection `json:"rejected,omitzero"`
+	// Store is the position up to which the targets' entries in the platform's store are known:
+	// its era and revision, or the revision alone where it tells no era.
+	Store string `json:"store,omitempty"`
+	// Quarantined is the number of calls that no daemon sends, since they end their targets.
+	Quarantined int                        `json:"quarantined,omitempty"`
 	InFlight    int64                      `json:"in_flight"`
 	Waiting     map[string]int             `json:"waiting"`
 	HostsRead   time.Time                  `json:"hosts_read,omitzero"`
@@ -161,6 +166,7 @@
 	self := s.Board.Self
 	bytes, evicted := s.Board.Decisions.Usage()
 	_, read := s.Board.Members.Hosts()
+	quarantined, _ := s.Board.Poison.Counts()
 	status := Status{
 		Name:        self.Name,
 		DataCentre:  self.DataCentre,
@@ -168,6 +174,8 @@
 		Phase:       s.Board.Phase().String(),
 		Incarnation: self.Incarnation,
 		Rejected:    s.Board.Settings.Rejected(),
+		Store:       s.storePosition(),
+		Quarantined: quarantined,
 		InFlight:    s.Board.InFlight(),
 		Waiting:     s.Board.Queues.Lengths(),
 		HostsRead:   read,
@@ -192,6 +200,15 @@
 	return status
 }
 
+// storePosition is how far the targets' entries are known; empty where none were read.
+func (s *Server) storePosition() string {
+	at := s.Board.Directory.Revision()
+	if at == 0 {
+		return ""
+	}
+	return at.String()
+}
+
 // Explain returns this daemon's own records of a request.
 func (s *Server) Explain(request string) Explanation {
 	e := Explanation{Request: request, Daemon: s.Board.Self.Name, Records: s.Board.Decisions.Find(request)}
--- a/node/blackboard/target_views.go
+++ b/node/blackboard/target_views.go
@@ -107,7 +107,9 @@
 	Address  string         `json:"address"`
 	View     routing.Target `json:"view"`
 	Failures int64          `json:"failures"`
-	OwnCalls int            `json:"own_calls"`
+	// Rest is for how long the target still wants no calls from this daemon.
+	Rest     time.Duration `json:"rest_ns,omitempty"`
+	OwnCalls int           `json:"own_calls"`
 }
 
 // Status lists all targets by pool and id.
@@ -118,7 +120,7 @@
 	for _, p := range t.pools {
 		p.refresh(at)
 		for i, s := range p.states {
-			list = append(list, TargetStatus{Pool: p.name, Address: s.address, View: p.targets[i], Failures: s.failures, OwnCalls: len(s.calls)})
+			list = append(list, TargetStatus{Pool: p.name, Address: s.address, View: p.targets[i], Failures: s.failures, OwnCalls: len(s.calls), Rest: t.notices.Rests(s.id, at)})
 		}
 	}
 	slices.SortFunc(list, func(a, b TargetStatus) int {
--- a/node/cmd/doorstack/status.go
+++ b/node/cmd/doorstack/status.go
@@ -59,6 +59,9 @@
 		waiting += n
 	}
 	_, _ = fmt.Fprintf(out, "in flight %d, waiting %d, explanations %d KB (%d dropped), keys held %d\n", s.InFlight, waiting, s.Explain.Bytes>>10, s.Explain.Evicted, s.Fleet.Claims.Keys)
+	if s.Store != "" || s.Quarantined > 0 {
+		_, _ = fmt.Fprintf(out, "store known to %s, calls quarantined %d\n", s.Store, s.Quarantined)
+	}
 	if len(s.Fleet.Members) > 0 {
 		_, _ = fmt.Fprintln(out)
 		printMembers(out, s)
@@ -111,6 +114,9 @@
 		if v.Unloaded {
 			state += ", model not loaded"
 		}
+		if rest := targets[i].Rest; rest > 0 {
+			state += ", rests " + rest.Round(time.Millisecond).String()
+		}
 		memory := "-"
 		if v.MemoryTokens > 0 {
 			memory = fmt.Sprintf("%d%%", 100*v.Load.MemoryTokens/v.MemoryTokens)
--- a/node/cmd/doorstack/status_test.go
+++ b/node/cmd/doorstack/status_test.go
@@ -19,3 +19,15 @@
 		t.Errorf("got %q in\n%s", got, out.String())
 	}
 }
+
+// TestStatusShowsWhatHoldsCallsBack: the store's position, quarantined calls, and a target's rest.
+func TestStatusShowsWhatHoldsCallsBack(t *testing.T) {
+	s := &admin.Status{Store: "2.17", Quarantined: 3, Targets: []admin.TargetStatus{{Pool: "llm", Rest: 1200 * time.Millisecond}}}
+	var out strings.Builder
+	printStatus(&out, s)
+	for _, want := range []string{"store known to 2.17, calls quarantined 3", "live, rests 1.2s"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in\n%s", want, out.String())
+		}
+	}
+}
