Sight of limits that targets name: log line, metric, status

A target's word on its limit is decoded, believed until a later call shows that it is lifted, logged as news (target's notice, limit), counted, and shown by doorstack targets. No decision reads it.

--- a/core/forward/notice.go
+++ b/core/forward/notice.go
@@ -9,12 +9,16 @@
 	Leaving bool
 	// Rest is how long the target wants no calls from this daemon.
 	Rest time.Duration
+	// Limit is what the target says of the rate of requests that it takes from all daemons.
+	Limit Limit
 }
 
 const (
 	// keepLeaving is how long the word that a target leaves holds after it was last said. Its
 	// process ends within a minute or two; the store tells of that unless it is away.
 	keepLeaving = 10 * time.Minute
+	// keepLimit is how long a limit holds after it was last named, for a target that is gone.
+	keepLimit = 10 * time.Minute
 	// mostRest bounds what is believed of a time of rest.
 	mostRest = 10 * time.Minute
 )
@@ -33,6 +37,10 @@
 	started   int64
 	leaving   time.Time // when it last said that it leaves; zero if it did not
 	restUntil time.Time
+	// limit is the last limit that the target named and has not lifted since, limitAt when it
+	// last named it.
+	limit   Limit
+	limitAt time.Time
 }
 
 // NewNotices returns an empty collection.
@@ -41,13 +49,20 @@
 // Empty tells whether no target has said anything that may still hold.
 func (n *Notices) Empty() bool { return len(n.byTarget) == 0 }
 
+// Word is a notice with the times that it belongs to: when the call was sent that the target
+// answered, and when the answer came.
+type Word struct {
+	Notice
+	Sent, At time.Time
+}
+
 // Take takes in what a target at an address said, whose process started then, and tells whether
 // any of it is new.
-func (n *Notices) Take(id, address string, started int64, said Notice, at time.Time) bool {
-	if said == (Notice{}) {
+func (n *Notices) Take(id, address string, started int64, said Word) bool {
+	known, at := n.byTarget[id], said.At
+	if known == nil && !said.tells() {
 		return false
 	}
-	known := n.byTarget[id]
 	if known == nil {
 		known = &noted{address: address, started: started}
 		n.byTarget[id] = known
@@ -61,7 +76,35 @@
 		news = news || !at.Before(known.restUntil)
 		known.restUntil = at.Add(min(said.Rest, mostRest))
 	}
-	return news
+	return known.takeLimit(said) || news
+}
+
+// tells tells whether a notice says more than that all is as usual.
+func (n *Notice) tells() bool { return n.Leaving || n.Rest > 0 || n.Limit.Named }
+
+// takeLimit takes in what a target said of its limit and tells whether that is new. Answers
+// overtake each other: only a call sent after the limit was named shows that it is lifted.
+func (k *noted) takeLimit(said Word) bool {
+	switch {
+	case said.Limit.Named:
+		news := k.limit != said.Limit
+		k.limit, k.limitAt = said.Limit, said.At
+		return news
+	case said.Limit.Lifted && k.limit.Named && said.Sent.After(k.limitAt):
+		k.limit = Limit{}
+		return true
+	default:
+		return false
+	}
+}
+
+// Limit is the limit that a target has named and not lifted; zero where there is none.
+func (n *Notices) Limit(id string) Limit {
+	known := n.byTarget[id]
+	if known == nil {
+		return Limit{}
+	}
+	return known.limit
 }
 
 // Leaves tells whether a target has said that it leaves.
@@ -103,7 +146,8 @@
 // Trim forgets what holds no longer.
 func (n *Notices) Trim(at time.Time) {
 	for id, known := range n.byTarget {
-		if !known.leaves(at) && !at.Before(known.restUntil) {
+		limited := known.limit.Named && at.Sub(known.limitAt) < keepLimit
+		if !known.leaves(at) && !at.Before(known.restUntil) && !limited {
 			delete(n.byTarget, id)
 		}
 	}
--- a/core/forward/notice_test.go
+++ b/core/forward/notice_test.go
@@ -9,7 +9,7 @@
 
 func take(t *testing.T, n *Notices, started int64, said Notice, at time.Time, news bool) {
 	t.Helper()
-	if got := n.Take("t", "a:1", started, said, at); got != news {
+	if got := n.Take("t", "a:1", started, Word{said, at, at}); got != news {
 		t.Errorf("%+v at %v: news %v", said, at.Sub(noticed), got)
 	}
 }
@@ -70,3 +70,44 @@
 		t.Errorf("it rests for %v more", got)
 	}
 }
+
+// TestALimitHoldsUntilALaterCallShowsThatItIsLifted: answers overtake each other.
+func TestALimitHoldsUntilALaterCallShowsThatItIsLifted(t *testing.T) {
+	named := Notice{Limit: Limit{Named: true, PerSecond: 1.5}}
+	none := Notice{Limit: Limit{Lifted: true}}
+	for name, c := range map[string]struct {
+		word  Word
+		news  bool
+		holds bool
+	}{
+		"the same again":                     {Word{named, noticed.Add(time.Second), noticed.Add(2 * time.Second)}, false, true},
+		"another one":                        {Word{Notice{Limit: Limit{Named: true, PerSecond: 2}}, noticed, noticed.Add(time.Second)}, true, true},
+		"no word":                            {Word{Notice{}, noticed.Add(time.Second), noticed.Add(2 * time.Second)}, false, true},
+		"none, to a call sent before":        {Word{none, noticed.Add(-time.Second), noticed.Add(time.Second)}, false, true},
+		"none, to a call sent after":         {Word{none, noticed.Add(time.Second), noticed.Add(2 * time.Second)}, true, false},
+		"that it leaves, to one sent before": {Word{Notice{Leaving: true, Limit: none.Limit}, noticed.Add(-time.Second), noticed.Add(time.Second)}, true, true},
+	} {
+		n := NewNotices()
+		n.Take("t", "a:1", 0, Word{none, noticed, noticed})
+		if !n.Empty() {
+			t.Fatal("a target that says nothing is remembered")
+		}
+		n.Take("t", "a:1", 0, Word{named, noticed.Add(-time.Second), noticed})
+		if news := n.Take("t", "a:1", 0, c.word); news != c.news || n.Limit("t").Named != c.holds {
+			t.Errorf("%s: news %v, limit %v", name, news, n.Limit("t"))
+		}
+	}
+}
+
+func TestALimitIsForgottenLongAfterItWasNamed(t *testing.T) {
+	n := NewNotices()
+	n.Take("t", "a:1", 0, Word{Notice{Limit: NamedLimit(1)}, noticed, noticed})
+	n.Trim(noticed.Add(keepLimit - time.Second))
+	if !n.Limit("t").Named {
+		t.Error("it is forgotten")
+	}
+	n.Trim(noticed.Add(keepLimit))
+	if !n.Empty() {
+		t.Error("it is held for ever")
+	}
+}
--- a/node/blackboard/target_notices.go
+++ b/node/blackboard/target_notices.go
@@ -9,17 +9,19 @@
 )
 
 // Notice takes in what a target said of itself beside an answer, and tells whether it is news.
-func (t *TargetTable) Notice(id string, said forward.Notice, at time.Time) bool {
+func (t *TargetTable) Notice(id string, said forward.Word) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[id]
 	if s == nil {
 		return false
 	}
-	news := t.notices.Take(id, s.address, s.started, said, at)
-	s.saidLeaving = t.notices.Leaves(id, at)
-	s.refresh(at)
-	return news
+	if !t.notices.Take(id, s.address, s.started, said) {
+		return false
+	}
+	s.saidLeaving = t.notices.Leaves(id, said.At)
+	s.refresh(said.At)
+	return true
 }
 
 // Unwilling lists the targets of a pool that have told this daemon that they want no calls: those
--- a/node/blackboard/target_views.go
+++ b/node/blackboard/target_views.go
@@ -108,8 +108,10 @@
 	View     routing.Target `json:"view"`
 	Failures int64          `json:"failures"`
 	// Rest is for how long the target still wants no calls from this daemon.
-	Rest     time.Duration `json:"rest_ns,omitempty"`
-	OwnCalls int           `json:"own_calls"`
+	Rest time.Duration `json:"rest_ns,omitempty"`
+	// Limit is the limit that it has named, with its unit; empty where it names none.
+	Limit    string `json:"limit,omitempty"`
+	OwnCalls int    `json:"own_calls"`
 }
 
 // Status lists all targets by pool and id.
@@ -120,7 +122,7 @@
 	for _, p := range t.pools {
 		p.refresh(at)
 		for i, s := range p.states {
-			list = append(list, TargetStatus{Pool: p.name, Address: s.address, View: p.targets[i], Failures: s.failures, OwnCalls: len(s.calls), Rest: t.notices.Rests(s.id, at)})
+			list = append(list, TargetStatus{Pool: p.name, Address: s.address, View: p.targets[i], Failures: s.failures, OwnCalls: len(s.calls), Rest: t.notices.Rests(s.id, at), Limit: t.notices.Limit(s.id).String()})
 		}
 	}
 	slices.SortFunc(list, func(a, b TargetStatus) int {
--- a/node/cmd/doorstack/status.go
+++ b/node/cmd/doorstack/status.go
@@ -117,6 +117,9 @@
 		if rest := targets[i].Rest; rest > 0 {
 			state += ", rests " + rest.Round(time.Millisecond).String()
 		}
+		if limit := targets[i].Limit; limit != "" {
+			state += ", limit " + limit
+		}
 		memory := "-"
 		if v.MemoryTokens > 0 {
 			memory = fmt.Sprintf("%d%%", 100*v.Load.MemoryTokens/v.MemoryTokens)
--- a/node/controller/paces.go
+++ b/node/controller/paces.go
@@ -156,7 +156,7 @@
 		return forward.Report{}, err
 	}
 	defer c.Exchange.Close(reply)
-	c.Record.Notice(t.Pool, t.ID, reply.Said())
+	c.Record.Notice(t.Pool, t.ID, reply.Said(), reply.Sent)
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxReport))
 	if err != nil {
 		return forward.Report{}, errors.Wrap(err, "read the report")
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -278,7 +278,7 @@
 		}
 		return silence.stop(watched, err)
 	}
-	d.Record.Notice(r.Route.Pool.Name, p.Decision.Chosen, reply.Said())
+	d.Record.Notice(r.Route.Pool.Name, p.Decision.Chosen, reply.Said(), reply.Sent)
 	err = silence.stop(watched, f.take(reply, p))
 	d.Exchange.Close(reply)
 	switch {
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -77,6 +77,8 @@
 	Body *answerBody
 	// Length is the length of the body, or -1 where it is not told.
 	Length int64
+	// Sent is when the call's first byte was about to be written.
+	Sent time.Time
 
 	ch   *channel
 	resp *http.Response
@@ -123,6 +125,7 @@
 	}
 	// The end of ctx unblocks reads and writes; the channel is closed afterwards.
 	stop := context.AfterFunc(ctx, func() { _ = ch.conn.SetDeadline(time.Unix(1, 0)) })
+	sent := time.Now()
 	reply, err := e.exchange(ch, c)
 	if err != nil {
 		stop()
@@ -133,7 +136,7 @@
 		}
 		return nil, &CallError{Execution: execution, Err: err}
 	}
-	reply.stop = stop
+	reply.stop, reply.Sent = stop, sent
 	return reply, nil
 }
 
--- a/node/telemetry/notice.go
+++ b/node/telemetry/notice.go
@@ -10,18 +10,22 @@
 const (
 	noticeLeaving = "leaving"
 	noticeRest    = "rest"
+	noticeLimit   = "limit"
+	noticeLifted  = "limit_lifted"
 )
 
-// Notice takes what a target said of itself beside an answer to the blackboard, and to log and
-// metrics where it is news.
-func (r *Recorder) Notice(pool, target string, said forward.Notice) {
-	if said == (forward.Notice{}) || !r.Board.Targets.Notice(target, said, time.Now()) {
+// Notice takes what a target said of itself beside the answer to a call sent then to the
+// blackboard, and to log and metrics where it is news.
+func (r *Recorder) Notice(pool, target string, said forward.Notice, sent time.Time) {
+	if said == (forward.Notice{}) || !r.Board.Targets.Notice(target, forward.Word{Notice: said, Sent: sent, At: time.Now()}) {
 		return
 	}
-	word := noticeRest
-	if said.Leaving {
-		word = noticeLeaving
+	for word, holds := range map[string]bool{
+		noticeLeaving: said.Leaving, noticeRest: said.Rest > 0, noticeLimit: said.Limit.Named, noticeLifted: said.Limit.Lifted,
+	} {
+		if holds {
+			r.Metrics.Notices.WithLabelValues(pool, word).Inc()
+		}
 	}
-	r.Metrics.Notices.WithLabelValues(pool, word).Inc()
-	r.Log.Info("target's notice", "target", target, "pool", pool, "leaving", said.Leaving, "rest_ms", said.Rest.Milliseconds())
+	r.Log.Info("target's notice", "target", target, "pool", pool, "leaving", said.Leaving, "rest_ms", said.Rest.Milliseconds(), "limit", said.Limit.String())
 }
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -112,7 +112,7 @@
 		Lag:             prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "lag_seconds", Help: "How long what arrives waits for the processor.", Buckets: prometheus.ExponentialBuckets(0.001, 3, 8)}),
 		CoordinatorLost: counter("coordinator_lost_total", "Questions for a place that the pool's coordinator left unanswered, by pool and reason.", "pool", "reason"),
 		Crashes:         counter("crashes_total", "Sends whose connection the target's end closed before the answer was whole, by pool.", "pool"),
-		Notices:         counter("target_notices_total", "Targets that said in an answer that they leave or want rest, by pool and word.", "pool", "notice"),
+		Notices:         counter("target_notices_total", "News of targets about themselves in answers: that they leave, want rest, name or lift a limit; by pool and word.", "pool", "notice"),
 		StoreReturns:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_returns_total", Help: "Returns of the platform's store from an older copy that this daemon saw."}),
 		LinesLeftOut:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
