Failing test: a target gets no more than the limit that it names

Callers would see slower answers by an engine in need. On loopback a target that names 2 calls a second gets 3,583 in one (8 allowed), though all three daemons log that they were told.

--- /dev/null
+++ b/node/onplatform/limits_test.go
@@ -0,0 +1,117 @@
+package onplatform
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"doorstack.dev/platform/standin"
+)
+
+const limitHeader = "Server-Limit"
+
+// herd is callers that send one call after the other, some by each daemon, until they are stopped.
+type herd struct {
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+// callersOfEach is the number of callers at each daemon.
+const callersOfEach = 2
+
+// send starts callers of a path at the daemons; got is told of each answer.
+func (f *fleet) send(daemons []*testDaemon, path string, got func(*testDaemon, standin.Got)) *herd {
+	h := &herd{stop: make(chan struct{})}
+	for _, d := range daemons {
+		for caller := range callersOfEach {
+			h.done.Go(func() {
+				for n := 0; ; n++ {
+					select {
+					case <-h.stop:
+						return
+					default:
+					}
+					a := &standin.Ask{
+						Daemon: d.boot.Callers, Host: host, Path: path + "x", ID: fmt.Sprintf("%s-%d-%d-%s", d.boot.Name, caller, n, path[1:2]),
+						Key: key, LeftMS: 4000, Body: beside, Tokens: "100,10",
+					}
+					got(d, f.do(a))
+				}
+			})
+		}
+	}
+	return h
+}
+
+// end stops the callers and waits for their last calls.
+func (h *herd) end() {
+	close(h.stop)
+	h.done.Wait()
+}
+
+// addEngines adds model engines and waits until all daemons know them.
+func (f *fleet) addEngines(n int) {
+	for i := range n {
+		f.addTarget(fmt.Sprint("e", i+1), engines, 16)
+	}
+	for _, d := range f.daemons {
+		f.waitReady(d)
+	}
+}
+
+// told notes which daemons have passed on an answer of a target.
+type told struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+func (l *told) by(d *testDaemon) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen[d.boot.Name] = true
+}
+
+func (l *told) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.seen)
+}
+
+// allowedIn is the most calls that a target with a limit may get in some time: what the platform
+// allows in 4 s, for any time.
+func allowedIn(d time.Duration, perSecond float64) int { return int(1.5*perSecond*d.Seconds() + 5) }
+
+// TestATargetGetsNoMoreThanTheLimitThatItNames: from all daemons together, whichever coordinates.
+func TestATargetGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
+	const perSecond, calls, window = 2.0, 600, time.Second
+	for path, target := range map[string]string{safe: "t1", prompt: "e1"} {
+		t.Run(path[1:len(path)-1], func(t *testing.T) {
+			f := newFleet(t, 3, 3)
+			f.addEngines(3)
+			f.eventuallyAcquainted()
+			answer := standin.Succeed("ok")
+			if path == prompt {
+				answer = standin.Stream(1, 3, false)
+			}
+			f.scriptAll(answer)
+			f.targets[target].Script(words(limitHeader, fmt.Sprint(perSecond), answer))
+			heard := told{seen: map[string]bool{}}
+			var answered atomic.Int64
+			callers := f.send(f.daemons, path, func(d *testDaemon, got standin.Got) {
+				answered.Add(1)
+				if got.Header.Get(limitHeader) != "" {
+					heard.by(d)
+				}
+			})
+			defer callers.end()
+			f.eventually("each daemon has been told", func() bool { return heard.count() == len(f.daemons) })
+			began, before, until := time.Now(), f.callsAt(target), answered.Load()+calls
+			f.eventually("more calls", func() bool { return answered.Load() >= until && time.Since(began) >= window })
+			if got, allowed := f.callsAt(target)-before, allowedIn(time.Since(began), perSecond); got > allowed {
+				t.Errorf("%d calls in %v, allowed %d", got, time.Since(began), allowed)
+			}
+		})
+	}
+}
