Calls keep to the limit that a target names, from all daemons together

Callers of engines in need saw late answers: an engine that had named 2.1 calls a second got up to 28 in 4 s (18 allowed), one that had named 1 up to 31 (11 allowed). Cause: no decision read the word; the coordinator that places all calls did not know it. Evidence: all daemons log the word, and the test's target got 3,583 calls in a second (8 allowed). Ruled out: daemons that keep to it each for itself, and calls that pass the coordinator by. Change: whoever hears a limit tells the pool's coordinator, which spaces the calls at that rate; a daemon that decides alone takes an equal part; who asks a coordinator for the first time tells it what limits it knows; an answer without a limit to a call sent after the naming lifts it. Where all live targets name limits, what cannot be in time is refused at its first look. Why it works: one daemon counts all placed calls of a pool; the daemons' own check bounds what an unknowing coordinator does.

--- a/core/admission/busy.go
+++ b/core/admission/busy.go
@@ -13,6 +13,11 @@
 	busyRetryShare = 0.3
 )
 
+// TurnRetry is when a request should come back whose turn is foreseen after some time.
+func TurnRetry(turn, left time.Duration) time.Duration {
+	return min(turn, time.Duration(busyRetryShare*float64(left)))
+}
+
 // BusyRetry is when a caller whose prompt found no room should come back.
 func BusyRetry(long bool, left time.Duration) time.Duration {
 	after := busyRetryShort
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -232,8 +232,12 @@
 }
 
 func (q *Queue) before(a, b *flow, now time.Time) bool {
-	x, y := a.items[0], b.items[0]
-	order := cmp.Or(
+	return q.compare(a.items[0], b.items[0], now) < 0
+}
+
+// compare orders two requests by their turns.
+func (q *Queue) compare(x, y *Item, now time.Time) int {
+	return cmp.Or(
 		cmp.Compare(q.agedLevel(x, now), q.agedLevel(y, now)),
 		compareLate(x, y, now),
 		compareWork(x, y, now),
@@ -241,7 +245,16 @@
 		x.Arrived.Compare(y.Arrived),
 		cmp.Compare(x.ID, y.ID),
 	)
-	return order < 0
+}
+
+// InOrder lists all waiting requests by their turns.
+func (q *Queue) InOrder(now time.Time) []*Item {
+	list := make([]*Item, 0, q.length)
+	for _, f := range q.flows {
+		list = append(list, f.items...)
+	}
+	slices.SortFunc(list, func(x, y *Item) int { return q.compare(x, y, now) })
+	return list
 }
 
 // late tells whether it is too late for an answer in time.
--- a/core/forward/notice.go
+++ b/core/forward/notice.go
@@ -37,10 +37,7 @@
 	started   int64
 	leaving   time.Time // when it last said that it leaves; zero if it did not
 	restUntil time.Time
-	// limit is the last limit that the target named and has not lifted since, limitAt when it
-	// last named it.
-	limit   Limit
-	limitAt time.Time
+	spending  Spending
 }
 
 // NewNotices returns an empty collection.
@@ -76,35 +73,19 @@
 		news = news || !at.Before(known.restUntil)
 		known.restUntil = at.Add(min(said.Rest, mostRest))
 	}
-	return known.takeLimit(said) || news
+	return known.spending.take(said) || news
 }
 
 // tells tells whether a notice says more than that all is as usual.
 func (n *Notice) tells() bool { return n.Leaving || n.Rest > 0 || n.Limit.Named }
 
-// takeLimit takes in what a target said of its limit and tells whether that is new. Answers
-// overtake each other: only a call sent after the limit was named shows that it is lifted.
-func (k *noted) takeLimit(said Word) bool {
-	switch {
-	case said.Limit.Named:
-		news := k.limit != said.Limit
-		k.limit, k.limitAt = said.Limit, said.At
-		return news
-	case said.Limit.Lifted && k.limit.Named && said.Sent.After(k.limitAt):
-		k.limit = Limit{}
-		return true
-	default:
-		return false
-	}
-}
-
-// Limit is the limit that a target has named and not lifted; zero where there is none.
-func (n *Notices) Limit(id string) Limit {
+// Spending keeps to the limit that a target has named and not lifted; nil where there is none.
+func (n *Notices) Spending(id string) *Spending {
 	known := n.byTarget[id]
-	if known == nil {
-		return Limit{}
+	if known == nil || !known.spending.limit.Named {
+		return nil
 	}
-	return known.limit
+	return &known.spending
 }
 
 // Leaves tells whether a target has said that it leaves.
@@ -146,7 +127,7 @@
 // Trim forgets what holds no longer.
 func (n *Notices) Trim(at time.Time) {
 	for id, known := range n.byTarget {
-		limited := known.limit.Named && at.Sub(known.limitAt) < keepLimit
+		limited := known.spending.limit.Named && at.Sub(known.spending.as) < keepLimit
 		if !known.leaves(at) && !at.Before(known.restUntil) && !limited {
 			delete(n.byTarget, id)
 		}
--- a/core/routing/filter.go
+++ b/core/routing/filter.go
@@ -12,12 +12,19 @@
 	FilterBreaker     Filter = "breaker"
 	FilterUnloaded    Filter = "unloaded"
 	FilterConcurrency Filter = "concurrency"
+	FilterLimit       Filter = "limit"
 	FilterMemory      Filter = "memory"
 	FilterBacklog     Filter = "backlog"
 	FilterLong        Filter = "long_capacity"
 	FilterReserved    Filter = "reserved"
 )
 
+// room tells whether the filter rejects a target that works but takes no call more: it may read a part
+// of a prompt that another one answers.
+func (f Filter) room() bool {
+	return f == FilterMemory || f == FilterConcurrency || f == FilterLimit
+}
+
 // Rejections counts the targets taken out by each filter.
 type Rejections struct {
 	State       int `json:"state,omitempty"`
@@ -25,6 +32,7 @@
 	Breaker     int `json:"breaker,omitempty"`
 	Unloaded    int `json:"unloaded,omitempty"`
 	Concurrency int `json:"concurrency,omitempty"`
+	Limit       int `json:"limit,omitempty"`
 	Memory      int `json:"memory,omitempty"`
 	Backlog     int `json:"backlog,omitempty"`
 	Long        int `json:"long_capacity,omitempty"`
@@ -33,7 +41,7 @@
 
 // waitable is the number of targets that only lacked room.
 func (r *Rejections) waitable() int {
-	return r.Concurrency + r.Memory + r.Backlog + r.Long + r.Reserved
+	return r.Concurrency + r.Limit + r.Memory + r.Backlog + r.Long + r.Reserved
 }
 
 // count adds one and returns the new count of the filter.
@@ -55,6 +63,8 @@
 		return &r.Unloaded
 	case FilterConcurrency:
 		return &r.Concurrency
+	case FilterLimit:
+		return &r.Limit
 	case FilterMemory:
 		return &r.Memory
 	case FilterBacklog:
@@ -79,6 +89,8 @@
 		return FilterExcluded
 	case t.MaxConcurrent > 0 && t.Load.Requests >= t.MaxConcurrent:
 		return FilterConcurrency
+	case t.spent(r):
+		return FilterLimit
 	case t.MemoryTokens == 0:
 		return "" // A plain service has no memory and reads no prompt.
 	case t.Load.MemoryTokens+r.MemoryTokens() > room(p, long, t.MemoryTokens):
@@ -129,7 +141,7 @@
 
 // Counts lists the rejections by filter, in the order of the filters.
 func (r *Rejections) Counts() []RejectionCount {
-	filters := []Filter{FilterState, FilterExcluded, FilterBreaker, FilterUnloaded, FilterConcurrency, FilterMemory, FilterBacklog, FilterLong, FilterReserved}
+	filters := []Filter{FilterState, FilterExcluded, FilterBreaker, FilterUnloaded, FilterConcurrency, FilterLimit, FilterMemory, FilterBacklog, FilterLong, FilterReserved}
 	counts := make([]RejectionCount, 0, len(filters))
 	for _, f := range filters {
 		counts = append(counts, RejectionCount{Filter: f, Count: *r.counter(f)})
--- /dev/null
+++ b/core/routing/limit.go
@@ -0,0 +1,73 @@
+package routing
+
+import "math"
+
+// RateLimit is what keeps calls from a target that has named how many it takes from all daemons.
+type RateLimit struct {
+	// PerSecond is the rate of calls that it is given, in requests a second.
+	PerSecond float64 `json:"per_s"`
+	// Wait is the time until one more call keeps to that, counting the calls placed by this daemon,
+	// in seconds.
+	Wait float64 `json:"wait_s,omitempty"`
+	// Idle is the time since the last of them, in seconds.
+	Idle float64 `json:"idle_s,omitempty"`
+}
+
+// spent tells whether the target's limit leaves no room for the request now.
+func (t *Target) spent(r *Request) bool { return t.Limit != nil && t.Limit.wait(r) > 0 }
+
+// wait is the time, in seconds, until the target may be given the request. A daemon that decides
+// alone does not know of the others' calls and takes an equal part of the rate.
+func (l *RateLimit) wait(r *Request) float64 {
+	if !r.Blind {
+		return l.Wait
+	}
+	return max(l.Wait, 1/l.part(r)-l.Idle)
+}
+
+// part is the rate that this daemon may use, in requests a second.
+func (l *RateLimit) part(r *Request) float64 {
+	if !r.Blind {
+		return l.PerSecond
+	}
+	return l.PerSecond / float64(max(1, r.Sharers))
+}
+
+// turn is the time, in seconds, after which a request's turn comes that so many others wait before,
+// where every target that could take it has named a limit; false where one has not.
+func turn(r *Request, before int, targets []Target) (float64, bool) {
+	rate, soonest := 0.0, math.Inf(1)
+	for i := range targets {
+		t := &targets[i]
+		if t.State != Live || t.Unloaded || excluded(r, t.ID) {
+			continue
+		}
+		if t.Limit == nil {
+			return 0, false
+		}
+		rate += t.Limit.part(r)
+		soonest = min(soonest, t.Limit.wait(r))
+	}
+	if rate == 0 {
+		return 0, false
+	}
+	return soonest + float64(before)/rate, true
+}
+
+// RefuseSpent tells whether a waiting request is refused because its turn under the targets' limits is
+// foreseen after its goal, and returns that decision. One that has been let wait, or placed before, is
+// refused only where it cannot be answered at all, and one whose answer has begun never.
+func RefuseSpent(r *Request, before int, targets []Target) (Decision, bool) {
+	wait, limited := turn(r, before, targets)
+	if !limited || r.Begun {
+		return Decision{}, false
+	}
+	left := r.Left
+	if r.Goal > 0 && !r.Retry && !r.LetWait {
+		left = min(left, r.Goal-r.Waited)
+	}
+	if wait <= max(0, left) {
+		return Decision{}, false
+	}
+	return Decision{Request: *r, Verdict: Refuse, ComeBack: wait, Considered: len(targets), Rejections: Rejections{Limit: len(targets)}}, true
+}
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -109,6 +109,8 @@
 	// Pace is the factor by which the target's work takes longer than its timing says; zero
 	// and one are a sound target's.
 	Pace float64 `json:"pace,omitempty"`
+	// Limit is set while the target names how many calls it takes from all daemons.
+	Limit *RateLimit `json:"limit,omitempty"`
 	// Unloaded is true while the target does not serve the pool's model.
 	Unloaded bool `json:"unloaded,omitempty"`
 }
@@ -149,6 +151,10 @@
 	GapGoal float64 `json:"gap_goal_s,omitempty"`
 	// Waited is how long the request has waited, in seconds.
 	Waited float64 `json:"waited_s,omitempty"`
+	// LetWait is true where an earlier look has let it wait for its turn.
+	LetWait bool `json:"let_wait,omitempty"`
+	// Left is the time until its deadline, in seconds.
+	Left float64 `json:"left_s,omitempty"`
 	// Ahead is the reading time of the long prompts that wait before it, in seconds.
 	Ahead float64 `json:"ahead_s,omitempty"`
 	// Recorded means that the candidates of a decision to wait need no record, as one of a
@@ -164,6 +170,8 @@
 	// Blind is true where a daemon that does not place the pool's calls for all decides
 	// alone: it knows its own calls at the targets and none of the others'.
 	Blind bool `json:"blind,omitempty"`
+	// Sharers is the number of daemons that share the targets, this one among them.
+	Sharers int `json:"sharers,omitempty"`
 }
 
 // MemoryTokens is the KV cache that the request takes when it is done.
@@ -271,6 +279,9 @@
 	// Foreseen is the time to the first event that a prompt which waits can expect, from
 	// its arrival, in seconds.
 	Foreseen float64 `json:"foreseen_s,omitempty"`
+	// ComeBack is the time, in seconds, after which a refused request's turn would have come; zero
+	// where that is not foreseen.
+	ComeBack float64 `json:"come_back_s,omitempty"`
 	// Pool sums up the targets of known timing that the decision was made from.
 	Pool *PoolState `json:"pool,omitempty"`
 	// Considered is the number of targets looked at.
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -92,7 +92,7 @@
 	for i := range targets {
 		t := &targets[i]
 		f := filterTimed(r, t)
-		if (f == "" || f == FilterMemory || f == FilterConcurrency) && (t.pace() == 1 || !sound) {
+		if (f == "" || f.room()) && (t.pace() == 1 || !sound) {
 			s.readers = append(s.readers, i) // It may still read a part for another.
 		}
 		if f != "" {
@@ -130,6 +130,8 @@
 		return FilterExcluded
 	case t.full():
 		return FilterConcurrency
+	case t.spent(r):
+		return FilterLimit
 	case r.MemoryTokens() > t.free():
 		return FilterMemory
 	}
@@ -217,7 +219,7 @@
 		add(b.index, Candidate{Target: targets[b.index], Scores: s.scoreTimed(r, p, &targets[b.index], reading)})
 	}
 	for _, x := range s.rejected {
-		if x.filter == FilterMemory || x.filter == FilterConcurrency {
+		if x.filter.room() {
 			add(x.index, Candidate{Target: targets[x.index], Rejected: x.filter})
 		}
 	}
--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -193,7 +193,7 @@
 		}
 	}()
 	ahead := 0.0 // reading time of the long prompts that wait before the next one
-	return p.queue.Dispatch(at, func(it *admission.Item) bool {
+	placed := p.queue.Dispatch(at, func(it *admission.Item) bool {
 		ticket := it.Owner.(*Ticket)
 		ticket.Request.Ahead = ahead
 		if place(ticket, targets, at) {
@@ -204,6 +204,30 @@
 		}
 		return false
 	})
+	p.refuseSpent(targets.Limited(pool, at), at)
+	return placed
+}
+
+// refuseSpent refuses the waiting requests whose turn comes too late, where all targets of the pool
+// have named limits.
+func (p *poolQueue) refuseSpent(limited []routing.Target, at time.Time) {
+	if len(limited) == 0 {
+		return
+	}
+	before := 0
+	for _, it := range p.queue.InOrder(at) {
+		ticket := it.Owner.(*Ticket)
+		r := &ticket.Request
+		r.Waited, r.Left = at.Sub(it.Arrived).Seconds(), ticket.Deadline.Sub(at).Seconds()
+		d, refused := routing.RefuseSpent(r, before, limited)
+		if !refused {
+			before++
+			r.LetWait = true
+			continue
+		}
+		p.queue.Remove(it)
+		ticket.placed <- Placement{Decision: d, Attempt: ticket.Attempt, At: at}
+	}
 }
 
 // place asks for a target and tells whether the ticket is done waiting.
--- /dev/null
+++ b/node/blackboard/target_limits.go
@@ -0,0 +1,117 @@
+package blackboard
+
+import (
+	"slices"
+	"time"
+
+	"doorstack.dev/core/forward"
+	"doorstack.dev/core/routing"
+)
+
+// LimitState is a limit that a target has named, as daemons tell each other of it.
+type LimitState struct {
+	Target    string  `cbor:"1,keyasint"`
+	PerSecond float64 `cbor:"2,keyasint,omitempty"`
+	// Lifted is true where a call was answered without a limit; it was sent Ago before.
+	Lifted bool `cbor:"3,keyasint,omitempty"`
+	// Ago is the time since the limit was last named.
+	Ago time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Word is the state as the target's own word, heard at a moment.
+func (l *LimitState) Word(at time.Time) forward.Word {
+	then := at.Add(-max(0, l.Ago))
+	if l.Lifted {
+		return forward.Word{Notice: forward.Notice{Limit: forward.Limit{Lifted: true}}, Sent: then, At: at}
+	}
+	return forward.Word{Notice: forward.Notice{Limit: forward.NamedLimit(l.PerSecond)}, At: then}
+}
+
+// rateLimit is what routing needs to know of a target's limit.
+func rateLimit(s *forward.Spending, at time.Time) *routing.RateLimit {
+	if s == nil {
+		return nil
+	}
+	return &routing.RateLimit{PerSecond: s.Rate(), Wait: s.Wait(at).Seconds(), Idle: s.Idle(at).Seconds()}
+}
+
+// limit is the limit that the target has named.
+func (s *targetState) limit() forward.Limit {
+	if s.spending == nil {
+		return forward.Limit{}
+	}
+	return s.spending.Limit()
+}
+
+// limitState describes the target's limit for another daemon.
+func (s *targetState) limitState(at time.Time) LimitState {
+	return LimitState{Target: s.id, PerSecond: s.spending.Limit().PerSecond, Ago: at.Sub(s.spending.Named())}
+}
+
+// Limited is the targets of a pool as routing sees them, where all that live have named limits.
+func (t *TargetTable) Limited(pool string, at time.Time) []routing.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil || t.notices.Empty() {
+		return nil
+	}
+	for _, s := range p.states {
+		if s.spending == nil && s.state() == routing.Live {
+			return nil
+		}
+	}
+	p.refresh(at)
+	return slices.Clone(p.targets)
+}
+
+// Limits lists the limits that targets of a pool have named.
+func (t *TargetTable) Limits(pool string, at time.Time) []LimitState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil || t.notices.Empty() {
+		return nil
+	}
+	var list []LimitState
+	for _, s := range p.states {
+		if s.spending != nil {
+			list = append(list, s.limitState(at))
+		}
+	}
+	return list
+}
+
+// LimitOf is the limit that a target has named; nil where it names none.
+func (t *TargetTable) LimitOf(id string, at time.Time) *LimitState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[id]
+	if s == nil || s.spending == nil {
+		return nil
+	}
+	state := s.limitState(at)
+	return &state
+}
+
+// Spend counts a call that another daemon placed under its target's limit.
+func (t *TargetTable) Spend(id string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.byID[id]; s != nil && s.spending != nil {
+		s.spending.Spend(at)
+		s.refresh(at)
+	}
+}
+
+// overdrawn is how far ahead of a limit this daemon's own calls may be when another daemon, which knows
+// of all calls, places one more: their order may change on the way here.
+const overdrawn = 500 * time.Millisecond
+
+// Overdrawn tells whether one more call would pass a target's limit by this daemon's own calls alone.
+func (t *TargetTable) Overdrawn(id string, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[id]
+	return s != nil && s.spending != nil && s.spending.Wait(at) > overdrawn
+}
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -76,19 +76,21 @@
 	leaving bool          // the word of its last report
 	// saidLeaving is the target's word beside an answer to a call.
 	saidLeaving bool
-	report      target.LoadReport
-	reportAt    time.Time    // when the report was true, by this daemon's clock
-	since       routing.Load // own work sent after reportAt
-	ended       routing.Load // own work ended after reportAt, sent before
-	calls       map[string]*ownCall
-	breaker     admission.Breaker
-	reserved    string
-	failures    int64
-	trouble     trouble
-	reading     readingState
-	setAside    int64     // tokens of memory for calls that other targets answer
-	suspect     time.Time // until when nothing is sent to it, after it turned a call away
-	pace        pace
+	// spending keeps to the limit that the target has named; nil where it names none.
+	spending *forward.Spending
+	report   target.LoadReport
+	reportAt time.Time    // when the report was true, by this daemon's clock
+	since    routing.Load // own work sent after reportAt
+	ended    routing.Load // own work ended after reportAt, sent before
+	calls    map[string]*ownCall
+	breaker  admission.Breaker
+	reserved string
+	failures int64
+	trouble  trouble
+	reading  readingState
+	setAside int64     // tokens of memory for calls that other targets answer
+	suspect  time.Time // until when nothing is sent to it, after it turned a call away
+	pace     pace
 }
 
 // trouble is a decaying count of failed calls.
@@ -161,6 +163,7 @@
 		s.started = max(s.started, h.Incarnation)
 		t.notices.Seen(h.ID, h.Address, h.Incarnation)
 		s.saidLeaving = t.notices.Leaves(h.ID, at)
+		s.spending = t.notices.Spending(h.ID)
 		s.listed = routing.Live
 		if h.State == hostlist.Leaving {
 			s.listed = routing.Leaving
@@ -214,6 +217,7 @@
 		reported = reportedLoad(&s.report, view.PrefillRate, view.ReportAge)
 	}
 	view.Load = reported.Sub(s.ended).Add(s.since)
+	view.Limit = rateLimit(s.spending, at)
 	s.refreshTimed(view, at)
 	view.Pace = s.pace.now(at)
 	view.Trouble = s.trouble.now(at)
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -73,6 +73,7 @@
 	hub.Handle(peer.KindPlace, peer.Serve(c.Placements.servePlace))
 	hub.Handle(peer.KindPlaced, peer.Serve(c.Placements.servePlaced))
 	hub.Handle(peer.KindProgress, peer.Serve(c.Placements.serveProgress))
+	hub.Handle(peer.KindLimit, peer.Serve(c.Placements.serveLimit))
 	hub.Handle(peer.KindHeartbeat, peer.Serve(c.serveHeartbeat))
 	hub.Handle(peer.KindRumor, peer.Serve(c.serveRumors))
 	hub.Handle(peer.KindDigests, peer.Serve(c.serveDigests))
--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -38,6 +38,7 @@
 		return placeAnswer{}, errors.New("this daemon does not coordinate the pool " + in.Pool)
 	}
 	p.adopt(from, &in, now)
+	p.takeLimits(in.Pool, in.Limits, now)
 	p.mu.Lock()
 	held := p.held[in.Attempt]
 	if held != nil {
@@ -104,7 +105,10 @@
 	d := &placement.Decision
 	answer := placeAnswer{
 		Attempt: held.ticket.Attempt, Verdict: d.Verdict, Target: d.Chosen, Address: placement.Address,
-		Reading: d.Reading, Considered: d.Considered, Tickets: d.Tickets,
+		Reading: d.Reading, Considered: d.Considered, Tickets: d.Tickets, ComeBack: d.ComeBack,
+	}
+	if d.Verdict == routing.Place {
+		answer.Limit = p.cluster.Board.Targets.LimitOf(d.Chosen, time.Now())
 	}
 	for _, h := range placement.Helpers {
 		answer.Helpers = append(answer.Helpers, placeHelper{h.ID, h.Address})
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -64,6 +64,9 @@
 	Calls []blackboard.CallState `cbor:"15,keyasint,omitempty"`
 	// Begun is true where the caller has a part of the answer.
 	Begun bool `cbor:"16,keyasint,omitempty"`
+	// Limits are the limits of the pool's targets that the asker knows, for a coordinator that it
+	// asks first.
+	Limits []blackboard.LimitState `cbor:"17,keyasint,omitempty"`
 }
 
 // placeAnswer is a placement, or the word that the call waits.
@@ -78,6 +81,10 @@
 	Considered int `cbor:"7,keyasint,omitempty"`
 	// Tickets are what helpers are asked to set aside.
 	Tickets []routing.Ticket `cbor:"8,keyasint,omitempty"`
+	// ComeBack is the time, in seconds, after which a refused call's turn would have come.
+	ComeBack float64 `cbor:"9,keyasint,omitempty"`
+	// Limit is the limit that the target has named.
+	Limit *blackboard.LimitState `cbor:"10,keyasint,omitempty"`
 }
 
 type placeHelper struct {
@@ -190,8 +197,8 @@
 	if answer.Verdict == routing.Place && !p.sendable(answer) {
 		// The coordinator lags behind what is known here, which binds.
 		p.cluster.Record.Log.Info("placement is not followed", "request", t.Request.ID, "peer", c.name, "target", answer.Target,
-			"reason", "the target or a helper leaves, rests or is not known here")
-		p.tell(c.name, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+			"reason", "the target or a helper leaves, rests or is not known here, or the call would pass the target's limit")
+		p.tell(c.name, peer.KindProgress, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
 		return blackboard.Placement{}, false
 	}
 	if answer.Verdict == routing.Place {
@@ -212,7 +219,7 @@
 			return false
 		}
 	}
-	return targets.Willing(a.Target, now)
+	return targets.Willing(a.Target, now) && !targets.Overdrawn(a.Target, now)
 }
 
 // Why a coordinator counts as lost: it did not answer in time, or the link or the coordinator
@@ -240,7 +247,7 @@
 		p.cluster.Record.Log.Warn("dependency is lost", "dependency", "coordinator", "peer", name, "pool", t.Pool.Name,
 			"request", t.Request.ID, "error", err.Error())
 	}
-	p.tell(name, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+	p.tell(name, peer.KindProgress, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
 }
 
 // ask puts the question and waits for the placement.
@@ -270,7 +277,7 @@
 		case <-renew.C:
 		case <-ctx.Done():
 			renew.Stop()
-			p.tell(c.name, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+			p.tell(c.name, peer.KindProgress, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
 			return answer, ctx.Err()
 		}
 	}
@@ -291,6 +298,7 @@
 	p.mu.Unlock()
 	if !known {
 		q.Calls = p.handOver(t.Pool.Name, c.name)
+		q.Limits = p.cluster.Board.Targets.Limits(t.Pool.Name, time.Now())
 	}
 	return q
 }
@@ -314,13 +322,14 @@
 	now := time.Now()
 	placement := blackboard.Placement{Attempt: t.Attempt, Address: a.Address, At: now, Decision: routing.Decision{
 		Request: t.Request, Params: t.Params, Verdict: a.Verdict, Chosen: a.Target, Considered: a.Considered, Reading: a.Reading,
-		Tickets: a.Tickets,
+		Tickets: a.Tickets, ComeBack: a.ComeBack,
 	}}
 	for _, h := range a.Helpers {
 		placement.Decision.Helpers = append(placement.Decision.Helpers, h.Target)
 		placement.Helpers = append(placement.Helpers, blackboard.TargetAddress{ID: h.Target, Address: h.Address})
 	}
 	if a.Verdict == routing.Place {
+		p.spend(t.Pool.Name, a, now)
 		placement.Gone = p.cluster.Board.Targets.Adopt(blackboard.StateOf(t.Attempt, &placement.Decision), now)
 	}
 	return placement
@@ -332,7 +341,7 @@
 	name := p.placedBy[attempt]
 	p.mu.Unlock()
 	if name != "" {
-		p.tell(name, callProgress{Attempt: attempt})
+		p.tell(name, peer.KindProgress, callProgress{Attempt: attempt})
 	}
 }
 
@@ -344,20 +353,20 @@
 	delete(p.placedBy, attempt)
 	p.mu.Unlock()
 	if name != "" {
-		p.tell(name, callProgress{Attempt: attempt, Ended: true, Result: result, Suspect: suspect, SuspectFor: suspectFor})
+		p.tell(name, peer.KindProgress, callProgress{Attempt: attempt, Ended: true, Result: result, Suspect: suspect, SuspectFor: suspectFor})
 	}
 }
 
 // tell sends news of a call over the link that is open. What is lost is forgotten by
 // the coordinator after the call's deadline.
-func (p *Placements) tell(name string, news callProgress) {
+func (p *Placements) tell(name string, kind peer.Kind, news any) {
 	if !slices.Contains(p.cluster.Hub.Linked(), name) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), placeTimeout)
 	defer cancel()
-	if err := p.cluster.Hub.Tell(ctx, p.cluster.address(name), peer.KindProgress, news); err != nil {
-		p.cluster.Record.Log.Debug("a coordinator was not told of a call's progress", "peer", name, "attempt", news.Attempt, "error", err.Error())
+	if err := p.cluster.Hub.Tell(ctx, p.cluster.address(name), kind, news); err != nil {
+		p.cluster.Record.Log.Debug("a coordinator was not told", "peer", name, "kind", kind.String(), "error", err.Error())
 	}
 }
 
--- a/node/cluster/placement_test.go
+++ b/node/cluster/placement_test.go
@@ -14,6 +14,7 @@
 	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
 	"doorstack.dev/node/telemetry"
 	"github.com/go-faster/errors"
@@ -173,3 +174,111 @@
 		}
 	}
 }
+
+// limitOf is a limit that a target named a moment ago.
+func limitOf(target string, perSecond float64) blackboard.LimitState {
+	return blackboard.LimitState{Target: target, PerSecond: perSecond, Ago: time.Millisecond}
+}
+
+// placeSome lets a coordinator place questions of a daemon and counts the calls by target.
+func (p *Placements) placeSome(t *testing.T, first placeRequest, n int) map[string]int {
+	t.Helper()
+	got := map[string]int{}
+	for i := range n {
+		in := question(fmt.Sprint("a", i))
+		if i == 0 {
+			in.Limits = first.Limits
+		}
+		answers := make(chan placeAnswer, 1)
+		go func() {
+			answer, err := p.servePlace(t.Context(), "asker", in)
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- answer
+		}()
+		synctest.Wait()
+		p.dispatch()
+		answer := <-answers
+		got[answer.Target]++
+		p.end(in.Attempt, blackboard.CallSucceeded)
+	}
+	return got
+}
+
+// TestANewCoordinatorKeepsToLimitsThatItsAskersKnow: it has heard of none itself.
+func TestANewCoordinatorKeepsToLimitsThatItsAskersKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newCoordinator(t, 2)
+		got := p.placeSome(t, placeRequest{Limits: []blackboard.LimitState{limitOf("t0", 1)}}, 20)
+		if got["t0"] > 1 || got["t0"]+got["t1"] != 20 {
+			t.Errorf("%v", got)
+		}
+	})
+}
+
+// TestACoordinatorTellsTheLimitOfTheTargetThatItChose: the asker may not have heard of it, and is the one
+// who hears that it is lifted.
+func TestACoordinatorTellsTheLimitOfTheTargetThatItChose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newCoordinator(t, 1)
+		if _, err := p.serveLimit(t.Context(), "teller", limitNews{Pool: "svc", Limit: limitOf("t0", 3)}); err != nil {
+			t.Fatal(err)
+		}
+		answers := make(chan placeAnswer, 1)
+		go func() {
+			answer, err := p.servePlace(t.Context(), "asker", question("a"))
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- answer
+		}()
+		synctest.Wait()
+		p.dispatch()
+		answer := <-answers
+		if answer.Limit == nil || answer.Limit.PerSecond != 3 {
+			t.Fatalf("%+v", answer.Limit)
+		}
+		asker := newCoordinator(t, 1)
+		ticket := &blackboard.Ticket{Attempt: "a", Pool: asker.cluster.Board.Settings.Current().Tree.Pool("svc"), Item: &admission.Item{}}
+		asker.follow(coordinator{name: "other"}, ticket, &answer)
+		if limits := asker.cluster.Board.Targets.Limits("svc", time.Now()); len(limits) != 1 || limits[0].PerSecond != 3 {
+			t.Errorf("the asker knows %+v", limits)
+		}
+	})
+}
+
+// TestACoordinatorThatDoesNotKnowOfALimitIsNotFollowed: a daemon's own calls never pass a limit that it knows.
+func TestACoordinatorThatDoesNotKnowOfALimitIsNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newCoordinator(t, 1)
+		p.takeLimits("svc", []blackboard.LimitState{limitOf("t0", 1)}, time.Now())
+		followed := 0
+		const seconds, perSecond = 10, 20
+		for i := range seconds * perSecond {
+			ticket := &blackboard.Ticket{Attempt: fmt.Sprint("a", i), Pool: p.cluster.Board.Settings.Current().Tree.Pool("svc"), Item: &admission.Item{}}
+			if _, ok := p.follow(coordinator{name: "other"}, ticket, &placeAnswer{Attempt: ticket.Attempt, Verdict: routing.Place, Target: "t0"}); ok {
+				followed++
+			}
+			controller.Sleep(t.Context(), time.Second/perSecond)
+		}
+		if followed < seconds || followed > seconds+3 {
+			t.Errorf("%d calls followed in %d s, named is 1 a second", followed, seconds)
+		}
+	})
+}
+
+// TestALiftedLimitIsToldToTheCoordinator: a word that is older than the limit lifts nothing.
+func TestALiftedLimitIsToldToTheCoordinator(t *testing.T) {
+	p := newCoordinator(t, 1)
+	now := time.Now()
+	p.takeLimits("svc", []blackboard.LimitState{limitOf("t0", 1)}, now)
+	p.takeLimits("svc", []blackboard.LimitState{{Target: "t0", Lifted: true, Ago: time.Second}}, now.Add(100*time.Millisecond))
+	if len(p.cluster.Board.Targets.Limits("svc", now)) != 1 {
+		t.Error("a call sent before the limit was named lifts it")
+	}
+	p.takeLimits("svc", []blackboard.LimitState{{Target: "t0", Lifted: true, Ago: 50 * time.Millisecond}}, now.Add(100*time.Millisecond))
+	if len(p.cluster.Board.Targets.Limits("svc", now)) != 0 {
+		t.Error("the limit is not lifted")
+	}
+}
--- a/node/onplatform/limits_test.go
+++ b/node/onplatform/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -115,3 +116,64 @@
 		})
 	}
 }
+
+// TestATargetThatNamesNoLimitAnyMoreIsUsedAgain: by all daemons, at once.
+func TestATargetThatNamesNoLimitAnyMoreIsUsedAgain(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.eventuallyAcquainted()
+	f.targets["t1"].Script(words(limitHeader, "2", standin.Succeed("ok")))
+	var answered atomic.Int64
+	callers := f.send(f.daemons, safe, func(*testDaemon, standin.Got) { answered.Add(1) })
+	defer callers.end()
+	limited := func(d *testDaemon) bool { return len(d.Board.Targets.Limits(plain, time.Now())) > 0 }
+	f.eventually("all know the limit", func() bool { return limited(f.daemons[0]) && limited(f.daemons[1]) })
+	f.targets["t1"].Script(standin.Succeed("ok"))
+	f.eventually("all know that it is lifted", func() bool { return !limited(f.daemons[0]) && !limited(f.daemons[1]) })
+	const calls = 200
+	before, until := f.callsAt("t1"), answered.Load()+calls
+	f.eventually("more calls", func() bool { return answered.Load() >= until })
+	if got := f.callsAt("t1") - before; got < calls/4 {
+		t.Errorf("it gets %d of %d calls", got, calls)
+	}
+}
+
+// TestWhereAllTargetsNameLimitsCallsAreRefusedAtOnce: those whose turn comes too late, with the time of
+// their turn; none of them runs, and each target gets what it names.
+func TestWhereAllTargetsNameLimitsCallsAreRefusedAtOnce(t *testing.T) {
+	const perSecond = 2.0
+	f := newFleet(t, 2, 2)
+	f.eventuallyAcquainted()
+	f.scriptAll(words(limitHeader, fmt.Sprint(perSecond), standin.Succeed("ok")))
+	f.eventually("a refusal by each daemon", func() bool {
+		for _, d := range f.daemons {
+			if f.do(f.askOf(d, safe, beside)).Status != 503 {
+				return false
+			}
+		}
+		return true
+	})
+	refused, late := 0, 0
+	began, before := time.Now(), f.callsAt("t1")+f.callsAt("t2")
+	for n := 0; time.Since(began) < time.Second; n++ {
+		a := f.askOf(f.daemons[n%2], safe, beside)
+		sent := time.Now()
+		got := f.do(a)
+		if got.Status == 200 {
+			continue
+		}
+		refused++
+		if time.Since(sent) > 100*time.Millisecond {
+			late++
+		}
+		back, err := strconv.ParseFloat(got.ComeBack(), 64)
+		if got.Status != 503 || got.Signed() || err != nil || back <= 0 || back > 4/perSecond || len(f.calls(a.ID)) > 0 {
+			t.Fatalf("%+v, at targets %d times", got, len(f.calls(a.ID)))
+		}
+	}
+	if ran, allowed := f.callsAt("t1")+f.callsAt("t2")-before, 2*allowedIn(time.Since(began), perSecond); ran > allowed || ran == 0 {
+		t.Errorf("%d calls ran, allowed %d", ran, allowed)
+	}
+	if refused == 0 || late > refused/10 {
+		t.Errorf("%d refused, %d of them late", refused, late)
+	}
+}
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -44,6 +44,7 @@
 	KindVerdicts  Kind = 24
 	KindFacts     Kind = 25
 	KindTrial     Kind = 26
+	KindLimit     Kind = 27
 )
 
 var kindNames = map[Kind]string{
@@ -54,7 +55,7 @@
 	KindJoin: "join", KindTargets: "targets",
 	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
 	KindChanges: "settings_changes", KindDigests: "digests",
-	KindCrash: "crash", KindVerdicts: "verdicts", KindFacts: "facts", KindTrial: "trial",
+	KindCrash: "crash", KindVerdicts: "verdicts", KindFacts: "facts", KindTrial: "trial", KindLimit: "limit",
 }
 
 // String names the kind for metrics.
--- a/node/requestcontrol/collaborators.go
+++ b/node/requestcontrol/collaborators.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"doorstack.dev/core/decision"
+	"doorstack.dev/core/forward"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
 )
@@ -77,4 +78,7 @@
 	// of a target that nothing should be sent to for some time.
 	PromptRead(attempt string)
 	Finished(attempt string, result blackboard.CallResult, suspect string, suspectFor time.Duration)
+	// LimitSaid tells the coordinator what a target said of its limit in the answer to a call that
+	// was sent then.
+	LimitSaid(pool, target string, said forward.Limit, sent time.Time)
 }
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -278,7 +278,7 @@
 		}
 		return silence.stop(watched, err)
 	}
-	d.Record.Notice(r.Route.Pool.Name, p.Decision.Chosen, reply.Said(), reply.Sent)
+	f.hear(p.Decision.Chosen, reply)
 	err = silence.stop(watched, f.take(reply, p))
 	d.Exchange.Close(reply)
 	switch {
@@ -291,6 +291,15 @@
 	return err
 }
 
+// hear takes in what a target says of itself in an answer. Its limit concerns all daemons.
+func (f *forwarding) hear(target string, reply *target.Reply) {
+	d, pool, said := f.director, f.request.Route.Pool.Name, reply.Said()
+	news := d.Record.Notice(pool, target, said, reply.Sent)
+	if d.Placer != nil && (said.Limit.Named || news && said.Limit.Lifted) {
+		d.Placer.LimitSaid(pool, target, said.Limit, reply.Sent)
+	}
+}
+
 func helpersOf(p *blackboard.Placement) []forward.Helper {
 	var helpers []forward.Helper
 	for _, h := range p.Helpers {
--- a/node/requestcontrol/left_test.go
+++ b/node/requestcontrol/left_test.go
@@ -33,6 +33,8 @@
 
 func (p *onePlace) PromptRead(string) {}
 
+func (p *onePlace) LimitSaid(string, string, forward.Limit, time.Time) {}
+
 func (p *onePlace) Finished(_ string, result blackboard.CallResult, _ string, _ time.Duration) {
 	p.results = append(p.results, result)
 }
--- a/node/requestcontrol/place.go
+++ b/node/requestcontrol/place.go
@@ -78,6 +78,7 @@
 			return blackboard.Placement{}, waitError(ctx, r)
 		}
 		ticket.Request.Blind = !d.Placer.Coordinates(r.Route.Pool.Name)
+		ticket.Request.Sharers = d.Board.Members.Sharers()
 	}
 	d.Board.Queues.Push(ticket)
 	var placement blackboard.Placement
@@ -99,8 +100,13 @@
 func (d *Director) judgePlacement(r *Request, ticket *blackboard.Ticket, placement *blackboard.Placement) error {
 	d.recordRoute(r, ticket, *placement)
 	if placement.Decision.Verdict == routing.Refuse {
+		left := time.Until(r.Deadline)
+		retry := admission.BusyRetry(r.promptTokens >= r.Route.Pool.Policy.LongPromptTokens, left)
+		if turn := placement.Decision.ComeBack; turn > 0 {
+			retry = admission.TurnRetry(engine.Seconds(turn), left)
+		}
 		return fault.New(fault.DeadlineTooShort, "the targets are too busy to answer in the time that the route asks for", "send again after the time in Retry-After").
-			WithRetry(admission.BusyRetry(r.promptTokens >= r.Route.Pool.Policy.LongPromptTokens, time.Until(r.Deadline)))
+			WithRetry(retry)
 	}
 	if placement.Decision.Verdict == routing.None {
 		return fault.New(fault.NoTarget,
