--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -76,6 +76,8 @@
 	fails bool
 	// leaves and rests are what the target says of itself in its answers.
 	leaves, rests bool
+	// limit is the limit that it names; nil where it names none.
+	limit *float64
 }
 
 // ledger is what targets have seen.
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -41,6 +41,8 @@
 	// Leaves and Rest are what the target said of itself in its answer.
 	Leaves bool
 	Rest   time.Duration
+	// Limit is the limit that the target named in its answer, if it did.
+	Limit *float64
 	// Crashed means that the target's process ended under the call.
 	Crashed bool
 }
@@ -104,7 +106,7 @@
 			}
 		}
 	}
-	list = slices.Concat(list, neverBack(r), wordsKept(r), crashesStop(r))
+	list = slices.Concat(list, neverBack(r), wordsKept(r), crashesStop(r), limitsKept(r))
 	for _, id := range r.Held {
 		list = append(list, Violation{"LEAK", id, "memory set aside was not released"})
 	}
--- a/node/internal/soak/plan.go
+++ b/node/internal/soak/plan.go
@@ -110,7 +110,7 @@
 			add(e)
 		}
 	}
-	return withWords(withAnew(plan, seed, length), seed, length)
+	return withLimits(withWords(withAnew(plan, seed, length), seed, length), seed, length)
 }
 
 // draw is a time below a bound.
--- a/node/internal/soak/words.go
+++ b/node/internal/soak/words.go
@@ -111,6 +111,7 @@
 func (b *backend) speak(w http.ResponseWriter, run *Run) (turnsAway bool) {
 	b.mu.Lock()
 	leaves, rests := b.leaves, b.rests
+	b.speakLimit(w, run)
 	b.mu.Unlock()
 	if leaves {
 		w.Header().Set("Server-Leaving", "1")
--- a/node/internal/soak/world.go
+++ b/node/internal/soak/world.go
@@ -245,6 +245,8 @@
 	case TargetRests:
 		defer w.disturb(e.Kind, everywhere)()
 		w.restTargets(ctx, e)
+	case TargetLimits:
+		w.limitTargets(ctx, e)
 	case StoreRestore:
 		defer w.disturb(e.Kind, everywhere)()
 		w.restoreStore(ctx, e)
