Headers of targets' answers that nothing understands are logged and counted

Cause: twice now (leaving and rest, limits) callers or targets suffered because a word of the platform's stood in a header that nothing decoded, and nothing showed that it was there. Each unknown name is logged once a process.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -92,6 +92,8 @@
 	AtFault string
 	// Notice is what the target that answered says of itself.
 	Notice Notice
+	// Unread names headers that the dialect does not understand.
+	Unread []string
 }
 
 // Said is what the target that was meant says of itself: nothing, where another one answered.
--- a/core/routing/limit_test.go
+++ b/core/routing/limit_test.go
@@ -6,7 +6,9 @@
 )
 
 // limited names a limit at a target that is spent for some time.
-func limited(t *Target, perSecond, wait float64) { t.Limit = &RateLimit{PerSecond: perSecond, Wait: wait} }
+func limited(t *Target, perSecond, wait float64) {
+	t.Limit = &RateLimit{PerSecond: perSecond, Wait: wait}
+}
 
 // TestASpentTargetGetsNoCall: plain services, engines, and the engine that answers a long prompt.
 func TestASpentTargetGetsNoCall(t *testing.T) {
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -294,6 +294,7 @@
 // hear takes in what a target says of itself in an answer. Its limit concerns all daemons.
 func (f *forwarding) hear(target string, reply *target.Reply) {
 	d, pool, said := f.director, f.request.Route.Pool.Name, reply.Said()
+	d.Record.Unread(pool, target, reply.Unread)
 	news := d.Record.Notice(pool, target, said, reply.Sent)
 	if d.Placer != nil && (said.Limit.Named || news && said.Limit.Lifted) {
 		d.Placer.LimitSaid(pool, target, said.Limit, reply.Sent)
