A leaving daemon whose targets still work ends before it is killed

Cause: with calls still in flight the orderly stop of the listeners waits for them, up to 5 s; the steps before end in time. Evidence: the test's daemon with 4 s of grace and one call that its target works on ended after 5.4 s, with the call. Change: connections of calls that are still in flight then are closed before the stop. Why it works: nothing else in the stop waits for callers.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -229,6 +229,7 @@
 		case <-d.drained:
 		}
 		d.hub.Close()
+		d.cutCalls()
 		_ = d.app.Stop()
 	}()
 	d.Log.Info("started", "listen", d.Config.Listen, "admin", d.Config.Admin, "peer", d.Config.Peer)
--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -37,6 +37,17 @@
 // so that its last lines are written.
 const killMargin = 200 * time.Millisecond
 
+// cutCalls closes the connections of calls that are still in flight when the process has to end: an
+// orderly stop of the listener would wait for them until the process is killed.
+func (d *Daemon) cutCalls() {
+	if d.Board.InFlight() == 0 {
+		return
+	}
+	if err := d.callers.Close(); err != nil {
+		d.Log.Warn("connections of callers could not be closed", "error", err.Error())
+	}
+}
+
 // graceOver tells whether the process is about to be killed.
 func (d *Daemon) graceOver(began time.Time) bool {
 	grace := time.Duration(d.grace.Load())
