--- a/node/blackboard/blackboard.go
+++ b/node/blackboard/blackboard.go
@@ -67,6 +67,7 @@
 
 	sync     Mutex // makes SyncTargets one step
 	phase    atomic.Int32
+	startup  startup
 	began    time.Time     // when the process started
 	started  chan struct{} // closed at the end of Starting
 	inFlight atomic.Int64
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -165,6 +165,7 @@
 			add(t.Receive(r))
 		}
 	})
+	c.Record.Reach(blackboard.StagePeer)
 	c.spread(ctx, rumors, from)
 	c.reconcile(ctx, from, h.Digest)
 	c.compareVerdicts(from, h.Verdicts)
@@ -236,6 +237,7 @@
 		c.collectHoldings(ctx)
 	}
 	c.Board.Serve()
+	c.Record.Reach(blackboard.StageServing)
 	c.Record.Log.Info("serving", "revision", c.Board.Settings.Current().Revision, "compared_with", len(c.compared))
 }
 
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"doorstack.dev/core/membership"
+	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
 	"github.com/go-faster/errors"
@@ -118,6 +119,7 @@
 		c.Record.Log.Debug("no daemon answers an introduction", "address", address, "error", err.Error())
 		return false
 	}
+	c.Record.Reach(blackboard.StagePeer)
 	c.receive(ctx, all, name)
 	c.Poke()
 	return true
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -179,6 +179,7 @@
 		}
 		answer, err := p.ask(ctx, c, t)
 		if err == nil {
+			p.cluster.Record.Reach(blackboard.StageCoordinator)
 			return p.follow(c, t, &answer)
 		}
 		if ctx.Err() != nil {
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -126,6 +126,7 @@
 		return false
 	}
 	c.Record.Metrics.PlatformRead.WithLabelValues("hosts", "read").Inc()
+	c.Record.Reach(blackboard.StageStore)
 	returned := false
 	c.Board.Directory.View(func(t *hostlist.Table) { returned = t.StoreAnswered(now) })
 	if returned {
@@ -204,6 +205,9 @@
 	}
 	c.Changed()
 	c.logFacts(facts, from)
+	if len(facts.Hosts) > 0 {
+		c.Record.Reach(blackboard.StageTargets)
+	}
 }
 
 // manyTargets is the number of targets from which those that live share a line: each daemon's
--- a/node/controller/settings.go
+++ b/node/controller/settings.go
@@ -159,6 +159,7 @@
 		return settings.ErrOlder
 	}
 	c.Record.Metrics.Revision.Set(float64(next.Revision))
+	c.Record.Reach(blackboard.StageSettings)
 	c.Record.Record(decision.Record{Kind: decision.KindSettings, Outcome: "adopted", Revision: next.Revision,
 		Reason: fmt.Sprintf("from %s, %d parts, %d accounts, checked in %v", from, len(next.Parts), len(tree.Accounts()), time.Since(start).Round(time.Millisecond))})
 	c.Adopted(view)
--- a/node/report/page.go
+++ b/node/report/page.go
@@ -38,6 +38,11 @@
 <table><tr><th>filter<th>calls
 {{range .Filters}}<tr><td>{{.Filter}}<td>{{.Calls}}
 {{end}}</table>
+{{if .Starts}}<h2>Starts</h2>
+<p>Daemons that have come to each stage, by the time since their processes started.</p>{{.StartsPlot}}
+<table><tr><th>stage<th>starts<th>p50, s<th>last, s
+{{range .Starts}}<tr><td>{{.Name}}<td>{{len .After}}<td>{{printf "%.2f" .Median}}<td>{{printf "%.2f" .Last}}
+{{end}}</table>{{end}}
 {{if .Skipped}}<p>{{.Skipped}} lines could not be read.</p>{{end}}
 `))
 
@@ -51,10 +56,14 @@
 	if err != nil {
 		return err
 	}
+	starts, err := draw(s.plotStarts)
+	if err != nil {
+		return err
+	}
 	content := struct {
 		*Summary
-		Shares, Lateness template.HTML
-	}{s, shares, lateness}
+		Shares, Lateness, StartsPlot template.HTML
+	}{s, shares, lateness, starts}
 	if err := page.Execute(w, content); err != nil {
 		return errors.Wrap(err, "write the page")
 	}
--- a/node/report/read.go
+++ b/node/report/read.go
@@ -34,6 +34,8 @@
 	Took         int64          `json:"took_ms"`
 	Goal         int64          `json:"goal_ms"`
 	GapGoal      int64          `json:"gap_goal_ms"`
+	Stage        string         `json:"stage"`
+	After        int64          `json:"after_ms"`
 }
 
 // Call is what the log tells of one request.
@@ -67,12 +69,14 @@
 // Log collects the calls of the lines of several daemons.
 type Log struct {
 	calls map[string]*Call
+	// starts are the times, in seconds, after which daemons came to each stage of their starts.
+	starts map[string][]float64
 	// Skipped counts lines that are no JSON.
 	Skipped int
 }
 
 // NewLog returns a log without calls.
-func NewLog() *Log { return &Log{calls: map[string]*Call{}} }
+func NewLog() *Log { return &Log{calls: map[string]*Call{}, starts: map[string][]float64{}} }
 
 // Read takes the lines of one source in. What a log collector puts before a line's
 // object is passed over.
@@ -90,8 +94,11 @@
 			l.Skipped++
 			continue
 		}
-		if entry.Message == "decision" && entry.Request != "" {
+		switch {
+		case entry.Message == "decision" && entry.Request != "":
 			l.take(&entry)
+		case entry.Message == startMessage:
+			l.starts[entry.Stage] = append(l.starts[entry.Stage], milliseconds(entry.After).Seconds())
 		}
 	}
 	if err := scanner.Err(); err != nil {
--- a/node/report/report_test.go
+++ b/node/report/report_test.go
@@ -18,6 +18,9 @@
 {"time":"2026-12-02T10:00:05Z","msg":"decision","kind":"answer","outcome":"failed","request":"c","took_ms":72,"goal_ms":300}
 {"time":"2026-12-02T10:00:06Z","msg":"decision","kind":"answer","outcome":"failed","request":"d","took_ms":72,"goal_ms":300}
 {"time":"2026-12-02T10:00:07Z","msg":"decision","kind":"route","outcome":"place","request":"still running","prompt_tokens":9}
+{"time":"2026-12-02T10:00:07Z","msg":"start","daemon":"d1","stage":"serving","after_ms":120}
+{"time":"2026-12-02T10:00:07Z","msg":"start","daemon":"d2","stage":"serving","after_ms":80}
+{"time":"2026-12-02T10:00:07Z","msg":"start","daemon":"d2","stage":"store","after_ms":40}
 cut in the mid {"time":
 `
 
@@ -48,6 +51,9 @@
 	if r := long.Foreseen.P50; r < 1.09 || r > 1.11 {
 		t.Errorf("seen over foreseen is %.2f, want 1.1 s over 1.0 s", r)
 	}
+	if len(s.Starts) != 2 || s.Starts[0].Name != "store" || s.Starts[1].Last != 0.12 {
+		t.Errorf("starts %+v", s.Starts)
+	}
 	if len(s.Filters) != 1 || s.Filters[0] != (FilterCount{"concurrency", 1}) {
 		t.Errorf("filters %v", s.Filters)
 	}
@@ -63,7 +69,7 @@
 		t.Fatal(err)
 	}
 	text := page.String()
-	if strings.Count(text, "<svg") != 2 || !strings.Contains(text, "64,000 to 200,000<td>1<td>1") || !strings.Contains(text, "1 lines could not be read") {
+	if strings.Count(text, "<svg") != 3 || !strings.Contains(text, "serving<td>2<td>0.12<td>0.12") || !strings.Contains(text, "64,000 to 200,000<td>1<td>1") || !strings.Contains(text, "1 lines could not be read") {
 		t.Errorf("the page lacks something:\n%s", text)
 	}
 }
--- a/node/report/summary.go
+++ b/node/report/summary.go
@@ -11,6 +11,8 @@
 	From, To time.Time
 	Classes  []Class
 	Filters  []FilterCount
+	// Starts are the stages of the daemons' starts.
+	Starts []Stage
 	// Skipped counts lines that could not be read.
 	Skipped int
 }
@@ -64,7 +66,7 @@
 
 // Summarize sums the calls up that have ended.
 func (l *Log) Summarize() Summary {
-	s := Summary{Skipped: l.Skipped, Classes: slices.Clone(classes)}
+	s := Summary{Skipped: l.Skipped, Classes: slices.Clone(classes), Starts: l.sumStarts()}
 	var ended []*Call
 	for _, c := range l.calls {
 		if !c.Ended.IsZero() {
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -147,6 +147,7 @@
 	if !again {
 		d.Board.Repeats.Call(r.Route.Pool.Name, time.Now())
 	}
+	d.Record.Reach(blackboard.StagePlaced)
 	f.last = placement.Decision.Chosen
 	err = f.send(ctx, &placement)
 	f.finish(ctx, &placement, err)
@@ -382,7 +383,9 @@
 		Kind: decision.KindAnswer, Outcome: decision.OutcomeWhole, Target: f.last,
 		Stream: &decision.Stream{Events: f.events, First: f.first, Gap: f.gap, Took: time.Since(r.Arrived), Goal: r.goal(), GapGoal: r.gapGoal()},
 	}
-	if err != nil {
+	if err == nil {
+		f.director.Record.Reach(blackboard.StageAnswered)
+	} else {
 		rec.Outcome = decision.OutcomeFailed
 		rec.Reason = fmt.Sprintf("after %d sends: %v", f.progress.Sends(), err)
 	}
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -44,6 +44,8 @@
 	Crashes *prometheus.CounterVec
 	// Notices counts what targets said of themselves.
 	Notices *prometheus.CounterVec
+	// Start is when the daemon's start came to each stage.
+	Start *prometheus.GaugeVec
 	// UnreadHeaders counts the headers of targets' answers that nothing reads.
 	UnreadHeaders prometheus.Counter
 	// StoreReturns counts the returns of the platform's store from an older copy.
@@ -115,13 +117,14 @@
 		CoordinatorLost: counter("coordinator_lost_total", "Questions for a place that the pool's coordinator left unanswered, by pool and reason.", "pool", "reason"),
 		Crashes:         counter("crashes_total", "Sends whose connection the target's end closed before the answer was whole, by pool.", "pool"),
 		Notices:         counter("target_notices_total", "News of targets about themselves in answers: that they leave, want rest, name or lift a limit; by pool and word.", "pool", "notice"),
+		Start:           prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "start_seconds", Help: "Time from the process's start to each stage of it."}, []string{"stage"}),
 		UnreadHeaders:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "unread_headers_total", Help: "Headers of targets' answers that this daemon does not understand, each name once."}),
 		StoreReturns:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_returns_total", Help: "Returns of the platform's store from an older copy that this daemon saw."}),
 		LinesLeftOut:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.Silent, m.Decisions, m.Queue, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwanted, m.PeerWait, m.Revision, m.SettingsLag, m.PlatformRead, m.Pauses, m.Released,
-		m.Orders, m.LinesLeftOut, m.Lag, m.CoordinatorLost, m.Crashes, m.Notices, m.UnreadHeaders, m.StoreReturns, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.Orders, m.LinesLeftOut, m.Lag, m.CoordinatorLost, m.Crashes, m.Notices, m.UnreadHeaders, m.Start, m.StoreReturns, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
 	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
 	return m
