A host serves with the first page of a long list of targets

What callers would see: after a loss of all of 301 hosts with 3,000 targets nobody is served for 3 s, the processor not charged. Cause, traced by stages: each host reads the whole list before it serves, 375 MB together, 3.0 s of the store's link. Ruled out: peers (0.02 s), settings (they come with the list). Change: the first page of the first list, which has the settings, is enough to serve; who watches the store reads on at once, the others only if no peer tells them a list as new within 1.5 to 3 s. Why it works: what all read no longer grows with the targets.

--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -20,6 +20,9 @@
 	AsOf Position `cbor:"2,keyasint"`
 	// Hosts are the facts; a host of state Gone has been removed.
 	Hosts []Host `cbor:"3,keyasint"`
+	// Partial means that the hosts are only some of those listed as of AsOf: the facts are complete up to
+	// nowhere. Peers tell no such facts.
+	Partial bool `cbor:"-"`
 	// Confirmed means that removals are not in doubt: a peer tells of no others.
 	Confirmed bool `cbor:"4,keyasint,omitempty"`
 }
@@ -34,6 +37,8 @@
 	revision Position
 	// whole is the position of the last read of the whole list.
 	whole Position
+	// part is the position of the first page of a list, where that was read alone.
+	part Position
 	// away is true while the store does not answer; back is when it last returned.
 	away bool
 	back time.Time
@@ -84,6 +89,13 @@
 // ReadWhole tells whether the whole list has been read from the store itself.
 func (t *Table) ReadWhole() bool { return t.whole > 0 }
 
+// ReadPart tells whether the first page of the list has been read from the store itself.
+func (t *Table) ReadPart() bool { return t.part > 0 }
+
+// Incomplete tells whether only a part of the list is known: neither the store nor a peer has told the
+// whole as it was when the first page was read.
+func (t *Table) Incomplete() bool { return t.part > 0 && t.whole == 0 && t.Revision() < t.part }
+
 // Away tells whether the store is known to be away.
 func (t *Table) Away() bool { return t.away }
 
@@ -121,8 +133,11 @@
 		changed = changed || doubt.IsZero()
 	}
 	complete := f.completeTo(len(removals) > 0 && !doubt.IsZero() || t.lacksLost(&f))
-	if f.Whole {
+	switch {
+	case f.Whole:
 		t.whole = max(t.whole, f.AsOf)
+	case f.Partial:
+		t.part = max(t.part, f.AsOf)
 	}
 	t.revision = max(t.revision, complete)
 	return changed
@@ -136,6 +151,9 @@
 	if f.Confirmed || f.Whole && !doubtful {
 		return f.AsOf
 	}
+	if f.Partial {
+		return 0
+	}
 	newest := Position(0)
 	for _, h := range f.Hosts {
 		newest = max(newest, h.Revision)
--- a/core/storeread/storeread.go
+++ b/core/storeread/storeread.go
@@ -38,6 +38,9 @@
 	again bool
 }
 
+// Fresh tells whether nothing has been read yet.
+func (r *Reader) Fresh() bool { return r.began.IsZero() }
+
 // Plan is how the next call is made.
 type Plan struct {
 	// Whole asks for everything; otherwise changes after a revision are waited for.
--- a/node/blackboard/directory.go
+++ b/node/blackboard/directory.go
@@ -31,6 +31,13 @@
 	return t.table.Revision()
 }
 
+// Incomplete tells whether only a part of the list is known.
+func (t *DirectoryTable) Incomplete() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Incomplete()
+}
+
 // Since lists the facts above a position, for a peer.
 func (t *DirectoryTable) Since(revision hostlist.Position) hostlist.Facts {
 	t.mu.Lock()
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -249,7 +249,7 @@
 		return false
 	}
 	read := false
-	c.Board.Directory.View(func(t *hostlist.Table) { read = t.ReadWhole() && !t.MayBeCopy() })
+	c.Board.Directory.View(func(t *hostlist.Table) { read = (t.ReadWhole() || t.ReadPart()) && !t.MayBeCopy() })
 	return read
 }
 
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -215,12 +215,17 @@
 // sendable tells whether this daemon itself would send to all targets of a placement.
 func (p *Placements) sendable(a *placeAnswer) bool {
 	targets, now := p.cluster.Board.Targets, time.Now()
+	incomplete := p.cluster.Board.Directory.Incomplete()
+	willing := func(id string) bool {
+		// A coordinator knows more targets than a daemon that has only a part of their list.
+		return targets.Willing(id, now) || incomplete && targets.Address(id) == ""
+	}
 	for _, h := range a.Helpers {
-		if !targets.Willing(h.Target, now) {
+		if !willing(h.Target) {
 			return false
 		}
 	}
-	return targets.Willing(a.Target, now) && !targets.Overdrawn(a.Target, now)
+	return willing(a.Target) && !targets.Overdrawn(a.Target, now)
 }
 
 // Why a coordinator counts as lost: it did not answer in time, or the link or the coordinator
--- a/node/cluster/placement_test.go
+++ b/node/cluster/placement_test.go
@@ -180,26 +180,33 @@
 	return blackboard.LimitState{Target: target, PerSecond: perSecond, Ago: time.Millisecond}
 }
 
-// placeSome lets a coordinator place questions of a daemon and counts the calls by target.
-func (p *Placements) placeSome(t *testing.T, first placeRequest, n int) map[string]int {
+// placeOne lets a coordinator answer a question of another daemon, in virtual time.
+func (p *Placements) placeOne(t *testing.T, in placeRequest) placeAnswer {
+	t.Helper()
+	answers := make(chan placeAnswer, 1)
+	go func() {
+		answer, err := p.servePlace(t.Context(), "asker", in)
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- answer
+	}()
+	synctest.Wait()
+	p.dispatch()
+	return <-answers
+}
+
+// placeSome lets a coordinator place questions of a daemon, which tells the limits that it knows with the
+// first of them, and counts the calls by target.
+func (p *Placements) placeSome(t *testing.T, known []blackboard.LimitState, n int) map[string]int {
 	t.Helper()
 	got := map[string]int{}
 	for i := range n {
 		in := question(fmt.Sprint("a", i))
 		if i == 0 {
-			in.Limits = first.Limits
+			in.Limits = known
 		}
-		answers := make(chan placeAnswer, 1)
-		go func() {
-			answer, err := p.servePlace(t.Context(), "asker", in)
-			if err != nil {
-				t.Error(err)
-			}
-			answers <- answer
-		}()
-		synctest.Wait()
-		p.dispatch()
-		answer := <-answers
+		answer := p.placeOne(t, in)
 		got[answer.Target]++
 		p.end(in.Attempt, blackboard.CallSucceeded)
 	}
@@ -210,7 +217,7 @@
 func TestANewCoordinatorKeepsToLimitsThatItsAskersKnow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newCoordinator(t, 2)
-		got := p.placeSome(t, placeRequest{Limits: []blackboard.LimitState{limitOf("t0", 1)}}, 20)
+		got := p.placeSome(t, []blackboard.LimitState{limitOf("t0", 1)}, 20)
 		if got["t0"] > 1 || got["t0"]+got["t1"] != 20 {
 			t.Errorf("%v", got)
 		}
@@ -225,17 +232,7 @@
 		if _, err := p.serveLimit(t.Context(), "teller", limitNews{Pool: "svc", Limit: limitOf("t0", 3)}); err != nil {
 			t.Fatal(err)
 		}
-		answers := make(chan placeAnswer, 1)
-		go func() {
-			answer, err := p.servePlace(t.Context(), "asker", question("a"))
-			if err != nil {
-				t.Error(err)
-			}
-			answers <- answer
-		}()
-		synctest.Wait()
-		p.dispatch()
-		answer := <-answers
+		answer := p.placeOne(t, question("a"))
 		if answer.Limit == nil || answer.Limit.PerSecond != 3 {
 			t.Fatalf("%+v", answer.Limit)
 		}
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -56,6 +56,13 @@
 	// its first read: where all hosts start together each would hold one of its own until it
 	// has found those that watch.
 	findPeers = time.Second
+	// restLeast and restMost bound how long a daemon that has read the first page of a long list leaves
+	// the others to the daemons that watch the store, which tell it of all: where hundreds of
+	// hosts start together, each with thousands of targets to read, the store's link is full for seconds.
+	restLeast = 1500 * time.Millisecond
+	restMost  = 3 * time.Second
+	// restTick is how often such a daemon looks whether it has been told.
+	restTick = 50 * time.Millisecond
 	// directoryTick is how often doubts are looked at.
 	directoryTick = 250 * time.Millisecond
 )
@@ -66,16 +73,22 @@
 	pause := storeRetry
 	read := time.Time{}
 	away := false
+	rest := restLeast + rand.N(restMost-restLeast)
 	for ctx.Err() == nil {
-		if !c.Watches() && time.Since(read) < rareRead && c.Board.Members.HasHosts() {
-			Sleep(ctx, idleCheck)
-			continue
+		if !c.Watches() && c.Board.Members.HasHosts() {
+			if incomplete := c.Board.Directory.Incomplete(); incomplete && time.Since(read) < rest {
+				Sleep(ctx, restTick)
+				continue
+			} else if !incomplete && time.Since(read) < rareRead {
+				Sleep(ctx, idleCheck)
+				continue
+			}
 		}
 		first := read.IsZero()
 		read = time.Now()
 		if c.read(ctx, heldFor(c.Hold)) {
 			pause, away = storeRetry, false
-			if first && c.alone() {
+			if first && c.alone() && !c.Board.Directory.Incomplete() {
 				Sleep(ctx, findPeers)
 			}
 			continue
@@ -134,7 +147,7 @@
 	}
 	c.noteEra(facts.AsOf)
 	c.merge(facts, "store", now)
-	if len(facts.Hosts) == 0 {
+	if len(facts.Hosts) == 0 || facts.Partial {
 		c.busy = 0
 		return true
 	}
--- a/node/controller/directory_test.go
+++ b/node/controller/directory_test.go
@@ -162,3 +162,75 @@
 		})
 	}
 }
+
+// pagedStore tells a first page of its list and then the whole; it notes when the whole was asked for.
+type pagedStore struct {
+	calls int
+	whole chan time.Time
+}
+
+// pagedAt is the position of the paged list.
+const pagedAt = 7
+
+func (s *pagedStore) Targets(ctx context.Context, _, _ time.Duration) (hostlist.Facts, error) {
+	s.calls++
+	hosts := []hostlist.Host{{ID: "a", State: hostlist.Live, Address: "10.0.0.1:1", Revision: 3}, {ID: "b", State: hostlist.Live, Address: "10.0.0.2:1", Revision: 5}}
+	switch s.calls {
+	case 1:
+		return hostlist.Facts{Partial: true, AsOf: pagedAt, Hosts: hosts[:1]}, nil
+	case 2:
+		s.whole <- time.Now()
+		return hostlist.Facts{Whole: true, AsOf: pagedAt, Hosts: hosts}, nil
+	}
+	<-ctx.Done()
+	return hostlist.Facts{}, ctx.Err()
+}
+
+// TestTheRestOfALongListIsLeftToThoseThatWatch: a daemon that watches reads on at once, another one only
+// if no peer tells it a list that is as new as the page that it has read.
+func TestTheRestOfALongListIsLeftToThoseThatWatch(t *testing.T) {
+	for name, c := range map[string]struct {
+		watches bool
+		told    hostlist.Position // by a peer, half a second later
+		reads   bool
+		least   time.Duration
+		most    time.Duration
+	}{
+		"a daemon that watches":    {true, 0, true, 0, time.Millisecond},
+		"a peer knows as much":     {false, pagedAt, false, 0, 0},
+		"a peer knows less":        {false, pagedAt - 1, true, restLeast, restMost + restTick},
+		"nobody tells it anything": {false, 0, true, restLeast, restMost + restTick},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			board := blackboard.New(blackboard.Identity{Name: "d"}, blackboard.DefaultLimits())
+			store := &pagedStore{whole: make(chan time.Time, 1)}
+			d := &Directory{
+				Board: board, Source: store, Watches: func() bool { return c.watches }, Changed: func() {},
+				Record: &telemetry.Recorder{Board: board, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()},
+			}
+			began := time.Now()
+			go d.Run(ctx)
+			Sleep(ctx, 500*time.Millisecond)
+			if c.told > 0 {
+				d.MergeFrom("peer", hostlist.Facts{AsOf: c.told, Confirmed: true, Hosts: []hostlist.Host{{ID: "b", State: hostlist.Live, Address: "10.0.0.2:1", Revision: 5}}})
+			}
+			Sleep(ctx, 2*restMost)
+			select {
+			case at := <-store.whole:
+				if took := at.Sub(began); !c.reads || took < c.least || took > c.most {
+					t.Errorf("%s: it reads on after %v", name, took)
+				}
+			default:
+				if c.reads {
+					t.Errorf("%s: it does not read on", name)
+				}
+			}
+			if board.Directory.Incomplete() {
+				t.Errorf("%s: the list stays incomplete", name)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/node/internal/soak/limits.go
+++ b/node/internal/soak/limits.go
@@ -42,14 +42,7 @@
 
 // limitTargets lets every second target name a limit, each another one; the first takes nothing.
 func (w *world) limitTargets(ctx context.Context, e Event) {
-	w.mu.Lock()
-	var half []*backend
-	for i, b := range w.backends {
-		if i%2 == e.Which%2 {
-			half = append(half, b)
-		}
-	}
-	w.mu.Unlock()
+	half := w.half(e.Which)
 	for i, b := range half {
 		perSecond := mostPerSecond * float64(i) / float64(len(half))
 		b.say(func() { b.limit = &perSecond })
--- a/node/internal/soak/words.go
+++ b/node/internal/soak/words.go
@@ -84,14 +84,7 @@
 
 // restTargets lets half of the targets turn calls away and ask for rest.
 func (w *world) restTargets(ctx context.Context, e Event) {
-	w.mu.Lock()
-	var half []*backend
-	for i, b := range w.backends {
-		if i%2 == e.Which%2 {
-			half = append(half, b)
-		}
-	}
-	w.mu.Unlock()
+	half := w.half(e.Which)
 	for _, b := range half {
 		b.say(func() { b.rests = true })
 	}
@@ -101,6 +94,20 @@
 	}
 }
 
+// half is every second target.
+func (w *world) half(which int) []*backend {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var half []*backend
+	for i, b := range w.backends {
+		if i%2 == which%2 {
+			half = append(half, b)
+		}
+	}
+	return half
+}
+
+// say changes what the target says of itself.
 func (b *backend) say(change func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -81,9 +81,7 @@
 func newFleet(t *testing.T, daemons, plainTargets int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}, config: testConfig(1)}
-	transport := &http.Transport{DisableCompression: true}
-	f.client = &http.Client{Transport: transport}
-	t.Cleanup(transport.CloseIdleConnections)
+	f.client = newFleetClient(t)
 	for i := range plainTargets {
 		f.addTarget(fmt.Sprint("t", i+1), plain, 6)
 	}
@@ -97,6 +95,13 @@
 	return f
 }
 
+// newFleetClient returns a client of callers.
+func newFleetClient(t *testing.T) *http.Client {
+	transport := &http.Transport{DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
 func (f *fleet) addTarget(id, service string, slots int) *standin.Target {
 	t := standin.NewTarget(id)
 	f.t.Cleanup(t.Server.Close)
