A coordinator that says it does not coordinate is asked again after a tenth of a second

What was seen: after a start of 101 hosts askers avoided the coordinator, which served some milliseconds later, for a second, and 66 of 400 calls were placed by three others that did not know of each other's calls. Cause: a refusal and a dead link were treated alike. The metric tells refusals apart.

--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -32,8 +32,11 @@
 	renewPlace = 250 * time.Millisecond
 	// dropPlace is when a coordinator drops a question that was not repeated.
 	dropPlace = time.Second
-	// avoidFor is how long a coordinator that did not answer is passed over.
-	avoidFor = time.Second
+	// avoidFor is how long a coordinator that did not answer is passed over, avoidRefusing one that
+	// says that it does not coordinate: where all hosts start together it will, some milliseconds later,
+	// and until all ask the same one the pool is placed by several.
+	avoidFor      = time.Second
+	avoidRefusing = 100 * time.Millisecond
 	// callTTL bounds how long a coordinator counts a call beyond its deadline, in case
 	// the word of its end was lost.
 	callTTL = time.Second
@@ -228,25 +231,30 @@
 	return willing(a.Target) && !targets.Overdrawn(a.Target, now)
 }
 
-// Why a coordinator counts as lost: it did not answer in time, or the link or the coordinator
+// Why a coordinator counts as lost: it did not answer in time, the link failed, or the coordinator
 // itself said no.
 const (
-	lostByTime  = "timeout"
-	lostByError = "error"
+	lostByTime    = "timeout"
+	lostByError   = "error"
+	lostByRefusal = "refused"
 )
 
-// lost notes that a coordinator did not answer. For avoidFor this daemon asks another one, and
+// lost notes that a coordinator did not answer. For a while this daemon asks another one, and
 // the pool is placed by two that do not know of each other's calls.
 func (p *Placements) lost(name string, t *blackboard.Ticket, err error) {
-	reason := lostByError
-	if errors.Is(err, context.DeadlineExceeded) {
+	reason, avoid := lostByError, avoidFor
+	var refused *peer.RefusedError
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		reason = lostByTime
+	case errors.As(err, &refused):
+		reason, avoid = lostByRefusal, avoidRefusing
 	}
 	p.cluster.Record.Metrics.CoordinatorLost.WithLabelValues(t.Pool.Name, reason).Inc()
 	now := time.Now()
 	p.mu.Lock()
 	known := now.Before(p.avoid[name])
-	p.avoid[name] = now.Add(avoidFor)
+	p.avoid[name] = now.Add(avoid)
 	delete(p.told, t.Pool.Name)
 	p.mu.Unlock()
 	if !known {
--- a/node/cluster/placement_test.go
+++ b/node/cluster/placement_test.go
@@ -162,15 +162,22 @@
 // TestALostCoordinatorIsCounted: which of an overloaded coordinator and a broken link it was
 // shows in the metric, and another coordinator is asked for a while.
 func TestALostCoordinatorIsCounted(t *testing.T) {
-	for reason, err := range map[string]error{lostByTime: context.DeadlineExceeded, lostByError: io.ErrUnexpectedEOF} {
+	for reason, c := range map[string]struct {
+		err   error
+		avoid time.Duration
+	}{
+		lostByTime: {context.DeadlineExceeded, avoidFor}, lostByError: {io.ErrUnexpectedEOF, avoidFor},
+		lostByRefusal: {&peer.RefusedError{Text: "not yet"}, avoidRefusing},
+	} {
+		err := c.err
 		p := newCoordinator(t, 1)
 		ticket := &blackboard.Ticket{Attempt: "a", Pool: p.cluster.Board.Settings.Current().Tree.Pool("svc"), Item: &admission.Item{}}
 		p.lost("other", ticket, errors.Wrap(err, "ask"))
 		if n := testutil.ToFloat64(p.cluster.Record.Metrics.CoordinatorLost.WithLabelValues("svc", reason)); n != 1 {
 			t.Errorf("%v was counted %v times as %s", err, n, reason)
 		}
-		if until := p.avoid["other"]; !until.After(time.Now()) {
-			t.Errorf("after %v it is avoided until %v", err, until)
+		if left := time.Until(p.avoid["other"]); left <= 0 || left > c.avoid || left < c.avoid/2 {
+			t.Errorf("after %v it is avoided for %v, want %v", err, left, c.avoid)
 		}
 	}
 }
--- a/node/peer/ask.go
+++ b/node/peer/ask.go
@@ -7,6 +7,12 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
+// RefusedError is a peer's own word that it does not answer a question.
+type RefusedError struct{ Text string }
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "the peer answered: " + e.Text }
+
 // AskAt sends a question to whoever listens at an address, and returns its name. The
 // link is kept under that name.
 func (h *Hub) AskAt(ctx context.Context, address string, kind Kind, in, out any) (string, error) {
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -234,7 +234,7 @@
 		select {
 		case f := <-answer:
 			if f.Error != "" {
-				return nil, errors.New("the peer answered: " + f.Error)
+				return nil, &RefusedError{f.Error}
 			}
 			return f.Body, nil
 		case <-l.done:
