Hosts that know the first page of a long list fetch the rest over 1.2 s

Callers waited: after a loss of 301 hosts coordinators answered half of the hosts after 0.91 s and nine in ten after 1.86 s. Cause: the strong hosts both watch the store and place the calls, and all others fetched 0.4 MB from them at one moment. Also: names of the rate limiter in the field's terms.

--- a/core/forward/notice.go
+++ b/core/forward/notice.go
@@ -37,7 +37,7 @@
 	started   int64
 	leaving   time.Time // when it last said that it leaves; zero if it did not
 	restUntil time.Time
-	spending  Spending
+	limiter   RateLimiter
 }
 
 // NewNotices returns an empty collection.
@@ -73,19 +73,19 @@
 		news = news || !at.Before(known.restUntil)
 		known.restUntil = at.Add(min(said.Rest, mostRest))
 	}
-	return known.spending.take(said) || news
+	return known.limiter.take(said) || news
 }
 
 // tells tells whether a notice says more than that all is as usual.
 func (n *Notice) tells() bool { return n.Leaving || n.Rest > 0 || n.Limit.Named }
 
-// Spending keeps to the limit that a target has named and not lifted; nil where there is none.
-func (n *Notices) Spending(id string) *Spending {
+// RateLimiter keeps to the limit that a target has named and not lifted; nil where there is none.
+func (n *Notices) RateLimiter(id string) *RateLimiter {
 	known := n.byTarget[id]
-	if known == nil || !known.spending.limit.Named {
+	if known == nil || !known.limiter.limit.Named {
 		return nil
 	}
-	return &known.spending
+	return &known.limiter
 }
 
 // Leaves tells whether a target has said that it leaves.
@@ -127,7 +127,7 @@
 // Trim forgets what holds no longer.
 func (n *Notices) Trim(at time.Time) {
 	for id, known := range n.byTarget {
-		limited := known.spending.limit.Named && at.Sub(known.spending.as) < keepLimit
+		limited := known.limiter.limit.Named && at.Sub(known.limiter.asOf) < keepLimit
 		if !known.leaves(at) && !at.Before(known.restUntil) && !limited {
 			delete(n.byTarget, id)
 		}
--- a/core/forward/notice_test.go
+++ b/core/forward/notice_test.go
@@ -93,8 +93,8 @@
 			t.Fatal("a target that says nothing is remembered")
 		}
 		n.Take("t", "a:1", 0, Word{named, noticed.Add(-time.Second), noticed})
-		if news := n.Take("t", "a:1", 0, c.word); news != c.news || (n.Spending("t") != nil) != c.holds {
-			t.Errorf("%s: news %v, limit %+v", name, news, n.Spending("t"))
+		if news := n.Take("t", "a:1", 0, c.word); news != c.news || (n.RateLimiter("t") != nil) != c.holds {
+			t.Errorf("%s: news %v, limit %+v", name, news, n.RateLimiter("t"))
 		}
 	}
 }
@@ -103,7 +103,7 @@
 	n := NewNotices()
 	n.Take("t", "a:1", 0, Word{Notice{Limit: NamedLimit(1)}, noticed, noticed})
 	n.Trim(noticed.Add(keepLimit - time.Second))
-	if n.Spending("t") == nil {
+	if n.RateLimiter("t") == nil {
 		t.Error("it is forgotten")
 	}
 	n.Trim(noticed.Add(keepLimit))
--- a/core/forward/spending_test.go
+++ b/core/forward/ratelimiter_test.go
@@ -13,7 +13,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const window = 4 * time.Second
 		limits := rapid.SliceOfN(rapid.Float64Range(0, 50), 1, 4).Draw(t, "limits")
-		var s Spending
+		var s RateLimiter
 		now, highest := noticed, 0.0
 		var sent []time.Time
 		for _, perSecond := range limits {
@@ -22,7 +22,7 @@
 			for range 200 {
 				now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
 				if s.Wait(now) == 0 {
-					s.Spend(now)
+					s.Count(now)
 					sent = append(sent, now)
 				}
 			}
@@ -41,12 +41,12 @@
 
 // TestATargetThatTakesNothingIsAskedNowAndThen: only an answer shows that it takes calls again.
 func TestATargetThatTakesNothingIsAskedNowAndThen(t *testing.T) {
-	var s Spending
+	var s RateLimiter
 	s.take(Word{Notice{Limit: NamedLimit(0)}, noticed, noticed})
 	if s.Wait(noticed) != 0 {
 		t.Fatal("it is not asked")
 	}
-	s.Spend(noticed)
+	s.Count(noticed)
 	if got, want := s.Wait(noticed.Add(time.Second)), 4*time.Second-burst-time.Second; got != want {
 		t.Errorf("it is asked again after %v, want %v", got, want)
 	}
@@ -54,7 +54,7 @@
 
 // TestWhatAnotherDaemonHeardBeforeCountsLess: a word that is passed on may be older than what is known.
 func TestWhatAnotherDaemonHeardBeforeCountsLess(t *testing.T) {
-	var s Spending
+	var s RateLimiter
 	at := func(ms int) time.Time { return noticed.Add(time.Duration(ms) * time.Millisecond) }
 	s.take(Word{Notice{Limit: NamedLimit(2)}, at(80), at(100)})
 	s.take(Word{Notice{Limit: NamedLimit(9)}, time.Time{}, at(50)})
--- a/core/routing/filter.go
+++ b/core/routing/filter.go
@@ -89,7 +89,7 @@
 		return FilterExcluded
 	case t.MaxConcurrent > 0 && t.Load.Requests >= t.MaxConcurrent:
 		return FilterConcurrency
-	case t.spent(r):
+	case t.exhausted(r):
 		return FilterLimit
 	case t.MemoryTokens == 0:
 		return "" // A plain service has no memory and reads no prompt.
--- a/core/routing/limit.go
+++ b/core/routing/limit.go
@@ -13,8 +13,8 @@
 	Idle float64 `json:"idle_s,omitempty"`
 }
 
-// spent tells whether the target's limit leaves no room for the request now.
-func (t *Target) spent(r *Request) bool { return t.Limit != nil && t.Limit.wait(r) > 0 }
+// exhausted tells whether the target's limit leaves no room for the request now.
+func (t *Target) exhausted(r *Request) bool { return t.Limit != nil && t.Limit.wait(r) > 0 }
 
 // wait is the time, in seconds, until the target may be given the request. A daemon that decides
 // alone does not know of the others' calls and takes an equal part of the rate.
@@ -54,10 +54,10 @@
 	return soonest + float64(before)/rate, true
 }
 
-// RefuseSpent tells whether a waiting request is refused because its turn under the targets' limits is
+// RefuseExhausted tells whether a waiting request is refused because its turn under the targets' limits is
 // foreseen after its goal, and returns that decision. One that has been let wait, or placed before, is
 // refused only where it cannot be answered at all, and one whose answer has begun never.
-func RefuseSpent(r *Request, before int, targets []Target) (Decision, bool) {
+func RefuseExhausted(r *Request, before int, targets []Target) (Decision, bool) {
 	wait, limited := turn(r, before, targets)
 	if !limited || r.Begun {
 		return Decision{}, false
--- a/core/routing/limit_test.go
+++ b/core/routing/limit_test.go
@@ -5,13 +5,13 @@
 	"testing"
 )
 
-// limited names a limit at a target that is spent for some time.
+// limited names a limit at a target that is exhausted for some time.
 func limited(t *Target, perSecond, wait float64) {
 	t.Limit = &RateLimit{PerSecond: perSecond, Wait: wait}
 }
 
-// TestASpentTargetGetsNoCall: plain services, engines, and the engine that answers a long prompt.
-func TestASpentTargetGetsNoCall(t *testing.T) {
+// TestAnExhaustedTargetGetsNoCall: plain services, engines, and the engine that answers a long prompt.
+func TestAnExhaustedTargetGetsNoCall(t *testing.T) {
 	plain := []Target{{ID: "a", DataCentre: "a"}, {ID: "b", DataCentre: "b"}}
 	limited(&plain[0], 1, 0.3)
 	r, p := Request{ID: "r", DataCentre: "a"}, testParams()
@@ -21,7 +21,7 @@
 	}
 	limited(&plain[1], 1, 0.1)
 	if d := s.Decide(&r, &p, plain); d.Verdict != Wait {
-		t.Errorf("with both spent: %s", d.Verdict)
+		t.Errorf("with both exhausted: %s", d.Verdict)
 	}
 	list := engines(3)
 	limited(&list[0], 1, 0.3)
@@ -36,12 +36,12 @@
 		limited(&list[i], 1, 0.3)
 	}
 	if d := decide(referral(60_000, 0), list); d.Verdict != Wait {
-		t.Errorf("a long prompt with all spent: %s", d.Verdict)
+		t.Errorf("a long prompt with all exhausted: %s", d.Verdict)
 	}
 }
 
-// TestATicketMayBeAtASpentTarget: it takes memory and no call.
-func TestATicketMayBeAtASpentTarget(t *testing.T) {
+// TestATicketMayBeAtAnExhaustedTarget: it takes memory and no call.
+func TestATicketMayBeAtAnExhaustedTarget(t *testing.T) {
 	list := engines(4)
 	list[1].Load.MemoryTokens = 1000
 	limited(&list[0], 1, 0.3)
@@ -59,7 +59,7 @@
 		t.Errorf("its next call is in %v s, want 0.1 s", wait)
 	}
 	target.Limit.Idle = 2.6
-	if target.spent(&r) {
+	if target.exhausted(&r) {
 		t.Error("its part is not used")
 	}
 }
@@ -96,7 +96,7 @@
 		if c.change != nil {
 			c.change(list)
 		}
-		d, refused := RefuseSpent(&c.request, c.before, list)
+		d, refused := RefuseExhausted(&c.request, c.before, list)
 		if refused != c.refused || refused && (d.Verdict != Refuse || math.Abs(d.ComeBack-c.comeBack) > 1e-9) {
 			t.Errorf("%s: refused %v, back after %v s", name, refused, d.ComeBack)
 		}
--- a/core/routing/settle.go
+++ b/core/routing/settle.go
@@ -20,7 +20,7 @@
 	first := -1
 	for _, i := range chosen {
 		t := &targets[i]
-		if t.free() < r.MemoryTokens() || t.full() || t.spent(r) {
+		if t.free() < r.MemoryTokens() || t.full() || t.exhausted(r) {
 			continue
 		}
 		if first < 0 || compareFirst(t, &targets[first]) < 0 {
@@ -62,12 +62,12 @@
 func (s *Scratch) divide(r *Request, targets []Target, chosen []int, d *Decision) int {
 	order := slices.Clone(chosen)
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(targets[b].free(), targets[a].free()) })
-	// A ticket takes no call, so one that is spent may hold one.
-	if first := slices.IndexFunc(order, func(i int) bool { return !targets[i].spent(r) }); first > 0 {
+	// A ticket takes no call, so one that is exhausted may hold one.
+	if first := slices.IndexFunc(order, func(i int) bool { return !targets[i].exhausted(r) }); first > 0 {
 		leader := order[first]
 		order = slices.Insert(slices.Delete(order, first, first+1), 0, leader)
 	}
-	if len(order) == 0 || targets[order[0]].full() || targets[order[0]].spent(r) || r.MemoryTokens() <= targets[order[0]].MemoryTokens {
+	if len(order) == 0 || targets[order[0]].full() || targets[order[0]].exhausted(r) || r.MemoryTokens() <= targets[order[0]].MemoryTokens {
 		return -1
 	}
 	left := int64(float64(r.MemoryTokens())*ticketMargin) - int64(float64(targets[order[0]].free())*ticketShare)
--- a/core/routing/timed.go
+++ b/core/routing/timed.go
@@ -130,7 +130,7 @@
 		return FilterExcluded
 	case t.full():
 		return FilterConcurrency
-	case t.spent(r):
+	case t.exhausted(r):
 		return FilterLimit
 	case r.MemoryTokens() > t.free():
 		return FilterMemory
--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -204,13 +204,13 @@
 		}
 		return false
 	})
-	p.refuseSpent(targets.Limited(pool, at), at)
+	p.refuseExhausted(targets.Limited(pool, at), at)
 	return placed
 }
 
-// refuseSpent refuses the waiting requests whose turn comes too late, where all targets of the pool
+// refuseExhausted refuses the waiting requests whose turn comes too late, where all targets of the pool
 // have named limits.
-func (p *poolQueue) refuseSpent(limited []routing.Target, at time.Time) {
+func (p *poolQueue) refuseExhausted(limited []routing.Target, at time.Time) {
 	if len(limited) == 0 {
 		return
 	}
@@ -219,7 +219,7 @@
 		ticket := it.Owner.(*Ticket)
 		r := &ticket.Request
 		r.Waited, r.Left = at.Sub(it.Arrived).Seconds(), ticket.Deadline.Sub(at).Seconds()
-		d, refused := routing.RefuseSpent(r, before, limited)
+		d, refused := routing.RefuseExhausted(r, before, limited)
 		if !refused {
 			before++
 			r.LetWait = true
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -76,8 +76,8 @@
 	if load.LongPrefills == 0 {
 		tp.short.add(load.BacklogTokens, at)
 	}
-	if s.spending != nil {
-		s.spending.Spend(at)
+	if s.limiter != nil {
+		s.limiter.Count(at)
 	}
 	placement.Gone = t.begin(s, attempt, load, at)
 	t.calls[attempt].prompt = r.PromptTokens
--- a/node/blackboard/target_limits.go
+++ b/node/blackboard/target_limits.go
@@ -28,7 +28,7 @@
 }
 
 // rateLimit is what routing needs to know of a target's limit.
-func rateLimit(s *forward.Spending, at time.Time) *routing.RateLimit {
+func rateLimit(s *forward.RateLimiter, at time.Time) *routing.RateLimit {
 	if s == nil {
 		return nil
 	}
@@ -37,15 +37,15 @@
 
 // limit is the limit that the target has named.
 func (s *targetState) limit() forward.Limit {
-	if s.spending == nil {
+	if s.limiter == nil {
 		return forward.Limit{}
 	}
-	return s.spending.Limit()
+	return s.limiter.Limit()
 }
 
 // limitState describes the target's limit for another daemon.
 func (s *targetState) limitState(at time.Time) LimitState {
-	return LimitState{Target: s.id, PerSecond: s.spending.Limit().PerSecond, Ago: at.Sub(s.spending.Named())}
+	return LimitState{Target: s.id, PerSecond: s.limiter.Limit().PerSecond, Ago: at.Sub(s.limiter.Named())}
 }
 
 // Limited is the targets of a pool as routing sees them, where all that live have named limits.
@@ -57,7 +57,7 @@
 		return nil
 	}
 	for _, s := range p.states {
-		if s.spending == nil && s.state() == routing.Live {
+		if s.limiter == nil && s.state() == routing.Live {
 			return nil
 		}
 	}
@@ -75,7 +75,7 @@
 	}
 	var list []LimitState
 	for _, s := range p.states {
-		if s.spending != nil {
+		if s.limiter != nil {
 			list = append(list, s.limitState(at))
 		}
 	}
@@ -87,31 +87,31 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[id]
-	if s == nil || s.spending == nil {
+	if s == nil || s.limiter == nil {
 		return nil
 	}
 	state := s.limitState(at)
 	return &state
 }
 
-// Spend counts a call that another daemon placed under its target's limit.
-func (t *TargetTable) Spend(id string, at time.Time) {
+// CountLimited counts a call that another daemon placed under its target's limit.
+func (t *TargetTable) CountLimited(id string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.byID[id]; s != nil && s.spending != nil {
-		s.spending.Spend(at)
+	if s := t.byID[id]; s != nil && s.limiter != nil {
+		s.limiter.Count(at)
 		s.refresh(at)
 	}
 }
 
-// overdrawn is how far ahead of a limit this daemon's own calls may be when another daemon, which knows
+// overLimitTolerance is how far ahead of a limit this daemon's own calls may be when another daemon, which knows
 // of all calls, places one more: their order may change on the way here.
-const overdrawn = 500 * time.Millisecond
+const overLimitTolerance = 500 * time.Millisecond
 
-// Overdrawn tells whether one more call would pass a target's limit by this daemon's own calls alone.
-func (t *TargetTable) Overdrawn(id string, at time.Time) bool {
+// OverLimit tells whether one more call would pass a target's limit by this daemon's own calls alone.
+func (t *TargetTable) OverLimit(id string, at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[id]
-	return s != nil && s.spending != nil && s.spending.Wait(at) > overdrawn
+	return s != nil && s.limiter != nil && s.limiter.Wait(at) > overLimitTolerance
 }
--- a/node/blackboard/target_notices.go
+++ b/node/blackboard/target_notices.go
@@ -20,7 +20,7 @@
 		return false
 	}
 	s.saidLeaving = t.notices.Leaves(id, said.At)
-	s.spending = t.notices.Spending(id)
+	s.limiter = t.notices.RateLimiter(id)
 	s.refresh(said.At)
 	return true
 }
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -76,8 +76,8 @@
 	leaving bool          // the word of its last report
 	// saidLeaving is the target's word beside an answer to a call.
 	saidLeaving bool
-	// spending keeps to the limit that the target has named; nil where it names none.
-	spending *forward.Spending
+	// limiter keeps to the limit that the target has named; nil where it names none.
+	limiter  *forward.RateLimiter
 	report   target.LoadReport
 	reportAt time.Time    // when the report was true, by this daemon's clock
 	since    routing.Load // own work sent after reportAt
@@ -163,7 +163,7 @@
 		s.started = max(s.started, h.Incarnation)
 		t.notices.Seen(h.ID, h.Address, h.Incarnation)
 		s.saidLeaving = t.notices.Leaves(h.ID, at)
-		s.spending = t.notices.Spending(h.ID)
+		s.limiter = t.notices.RateLimiter(h.ID)
 		s.listed = routing.Live
 		if h.State == hostlist.Leaving {
 			s.listed = routing.Leaving
@@ -217,7 +217,7 @@
 		reported = reportedLoad(&s.report, view.PrefillRate, view.ReportAge)
 	}
 	view.Load = reported.Sub(s.ended).Add(s.since)
-	view.Limit = rateLimit(s.spending, at)
+	view.Limit = rateLimit(s.limiter, at)
 	s.refreshTimed(view, at)
 	view.Pace = s.pace.now(at)
 	view.Trouble = s.trouble.now(at)
--- a/node/cluster/limits.go
+++ b/node/cluster/limits.go
@@ -48,10 +48,10 @@
 	}
 }
 
-// spend counts a call that a coordinator placed, at a target whose limit it tells.
-func (p *Placements) spend(pool string, a *placeAnswer, now time.Time) {
+// countLimited counts a call that a coordinator placed, at a target whose limit it tells.
+func (p *Placements) countLimited(pool string, a *placeAnswer, now time.Time) {
 	if a.Limit != nil {
 		p.takeLimits(pool, []blackboard.LimitState{*a.Limit}, now)
 	}
-	p.cluster.Board.Targets.Spend(a.Target, now)
+	p.cluster.Board.Targets.CountLimited(a.Target, now)
 }
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -228,7 +228,7 @@
 			return false
 		}
 	}
-	return willing(a.Target) && !targets.Overdrawn(a.Target, now)
+	return willing(a.Target) && !targets.OverLimit(a.Target, now)
 }
 
 // Why a coordinator counts as lost: it did not answer in time, the link failed, or the coordinator
@@ -343,7 +343,7 @@
 		placement.Helpers = append(placement.Helpers, blackboard.TargetAddress{ID: h.Target, Address: h.Address})
 	}
 	if a.Verdict == routing.Place {
-		p.spend(t.Pool.Name, a, now)
+		p.countLimited(t.Pool.Name, a, now)
 		placement.Gone = p.cluster.Board.Targets.Adopt(blackboard.StateOf(t.Attempt, &placement.Decision), now)
 	}
 	return placement
--- a/node/cluster/targetnews.go
+++ b/node/cluster/targetnews.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
 	"doorstack.dev/core/hostlist"
+	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
 )
 
+// fetchRestOver is the time over which daemons that know the first page of a long list fetch the rest
+// from those that watch the store: these place the calls of all, over the same links.
+const fetchRestOver = 1200 * time.Millisecond
+
 // targetsRequest asks for the facts of targets above a position.
 type targetsRequest struct {
 	Since hostlist.Position `cbor:"1,keyasint"`
@@ -22,6 +29,9 @@
 		return
 	}
 	c.leadToWatch(ctx)
+	if c.Board.Directory.Incomplete() {
+		controller.Sleep(ctx, rand.N(fetchRestOver))
+	}
 	own := c.Board.Directory.Revision()
 	if h.targets <= own {
 		return
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -59,8 +59,8 @@
 	// restLeast and restMost bound how long a daemon that has read the first page of a long list leaves
 	// the others to the daemons that watch the store, which tell it of all: where hundreds of
 	// hosts start together, each with thousands of targets to read, the store's link is full for seconds.
-	restLeast = 1500 * time.Millisecond
-	restMost  = 3 * time.Second
+	restLeast = 2 * time.Second
+	restMost  = 3500 * time.Millisecond
 	// restTick is how often such a daemon looks whether it has been told.
 	restTick = 50 * time.Millisecond
 	// directoryTick is how often doubts are looked at.
