A target's limit outlives its process

What was seen: soak, LIMIT: a target that named 1.6 calls a second got 31 in 4 s, 14 allowed. Cause: it crashed and started anew; the coordinator heard of that in a report and made a new state without the limit, and answers that name a limit that is known already are no news. Evidence: no line 'lifted', rejections by limit end at the line 'target started anew'. Ruled out: askers (they did not follow 25 placements of that second). Change: each new state recalls what the target has said. Test fails before ('by its report: the limit is forgotten'); the seed is kept in the soak.

--- a/node/blackboard/started_anew_test.go
+++ b/node/blackboard/started_anew_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"doorstack.dev/core/forward"
 	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
@@ -108,3 +109,36 @@
 		})
 	}
 }
+
+// TestALimitOutlivesItsTargetsProcess: a process that crashes and starts again is most likely still in need;
+// its first answer lifts the limit if not.
+func TestALimitOutlivesItsTargetsProcess(t *testing.T) {
+	tree, err := settings.Parse([]byte("engine_kinds: {rest: {protocol: service, max_concurrent: 2}}\npools: {svc: {kind: rest}}\ntree: {}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	host := hostlist.Host{ID: "a", Role: hostlist.RoleTarget, Address: "10.0.0.1:80", Pool: "svc", State: hostlist.Live, Incarnation: 100}
+	for name, startAnew := range map[string]func(*TargetTable){
+		"by its report": func(table *TargetTable) { table.Started("a", 200, now) },
+		"by its entry": func(table *TargetTable) {
+			later := host
+			later.Incarnation = 200
+			table.Sync([]hostlist.Host{later}, tree, now)
+		},
+	} {
+		table := newTargetTable()
+		table.Sync([]hostlist.Host{host}, tree, now)
+		named := forward.Word{Notice: forward.Notice{Limit: forward.NamedLimit(2)}, Sent: now, At: now.Add(time.Millisecond)}
+		table.Notice("a", named)
+		startAnew(table)
+		if view := table.Views("svc", now)[0]; view.Limit == nil {
+			t.Errorf("%s: the limit is forgotten", name)
+		}
+		lifted := forward.Word{Notice: forward.Notice{Limit: forward.Limit{Lifted: true}}, Sent: now.Add(time.Second), At: now.Add(time.Second)}
+		table.Notice("a", lifted)
+		if view := table.Views("svc", now.Add(time.Second))[0]; view.Limit != nil {
+			t.Errorf("%s: the limit is not lifted", name)
+		}
+	}
+}
--- a/node/blackboard/target_notices.go
+++ b/node/blackboard/target_notices.go
@@ -19,12 +19,17 @@
 	if !t.notices.Take(id, s.address, s.started, said) {
 		return false
 	}
-	s.saidLeaving = t.notices.Leaves(id, said.At)
-	s.limiter = t.notices.RateLimiter(id)
+	t.recallNotices(s, said.At)
 	s.refresh(said.At)
 	return true
 }
 
+// recallNotices gives a target's state what the target has said of itself; that outlives the state.
+func (t *TargetTable) recallNotices(s *targetState, at time.Time) {
+	s.saidLeaving = t.notices.Leaves(s.id, at)
+	s.limiter = t.notices.RateLimiter(s.id)
+}
+
 // Unwilling lists the targets of a pool that have told this daemon that they want no calls: those
 // that leave, which nobody else may know yet, and those that rest from this daemon's calls.
 func (t *TargetTable) Unwilling(pool string, at time.Time) []string {
--- a/node/blackboard/target_start.go
+++ b/node/blackboard/target_start.go
@@ -54,6 +54,7 @@
 		pool: s.pool, index: s.index, calls: map[string]*ownCall{},
 	}
 	t.notices.Seen(id, s.address, incarnation)
+	t.recallNotices(fresh, at)
 	fresh.pool.states[fresh.index] = fresh
 	t.byID[id] = fresh
 	// The calls of the earlier process end at its state, which no decision looks at.
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -162,8 +162,7 @@
 		}
 		s.started = max(s.started, h.Incarnation)
 		t.notices.Seen(h.ID, h.Address, h.Incarnation)
-		s.saidLeaving = t.notices.Leaves(h.ID, at)
-		s.limiter = t.notices.RateLimiter(h.ID)
+		t.recallNotices(s, at)
 		s.listed = routing.Live
 		if h.State == hostlist.Leaving {
 			s.listed = routing.Leaving
--- a/node/internal/soak/soak_test.go
+++ b/node/internal/soak/soak_test.go
@@ -33,6 +33,7 @@
 }{
 	{1, ciLength, ciSize, "beside load, once: prompts over one engine's memory were refused for 12 s by idle engines. A burst of failures had opened a breaker for 30 s, and of the three engines left two could not be given deep parts"},
 	{1796283407082669558, 20 * time.Second, Size{Daemons: 5, Plain: 3, Engines: 6}, "a target that had asked for 2 s of rest started anew after 1.5 s, and got 24 calls of one daemon in the rest of that time: the word was dropped with the process that had said it"},
+	{1796298812632783829, 20 * time.Second, Size{Daemons: 5, Plain: 3, Engines: 6}, "a target that names 1.6 calls a second crashed and started anew, and got 31 calls in 4 s: the coordinator that heard of the start in a report forgot the limit, and was reminded by no answer since the limit had not changed"},
 }
 
 // ciSeeds and ciLength are what CI plays beside the regressions.
