hostlist: targets are not lost by complete lists after a restore

Cause: TestTablesConvergeAcrossRestores. Daemon A reads the restored store while it is empty, at era 2, revision 0 (position 2.0). t0 writes itself as leaving at revision 1, and daemon B reads it with the position 1.1, as the era has not settled. t1 writes itself at revision 2 and A reads the full list again. storeread.Reader took revision 0 for "nothing read", so t0 got the position 1.1 at A as well; the table left it out, as an entry that is older than A's read at 2.0, yet counted itself complete up to 2.2 with a gap up to 2.0. B (complete up to 1.1) then got A's complete list as of 2.2 without t0, and recorded its removal at 2.2, above the entry's real position 2.1. So B ignored t0 in its settled read and in all later updates. With the reader alone fixed, more checks of the same test found three related faults, all from entries of an unsettled read, whose position may be below that of their last write: the same removal after a restore from a copy that is not empty; a host that had just been read removed by an earlier complete list of a peer; and a leaving host made live by an entry from before the restore.

Change: A read at revision 0 counts as read. A table that leaves out hosts which the store lists sends the changes only, without raising the receiver's position, until its settled read; it then sends one complete list if the receiver needs it. It accepts a peer's entry of such a host if that was written after the restore. A full read of the store corrects a removal that was concluded from a peer's list (also one of a daemon of the previous version). A complete list does not remove a host that a full read as of the same or a later position listed. An entry from before the restore does not end the leaving state that an unsettled read showed. No wire change; complete lists become rarer.

--- a/core/hostlist/changes.go
+++ b/core/hostlist/changes.go
@@ -37,9 +37,14 @@
 }
 
 // Since returns the changes that a peer may not know, removals included. Unconfirmed removals are left
-// out. If the table may lack removals of hosts that the peer knows, it returns all hosts.
+// out. If the table may lack removals of hosts that the peer knows, it returns all hosts. But while it
+// leaves out hosts that the store lists, the peer would remove these, which may be alive: it gets
+// the changes only, complete up to no later position than before, and asks again.
 func (t *Table) Since(known Extent) Update {
 	f := Update{AsOf: t.Revision(), Confirmed: true, Complete: t.mayLackRemovals(known), GapEnd: t.gapEnd(known.Complete)}
+	if f.Complete && len(t.skipped) > 0 {
+		f.AsOf, f.Complete, f.GapEnd = min(f.AsOf, known.Complete), false, 0
+	}
 	for _, e := range t.entries {
 		if f.Complete || e.host.Revision > known.Complete {
 			f.Hosts = append(f.Hosts, e.host)
--- a/core/hostlist/removals.go
+++ b/core/hostlist/removals.go
@@ -83,13 +83,17 @@
 
 // removeUnlisted records unconfirmed removals of the hosts that a peer's complete list lacks. The peer may
 // have read the store just after an outage, without having noticed it, while entries of living hosts
-// were missing.
+// were missing. A host that a full read listed as of the same or a later position has not been removed:
+// until the era has settled, its entry may have a position before that of its last write.
 func (t *Table) removeUnlisted(f *Update, now time.Time) {
 	present := map[string]bool{}
 	for _, h := range f.Hosts {
 		present[h.ID] = h.State != Gone // An older removal does not say that the peer knows the host.
 	}
 	for _, h := range t.unlisted(present, f.AsOf) {
+		if t.entries[h.id].listedAt >= f.AsOf {
+			continue
+		}
 		t.removeEntry(h, now.Add(storeReturnGrace), now)
 	}
 }
--- a/core/hostlist/restored.go
+++ b/core/hostlist/restored.go
@@ -19,11 +19,17 @@
 // only for entries above their own revision, which may be the same.
 func (t *Table) putFromFullRead(h Host, asOf Position) bool {
 	mayBeOutdated := h.Revision.Era() < asOf.Era()
-	if mayBeOutdated && t.entries[h.ID] == nil && h.Revision <= t.fullReadPosition {
-		return false // A later full read did not list the host, so it has most likely ended.
+	if mayBeOutdated && t.hasLaterRemoval(h) {
+		t.skipped[h.ID] = true
+		return false
 	}
 	coveredByRevision := h.Revision <= t.revision
-	if !t.putIfNewer(h) {
+	if !mayBeOutdated && t.hasWrongRemoval(h, asOf) {
+		h.Revision = asOf
+	}
+	changed := t.putIfNewer(h)
+	t.entries[h.ID].listedAt = asOf
+	if !changed {
 		return mayBeOutdated && t.putLeavingState(h, asOf)
 	}
 	if coveredByRevision {
@@ -32,6 +38,37 @@
 	return true
 }
 
+// hasLaterRemoval reports whether the table knows a removal of a listed host at or after its entry, or a
+// later full read that did not list it. The host has then most likely ended, unless it wrote its
+// entry again after the restore.
+func (t *Table) hasLaterRemoval(h Host) bool {
+	if e := t.entries[h.ID]; e != nil {
+		return e.host.State == Gone && h.Revision <= e.host.Revision
+	}
+	return h.Revision <= t.fullReadPosition
+}
+
+// wasSkipped reports whether the last full read listed a host that the table leaves out, and the
+// entry was written after the restore, so that the host has not ended.
+func (t *Table) wasSkipped(h Host) bool {
+	return t.skipped[h.ID] && h.Revision.Era() == t.fullReadPosition.Era()
+}
+
+// hasWrongRemoval reports whether the table has a removal, unconfirmed or not, between a host's entry and
+// the full read that lists the entry. A removal from the store would have ended the entry; this one
+// was concluded from a peer's complete list that lacked the host.
+func (t *Table) hasWrongRemoval(h Host, asOf Position) bool {
+	e := t.entries[h.ID]
+	if e == nil {
+		return false
+	}
+	removed := e.unconfirmedRemoval
+	if e.host.State == Gone {
+		removed = e.host.Revision
+	}
+	return h.Revision <= removed && removed < asOf
+}
+
 // putLeavingState applies the leaving state of an entry that may be as old as the copy. The state
 // holds also if the table has a newer entry, since no process revokes its announcement that it
 // leaves; and the entry may in fact have been written again after the restore.
@@ -45,6 +82,14 @@
 	return true
 }
 
+// mayPrecedeLeaving reports whether an entry from before a restore may be older than the table's entry of the
+// same process, although its position is higher: an unsettled full read listed the process as leaving, with a
+// position of the previous era, and it may have written that after the restore.
+func (e *entry) mayPrecedeLeaving(h Host) bool {
+	unsettled := e.host.Revision.Era() < e.listedAt.Era()
+	return e.host.State == Leaving && unsettled && h.Revision.Era() < e.listedAt.Era() && h.State == Live && h.Incarnation <= e.host.Incarnation
+}
+
 // stateAfterRestore returns the state that a newer entry gives a process. A restored store that
 // lost a process's announcement that it leaves still lists the process as live, with the revision
 // of that earlier entry; the process stays leaving.
--- a/core/hostlist/restored_test.go
+++ b/core/hostlist/restored_test.go
@@ -111,3 +111,112 @@
 		t.Fatalf("target is %s after Merge of the peer's entries, want leaving", hostState(fresh, "a"))
 	}
 }
+
+// secondEraHost returns an entry that was written after the restore.
+func secondEraHost(id string, state State, revision int64) Host {
+	return Host{ID: id, State: state, Revision: NewPosition(2, revision)}
+}
+
+// newTableWithSkippedHost returns a table that read the store before the restore, and again after it, when
+// the store listed target a. As the target may have ended before the first read, the table does not
+// list it.
+func newTableWithSkippedHost(t *testing.T) *Table {
+	table := newFirstEraTable()
+	table.Merge(Update{Full: true, AsOf: NewPosition(2, 60), Hosts: []Host{firstEraHost("a", Live, 50)}}, epoch)
+	if hostState(table, "a") != Gone {
+		t.Fatalf("target whose entry may be of the copy is %s, want not listed", hostState(table, "a"))
+	}
+	return table
+}
+
+// TestSkippedHostIsNotRemovedAtPeers guards against a complete list that lacks a target only because the
+// sender cannot tell from the restored store whether it is alive: peers removed the target for good.
+func TestSkippedHostIsNotRemovedAtPeers(t *testing.T) {
+	table, peer := newTableWithSkippedHost(t), NewTable()
+	peer.Merge(Update{AsOf: NewPosition(2, 55), Hosts: []Host{secondEraHost("a", Live, 50), secondEraHost("b", Live, 55)}}, epoch)
+	table.Merge(Update{AsOf: NewPosition(2, 61), Hosts: []Host{secondEraHost("c", Leaving, 61)}}, epoch)
+
+	sent := table.Since(peer.Extent())
+	if sent.Complete || len(sent.Hosts) != 1 {
+		t.Errorf("Since = %+v, want the change of c only", sent)
+	}
+	peer.Merge(sent, epoch)
+	peer.Tick(epoch.Add(storeReturnGrace))
+	if hostState(peer, "a") != Live || hostState(peer, "c") != Leaving {
+		t.Fatalf("targets a and c are %s and %s at the peer, want live and leaving", hostState(peer, "a"), hostState(peer, "c"))
+	}
+
+	// The settled read lists the target, and not b, which has ended.
+	settled := []Host{secondEraHost("a", Live, 50), secondEraHost("c", Leaving, 61)}
+	table.Merge(Update{Full: true, AsOf: NewPosition(2, 61).AsSettled(), Hosts: settled}, epoch)
+	if peer.Revision() >= table.Revision() {
+		t.Fatalf("Revision() at the peer = %v, want less than %v, so that it asks again", peer.Revision(), table.Revision())
+	}
+	peer.Merge(table.Since(peer.Extent()), epoch)
+	peer.Tick(epoch.Add(storeReturnGrace))
+	if hostState(peer, "a") != Live || hostState(peer, "b") != Gone {
+		t.Errorf("targets a and b are %s and %s at the peer after the settled read, want live and gone", hostState(peer, "a"), hostState(peer, "b"))
+	}
+	if again := table.Since(peer.Extent()); again.Complete || len(again.Hosts) > 0 {
+		t.Errorf("second Since = %+v, want nothing", again)
+	}
+}
+
+// TestSkippedHostIsListedOnceAPeerKnowsItsWrite guards against taking a target for ended because the last
+// full read, which did list it, has a later position than its entry.
+func TestSkippedHostIsListedOnceAPeerKnowsItsWrite(t *testing.T) {
+	table := newTableWithSkippedHost(t)
+	table.Merge(Update{AsOf: NewPosition(2, 60), Confirmed: true, Hosts: []Host{secondEraHost("a", Live, 50)}}, epoch)
+	table.Tick(epoch.Add(storeReturnGrace))
+	if hostState(table, "a") != Live {
+		t.Errorf("target is %s after the grace period, want live", hostState(table, "a"))
+	}
+}
+
+// TestFullReadCorrectsWrongRemoval guards against a removal concluded from the complete list of a peer of
+// the previous version, which lacks a target that it has skipped: later reads used to be ignored.
+func TestFullReadCorrectsWrongRemoval(t *testing.T) {
+	for name, confirmed := range map[string]bool{"confirmed": true, "unconfirmed": false} {
+		table := NewTable()
+		table.Merge(Update{AsOf: NewPosition(2, 50), Hosts: []Host{secondEraHost("a", Live, 50)}}, epoch)
+		table.Merge(Update{AsOf: NewPosition(2, 60), Confirmed: true, Complete: true}, epoch)
+		if confirmed {
+			table.Tick(epoch.Add(storeReturnGrace))
+		}
+		table.Merge(Update{Full: true, AsOf: NewPosition(2, 60).AsSettled(), Hosts: []Host{secondEraHost("a", Live, 50)}}, epoch)
+		table.Tick(epoch.Add(2 * storeReturnGrace))
+		if hostState(table, "a") != Live {
+			t.Errorf("%s removal: target that the settled read lists is %s, want live", name, hostState(table, "a"))
+		}
+		if got := table.Since(Extent{NewPosition(2, 60), NewPosition(2, 60)}); len(got.Hosts) != 1 {
+			t.Errorf("%s removal: Since the wrong removal = %+v, want the target", name, got.Hosts)
+		}
+	}
+}
+
+// TestOlderCompleteListDoesNotRemoveListedHost guards against removing a target that a full read just listed,
+// with a position below that of its last write, because a peer's earlier complete list lacks it.
+func TestOlderCompleteListDoesNotRemoveListedHost(t *testing.T) {
+	table := NewTable()
+	table.Merge(Update{Full: true, AsOf: NewPosition(2, 60), Hosts: []Host{firstEraHost("a", Live, 50)}}, epoch)
+	table.Merge(Update{AsOf: NewPosition(2, 40), Confirmed: true, Complete: true}, epoch)
+	table.Tick(epoch.Add(storeReturnGrace))
+	if hostState(table, "a") != Live {
+		t.Errorf("target is %s, want live", hostState(table, "a"))
+	}
+}
+
+// TestEntryFromBeforeRestoreDoesNotRevertLeaving guards against a peer's entry from before the restore that
+// makes a target live which the restored store lists as leaving at a lower revision.
+func TestEntryFromBeforeRestoreDoesNotRevertLeaving(t *testing.T) {
+	table := NewTable()
+	table.Merge(Update{Full: true, AsOf: NewPosition(2, 60), Hosts: []Host{firstEraHost("a", Leaving, 50)}}, epoch)
+	table.Merge(Update{AsOf: NewPosition(1, 95), Confirmed: true, Hosts: []Host{firstEraHost("a", Live, 90)}}, epoch)
+	if hostState(table, "a") != Leaving {
+		t.Fatalf("target is %s after an entry from before the restore, want leaving", hostState(table, "a"))
+	}
+	table.Merge(Update{AsOf: NewPosition(2, 61), Hosts: []Host{secondEraHost("a", Live, 61)}}, epoch)
+	if hostState(table, "a") != Live {
+		t.Errorf("target is %s after it wrote again, want live", hostState(table, "a"))
+	}
+}
--- a/core/hostlist/table.go
+++ b/core/hostlist/table.go
@@ -47,6 +47,9 @@
 	changed map[string]bool
 	// gaps are the spans in which removals may be unknown, oldest first.
 	gaps []gap
+	// skipped holds the hosts that the last full read listed and the table leaves out, because their
+	// entries may be outdated (see putFromFullRead).
+	skipped map[string]bool
 	// firstPagePosition is the position of the first page of a list, if that page was read alone.
 	firstPagePosition Position
 	// storeDown is true while the store does not answer; storeBackAt is when it last returned.
@@ -57,6 +60,8 @@
 // entry is what the table knows about one host.
 type entry struct {
 	host Host
+	// listedAt is the position of the last full read that listed the host; zero if none did.
+	listedAt Position
 	// unconfirmedRemoval is the position of the last unconfirmed removal, unconfirmedSince the
 	// earliest that the first may have, and confirmAt the time at which they are confirmed; all are zero if there is none.
 	unconfirmedRemoval, unconfirmedSince Position
@@ -83,7 +88,9 @@
 )
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[string]*entry{}, changed: map[string]bool{}} }
+func NewTable() *Table {
+	return &Table{entries: map[string]*entry{}, changed: map[string]bool{}, skipped: map[string]bool{}}
+}
 
 // Revision returns the position up to which all changes are known and in effect; a peer at a
 // lower position lacks some. It stays below unconfirmed removals, so that a peer that was not
@@ -128,6 +135,9 @@
 // Merge applies an update and reports whether the list of hosts has changed.
 func (t *Table) Merge(f Update, now time.Time) bool {
 	changed := false
+	if f.Full {
+		clear(t.skipped)
+	}
 	if f.Full && t.fullReadPosition > 0 && f.AsOf.Era() > t.fullReadPosition.Era() {
 		t.storeBackAt = now // Writes that the restore lost are made again, as after an outage.
 	}
@@ -193,8 +203,12 @@
 	if f.Full {
 		return t.putFromFullRead(h, f.AsOf)
 	}
-	if t.entries[h.ID] != nil || h.Revision > t.fullReadPosition {
-		return t.putIfNewer(h)
+	if t.entries[h.ID] != nil || h.Revision > t.fullReadPosition || t.wasSkipped(h) {
+		changed := t.putIfNewer(h)
+		if t.entries[h.ID].host.State != Gone {
+			delete(t.skipped, h.ID)
+		}
+		return changed
 	}
 	confirmAt := t.removalConfirmTime(0, now)
 	if confirmAt.IsZero() {
@@ -214,14 +228,18 @@
 		}
 		h.Revision = e.host.Revision // Newer entries merged so far are of an earlier process.
 	}
+	if e != nil && e.mayPrecedeLeaving(h) {
+		return false
+	}
+	listedAt := Position(0)
 	if e != nil {
-		h = resolveIncarnation(e.host, h)
+		h, listedAt = resolveIncarnation(e.host, h), e.listedAt
 	}
 	if h.State == Gone {
 		e.host = h
 		return false
 	}
-	t.entries[h.ID] = &entry{host: h}
+	t.entries[h.ID] = &entry{host: h, listedAt: listedAt}
 	if e != nil && e.host.State != Gone {
 		before := e.host
 		before.Revision = h.Revision
--- a/core/storeread/storeread.go
+++ b/core/storeread/storeread.go
@@ -31,7 +31,8 @@
 	era    int64
 	cursor int64 // the revision read up to; zero if a full read is due
 	// readUpTo is the revision up to which the era was read, and readBefore its value before the
-	// last full read; zero if nothing of the era was read.
+	// last full read; notRead if nothing of the era was read. Zero is the revision of an empty
+	// store.
 	readUpTo, readBefore int64
 	// eraSeenAt is when the era was first seen; zero before the first answer.
 	eraSeenAt time.Time
@@ -39,6 +40,9 @@
 	rereadPending bool
 }
 
+// notRead is the readUpTo of an era of which nothing was read.
+const notRead = -1
+
 // Fresh reports whether nothing has been read yet.
 func (r *Reader) Fresh() bool { return r.eraSeenAt.IsZero() }
 
@@ -111,7 +115,7 @@
 
 // startEra resets the reader to the start of an era.
 func (r *Reader) startEra(era int64, now time.Time) {
-	*r = Reader{era: era, eraSeenAt: now, rereadPending: era > hostlist.FirstEra || !r.eraSeenAt.IsZero()}
+	*r = Reader{era: era, readUpTo: notRead, readBefore: notRead, eraSeenAt: now, rereadPending: era > hostlist.FirstEra || !r.eraSeenAt.IsZero()}
 }
 
 // ChangePosition returns the position of a change from a watch.
@@ -121,7 +125,7 @@
 
 // ItemPosition returns the position of an item of the last full read.
 func (r *Reader) ItemPosition(revision int64, now time.Time) hostlist.Position {
-	if r.era == hostlist.FirstEra || r.settled(now) || r.readBefore > 0 && revision > r.readBefore {
+	if r.era == hostlist.FirstEra || r.settled(now) || r.readBefore != notRead && revision > r.readBefore {
 		return hostlist.NewPosition(r.era, revision)
 	}
 	return hostlist.NewPosition(max(0, r.era-1), revision)
--- a/core/storeread/storeread_test.go
+++ b/core/storeread/storeread_test.go
@@ -65,6 +65,40 @@
 	}
 }
 
+// TestReadOfEmptyCopyIsRemembered covers a store restored from an empty copy, whose revision is zero: the
+// items of the next full read used to be taken for items of the copy.
+func TestReadOfEmptyCopyIsRemembered(t *testing.T) {
+	var r Reader
+	r.HandleFullRead(2, 0, testStart)
+	r.HandleFullRead(2, 3, testStart)
+	if r.ItemPosition(1, testStart) != hostlist.NewPosition(2, 1) {
+		t.Errorf("ItemPosition(1) after a read up to 0 = %v, want 2.1", r.ItemPosition(1, testStart))
+	}
+}
+
+// TestEmptyCopyReadBeforeTargetsWriteAgain covers two daemons of which one reads an empty copy, and the
+// other reads once the first target has written again: the first daemon left out that target,
+// told the other that it had ended, and the other ignored its entry in every later read.
+func TestEmptyCopyReadBeforeTargetsWriteAgain(t *testing.T) {
+	m := &model{now: testStart, era: 2, entries: map[string]entry{}, actual: map[string]hostlist.State{}}
+	early, late := &daemon{table: hostlist.NewTable()}, &daemon{table: hostlist.NewTable()}
+	m.daemons = []*daemon{early, late}
+	m.read(early)
+	m.write("t0", hostlist.Leaving)
+	m.read(late)
+	m.write("t1", hostlist.Live)
+	m.read(early)
+	m.syncFrom(late, early)
+	m.advance(int(SettleTime.Milliseconds()))
+	m.read(late)
+	m.read(early)
+	for name, d := range map[string]*daemon{"first": early, "second": late} {
+		if hosts := d.table.Hosts(); len(hosts) != 2 || hosts[0].State != hostlist.Leaving {
+			t.Errorf("%s daemon has %+v, want t0 leaving and t1 live", name, hosts)
+		}
+	}
+}
+
 // entry is a target's entry in the model's store.
 type entry struct {
 	state    hostlist.State
