requestcontrol: work and reservations end with the caller's connection

A call with a body that was held at a starting daemon was placed although its caller had gone, as net/http notices that only after the body is read. A placement request whose context had ended was still sent, and the coordinator counted the call until a second after its deadline.

The caller's connection is checked after the body is read, before the call is placed. peer.link.call sends nothing if its context has ended. A placement that is given back because the caller disconnected wakes the queue. startSimFleet has a variant with another delay.

--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -69,6 +69,10 @@
 
 // run serves a call up to the end of its answer. An error may come before or after the answer's
 // head has been written.
+//
+// Until the body has been read net/http does not notice that the caller disconnects, for instance
+// while the call waits for the daemon to start. So the connection is checked before the call is placed;
+// otherwise a slot is kept for a call that is not sent.
 func (s *pathServer) run(c *pathCall) error {
 	if err := s.beginCall(c); err != nil {
 		return err
@@ -88,6 +92,9 @@
 	}
 	defer b.release()
 	req := c.newRequest(route, b.data)
+	if disconnected := req.Forward.CallerDisconnected; disconnected != nil && disconnected() {
+		return fault.New(fault.Abandoned, "the caller disconnected before the call was placed", "nothing to do")
+	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), req.Deadline)
 	defer cancel()
 	c.answer.ctx, c.answer.cancel = ctx, cancel
--- a/node/onplatform/config_propagation_test.go
+++ b/node/onplatform/config_propagation_test.go
@@ -102,7 +102,12 @@
 // startSimFleet starts a fleet of strong and weak hosts. Each daemon starts after a delay between 0 and
 // period, given by the hash of its name.
 func startSimFleet(t *testing.T, strong, weak int, period time.Duration) *simFleet {
-	f := &simFleet{t: t, deathCounter: &deathCounter{Handler: slog.DiscardHandler}, network: &slownet.Network{Delay: time.Millisecond}}
+	return startDelayedSimFleet(t, strong, weak, period, time.Millisecond)
+}
+
+// startDelayedSimFleet is startSimFleet with a one-way delay between any two hosts.
+func startDelayedSimFleet(t *testing.T, strong, weak int, period, delay time.Duration) *simFleet {
+	f := &simFleet{t: t, deathCounter: &deathCounter{Handler: slog.DiscardHandler}, network: &slownet.Network{Delay: delay}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for i := range strong + weak {
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -211,6 +211,9 @@
 // call sends a request and waits for its answer until ctx ends or, with an idleTimeout above zero,
 // until no data has arrived over the link for that long.
 func (l *link) call(ctx context.Context, kind Kind, body cbor.RawMessage, idleTimeout time.Duration) (cbor.RawMessage, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err() // The peer must not begin what nobody waits for.
+	}
 	l.recordCall()
 	started := time.Now()
 	answer := make(chan Frame, 1)
--- a/node/requestcontrol/place.go
+++ b/node/requestcontrol/place.go
@@ -99,6 +99,7 @@
 		}
 		placement = <-ticket.Placed() // The ticket was just placed, so the call counted at its target is ended.
 		d.Board.Targets.Finish(attempt, blackboard.CallCancelled, time.Now())
+		d.Board.Queues.Wake(r.Route.Pool.Name)
 		return placement, waitError(ctx, r)
 	}
 	return placement, d.checkPlacement(r, ticket, &placement)
--- a/node/requestcontrol/reservations.go
+++ b/node/requestcontrol/reservations.go
@@ -33,7 +33,7 @@
 type heldReservations struct {
 	director     *Director
 	request      *Request
-	reservations []heldReservation
+	reservations []*heldReservation
 	stop         context.CancelFunc
 	renewing     sync.WaitGroup
 	// refusedBy is the address of the helper that did not reserve memory, if any.
@@ -44,6 +44,9 @@
 type heldReservation struct {
 	id, target, address string
 	tokens              int64
+	// sending is held while a message is sent to the helper and answered, so that the helper does
+	// not receive a release before the message that reserves or renews the memory.
+	sending sync.Mutex
 }
 
 // reservationID returns the id of the reservation that an attempt makes at a helper, or an empty
@@ -62,9 +65,9 @@
 func (d *Director) reserveMemory(ctx context.Context, r *Request, p *blackboard.Placement) (*heldReservations, error) {
 	held := &heldReservations{director: d, request: r, stop: func() {}}
 	for _, planned := range p.Decision.Reservations {
-		reservation := heldReservation{id: p.Attempt, target: planned.Target, address: helperAddress(p, planned.Target), tokens: planned.Tokens}
+		reservation := &heldReservation{id: p.Attempt, target: planned.Target, address: helperAddress(p, planned.Target), tokens: planned.Tokens}
 		held.reservations = append(held.reservations, reservation)
-		if err := held.reserve(ctx, &reservation); err != nil {
+		if err := held.reserve(ctx, reservation); err != nil {
 			held.release(ctx)
 			held.record("refused", fmt.Sprintf("%d tokens at %s: %v", planned.Tokens, planned.Target, err), p.Attempt)
 			held.refusedBy = reservation.address
@@ -95,8 +98,25 @@
 	h.director.record(h.request, decision.Record{Kind: decision.KindGroup, Outcome: outcome, Attempt: attempt, Reason: reason})
 }
 
+// reserve reserves or renews the memory at a helper, and returns early at the end of ctx. The message
+// is not cut off then: the helper might carry it out after the release, and would hold the memory for
+// reservationTTL.
 func (h *heldReservations) reserve(ctx context.Context, r *heldReservation) error {
-	return h.send(ctx, r, h.director.Exchanger.Dialect.ReserveMessage(r.target, r.id, r.tokens, reservationTTL))
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	sent := make(chan error, 1)
+	r.sending.Lock()
+	go func() {
+		defer r.sending.Unlock()
+		sent <- h.send(context.WithoutCancel(ctx), r, h.director.Exchanger.Dialect.ReserveMessage(r.target, r.id, r.tokens, reservationTTL))
+	}()
+	select {
+	case err := <-sent:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // renew renews the reservations until the call has ended. A failed renewal is only
@@ -111,7 +131,7 @@
 		case <-ticker.C:
 		}
 		for i := range h.reservations {
-			if err := h.reserve(ctx, &h.reservations[i]); err != nil && ctx.Err() == nil {
+			if err := h.reserve(ctx, h.reservations[i]); err != nil && ctx.Err() == nil {
 				h.director.Recorder.Log.Warn("memory reservation could not be renewed", "request", h.request.ID,
 					"target", h.reservations[i].target, "error", err.Error())
 			}
@@ -120,7 +140,8 @@
 }
 
 // release releases all memory, also after the caller has disconnected. It runs in the
-// background, so that it does not delay the answer.
+// background, so that it does not delay the answer. The helpers are called concurrently: one that
+// does not answer takes up to maxReleaseAttempts times reservationCallTimeout.
 func (h *heldReservations) release(ctx context.Context) {
 	h.stop()
 	if len(h.reservations) == 0 {
@@ -128,14 +149,16 @@
 	}
 	ctx = context.WithoutCancel(ctx)
 	go func() {
-		h.renewing.Wait() // A renewal in progress must not follow the release.
-		for i := range h.reservations {
-			h.releaseOne(ctx, &h.reservations[i])
+		h.renewing.Wait() // No renewal may follow the release.
+		for _, r := range h.reservations {
+			go h.releaseOne(ctx, r)
 		}
 	}()
 }
 
 func (h *heldReservations) releaseOne(ctx context.Context, r *heldReservation) {
+	r.sending.Lock()
+	defer r.sending.Unlock()
 	var err error
 	for range maxReleaseAttempts {
 		if err = h.send(ctx, r, h.director.Exchanger.Dialect.ReleaseMessage(r.target, r.id)); err == nil {
