Known red: a coordinator counts a call whose caller left during the request

Cause: Placer.requestPlacement returns without a progress message if the context ends while cluster.call is in progress: request, answer or the repetition of a waiting request in flight.

Measured: On two daemons in virtual time with 4.5 ms each way the test fails for every disconnection between 0.5 and 9 ms after the start of the call with a free slot, and up to 14 ms and again at 265 ms and later without one.

--- a/node/onplatform/disconnect_count_test.go
+++ b/node/onplatform/disconnect_count_test.go
@@ -147,3 +147,17 @@
 		}
 	})
 }
+
+// TestCoordinatorDropsCallDisconnectedDuringRequest covers callers that disconnect while the placement request,
+// its answer or the repetition of a waiting request is in flight. The requesting daemon knows no placement
+// then, and told the coordinator nothing, which counted the call until a second after its deadline.
+func TestCoordinatorDropsCallDisconnectedDuringRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startCoordinatedFleet(t, 1)
+		defer f.close()
+		f.checkDisconnects(t, timesBetween(500*time.Microsecond, 9*time.Millisecond, 500*time.Microsecond))
+		f.occupySlot()
+		f.checkDisconnects(t, timesBetween(500*time.Microsecond, 15*time.Millisecond, 500*time.Microsecond))
+		f.checkDisconnects(t, timesBetween(255*time.Millisecond, 280*time.Millisecond, time.Millisecond))
+	})
+}
