Introductions: dial a seed again while earlier dials hang

Cause: after a power loss of all hosts the first introduction of most daemons goes to a seed that has no power yet. Nothing refuses the connection, so the dial hangs until joinTimeout (500 ms), and daemons learned of their first peer 0.4 to 0.6 s after their start although the seeds were up after 0.1 to 0.2 s.

Change: a daemon without neighbours dials each seed again after 40 to 80 ms while no connection is open (core/membership.SeedDialing, pure), and every 400 ms after about 5 s. Once a connection is open, that seed gets no further introduction until it has answered or failed to, so that a seed that works never has two of a daemon to answer. The first answer ends the dials. New counter doorstack_introductions_total, log line "introduced to the fleet".

Measured (unit tests, virtual time): a seed that comes up 10 to 450 ms after the daemon answers within 100 ms of that (a dial and an answer delay of 10 ms). A seed that does not answer gets at most 9 introductions of a daemon in 5 s, one at a time: of 585 daemons at most 585 per 500 ms, as before.

--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -56,6 +56,8 @@
 	settingsCache compressedCache[int64, int64]
 	targetsCache  compressedCache[uint64, hostlist.Extent]
 
+	// introductions introduces this daemon to the seeds of an open fleet.
+	introductions *introductions
 	// seedsAnswered is true once every seed has answered and knew of no other daemon.
 	seedsAnswered atomic.Bool
 	// reconciledAt is when this daemon last sent its members' digests to a peer, differsSince from
@@ -78,6 +80,7 @@
 	}
 	c.settingsFetcher = c.newFetcher(func(h heartbeatReport) int64 { return h.revision }, c.revision, c.updateSettings)
 	c.targetsFetcher = c.newFetcher(func(h heartbeatReport) int64 { return int64(h.targets) }, func() int64 { return int64(board.Directory.Revision()) }, c.updateTargets)
+	c.introductions = newIntroductions(c.introduceOnce)
 	c.Placer = newPlacer(c)
 	hub.Handle(peer.KindPlace, peer.TypedHandler(c.Placer.servePlace))
 	hub.Handle(peer.KindPlaced, peer.TypedHandler(c.Placer.servePlaced))
--- a/node/cluster/open.go
+++ b/node/cluster/open.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
+	"net/http/httptrace"
 	"time"
 
 	"doorstack.dev/core/membership"
@@ -22,11 +21,9 @@
 	// joinTimeout bounds one introduction: a seed's host may be down, so that nothing
 	// refuses the connection.
 	joinTimeout = 500 * time.Millisecond
-	// joinBackoffInitial is the pause after a first introduction without an answer, and
-	// joinBackoffMax the greatest pause: where all hosts start together the seeds may
-	// listen half a second later than the first daemons call them.
-	joinBackoffInitial = 50 * time.Millisecond
-	joinBackoffMax     = 400 * time.Millisecond
+	// joinRound is how long a daemon without neighbours dials its seeds until it reads the list of
+	// seeds again and looks whether others have found it.
+	joinRound = 500 * time.Millisecond
 	// rejoinInterval is the mean pause between attempts to reach a dead member or a seed
 	// that is not a member. Such attempts join the parts of a fleet again after a network
 	// partition.
@@ -45,23 +42,21 @@
 
 // join introduces this daemon to others until ctx ends.
 func (c *Cluster) join(ctx context.Context) {
-	pause := joinBackoffInitial
 	for round := 0; ctx.Err() == nil; round++ {
-		alone := c.introduceRound(ctx, round)
-		if alone {
-			controller.Sleep(ctx, pause)
-			pause = min(2*pause, joinBackoffMax)
-			continue
+		alone, allAnswered := c.introduceRound(ctx, round)
+		switch {
+		case !alone:
+			controller.Sleep(ctx, rejoinInterval/2+rand.N(rejoinInterval))
+		case allAnswered:
+			controller.Sleep(ctx, joinRound) // Such as where this daemon is the only seed.
 		}
-		pause = joinBackoffInitial
-		controller.Sleep(ctx, rejoinInterval/2+rand.N(rejoinInterval))
 	}
 }
 
 // introduceRound introduces this daemon to all seeds while it has no neighbour, and
 // otherwise to one dead member or one seed that is not a member. It reports whether this
-// daemon has no neighbour.
-func (c *Cluster) introduceRound(ctx context.Context, round int) (alone bool) {
+// daemon had no neighbour, and whether all addresses answered.
+func (c *Cluster) introduceRound(ctx context.Context, round int) (alone, allAnswered bool) {
 	var addresses []string
 	seeds := *c.seeds.Load()
 	c.Board.Members.WithLock(func(t *membership.Table) {
@@ -86,10 +81,17 @@
 	if !alone && len(addresses) > 0 {
 		addresses = addresses[round%len(addresses):][:1]
 	}
-	if answered := c.introduceToAll(ctx, addresses); alone && answered == len(addresses) {
+	begin := time.Now()
+	outcome := c.introductions.round(ctx, addresses, c.Board.Self.PeerAddress, alone)
+	allAnswered = outcome.answered == len(addresses)
+	if alone && allAnswered {
 		c.seedsAnswered.Store(true)
 	}
-	return alone
+	if alone && outcome.first != "" {
+		c.Recorder.Log.Info("introduced to the fleet", "seed", outcome.first, "dials", outcome.dials,
+			"round_ms", time.Since(begin).Milliseconds(), "since_start_ms", time.Since(c.started).Milliseconds())
+	}
+	return alone, allAnswered
 }
 
 // discoveryDone reports whether this daemon knows other daemons, or has found none at any
@@ -100,36 +102,23 @@
 	return others > 0 || c.seedsAnswered.Load() || time.Since(c.started) > compareTimeout
 }
 
-// introduceToAll introduces this daemon at several addresses at the same time, so that an
-// unreachable seed does not delay the others. It returns the number that answered, counting
-// this daemon's own address as answered.
-func (c *Cluster) introduceToAll(ctx context.Context, addresses []string) int {
-	var answered atomic.Int64
-	var asking sync.WaitGroup
-	for _, address := range addresses {
-		asking.Go(func() {
-			if address == c.Board.Self.PeerAddress || c.introduce(ctx, address) {
-				answered.Add(1)
-			}
-		})
-	}
-	asking.Wait()
-	return int(answered.Load())
-}
-
-// introduce introduces this daemon at an address and learns of the other members. It
-// reports whether the daemon there answered.
-func (c *Cluster) introduce(ctx context.Context, address string) bool {
+// introduceOnce introduces this daemon at an address, within joinTimeout, and learns of the other
+// members. It calls connected when the host there has accepted the connection, and reports whether
+// the daemon there answered.
+func (c *Cluster) introduceOnce(ctx context.Context, address string, connected func()) bool {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var own membership.Rumor
 	c.Board.Members.WithLock(func(t *membership.Table) { own = t.Introduction() })
 	var all []membership.Rumor
-	name, err := c.Hub.CallAt(ctx, address, peer.KindJoin, own, &all)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected() }}
+	name, err := c.Hub.CallAt(httptrace.WithClientTrace(ctx, trace), address, peer.KindJoin, own, &all)
 	if err != nil {
+		c.Recorder.Metrics.Introductions.WithLabelValues("unanswered").Inc()
 		c.Recorder.Log.Debug("introduction was not answered", "address", address, "error", err.Error())
 		return false
 	}
+	c.Recorder.Metrics.Introductions.WithLabelValues("answered").Inc()
 	c.Recorder.MarkStage(blackboard.StagePeer)
 	c.receiveRumors(ctx, all, name)
 	c.HeartbeatNow()
