cluster: ask one coordinator at a time

Cause: placementTimeout (40 ms) covered dialing and the first answer, and a coordinator that missed it was avoided for 1 s although it was alive. Daemons then asked the second one, and two daemons placed a pool's calls without knowing each other's.

Change: core/coordination decides whom a call asks, from the state of the links, measured round-trip times and the call's goal. Links to the first two of each pool's ranking are opened in advance, measured and kept. A daemon that hears one ranked before it redirects; calls that were placed elsewhere are reported to the first coordinator.

Measured: go test -race ./node/cluster ./node/peer ./node/onplatform passes.

--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"doorstack.dev/core/admission"
+	"doorstack.dev/core/coordination"
 	"doorstack.dev/core/decision"
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/rendezvous"
@@ -38,9 +39,16 @@
 	now := time.Now()
 	view := p.cluster.Board.Settings.Current()
 	if view == nil || view.Tree.Pool(in.Pool) == nil || p.cluster.Board.Phase() != blackboard.Serving {
+		if answer, ok := p.successorAnswer(&in, now); ok {
+			return answer, nil
+		}
 		return placeAnswer{}, errors.New("this daemon does not coordinate the pool " + in.Pool)
 	}
-	p.adoptCalls(from, &in, now)
+	if answer, ok := p.redirectAnswer(ctx, &in); ok {
+		return answer, nil
+	}
+	now = time.Now()
+	p.adoptCalls(from, in.Pool, in.Calls, now)
 	p.mergeLimits(in.Pool, in.Limits, now)
 	p.mu.Lock()
 	call := p.coordinated[in.Attempt]
@@ -69,13 +77,55 @@
 	return placeAnswer{Attempt: in.Attempt, Verdict: routing.Wait}, nil
 }
 
-// adoptCalls counts the running calls that a daemon names with its first placement request.
-func (p *Placer) adoptCalls(from string, in *placeRequest, now time.Time) {
-	for _, c := range in.Calls {
+// redirectAnswer returns the answer to a request that another daemon should have got. A request that waits here
+// stays here.
+func (p *Placer) redirectAnswer(ctx context.Context, in *placeRequest) (placeAnswer, bool) {
+	self := p.cluster.Board.Self.Name
+	p.mu.Lock()
+	known := p.coordinated[in.Attempt] != nil
+	p.mu.Unlock()
+	if known || in.Rank == 0 || in.Insist {
+		return placeAnswer{}, false
+	}
+	ranking := p.rankingOf(in.Pool)
+	if in.Rank > 1 && len(ranking) > 0 && ranking[0].Name != self {
+		p.links.hears(ctx, ranking[0].Name)
+	}
+	to, ok := coordination.Redirect(self, coordination.Request{Rank: in.Rank, Insist: in.Insist}, ranking, p.cluster.Hub.LastHeard, time.Now())
+	if !ok {
+		return placeAnswer{}, false
+	}
+	return p.redirectTo(in, to), true
+}
+
+// successorAnswer returns the answer of a daemon that drains: who coordinates after it.
+func (p *Placer) successorAnswer(in *placeRequest, now time.Time) (placeAnswer, bool) {
+	if in.Rank == 0 || in.Insist || p.cluster.Board.Phase() != blackboard.Draining {
+		return placeAnswer{}, false
+	}
+	to, ok := p.links.successor(p.rankingOf(in.Pool), now)
+	if !ok {
+		return placeAnswer{}, false
+	}
+	return p.redirectTo(in, to), true
+}
+
+func (p *Placer) redirectTo(in *placeRequest, to coordination.Candidate) placeAnswer {
+	p.cluster.Recorder.Metrics.CoordinationSteps.WithLabelValues(in.Pool, "redirect", "").Inc()
+	return placeAnswer{
+		Attempt: in.Attempt, Verdict: verdictRedirect, Coordinator: to.Name, CoordinatorIncarnation: to.Incarnation,
+		CoordinatorAddress: p.cluster.Board.Members.Address(to.Name),
+	}
+}
+
+// adoptCalls counts the running calls that a daemon names with its first placement request, or that it placed
+// elsewhere.
+func (p *Placer) adoptCalls(from, pool string, calls []blackboard.CallState, now time.Time) {
+	for _, c := range calls {
 		p.mu.Lock()
 		known := p.coordinated[c.Attempt] != nil
 		if !known {
-			p.coordinated[c.Attempt] = &coordinatedCall{requester: from, pool: in.Pool, lastRenewed: now, expires: now.Add(adoptedCallTTL), answer: &placeAnswer{}}
+			p.coordinated[c.Attempt] = &coordinatedCall{requester: from, pool: pool, lastRenewed: now, expires: now.Add(adoptedCallTTL), answer: &placeAnswer{}}
 		}
 		p.mu.Unlock()
 		if !known {
--- a/node/cluster/coordinator.go
+++ b/node/cluster/coordinator.go
@@ -4,57 +4,65 @@
 	"slices"
 	"time"
 
+	"doorstack.dev/core/coordination"
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/rendezvous"
 	"doorstack.dev/node/blackboard"
 )
 
-// coordinator is a daemon in one incarnation.
-type coordinator struct {
-	name        string
-	incarnation int64
-}
-
 // candidates are the daemons that may coordinate a pool, the first choice first. They are ranked once for
 // each change of the members.
 type candidates struct {
 	view   *blackboard.MembersView
-	ranked []coordinator
+	ranked []coordination.Candidate
 }
 
-// coordinatorOf returns a pool's coordinator: the first candidate that this daemon does not avoid.
-func (p *Placer) coordinatorOf(pool string, now time.Time) coordinator {
-	board := p.cluster.Board
-	self, draining := board.Self.Name, board.Phase() == blackboard.Draining
-	view := board.Members.View()
+// rankingOf returns the daemons that may coordinate a pool, the first choice first. The result must not be changed.
+func (p *Placer) rankingOf(pool string) []coordination.Candidate {
+	view := p.cluster.Board.Members.View()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.candidates[pool]
 	if known.view != view {
-		known = candidates{view, rankCandidates(pool, self, view.Members)}
+		known = candidates{view, rankCandidates(pool, p.cluster.Board.Self.Name, view.Members)}
 		p.candidates[pool] = known
 	}
+	return known.ranked
+}
+
+// askableRanking returns a pool's ranking, to which weaker hosts are added while none of the strong ones can
+// coordinate.
+func (p *Placer) askableRanking(pool string, now time.Time) []coordination.Candidate {
+	ranked := p.rankingOf(pool)
+	self, draining := p.cluster.Board.Self.Name, p.cluster.Board.Phase() == blackboard.Draining
 	usable := func(name string) bool {
 		if name == self {
 			return !draining
 		}
-		return !now.Before(p.avoidUntil[name])
+		return p.links.usable(name, now)
 	}
-	if at := slices.IndexFunc(known.ranked, func(c coordinator) bool { return usable(c.name) }); at >= 0 {
-		return known.ranked[at]
+	if slices.ContainsFunc(ranked, func(c coordination.Candidate) bool { return usable(c.Name) }) {
+		return ranked
 	}
-	// Weaker hosts coordinate while all strong ones are avoided.
-	others := slices.DeleteFunc(slices.Clone(view.Members), func(m membership.Member) bool { return !usable(m.Name) })
-	if ranked := rankCandidates(pool, self, others); len(ranked) > 0 {
-		return ranked[0]
+	others := slices.DeleteFunc(slices.Clone(p.cluster.Board.Members.View().Members), func(m membership.Member) bool { return !usable(m.Name) })
+	return slices.Concat(ranked, rankCandidates(pool, self, others))
+}
+
+// coordinatorOf returns a pool's coordinator: the first candidate that can coordinate as far as this daemon knows.
+func (p *Placer) coordinatorOf(pool string, now time.Time) coordination.Candidate {
+	self, draining := p.cluster.Board.Self.Name, p.cluster.Board.Phase() == blackboard.Draining
+	for _, c := range p.askableRanking(pool, now) {
+		if c.Name == self && !draining || c.Name != self && p.links.usable(c.Name, now) {
+			return c
+		}
 	}
-	return coordinator{name: self}
+	return coordination.Candidate{Name: self}
 }
 
 // rankCandidates returns the daemons that may coordinate a pool in the pool's rendezvous order. Only daemons
 // on strong hosts are considered (see membership.StrongMembers), since a coordinator handles two to four
 // frames for each call of the fleet.
-func rankCandidates(pool, self string, members []membership.Member) []coordinator {
+func rankCandidates(pool, self string, members []membership.Member) []coordination.Candidate {
 	eligible := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
 		return m.Name != self && (m.State != membership.Alive || m.Leaving)
 	})
@@ -64,9 +72,9 @@
 		names = append(names, m.Name)
 		incarnations[m.Name] = m.Incarnation
 	}
-	ranked := make([]coordinator, 0, len(names))
+	ranked := make([]coordination.Candidate, 0, len(names))
 	for _, name := range rendezvous.Top("place "+pool, names, len(names)) {
-		ranked = append(ranked, coordinator{name, incarnations[name]})
+		ranked = append(ranked, coordination.Candidate{Name: name, Incarnation: incarnations[name]})
 	}
 	return ranked
 }
--- a/node/cluster/gossip.go
+++ b/node/cluster/gossip.go
@@ -63,6 +63,7 @@
 		return
 	}
 	c.logRumors(rumors)
+	c.Placer.links.membersChanged()
 	for _, r := range rumors {
 		if r.State == membership.Alive && !c.DisableLeases {
 			go c.daemonJoined(ctx, r.Name)
--- a/node/cluster/growth_test.go
+++ b/node/cluster/growth_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"doorstack.dev/core/coordination"
 	"doorstack.dev/core/membership"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/internal/testalloc"
@@ -68,7 +69,7 @@
 }
 
 // TestCoordinatorFollowsTheMembers checks that the ranking is made anew when members die, return or restart,
-// and that avoided daemons are passed over.
+// and that late daemons are passed over.
 func TestCoordinatorFollowsTheMembers(t *testing.T) {
 	c := &Cluster{Board: openBoard(50)}
 	p := newPlacer(c)
@@ -76,26 +77,28 @@
 	first := p.coordinatorOf("llm", now)
 	receive := func(state membership.State, incarnation int64) {
 		c.Board.Members.WithLock(func(t *membership.Table) {
-			t.Receive(membership.Rumor{Name: first.name, Incarnation: incarnation, State: state})
+			t.Receive(membership.Rumor{Name: first.Name, Incarnation: incarnation, State: state})
 		})
 	}
 	receive(membership.Dead, 1)
-	if second := p.coordinatorOf("llm", now); second.name == first.name || second.name == "" {
-		t.Errorf("coordinator after the death of %s = %q, want another", first.name, second.name)
+	if second := p.coordinatorOf("llm", now); second.Name == first.Name || second.Name == "" {
+		t.Errorf("coordinator after the death of %s = %q, want another", first.Name, second.Name)
 	}
 	receive(membership.Alive, 2)
-	if back := p.coordinatorOf("llm", now); back != (coordinator{first.name, 2}) {
-		t.Errorf("coordinator after the restart of %s = %+v, want it in its new incarnation", first.name, back)
+	if back := p.coordinatorOf("llm", now); back != (coordination.Candidate{Name: first.Name, Incarnation: 2}) {
+		t.Errorf("coordinator after the restart of %s = %+v, want it in its new incarnation", first.Name, back)
 	}
 	for _, m := range c.Board.Members.View().Members {
 		if m.Cores > 0.5 {
-			p.avoidUntil[m.Name] = now.Add(time.Second)
+			p.links.peers.LinkOpened(m.Name, now)
+			p.links.peers.TimedOut(m.Name, time.Second, now)
 		}
 	}
-	if weak := p.coordinatorOf("llm", now); weak.name == "" || p.avoidUntil[weak.name].After(now) {
-		t.Errorf("coordinator while all strong daemons are avoided = %+v, want a weak one", weak)
+	if weak := p.coordinatorOf("llm", now); weak.Name == "" || !p.links.peers.Usable(weak.Name, now) {
+		t.Errorf("coordinator while all strong daemons are late = %+v, want a weak one", weak)
 	}
-	if again := p.coordinatorOf("llm", now.Add(time.Second)); again.name != first.name {
-		t.Errorf("coordinator after that time = %+v, want %s", again, first.name)
+	p.links.peers.Answered(first.Name, now)
+	if again := p.coordinatorOf("llm", now); again.Name != first.Name {
+		t.Errorf("coordinator after a late answer of %s = %+v, want it", first.Name, again)
 	}
 }
--- a/node/cluster/limits.go
+++ b/node/cluster/limits.go
@@ -26,7 +26,7 @@
 func (p *Placer) ReportLimit(pool, target string, notice forward.Notice, sent time.Time) {
 	now := time.Now()
 	c := p.coordinatorOf(pool, now)
-	if c.name == "" || c.name == p.cluster.Board.Self.Name {
+	if c.Name == "" || c.Name == p.cluster.Board.Self.Name {
 		return
 	}
 	if limit := notice.Limit; limit.Declared || limit.Lifted {
@@ -34,10 +34,10 @@
 		if limit.Lifted {
 			state.Age = now.Sub(sent)
 		}
-		p.notify(c.name, peer.KindLimit, limitNotice{Pool: pool, Limit: state})
+		p.notify(c.Name, peer.KindLimit, limitNotice{Pool: pool, Limit: state})
 	}
 	if notice.ColdFor > 0 {
-		p.notify(c.name, peer.KindLimit, limitNotice{Pool: pool, Limit: blackboard.LimitState{Target: target, ColdFor: notice.ColdFor}})
+		p.notify(c.Name, peer.KindLimit, limitNotice{Pool: pool, Limit: blackboard.LimitState{Target: target, ColdFor: notice.ColdFor}})
 	}
 }
 
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -61,6 +61,7 @@
 	if c.openFleet() {
 		work.Go(func() { c.join(ctx) })
 		work.Go(func() { c.Placer.run(ctx) })
+		work.Go(func() { c.Placer.links.maintain(ctx) })
 	}
 	ticker := time.NewTicker(membership.HeartbeatInterval)
 	defer ticker.Stop()
@@ -78,6 +79,7 @@
 // HeartbeatNow sends heartbeats without waiting for the next interval, since this daemon's
 // state changed.
 func (c *Cluster) HeartbeatNow() {
+	c.Placer.links.wakeUp()
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -98,6 +100,9 @@
 	c.Board.Members.WithLock(func(t *membership.Table) { rumors = t.Tick(now) })
 	c.spreadRumors(ctx, rumors, "")
 	links := c.Board.Members.GossipPeers(now)
+	if c.openFleet() {
+		links = append(links, c.Placer.links.wantedPeers()...)
+	}
 	c.Hub.CloseIdle(func(name string) bool { return slices.Contains(links, name) })
 	if !c.DisableLeases {
 		c.Board.Claims.Counts(now) // Removes expired keys.
--- a/node/cluster/placement_test.go
+++ b/node/cluster/placement_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"doorstack.dev/core/admission"
+	"doorstack.dev/core/coordination"
 	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
@@ -79,10 +80,10 @@
 		Attempt: "a", Pool: p.cluster.Board.Settings.Current().Tree.Pool("svc"), Item: &admission.Item{},
 	}
 	for _, verdict := range []routing.Verdict{routing.Refuse, routing.None} {
-		p.acceptAnswer(coordinator{name: "other"}, ticket, &placeAnswer{Attempt: "a", Verdict: verdict})
+		p.acceptAnswer(coordination.Candidate{Name: "other"}, ticket, &placeAnswer{Attempt: "a", Verdict: verdict})
 	}
-	if len(p.placedBy) != 0 {
-		t.Fatalf("placedBy = %v after refusals, want none", p.placedBy)
+	if len(p.countedAt) != 0 {
+		t.Fatalf("countedAt = %v after refusals, want none", p.countedAt)
 	}
 }
 
@@ -126,8 +127,8 @@
 	}
 	handed := testRequest("b")
 	handed.Calls = []blackboard.CallState{{Attempt: "a", Target: "t0"}, {Attempt: "old", Target: "t1"}}
-	p.adoptCalls("requester", &handed, time.Now())
-	p.adoptCalls("requester", &handed, time.Now())
+	p.adoptCalls("requester", "svc", handed.Calls, time.Now())
+	p.adoptCalls("requester", "svc", handed.Calls, time.Now())
 	if p.runningCalls() != 2 {
 		t.Fatalf("%d running calls after two hand-overs of the same calls, want 2", p.runningCalls())
 	}
@@ -146,7 +147,7 @@
 	now := time.Now()
 	in := testRequest("b")
 	in.Calls = []blackboard.CallState{{Attempt: "old", Target: "t1"}}
-	p.adoptCalls("requester", &in, now)
+	p.adoptCalls("requester", "svc", in.Calls, now)
 	waiting := testRequest("waits")
 	ticket := p.newTicket(&waiting, now)
 	p.coordinated["waits"] = &coordinatedCall{requester: "requester", pool: "svc", ticket: ticket, lastRenewed: now, expires: now.Add(time.Hour)}
@@ -161,26 +162,36 @@
 	}
 }
 
-// TestLostCoordinatorIsCountedAndAvoided checks that the metric distinguishes an overloaded
+// TestLostCoordinatorIsCountedAndPassedOver checks that the metric distinguishes an overloaded
 // coordinator from a broken link and from a refusal, and that the coordinator is passed
-// over for a while.
-func TestLostCoordinatorIsCountedAndAvoided(t *testing.T) {
+// over: after a refusal for busyTime, otherwise until it is known to answer again.
+func TestLostCoordinatorIsCountedAndPassedOver(t *testing.T) {
 	for reason, c := range map[string]struct {
 		err   error
-		avoid time.Duration
+		state coordination.State
+		after time.Duration // time after which the coordinator is usable without any sign of it; 0 for never
 	}{
-		lostTimeout: {context.DeadlineExceeded, avoidFailed}, lostError: {io.ErrUnexpectedEOF, avoidFailed},
-		lostRefused: {&peer.RemoteError{Message: "not yet"}, avoidRefused},
+		lostTimeout: {context.DeadlineExceeded, coordination.Late, 0},
+		lostError:   {io.ErrUnexpectedEOF, coordination.Failed, 0},
+		lostRefused: {&peer.RemoteError{Message: "not yet"}, coordination.Busy, 100 * time.Millisecond},
 	} {
-		err := c.err
 		p := newTestPlacer(t, 1)
+		p.links.peers.LinkOpened("other", time.Now())
 		ticket := &blackboard.Ticket{Attempt: "a", Pool: p.cluster.Board.Settings.Current().Tree.Pool("svc"), Item: &admission.Item{}}
-		p.recordLostCoordinator("other", ticket, errors.Wrap(err, "ask"))
+		step := coordination.Step{Peer: coordination.Candidate{Name: "other"}, Timeout: 100 * time.Millisecond}
+		now := time.Now()
+		p.recordLostCoordinator(t.Context(), coordination.NewCall(now, time.Time{}, now.Add(time.Second)), step, ticket, errors.Wrap(c.err, "ask"))
 		if n := testutil.ToFloat64(p.cluster.Recorder.Metrics.CoordinatorLost.WithLabelValues("svc", reason)); n != 1 {
-			t.Errorf("%v was counted %v times as %s, want once", err, n, reason)
+			t.Errorf("%v was counted %v times as %s, want once", c.err, n, reason)
 		}
-		if left := time.Until(p.avoidUntil["other"]); left <= 0 || left > c.avoid || left < c.avoid/2 {
-			t.Errorf("after %v the coordinator is avoided for %v, want %v", err, left, c.avoid)
+		if state := p.links.state("other"); state != c.state {
+			t.Errorf("state after %v = %s, want %s", c.err, state, c.state)
+		}
+		if p.links.usable("other", now) {
+			t.Errorf("the coordinator is usable right after %v, want not", c.err)
+		}
+		if later := p.links.usable("other", now.Add(150*time.Millisecond)); later != (c.after > 0) {
+			t.Errorf("usable 150 ms after %v = %v, want %v", c.err, later, c.after > 0)
 		}
 	}
 }
@@ -251,7 +262,7 @@
 		}
 		requester := newTestPlacer(t, 1)
 		ticket := &blackboard.Ticket{Attempt: "a", Pool: requester.cluster.Board.Settings.Current().Tree.Pool("svc"), Item: &admission.Item{}}
-		requester.acceptAnswer(coordinator{name: "other"}, ticket, &answer)
+		requester.acceptAnswer(coordination.Candidate{Name: "other"}, ticket, &answer)
 		if limits := requester.cluster.Board.Targets.Limits("svc", time.Now()); len(limits) != 1 || limits[0].PerSecond != 3 {
 			t.Errorf("limits known to the requesting daemon = %+v, want 3 a second of t0", limits)
 		}
@@ -268,7 +279,7 @@
 		const seconds, perSecond = 10, 20
 		for i := range seconds * perSecond {
 			ticket := &blackboard.Ticket{Attempt: fmt.Sprint("a", i), Pool: p.cluster.Board.Settings.Current().Tree.Pool("svc"), Item: &admission.Item{}}
-			if _, ok := p.acceptAnswer(coordinator{name: "other"}, ticket, &placeAnswer{Attempt: ticket.Attempt, Verdict: routing.Place, Target: "t0"}); ok {
+			if _, ok := p.acceptAnswer(coordination.Candidate{Name: "other"}, ticket, &placeAnswer{Attempt: ticket.Attempt, Verdict: routing.Place, Target: "t0"}); ok {
 				accepted++
 			}
 			controller.Sleep(t.Context(), time.Second/perSecond)
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -46,6 +46,8 @@
 //   - KindFacts requests the updates of targets after a position.
 //   - KindTrial asks for permission to try a quarantined request.
 //   - KindLimit reports a target's rate limit to the coordinator.
+//   - KindCalls reports calls that were placed without the coordinator.
+//   - KindPing measures the round-trip time to a peer.
 const (
 	KindChallenge       Kind = 1
 	KindHello           Kind = 2
@@ -74,6 +76,8 @@
 	KindFacts           Kind = 25
 	KindTrial           Kind = 26
 	KindLimit           Kind = 27
+	KindCalls           Kind = 28
+	KindPing            Kind = 29
 )
 
 // kindNames holds the names of the kinds in metrics and logs.
@@ -86,6 +90,7 @@
 	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
 	KindSettingsChanges: "settings_changes", KindDigests: "digests",
 	KindCrash: "crash", KindVerdicts: "verdicts", KindFacts: "facts", KindTrial: "trial", KindLimit: "limit",
+	KindCalls: "calls", KindPing: "ping",
 }
 
 // String returns the name of the kind in metrics, or "unknown".
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -26,6 +26,7 @@
 	log      *slog.Logger
 	client   *http.Client // opens links; nil means the default client
 	handlers map[Kind]Handler
+	observer Observer
 
 	mu      sync.Mutex
 	links   map[string]*link
@@ -118,19 +119,24 @@
 
 func (h *Hub) addLink(l *link) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	// The newest link replaces an older one: a peer that dials again has lost the
 	// previous link. Two daemons may dial each other at the same time; both links
 	// work, and one is used.
 	h.links[l.peer] = l
+	h.mu.Unlock()
+	h.observeLink(l.peer)
 }
 
 func (h *Hub) removeLink(l *link) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.links[l.peer] == l {
+	current := h.links[l.peer] == l
+	if current {
 		delete(h.links, l.peer)
 	}
+	h.mu.Unlock()
+	if current {
+		h.observeLink(l.peer)
+	}
 }
 
 // Address is the name of a peer and the host:port on which it listens.
@@ -160,7 +166,7 @@
 		h.mu.Unlock()
 		select {
 		case <-pending:
-			if !h.hasLink(to.Name) {
+			if !h.HasLink(to.Name) {
 				return nil, errClosed
 			}
 		case <-ctx.Done():
@@ -169,7 +175,8 @@
 	}
 }
 
-func (h *Hub) hasLink(name string) bool {
+// HasLink reports whether there is an open link to a peer.
+func (h *Hub) HasLink(name string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.links[name] != nil
@@ -222,11 +229,11 @@
 	return names
 }
 
-// linkIdleTimeout is how long a link is kept after this daemon's last call over it.
+// linkIdleTimeout is how long a link is kept after the last call over it.
 const linkIdleTimeout = 5 * time.Minute
 
-// CloseIdle closes the links over which this daemon has made no call for linkIdleTimeout, except
-// links to peers for which wanted returns true.
+// CloseIdle closes the links over which no call was made for linkIdleTimeout, except links to peers for
+// which wanted returns true.
 func (h *Hub) CloseIdle(wanted func(name string) bool) {
 	limit := time.Now().Add(-linkIdleTimeout).Unix()
 	h.mu.Lock()
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -21,17 +21,32 @@
 	sendQueue  chan queuedFrame
 	closed     chan struct{}
 	closeOnce  sync.Once
-	lastCallAt atomic.Int64 // when this daemon last made a call over the link, in Unix seconds
+	opened     time.Time
+	lastCallAt atomic.Int64 // when a call was last made over the link by either side, in Unix seconds
 	lastReadAt atomic.Int64 // when data last arrived over the link, in Unix nanoseconds
 
 	mu      sync.Mutex
 	lastID  uint64
-	pending map[uint64]chan Frame
+	pending map[uint64]*pendingCall
+	// abandoned are the ids of calls whose callers wait no more, the oldest first. Their late answers still measure
+	// the link.
+	abandoned []uint64
 	// unansweredSince is the time of the first call since the last frame arrived; zero if no call
 	// was made since then.
 	unansweredSince time.Time
 }
 
+// pendingCall is a call without an answer.
+type pendingCall struct {
+	answer    chan Frame
+	kind      Kind
+	sent      time.Time
+	abandoned bool
+}
+
+// maxAbandoned bounds the abandoned calls whose answers a link still expects.
+const maxAbandoned = 64
+
 // queuedFrame is an encoded frame in the send queue of a link.
 type queuedFrame struct {
 	kind   Kind
@@ -58,7 +73,7 @@
 )
 
 func newLink(h *Hub, peer string, conn *websocket.Conn) *link {
-	l := &link{peer: peer, hub: h, conn: conn, sendQueue: make(chan queuedFrame, sendQueueSize), closed: make(chan struct{}), pending: map[uint64]chan Frame{}}
+	l := &link{peer: peer, hub: h, conn: conn, opened: time.Now(), sendQueue: make(chan queuedFrame, sendQueueSize), closed: make(chan struct{}), pending: map[uint64]*pendingCall{}}
 	l.recordCall()
 	return l
 }
@@ -120,14 +135,17 @@
 func (l *link) handleFrame(ctx context.Context, f Frame) {
 	if f.Answer {
 		l.mu.Lock()
-		answer := l.pending[f.ID]
+		call := l.pending[f.ID]
 		delete(l.pending, f.ID)
 		l.mu.Unlock()
-		if answer == nil {
+		if call != nil {
+			l.hub.observeAnswer(l.peer, call)
+		}
+		if call == nil || call.abandoned {
 			l.hub.metrics.PeerUnwantedBytes.WithLabelValues(f.Kind.String()).Add(float64(len(f.Body)))
 			return
 		}
-		answer <- f
+		call.answer <- f
 		return
 	}
 	handler := l.hub.handlers[f.Kind]
@@ -143,6 +161,7 @@
 		_, _ = handler(ctx, l.peer, f.Body)
 		return
 	}
+	l.recordCall()
 	go l.serveRequest(ctx, handler, f)
 }
 
@@ -217,16 +236,12 @@
 	l.mu.Lock()
 	l.lastID++
 	id := l.lastID
-	l.pending[id] = answer
+	l.pending[id] = &pendingCall{answer: answer, kind: kind, sent: started}
 	if l.unansweredSince.IsZero() {
 		l.unansweredSince = time.Now()
 	}
 	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		delete(l.pending, id)
-		l.mu.Unlock()
-	}()
+	defer l.abandon(id)
 	if err := l.send(Frame{Kind: kind, ID: id, Body: body}); err != nil {
 		return nil, err
 	}
@@ -257,6 +272,22 @@
 	}
 }
 
+// abandon records that the caller of a call waits no more.
+func (l *link) abandon(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	call := l.pending[id]
+	if call == nil {
+		return // It was answered.
+	}
+	call.abandoned = true
+	l.abandoned = append(l.abandoned, id)
+	if len(l.abandoned) > maxAbandoned {
+		delete(l.pending, l.abandoned[0])
+		l.abandoned = l.abandoned[1:]
+	}
+}
+
 // idleChecks is the number of checks for received data within an idle timeout.
 const idleChecks = 8
 
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -57,6 +57,8 @@
 	StoreRestores prometheus.Counter
 	// CoordinatorLost counts the placement requests that a coordinator did not answer.
 	CoordinatorLost *prometheus.CounterVec
+	// CoordinationSteps counts the steps toward a placement, by pool, action and reason (see coordination.Step).
+	CoordinationSteps *prometheus.CounterVec
 
 	// traffic holds only the counters that Traffic reads.
 	traffic *prometheus.Registry
@@ -120,6 +122,7 @@
 		Orders:               counter("orders_total", "Orders to targets, by outcome.", "outcome"),
 		Lag:                  prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "lag_seconds", Help: "How long what arrives waits for the processor.", Buckets: prometheus.ExponentialBuckets(0.001, 3, 8)}),
 		CoordinatorLost:      counter("coordinator_lost_total", "Questions for a place that the pool's coordinator left unanswered, by pool and reason.", "pool", "reason"),
+		CoordinationSteps:    counter("coordination_steps_total", "Steps toward a placement: requests to a coordinator, calls held, redirects, and calls placed by this daemon itself; by pool, action and reason.", "pool", "action", "reason"),
 		Crashes:              counter("crashes_total", "Sends whose connection the target's end closed before the answer was whole, by pool.", "pool"),
 		TargetNotices:        counter("target_notices_total", "News of targets about themselves in answers: that they leave, want rest, name or lift a limit; by pool and word.", "pool", "notice"),
 		StartStages:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "start_seconds", Help: "Time from the process's start to each stage of it."}, []string{"stage"}),
@@ -130,7 +133,7 @@
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.Decisions, m.QueuedRequests, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
-		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.CoordinationSteps, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
 	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
 	return m
