--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -88,7 +88,7 @@
 		return placeAnswer{}, false
 	}
 	ranking := p.rankingOf(in.Pool)
-	if in.Rank > 1 && len(ranking) > 0 && ranking[0].Name != self {
+	if len(ranking) > 0 && ranking[0].Name != self {
 		p.links.hears(ctx, ranking[0].Name)
 	}
 	to, ok := coordination.Redirect(self, coordination.Request{Rank: in.Rank, Insist: in.Insist}, ranking, p.cluster.Hub.LastHeard, time.Now())
--- a/node/internal/slownet/slownet.go
+++ b/node/internal/slownet/slownet.go
@@ -34,6 +34,39 @@
 	accepted chan net.Conn
 	closed   chan struct{}
 	once     sync.Once
+
+	// Lag is how long what arrives at the host waits for its processor. It must be set before the host is used.
+	Lag time.Duration
+
+	mu     sync.Mutex
+	thawed chan struct{} // not nil while the host is frozen
+}
+
+// Freeze keeps all data to and from the host waiting until Thaw, like a host whose processes are stopped. It accepts
+// no new connection meanwhile.
+func (h *Host) Freeze() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.thawed == nil {
+		h.thawed = make(chan struct{})
+	}
+}
+
+// Thaw ends Freeze.
+func (h *Host) Thaw() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.thawed != nil {
+		close(h.thawed)
+		h.thawed = nil
+	}
+}
+
+// frozen returns a channel that is closed when the host thaws, or nil if it is not frozen.
+func (h *Host) frozen() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.thawed
 }
 
 // linkDirection is one direction of a host's link.
@@ -90,6 +123,17 @@
 	if to == nil {
 		return nil, errors.New("no host at " + address)
 	}
+	if thawed := to.frozen(); thawed != nil {
+		select {
+		case <-thawed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	// A connection takes a round trip before anything is sent over it.
+	if !sleep(ctx, 2*h.network.Delay) {
+		return nil, ctx.Err()
+	}
 	near, far := net.Pipe()
 	select {
 	case to.accepted <- newConn(far, to, h):
@@ -101,6 +145,18 @@
 	}
 }
 
+// sleep waits for a time and reports whether ctx is still valid.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Accept implements net.Listener.
 func (h *Host) Accept() (net.Conn, error) {
 	select {
@@ -148,7 +204,7 @@
 		if in := c.to.in.reserve(len(next)); in.After(through) {
 			through = in
 		}
-		if !c.waitUntil(through.Add(c.from.network.Delay)) {
+		if !c.waitUntil(through.Add(c.from.network.Delay + c.to.Lag)) || !c.waitThawed(c.from) || !c.waitThawed(c.to) {
 			return done, net.ErrClosed
 		}
 		n, err := c.Conn.Write(next)
@@ -172,6 +228,21 @@
 	}
 }
 
+// waitThawed waits while a host is frozen and reports whether the connection is still open.
+func (c *conn) waitThawed(h *Host) bool {
+	for {
+		thawed := h.frozen()
+		if thawed == nil {
+			return true
+		}
+		select {
+		case <-thawed:
+		case <-c.closed:
+			return false
+		}
+	}
+}
+
 // Close implements net.Conn. A Write that waits for the link returns at once.
 func (c *conn) Close() error {
 	c.once.Do(func() { close(c.closed) })
