cluster: dial again whom a call may need, keep no failure of links closed as idle

Cause: a daemon ranked third or later whose link had failed was never dialed again, and one whose idle link was closed counted as failed. A late peer that had been heard was measured ten times a second while no call came. The tests' processor lag of 12 ms is served one message at a time by slownet, so that heartbeats delayed placements over 50 ms.

Change: calls that find the first two unusable have the next ones dialed; links that are not kept go back to 'not linked'; measuring stops once a late peer is heard. A redirect does not count as a placement answer.

--- a/core/coordination/call.go
+++ b/core/coordination/call.go
@@ -122,7 +122,9 @@
 // Redirected records that a peer named the daemon that should have been asked. A second redirect, which no daemon
 // gives to a request that insists, counts as a refusal.
 func (p *Peers) Redirected(c *Call, by, to Candidate, now time.Time) {
-	p.Answered(by.Name, now)
+	if x := p.get(by.Name); x.state == Late || x.state == Busy {
+		x.enter(Ready, now)
+	}
 	if c.redirected {
 		c.Tried(by.Name)
 		return
--- a/core/coordination/peers.go
+++ b/core/coordination/peers.go
@@ -185,6 +185,10 @@
 	x.enter(Failed, now)
 }
 
+// LinkClosed records that a link was closed to a peer to which no link is kept. Nothing suggests that the peer has
+// failed.
+func (p *Peers) LinkClosed(name string) { delete(p.byName, name) }
+
 // Heard records that something arrived from a peer.
 func (p *Peers) Heard(name string, at time.Time) {
 	if x := p.byName[name]; x != nil && x.state == Late && at.After(x.since) {
@@ -240,14 +244,14 @@
 }
 
 // BeginMeasurement reports whether the round-trip time to a peer is to be measured now, and records that it is: where
-// there is no recent sample, and while the peer is late.
+// there is no recent sample, and while the peer is late and nothing was heard from it.
 func (p *Peers) BeginMeasurement(name string, now time.Time) bool {
 	x := p.byName[name]
 	if x == nil {
 		return false
 	}
 	since := now.Sub(x.measuredAt)
-	due := x.state == Late && since >= probeInterval ||
+	due := x.state == Late && !x.heard && since >= probeInterval ||
 		x.state == Ready && now.Sub(x.sampledAt) >= sampleMaxAge && since >= time.Second
 	if due {
 		x.measuredAt = now
@@ -255,6 +259,12 @@
 	return due
 }
 
+// Unsettled reports whether a link to a peer is to be opened or measured soon.
+func (p *Peers) Unsettled(name string) bool {
+	x := p.byName[name]
+	return x == nil || x.state == NotLinked || x.state == Linking || x.state == Failed || x.state == Late && !x.heard
+}
+
 // Usable reports whether a peer may coordinate, as far as this daemon knows.
 func (p *Peers) Usable(name string, now time.Time) bool {
 	x := p.byName[name]
--- a/node/cluster/placecall.go
+++ b/node/cluster/placecall.go
@@ -54,9 +54,20 @@
 	ranking := p.askableRanking(pool, time.Now())
 	self := coordination.Self{Name: p.cluster.Board.Self.Name, Draining: p.cluster.Board.Phase() == blackboard.Draining}
 	self.Searching = (len(ranking) == 0 || len(ranking) == 1 && ranking[0].Name == self.Name) && !p.cluster.discoveryDone()
-	return p.links.next(call, ranking, self)
+	step, changed := p.links.next(call, ranking, self)
+	if step.Action == coordination.Alone || step.Rank > keepRanks {
+		for _, c := range ranking[:min(len(ranking), maxRedialed)] {
+			if c.Name != self.Name && p.links.state(c.Name) == coordination.Failed {
+				p.links.open(c.Name)
+			}
+		}
+	}
+	return step, changed
 }
 
+// maxRedialed is how many daemons of a ranking are dialed again when the first ones cannot be asked.
+const maxRedialed = 4
+
 // searchPause is the time between two looks whether the search for other daemons is done.
 const searchPause = 10 * time.Millisecond
 
@@ -196,7 +207,7 @@
 	defer renew.Stop()
 	for {
 		state, changed := p.links.stateAndChange(name)
-		if state == coordination.Failed {
+		if state == coordination.Failed || state == coordination.NotLinked {
 			return answer, false, errCoordinatorLost
 		}
 		select {
--- a/node/cluster/placelinks.go
+++ b/node/cluster/placelinks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,8 +67,10 @@
 	l.update(func(peers *coordination.Peers, now time.Time) {
 		if l.cluster.Hub.HasLink(name) {
 			peers.LinkOpened(name, now)
-		} else if peers.State(name) != coordination.NotLinked {
+		} else if slices.Contains(l.wanted, name) {
 			peers.LinkFailed(name, now)
+		} else {
+			peers.LinkClosed(name)
 		}
 	})
 }
@@ -222,33 +225,33 @@
 	return wanted
 }
 
-// The pauses between two looks at the links: while one of them is not ready, and otherwise. What changes in between
+// The pauses between two looks at the links: while one of them is to be opened or measured, and otherwise. What changes in between
 // wakes maintain.
 const (
-	unreadyPause = 25 * time.Millisecond
-	readyPause   = time.Second
+	unsettledPause = 25 * time.Millisecond
+	settledPause   = time.Second
 )
 
 // maintain keeps the links to the daemons that coordinate until ctx ends, measures them, and reports the calls that
 // were placed elsewhere.
 func (l *placementLinks) maintain(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := readyPause
+		pause := settledPause
 		for _, name := range l.wantedPeers() {
 			l.open(name)
 			l.mu.Lock()
 			measure := l.peers.BeginMeasurement(name, time.Now())
-			ready := l.peers.State(name) == coordination.Ready
+			unsettled := l.peers.Unsettled(name)
 			l.mu.Unlock()
 			if measure {
 				go l.ping(ctx, name, pingTimeout)
 			}
-			if !ready {
-				pause = unreadyPause
+			if unsettled {
+				pause = unsettledPause
 			}
 		}
 		if l.cluster.Placer.reportElsewhere(ctx) {
-			pause = unreadyPause
+			pause = unsettledPause
 		}
 		timer := time.NewTimer(pause)
 		select {
--- a/node/internal/slownet/slownet.go
+++ b/node/internal/slownet/slownet.go
@@ -204,7 +204,7 @@
 		if in := c.to.in.reserve(len(next)); in.After(through) {
 			through = in
 		}
-		if !c.waitUntil(through.Add(c.from.network.Delay + c.to.Lag)) || !c.waitThawed(c.from) || !c.waitThawed(c.to) {
+		if !c.waitUntil(through.Add(c.from.network.Delay+c.to.Lag)) || !c.waitThawed(c.from) || !c.waitThawed(c.to) {
 			return done, net.ErrClosed
 		}
 		n, err := c.Conn.Write(next)
