--- a/node/blackboard/target_views.go
+++ b/node/blackboard/target_views.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"doorstack.dev/core/admission"
 	"doorstack.dev/core/routing"
 	"doorstack.dev/node/target"
 )
@@ -24,6 +25,10 @@
 type Capacity struct {
 	LiveTargets int
 	PrefillRate float64
+	// Slots and MemoryTokens are the sums over the live targets, and Engines the number of those
+	// with memory.
+	Slots, MemoryTokens int64
+	Engines             int
 	// LargestMemory is the largest memory of a single live target, in tokens.
 	LargestMemory int64
 	// MaxTargetRate is the prefill rate of the fastest live target.
@@ -32,6 +37,11 @@
 	ShortPromptRate float64
 }
 
+// Size returns the capacity of the pool's engines, by which calls are charged.
+func (c *Capacity) Size() admission.PoolSize {
+	return admission.PoolSize{Engines: c.Engines, Slots: c.Slots, MemoryTokens: c.MemoryTokens}
+}
+
 // Capacity returns the capacity of the live targets of a pool.
 func (t *TargetTable) Capacity(pool string, at time.Time) Capacity {
 	t.mu.Lock()
@@ -49,6 +59,11 @@
 		}
 		c.LiveTargets++
 		c.PrefillRate += v.PrefillRate
+		c.Slots += int64(v.MaxConcurrent)
+		c.MemoryTokens += v.MemoryTokens
+		if v.MemoryTokens > 0 {
+			c.Engines++
+		}
 		c.MaxTargetRate = max(c.MaxTargetRate, v.PrefillRate)
 		c.LargestMemory = max(c.LargestMemory, v.MemoryTokens)
 	}
