Queue: no kind of prompt is served at less than half the rate of the other

Cause: long prompts may wait longer for their first event than short ones, so a long prompt is nearly always the oldest that waits, and short ones are refused when capacity is short.

Change: each level counts, with a decay of 5 s, the calls offered and dispatched of each kind. While both kinds wait, the one whose rate is below 0.6 of the other's goes first.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -113,7 +113,7 @@
 		f = &flow{key: key}
 		q.flows[key] = f
 	}
-	it.share = q.level(it).enter(it.Account)
+	it.share = q.level(it).enter(it)
 	if it.Retry {
 		f.items = slices.Insert(f.items, 0, it)
 	} else {
@@ -142,7 +142,7 @@
 func (q *Queue) updateAfterRemoval(f *flow, it *Item) {
 	q.length--
 	q.tokens[it.Level] -= it.Tokens
-	it.share.waiting--
+	q.level(it).leave(it)
 	if len(f.items) == 0 {
 		delete(q.flows, f.key)
 	}
@@ -224,6 +224,7 @@
 	}
 	for level := range q.shares {
 		q.shares[level].advance()
+		q.shares[level].decayKinds(now)
 	}
 }
 
@@ -270,11 +271,25 @@
 func (q *Queue) compareKinds(x, y *Item, now time.Time) int {
 	return cmp.Or(
 		q.compareUrgency(x, y, now),
+		q.compareBehind(x, y),
 		cmp.Compare(q.level(x).roundedLag(x), q.level(y).roundedLag(y)),
 		compareArrival(x, y),
 	)
 }
 
+// compareBehind puts the request first whose kind of prompt is served at too low a rate.
+func (q *Queue) compareBehind(x, y *Item) int {
+	switch {
+	case x.Level != y.Level:
+		return 0
+	case q.level(x).behind(kindIndex(x.Long)):
+		return -1
+	case q.level(y).behind(kindIndex(y.Long)):
+		return 1
+	}
+	return 0
+}
+
 // compareUrgency puts requests of the more urgent level first, and those of one level that can
 // still be answered in time.
 func (q *Queue) compareUrgency(x, y *Item, now time.Time) int {
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -18,6 +18,46 @@
 	// advance, of the accounts with a request that can be answered in time and of the others.
 	smallestTag, smallestLateTag float64
 	observed                     bool
+	// kinds are the counts of short and long prompts.
+	kinds     [2]kindCount
+	lastDecay time.Time
+}
+
+// kindCount counts the requests of one kind of prompt. Offered and dispatched are decaying counts.
+type kindCount struct {
+	waiting             int
+	offered, dispatched float64
+}
+
+// rate returns the part of the offered requests that is dispatched.
+func (c *kindCount) rate() float64 { return (c.dispatched + 1) / (c.offered + 1) }
+
+const (
+	// kindMemory is the time constant with which the counts of the kinds decay, about the time for
+	// which callers wait.
+	kindMemory = 5 * time.Second
+	// minKindRate is the smallest rate of a kind, as a part of the other's, while both wait. The bound
+	// of half is kept with a margin, since the order of dispatch acts with delay.
+	minKindRate = 0.6
+)
+
+// decayKinds lets the counts of the kinds decay.
+func (l *levelShares) decayKinds(now time.Time) {
+	if passed := now.Sub(l.lastDecay); passed > 0 {
+		factor := math.Exp(-passed.Seconds() / kindMemory.Seconds())
+		for i := range l.kinds {
+			l.kinds[i].offered *= factor
+			l.kinds[i].dispatched *= factor
+		}
+		l.lastDecay = now
+	}
+}
+
+// behind reports whether requests of the kind wait and are served at too low a rate beside those of
+// the other kind, which wait too.
+func (l *levelShares) behind(kind int) bool {
+	this, other := &l.kinds[kind], &l.kinds[1-kind]
+	return this.waiting > 0 && other.waiting > 0 && this.rate() < minKindRate*other.rate()
 }
 
 // accountShare is an account's part of a level's capacity.
@@ -36,15 +76,20 @@
 
 func (q *Queue) level(it *Item) *levelShares { return &q.shares[it.Level] }
 
-// enter counts a waiting request of an account and returns the account's share.
-func (l *levelShares) enter(account string) *accountShare {
-	share := l.accounts[account]
+// enter counts a waiting request and returns its account's share.
+func (l *levelShares) enter(it *Item) *accountShare {
+	kind := &l.kinds[kindIndex(it.Long)]
+	kind.waiting++
+	if !it.Retry {
+		kind.offered++
+	}
+	share := l.accounts[it.Account]
 	if share == nil {
 		if l.accounts == nil {
 			l.accounts = map[string]*accountShare{}
 		}
 		share = &accountShare{tag: l.virtualTime}
-		l.accounts[account] = share
+		l.accounts[it.Account] = share
 	}
 	if share.waiting == 0 {
 		share.tag = max(share.tag, l.virtualTime)
@@ -53,6 +98,12 @@
 	return share
 }
 
+// leave counts a request that no longer waits.
+func (l *levelShares) leave(it *Item) {
+	l.kinds[kindIndex(it.Long)].waiting--
+	it.share.waiting--
+}
+
 // observe notes the tag of the account of a waiting request. Accounts whose requests are all too
 // late do not hold back the virtual time: they go last, whatever their tags.
 func (l *levelShares) observe(it *Item, now time.Time) {
@@ -97,6 +148,7 @@
 	if it.Retry || it.refused {
 		return
 	}
+	l.kinds[kindIndex(it.Long)].dispatched++
 	cost := it.cost()
 	it.share.tag = max(it.share.tag, l.virtualTime) + cost
 	if !it.Long {
--- a/core/admission/share_test.go
+++ b/core/admission/share_test.go
@@ -61,6 +61,7 @@
 	capacity  float64
 	repeating bool // whether repeatingAccount repeats at once
 	seed      uint64
+	accounts  int // number of accounts; zero means testAccounts
 }
 
 // served is what a group of calls was offered and got, in tokens and calls.
@@ -144,6 +145,9 @@
 	var calls []*sharedCall
 	for at := 0.0; at < testDuration.Seconds(); at += rng.ExpFloat64() / rate {
 		c := &sharedCall{account: max(0, rng.IntN(testAccounts+9)-9), long: rng.Float64() < longPart}
+		if p.accounts > 0 {
+			c.account %= p.accounts
+		}
 		c.first = time.Duration(at * float64(time.Second))
 		c.at = c.first
 		c.tokens = int64(meanShort * (0.5 + rng.Float64()))
@@ -246,3 +250,68 @@
 		t.Errorf("the first dispatched are %s, %s; want the shortest prompts, h39 and h38", order[0], order[1])
 	}
 }
+
+// TestKindsOfPromptAreServedAlike guards against a kind of prompt that is starved by the other one: long
+// prompts may wait longer, so that without a bound one of them is nearly always the oldest that
+// waits, and short ones are refused. With a single account, the shares of accounts do not help.
+func TestKindsOfPromptAreServedAlike(t *testing.T) {
+	var kinds [2]served
+	for seed := range uint64(5) {
+		p := sharedPool{capacity: 600_000, seed: seed + 1, accounts: 1}
+		_, k := p.run()
+		kinds[0].add(k[0])
+		kinds[1].add(k[1])
+	}
+	short, long := kinds[0].dispatched/kinds[0].calls, kinds[1].dispatched/kinds[1].calls
+	t.Logf("served of the short prompts %.3f, of the long ones %.3f", short, long)
+	if short < 0.49*long || long < 0.49*short {
+		t.Errorf("%.3f of the short prompts and %.3f of the long ones are served; want none below half of the other", short, long)
+	}
+}
+
+// TestKindBehindGoesFirst checks both directions of the bound, and that it does not hold back a kind
+// while the other one does not wait or has been served at half the rate.
+func TestKindBehindGoesFirst(t *testing.T) {
+	for _, c := range []struct {
+		name                    string
+		older                   string // goes first unless the other one's kind is behind
+		shortPlaced, longPlaced int    // of ten of each kind
+		want                    string
+	}{
+		{"both alike", "long", 5, 5, "long"},
+		{"short behind", "long", 1, 9, "short"},
+		{"short at two thirds", "long", 6, 9, "long"},
+		{"long behind", "short", 9, 1, "long"},
+		{"long at two thirds", "short", 9, 6, "short"},
+	} {
+		q := NewQueue(0)
+		push := func(id string, long bool, at time.Duration) {
+			q.Push(&Item{ID: id, Account: id, Tokens: 1000, Long: long, PrefillSeconds: 0.1, Arrived: epoch.Add(at)})
+		}
+		push("long", true, map[string]time.Duration{"long": -time.Second}[c.older])
+		push("short", false, map[string]time.Duration{"short": -time.Second}[c.older])
+		for i := range 9 {
+			push(fmt.Sprint("s", i), false, time.Second)
+			push(fmt.Sprint("l", i), true, time.Second)
+		}
+		placed := [2]int{}
+		q.Dispatch(epoch, func(it *Item) bool {
+			k := kindIndex(it.Long)
+			if len(it.ID) != 2 || placed[k] >= [2]int{c.shortPlaced, c.longPlaced}[k] {
+				return false
+			}
+			placed[k]++
+			return true
+		})
+		first := ""
+		q.Dispatch(epoch, func(it *Item) bool {
+			if first == "" {
+				first = it.ID
+			}
+			return false
+		})
+		if first != c.want {
+			t.Errorf("%s: %q is offered first, want %q", c.name, first, c.want)
+		}
+	}
+}
