Queue: metrics by kind of prompt, accounts' parts of a pool

Cause: operators could not see which kind of prompt waits, nor which account takes a pool.

Change: doorstack_queue_waiting and doorstack_queue_dispatched_total by pool and kind, doorstack_queue_largest_account_share by pool. doorstack accounts shows the largest part of a pool that each account took of what the daemon dispatched in the last 30 s; accounts whose calls came in at other daemons are listed too.

Measured: go test of core/admission, node/telemetry (the page of operations names each metric), node/controller, node/cmd/doorstack and node/blackboard passes.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -62,6 +62,8 @@
 
 	flows       map[flowKey]*flow
 	shares      [priorityLevels]levelShares
+	dispatched  [2]uint64 // requests dispatched, by kind of prompt
+	use         recentUse
 	length      int
 	tokens      [priorityLevels]int64
 	activeFlows []*flow
@@ -190,6 +192,7 @@
 	placed := 0
 	stopShort, stopLong := int64(-1), int64(-1)
 	q.collectActiveFlows(now)
+	q.use.decay(now)
 	for range maxDispatchAttempts {
 		f := q.nextFlow(now)
 		if f == nil {
@@ -214,6 +217,7 @@
 		placed++
 		f.items = f.items[1:]
 		q.level(it).charge(it)
+		q.countDispatched(it)
 		q.updateAfterRemoval(f, it)
 	}
 	return placed
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -189,7 +189,7 @@
 		InFlight:      s.Board.InFlight(),
 		Waiting:       s.Board.Queues.Lengths(),
 		HostsRead:     read,
-		Accounts:      s.Board.Accounts.Status(),
+		Accounts:      s.accounts(),
 		Targets:       s.Board.Targets.Status(now),
 		Explain:       ExplainStatus{Bytes: bytes, Evicted: evicted},
 		Started:       now.Add(-s.Board.Age()),
@@ -293,3 +293,18 @@
 	}
 	return e
 }
+
+// accounts lists the accounts in use here and those whose calls this daemon dispatched lately.
+func (s *Server) accounts() []AccountStatus {
+	list, shares := s.Board.Accounts.Status(), s.Board.Queues.LargestShares()
+	for i := range list {
+		if share, ok := shares[list[i].Account]; ok {
+			list[i].Largest = &share
+			delete(shares, list[i].Account)
+		}
+	}
+	for account, share := range shares {
+		list = append(list, AccountStatus{Account: account, Largest: &share})
+	}
+	return list
+}
--- a/node/blackboard/accounts.go
+++ b/node/blackboard/accounts.go
@@ -113,6 +113,8 @@
 	Account string          `json:"account"`
 	Running int             `json:"running"`
 	Share   admission.Share `json:"share"`
+	// Largest is the account's largest part of what this daemon dispatched lately to a pool, if any.
+	Largest *PoolShare `json:"largest,omitempty"`
 }
 
 // Status lists the accounts in use.
--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -178,6 +178,39 @@
 	return lengths
 }
 
+// Stats returns the figures of the queues by pool.
+func (t *QueueTable) Stats() map[string]admission.QueueStats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stats := map[string]admission.QueueStats{}
+	for name, p := range t.pools {
+		stats[name] = p.queue.Stats()
+	}
+	return stats
+}
+
+// LargestShares returns for each account the largest part of a pool's cost dispatched lately, and the
+// pool. Only the pools that this daemon places calls for count.
+func (t *QueueTable) LargestShares() map[string]PoolShare {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	largest := map[string]PoolShare{}
+	for name, p := range t.pools {
+		for account, share := range p.queue.AccountShares() {
+			if old := largest[account]; share > old.Share || share == old.Share && name < old.Pool {
+				largest[account] = PoolShare{Pool: name, Share: share}
+			}
+		}
+	}
+	return largest
+}
+
+// PoolShare is the part of a pool's dispatched cost that an account took lately.
+type PoolShare struct {
+	Pool  string  `json:"pool"`
+	Share float64 `json:"share"`
+}
+
 // noTargetGrace is how long a request waits while its pool has no target at all:
 // longer than a target's restart usually shows on the host list, and short enough that
 // the caller gets the error early.
--- a/node/cmd/doorstack/status.go
+++ b/node/cmd/doorstack/status.go
@@ -10,6 +10,7 @@
 
 	"doorstack.dev/core/routing"
 	"doorstack.dev/node/admin"
+	"doorstack.dev/node/blackboard"
 )
 
 // statusCommand shows the status of a daemon and its fleet.
@@ -159,6 +160,14 @@
 	return nil
 }
 
+// largestPart returns the text for an account's part of the pool of which it took the most.
+func largestPart(s *blackboard.PoolShare) string {
+	if s == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f%% of %s", 100*s.Share, s.Pool)
+}
+
 // accountsCommand shows the use by client accounts at a daemon.
 type accountsCommand struct {
 	adminFlags
@@ -174,9 +183,9 @@
 		return printJSON(s.Accounts)
 	}
 	slices.SortFunc(s.Accounts, func(a, b admin.AccountStatus) int { return b.Running - a.Running })
-	t := newTable(os.Stdout, "ACCOUNT", "RUNNING", "SHARE RUNNING", "SHARE REQUESTS/S", "SHARE TOKENS/S")
+	t := newTable(os.Stdout, "ACCOUNT", "RUNNING", "SHARE RUNNING", "SHARE REQUESTS/S", "SHARE TOKENS/S", "LARGEST PART OF A POOL")
 	for _, a := range s.Accounts {
-		t.addRow(a.Account, a.Running, a.Share.Concurrent, a.Share.RequestsPerSecond, a.Share.PromptTokensPerSecond)
+		t.addRow(a.Account, a.Running, a.Share.Concurrent, a.Share.RequestsPerSecond, a.Share.PromptTokensPerSecond, largestPart(a.Largest))
 	}
 	t.flush()
 	return nil
--- a/node/controller/load.go
+++ b/node/controller/load.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"doorstack.dev/core/admission"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/target"
 	"doorstack.dev/node/telemetry"
@@ -22,6 +23,8 @@
 	mu         sync.Mutex
 	lastEvents map[string]int64 // sequence of the last cache event read, by target
 	round      int
+	// dispatched are the counts last added to Metrics.DispatchedByKind, by pool and kind of prompt.
+	dispatched map[[2]string]uint64
 }
 
 const (
@@ -39,18 +42,32 @@
 // show room for waiting requests, and updates the queue metrics.
 func (c *LoadPoller) Run(ctx context.Context) {
 	c.lastEvents = map[string]int64{}
+	c.dispatched = map[[2]string]uint64{}
 	for ctx.Err() == nil {
 		start := time.Now()
 		targets := c.Board.Targets.Addresses()
 		c.pollTargets(ctx, targets)
 		c.Board.Queues.WakeAll()
-		for pool, n := range c.Board.Queues.Lengths() {
-			c.Recorder.Metrics.QueuedRequests.WithLabelValues(pool).Set(float64(n))
-		}
+		c.updateQueueMetrics()
 		Sleep(ctx, c.roundInterval(len(targets))-time.Since(start))
 	}
 }
 
+// updateQueueMetrics sets the metrics of the queues.
+func (c *LoadPoller) updateQueueMetrics() {
+	m := c.Recorder.Metrics
+	for pool, s := range c.Board.Queues.Stats() {
+		m.QueuedRequests.WithLabelValues(pool).Set(float64(s.Short.Waiting + s.Long.Waiting))
+		m.LargestAccountShare.WithLabelValues(pool).Set(s.LargestShare)
+		for kind, k := range map[string]admission.KindStats{"short": s.Short, "long": s.Long} {
+			m.WaitingByKind.WithLabelValues(pool, kind).Set(float64(k.Waiting))
+			series := [2]string{pool, kind}
+			m.DispatchedByKind.WithLabelValues(pool, kind).Add(float64(k.Dispatched - c.dispatched[series]))
+			c.dispatched[series] = k.Dispatched
+		}
+	}
+}
+
 // roundInterval returns the time between the starts of two rounds over n targets within the budget.
 func (c *LoadPoller) roundInterval(n int) time.Duration {
 	round := time.Duration(float64(n) / c.PollsPerSecond * float64(time.Second))
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -19,23 +19,28 @@
 
 // Metrics are the metrics of a daemon. docs/OPERATIONS.md lists them.
 type Metrics struct {
-	Registry          *prometheus.Registry
-	Requests          *prometheus.CounterVec
-	FirstToken        *prometheus.HistogramVec
-	Tokens            prometheus.Counter
-	Retries           *prometheus.CounterVec
-	SilentTargets     *prometheus.CounterVec
-	Decisions         *prometheus.CounterVec
-	QueuedRequests    *prometheus.GaugeVec
-	Claims            *prometheus.CounterVec
-	PeerFrames        *prometheus.CounterVec
-	PeerBytes         *prometheus.CounterVec
-	PeerRefused       *prometheus.CounterVec
-	PeerUnwantedBytes *prometheus.CounterVec
-	PeerWait          *prometheus.HistogramVec
-	SettingsRevision  prometheus.Gauge
-	SettingsParse     prometheus.Histogram
-	PlatformReads     *prometheus.CounterVec
+	Registry       *prometheus.Registry
+	Requests       *prometheus.CounterVec
+	FirstToken     *prometheus.HistogramVec
+	Tokens         prometheus.Counter
+	Retries        *prometheus.CounterVec
+	SilentTargets  *prometheus.CounterVec
+	Decisions      *prometheus.CounterVec
+	QueuedRequests *prometheus.GaugeVec
+	// WaitingByKind and DispatchedByKind are the requests that wait in, and were dispatched from, the
+	// queues, by pool and kind of prompt (short, long). LargestAccountShare is the largest part of
+	// the cost dispatched lately that one account took, by pool.
+	WaitingByKind, LargestAccountShare *prometheus.GaugeVec
+	DispatchedByKind                   *prometheus.CounterVec
+	Claims                             *prometheus.CounterVec
+	PeerFrames                         *prometheus.CounterVec
+	PeerBytes                          *prometheus.CounterVec
+	PeerRefused                        *prometheus.CounterVec
+	PeerUnwantedBytes                  *prometheus.CounterVec
+	PeerWait                           *prometheus.HistogramVec
+	SettingsRevision                   prometheus.Gauge
+	SettingsParse                      prometheus.Histogram
+	PlatformReads                      *prometheus.CounterVec
 	// Pauses counts the pauses of the process that made load reports, leases and permits invalid.
 	Pauses               prometheus.Counter
 	ReservationsReleased prometheus.Counter
@@ -106,6 +111,9 @@
 		SilentTargets:        counter("silent_targets_total", "Attempts ended because the target fell silent, by pool.", "pool"),
 		Decisions:            counter("decisions_total", "Decisions, by kind and outcome.", "kind", "outcome"),
 		QueuedRequests:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_requests", Help: "Requests that wait, by pool."}, []string{"pool"}),
+		WaitingByKind:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_waiting", Help: "Requests that wait, by pool and kind of prompt."}, []string{"pool", labelKind}),
+		DispatchedByKind:     counter("queue_dispatched_total", "Requests dispatched from the queue, by pool and kind of prompt.", "pool", labelKind),
+		LargestAccountShare:  prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_largest_account_share", Help: "Largest part of the cost dispatched lately that one account took, by pool."}, []string{"pool"}),
 		Claims:               counter("claims_total", "Claims of idempotency keys, by outcome.", "outcome"),
 		PeerFrames:           counter(peerFramesName, "Frames between daemons, by direction and kind.", labelDirection, labelKind),
 		PeerBytes:            counter("peer_bytes_total", "Bytes between daemons, by direction and kind.", labelDirection, labelKind),
@@ -128,7 +136,7 @@
 		StoreRestores:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_returns_total", Help: "Returns of the platform's store from an older copy that this daemon saw."}),
 		LogLinesOmitted:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.Decisions, m.QueuedRequests, m.Claims,
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
 		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
