--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -182,10 +182,11 @@
 
 // roundedLag returns the lag in whole steps.
 func (l *levelShares) roundedLag(it *Item) float64 {
-	if l.meanCost <= 0 {
-		return 0
+	cost := l.meanCost
+	if cost <= 0 { // No long prompt has been dispatched yet.
+		cost = it.cost()
 	}
-	return math.Floor(l.lag(it) / (lagStep * l.meanCost))
+	return math.Floor(l.lag(it) / (lagStep * cost))
 }
 
 // callKey identifies a call among those refused. A repeat may have another ID, but its prompt has the same
--- a/core/admission/share_test.go
+++ b/core/admission/share_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -28,7 +29,6 @@
 	at        time.Duration // arrival of the current attempt
 	attempt   int
 	item      *Item
-	dispatch  time.Duration
 	completed bool
 }
 
@@ -180,8 +180,20 @@
 	return fmt.Sprintf("large %.3f, repeating %.3f, others %.3f, lowest of the others %.3f, short %.3f, long %.3f", r.large, r.repeating, r.others, r.lowest, r.short, r.long)
 }
 
-// runUnfair sums over seeds.
+// runUnfair returns the sums over five seeds.
 func runUnfair(repeating bool) unfairResult {
+	if repeating {
+		return unfairRepeating()
+	}
+	return unfairPatient()
+}
+
+var (
+	unfairPatient   = sync.OnceValue(func() unfairResult { return simulateUnfair(false) })
+	unfairRepeating = sync.OnceValue(func() unfairResult { return simulateUnfair(true) })
+)
+
+func simulateUnfair(repeating bool) unfairResult {
 	var accounts [testAccounts]served
 	var kinds [2]served
 	for seed := range uint64(5) {
