--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"doorstack.dev/core/admission"
+	"doorstack.dev/core/engine"
 	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
 )
@@ -177,6 +178,39 @@
 	return lengths
 }
 
+// Stats returns the figures of the queues by pool.
+func (t *QueueTable) Stats() map[string]admission.QueueStats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stats := map[string]admission.QueueStats{}
+	for name, p := range t.pools {
+		stats[name] = p.queue.Stats()
+	}
+	return stats
+}
+
+// LargestShares returns for each account the largest part of a pool's cost dispatched lately, and the
+// pool. Only the pools that this daemon places calls for count.
+func (t *QueueTable) LargestShares() map[string]PoolShare {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	largest := map[string]PoolShare{}
+	for name, p := range t.pools {
+		for account, share := range p.queue.AccountShares() {
+			if old := largest[account]; share > old.Share || share == old.Share && name < old.Pool {
+				largest[account] = PoolShare{Pool: name, Share: share}
+			}
+		}
+	}
+	return largest
+}
+
+// PoolShare is the part of a pool's dispatched cost that an account took lately.
+type PoolShare struct {
+	Pool  string  `json:"pool"`
+	Share float64 `json:"share"`
+}
+
 // noTargetGrace is how long a request waits while its pool has no target at all:
 // longer than a target's restart usually shows on the host list, and short enough that
 // the caller gets the error early.
@@ -200,7 +234,13 @@
 	placed := p.queue.Dispatch(at, func(it *admission.Item) bool {
 		ticket := it.Value.(*Ticket)
 		ticket.Request.PrefillAhead = ahead
-		if place(ticket, targets, at) {
+		if d, done := place(ticket, targets, at); done {
+			switch d.Verdict {
+			case routing.Refuse:
+				p.queue.Refuse(it, at.Add(admission.RefusalRetryAfter(engine.Duration(d.RetryAfter), it.Long, ticket.Deadline.Sub(at))))
+			case routing.None:
+				p.queue.Refuse(it, time.Time{})
+			}
 			return true
 		}
 		if it.Long {
@@ -234,8 +274,8 @@
 	}
 }
 
-// place tries to place a ticket and reports whether the ticket is done waiting.
-func place(ticket *Ticket, targets *TargetTable, at time.Time) bool {
+// place tries to place a ticket and returns the decision and whether the ticket is done waiting.
+func place(ticket *Ticket, targets *TargetTable, at time.Time) (*routing.Decision, bool) {
 	params := ticket.Params
 	params.LongTargets += ageingSteps(ticket, at)
 	ticket.Request.Waited = at.Sub(ticket.Item.Arrived).Seconds()
@@ -246,19 +286,19 @@
 	case routing.Wait:
 		ticket.recordWait(&placement.Decision, at)
 		ticket.noTargetSince = time.Time{}
-		return false
+		return &placement.Decision, false
 	case routing.None:
 		ticket.recordWait(&placement.Decision, at)
 		if ticket.noTargetSince.IsZero() {
 			ticket.noTargetSince = at
 		}
 		if at.Sub(ticket.noTargetSince) < noTargetGrace && !placement.Decision.Blocked() {
-			return false
+			return &placement.Decision, false
 		}
-	case routing.Place, routing.Group:
+	case routing.Place, routing.Group, routing.Refuse:
 	}
 	ticket.placed <- placement
-	return true
+	return &placement.Decision, true
 }
 
 // candidateRecordInterval is the least time between two decisions to wait of a ticket whose candidates
