Calls at a starting daemon are read whole and held as long as they can wait

Cause: after a loss of all hosts with a silent store, daemons started at 36.0 s and served at 37.4 s. They refused 345 calls after holds of 0.3 to 0.8 s; for 111 of 211 callers of the worst two seconds that was the last retry. A hold ended 0.8 s after the call's arrival, because callers drop a connection on which nothing is read for a second, and all holds ended when the daemon was 1.5 s old.

Change: a starting daemon reads head and body at once, within half of the memory for calls (the share of the least urgent level, since levels are not known without settings), with 16 KB more for each call, so that calls without a body are bounded too. It holds the call for half of its caller's timeout, and for a stream or an unknown route 300 ms less than the caller of a stream waits for its first event (forward.CallerStreamTimeout). The daemon's age no longer ends holds; a call is refused at once only if the daemon has been unable to start for longer than any hold and others serve. A caller that leaves, a slow sender and a daemon that is stopped end a hold at once or at its bound. New metrics doorstack_start_hold_seconds and doorstack_start_refusals_total.

TestCallWaitIsBoundedWithoutSettings and TestStartingBoundsCallWait asserted the bounds of 0.8 s and 1.5 s. TestCallHoldIsBoundedWithoutSettings, TestStartingHoldsCallsForTheirOwnBound and TestStartingRefusesAtOnceOnlyBesideServingDaemons replace them; they check the new bounds as exactly, and also the length of the advised wait.

Measured: with a daemon that serves 1.4 s after its start, all 14 calls that arrive in that time are held until then (TestCallsAreHeldUntilSilentStoreAnswers; before, those of the first 0.6 s were refused after 0.8 s). A body of 1 MB is read at once (TestHeldCallIsReadAtOnce; before, not at all while the call was held). The new tests of node/api fail on the code before.

--- a/core/admission/starting.go
+++ b/core/admission/starting.go
@@ -1,20 +1,18 @@
 package admission
 
-import "time"
+import (
+	"time"
 
-// How long a daemon that has just started lets calls wait for it, and the advised waits of the
-// calls that it refuses.
+	"doorstack.dev/core/forward"
+)
+
+// How long a starting daemon holds calls, and the advised waits of the calls that it refuses.
 const (
-	// expectedStartTime is the age up to which a daemon expects that it will soon serve. With a
-	// store that answers, a weak host in a fleet that starts all at once needs a fraction of
-	// it; an older daemon waits for something that may be unavailable for long.
-	expectedStartTime = 1500 * time.Millisecond
-	// maxStartWait is the longest that a call waits for a daemon's start. Callers drop a
-	// connection on which nothing is read for a second.
-	maxStartWait = 800 * time.Millisecond
-	// maxStartWaitShare bounds the wait by the caller's timeout: the rest has to suffice for
-	// the answer.
-	maxStartWaitShare = 0.5
+	// maxStartHoldShare bounds a hold by the caller's timeout: the rest has to suffice for the answer.
+	maxStartHoldShare = 0.5
+	// firstEventMargin is the part of the time in which a caller waits for the first event of a stream
+	// that is left for placing the call and for the event: the goal of short prompts.
+	firstEventMargin = 300 * time.Millisecond
 	// otherDaemonRetryAfter is the advised wait where another daemon most likely serves the
 	// retry: next to nothing.
 	otherDaemonRetryAfter = 50 * time.Millisecond
@@ -30,25 +28,49 @@
 type Starting struct {
 	// Age is the time since the process started.
 	Age time.Duration
-	// CallerTimeout is how long the caller waits; zero if the call did not say.
-	CallerTimeout time.Duration
+	// CallerTimeout is how long the caller waits; zero if the call did not say. Waited is the part
+	// of it that has passed.
+	CallerTimeout, Waited time.Duration
+	// FirstEventTimeout is how long the caller waits for the first event of a stream
+	// (forward.CallerStreamTimeout); zero if the answer is known not to be a stream.
+	FirstEventTimeout time.Duration
 	// OtherDaemons is the number of other daemons known to be alive. OthersServe reports
 	// whether one of them has settings.
 	OtherDaemons int
 	OthersServe  bool
 }
 
-// MaxWait returns how long the call may wait for the daemon to serve; zero means that the call
-// is refused at once. After a power loss of all hosts every daemon starts at the same time,
-// and few callers retry more than once.
-func (s Starting) MaxWait() time.Duration {
-	hold := min(maxStartWait, expectedStartTime-s.Age)
+// MaxHold returns how long after its arrival the call may be held, whatever the daemon's age. After
+// a power loss of all hosts every daemon starts at the same time, and few callers retry more than
+// once: a call that is refused before the fleet serves often gets no answer at all.
+func (s Starting) MaxHold() time.Duration {
+	// A caller that tells no timeout and whose answer is not a stream is held like that of a stream.
+	hold := maxHoldWithoutSettings()
+	if s.FirstEventTimeout > 0 {
+		hold = s.FirstEventTimeout - firstEventMargin
+	}
 	if s.CallerTimeout > 0 {
-		hold = min(hold, time.Duration(maxStartWaitShare*float64(s.CallerTimeout)))
+		share := time.Duration(maxStartHoldShare * float64(s.CallerTimeout))
+		if s.FirstEventTimeout == 0 {
+			return share
+		}
+		hold = min(hold, share)
 	}
 	return max(0, hold)
 }
 
+// maxHoldWithoutSettings returns the longest hold of a call whose route is not known.
+func maxHoldWithoutSettings() time.Duration {
+	return forward.CallerStreamTimeout(0, 0) - firstEventMargin
+}
+
+// RefuseAtOnce reports whether the call is not held: the daemon has been unable to start for longer
+// than it would hold any call, so it waits for something that may be unavailable for long, while
+// another daemon can serve the retry.
+func (s Starting) RefuseAtOnce() bool {
+	return s.OthersServe && s.Age > max(maxHoldWithoutSettings(), s.MaxHold())
+}
+
 // RetryAfter returns the advised wait for a call that is refused. A daemon that knows no other
 // live daemon is most likely cut off, and where others have settings, this daemon is the
 // exception in lacking them: in both cases the retry most likely reaches a daemon that serves.
--- a/core/forward/silence_timeouts.go
+++ b/core/forward/silence_timeouts.go
@@ -40,10 +40,16 @@
 // answers take less than the goal.
 const plainGoalFactor = 2
 
+// CallerStreamTimeout returns how long the caller of a stream waits for its first event and between
+// two events, from the route's goals; a goal is zero if the route has none or is not known.
+func CallerStreamTimeout(goal, gapGoal time.Duration) time.Duration {
+	return max(callerMinTimeout, callerGoalFactor*goal, callerGapFactor*gapGoal)
+}
+
 // StreamTimeouts returns the timeouts for a streaming route from its goals for the time to the
 // first event and between two events; a goal is zero if the route has none.
 func StreamTimeouts(goal, gapGoal time.Duration) SilenceTimeouts {
-	callerTimeout := max(callerMinTimeout, callerGoalFactor*goal, callerGapFactor*gapGoal)
+	callerTimeout := CallerStreamTimeout(goal, gapGoal)
 	return SilenceTimeouts{FirstEvent: scaleDuration(firstEventShare, callerTimeout), BetweenEvents: scaleDuration(betweenEventsShare, callerTimeout)}
 }
 
--- a/node/api/body.go
+++ b/node/api/body.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -38,13 +39,14 @@
 // readBody reads the body of a request within the server's limits on body size, total body
 // memory and progress. It fails if the caller sends too slowly.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (*requestBody, error) {
-	return s.readBodyWithLimit(w, r, s.limits.MaxBody, 1)
+	return s.readBodyWithLimit(r.Context(), w, r, s.limits.MaxBody, 1)
 }
 
 // readBodyWithLimit is like readBody, for a body of at most limit bytes that may use a share of the
-// memory budget.
-func (s *Server) readBodyWithLimit(w http.ResponseWriter, r *http.Request, limit int64, share float64) (*requestBody, error) {
-	b, err := s.readBodyChunks(w, r, limit, share)
+// memory budget. The end of ctx ends it at the next chunk; who needs it to end sooner sets a read
+// deadline after that.
+func (s *Server) readBodyWithLimit(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, share float64) (*requestBody, error) {
+	b, err := s.readBodyChunks(ctx, w, r, limit, share)
 	if err != nil {
 		closeAfterAnswer(w)
 	}
@@ -57,7 +59,7 @@
 
 // readBodyChunks reads a body of at most limit bytes in chunks. The returned body must be
 // released.
-func (s *Server) readBodyChunks(w http.ResponseWriter, r *http.Request, limit int64, share float64) (*requestBody, error) {
+func (s *Server) readBodyChunks(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, share float64) (*requestBody, error) {
 	if r.ContentLength > limit {
 		return nil, tooLargeError(limit)
 	}
@@ -67,6 +69,10 @@
 	for {
 		// Extend the deadline only while the caller makes progress.
 		_ = control.SetReadDeadline(time.Now().Add(s.limits.ReadProgressTimeout))
+		if ctx.Err() != nil {
+			b.release()
+			return nil, fault.New(fault.Abandoned, "the call ended while its body was read", "nothing to do")
+		}
 		n, err := io.ReadFull(r.Body, buffer)
 		if growErr := b.appendData(buffer[:n], limit); growErr != nil {
 			b.release()
@@ -96,15 +102,20 @@
 	}
 	cost := int64(len(data)) * bodyMemoryFactor
 	if !b.memory.TryReserve(cost, b.share) {
-		return fault.New(fault.BodyMemoryExhausted,
-			"the daemon's memory for requests and unread answers is exhausted",
-			"retry the request, or ask the operator to raise body_memory_mb").WithRetry(time.Second)
+		return memoryExhaustedError()
 	}
 	b.reservedBytes += cost
 	b.data = append(b.data, data...)
 	return nil
 }
 
+// memoryExhaustedError is the error for a request that finds no room in the memory budget.
+func memoryExhaustedError() *fault.Error {
+	return fault.New(fault.BodyMemoryExhausted,
+		"the daemon's memory for requests and unread answers is exhausted",
+		"retry the request, or ask the operator to raise body_memory_mb").WithRetry(time.Second)
+}
+
 // tooLargeError is the error for a body of more than limit bytes.
 func tooLargeError(limit int64) error {
 	return fault.New(fault.TooLarge, fmt.Sprintf("the request body exceeds %d bytes", limit), "shorten the prompt")
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -13,7 +12,6 @@
 	"doorstack.dev/core/decision"
 	"doorstack.dev/core/fault"
 	"doorstack.dev/core/forward"
-	"doorstack.dev/core/membership"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/requestcontrol"
@@ -43,7 +41,9 @@
 	view      *blackboard.SettingsView
 	account   *settings.ClientAccount
 	path      *settings.ResolvedPath
-	answer    *answerWriter
+	// body is set once it has been read, which is before the others if the daemon was starting.
+	body   *requestBody
+	answer *answerWriter
 }
 
 // ServeHTTP implements http.Handler.
@@ -70,10 +70,11 @@
 // run serves a call up to the end of its answer. An error may come before or after the answer's
 // head has been written.
 //
-// Until the body has been read net/http does not notice that the caller disconnects, for instance
-// while the call waits for the daemon to start. So the connection is checked before the call is placed;
+// Until the body has been read net/http does not notice that the caller disconnects, and on a host
+// short of processor time it notices late. So the connection is checked before the call is placed;
 // otherwise a slot is kept for a call that is not sent.
 func (s *pathServer) run(c *pathCall) error {
+	defer c.releaseBody()
 	if err := s.beginCall(c); err != nil {
 		return err
 	}
@@ -86,13 +87,11 @@
 		return err
 	}
 	route := c.path.Route(c.ID, c.account)
-	b, err := s.readBodyWithLimit(c.w, c.r, s.maxBody(c.view), admission.MemoryShare(route.Rules.Level))
-	if err != nil {
+	if err := s.readBodyOf(c, route.Rules.Level); err != nil {
 		return err
 	}
-	defer b.release()
-	req := c.newRequest(route, b.data)
-	if disconnected := req.Forward.CallerDisconnected; disconnected != nil && disconnected() {
+	req := c.newRequest(route, c.body.data)
+	if c.disconnected() {
 		return fault.New(fault.Abandoned, "the caller disconnected before the call was placed", "nothing to do")
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), req.Deadline)
@@ -101,6 +100,32 @@
 	return s.director.Forward(ctx, req, c.answer)
 }
 
+// readBodyOf reads a call's body, unless it has been read while the daemon was starting.
+func (s *pathServer) readBodyOf(c *pathCall, level int) (err error) {
+	limit := s.maxBody(c.view)
+	if c.body == nil {
+		c.body, err = s.readBodyWithLimit(c.r.Context(), c.w, c.r, limit, admission.MemoryShare(level))
+		return err
+	}
+	if int64(len(c.body.data)) > limit {
+		return tooLargeError(limit)
+	}
+	return nil
+}
+
+// disconnected reports whether the caller has closed its connection.
+func (c *pathCall) disconnected() bool {
+	closed := callerDisconnected(c.r)
+	return c.r.Context().Err() != nil || closed != nil && closed()
+}
+
+// releaseBody releases the memory of the call's body, if it has been read.
+func (c *pathCall) releaseBody() {
+	if c.body != nil {
+		c.body.release()
+	}
+}
+
 // newAnswerWriter returns the writer of a call's answer. Its context is set once the call has a deadline.
 func (s *pathServer) newAnswerWriter(c *pathCall) *answerWriter {
 	return &answerWriter{
@@ -126,29 +151,21 @@
 // since another daemon can most likely serve the call.
 const drainingRetryAfter = 50 * time.Millisecond
 
-// beginCall admits a call and counts it as in flight. While the daemon is starting, the call
-// waits for at most admission.Starting.MaxWait. Each nil error needs one EndRequest of the
-// blackboard.
+// beginCall admits a call and counts it as in flight. While the daemon is starting, the call is
+// held. Each nil error needs one EndRequest of the blackboard.
 func (s *pathServer) beginCall(c *pathCall) error {
 	if s.board.BeginForward() {
 		return nil
 	}
-	if s.board.Phase() == blackboard.Draining {
-		return s.refuse(c, fault.New(fault.ShuttingDown, "this host is shutting down", "retry; another host will serve the request").WithRetry(drainingRetryAfter))
+	if s.board.Phase() == blackboard.Starting {
+		return s.hold(c)
 	}
-	maxWait := s.startingState(c).MaxWait()
-	if maxWait > 0 {
-		s.awaitStart(c, maxWait)
-	}
-	waited := time.Since(c.arrivedAt).Round(time.Millisecond)
-	if s.board.BeginForward() {
-		s.record(c, decision.OutcomeAdmitted, fmt.Sprintf("waited %v for the daemon to start", waited))
-		return nil
-	}
-	state := s.startingState(c)
-	return s.refuse(c, fault.New(fault.NotReady,
-		fmt.Sprintf("this host has no settings yet, %v after its start; the call waited %v", state.Age.Round(time.Millisecond), waited),
-		"retry the request").WithRetry(state.RetryAfter(rand.Float64())))
+	return s.refuseDraining(c)
+}
+
+// refuseDraining refuses a call because the daemon is draining.
+func (s *pathServer) refuseDraining(c *pathCall) error {
+	return s.refuse(c, fault.New(fault.ShuttingDown, "this host is shutting down", "retry; another host will serve the request").WithRetry(drainingRetryAfter))
 }
 
 // checkLag refuses a call that cannot meet its path's goal for the time to the answer because
@@ -163,26 +180,6 @@
 		"retry; another host will serve the request").WithRetry(check.RetryAfter()))
 }
 
-// awaitStart waits until the daemon has left the starting phase, the call is cancelled or maxWait
-// has passed.
-func (s *pathServer) awaitStart(c *pathCall, maxWait time.Duration) {
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	select {
-	case <-s.board.Started():
-	case <-timer.C:
-	case <-c.r.Context().Done():
-	}
-}
-
-// startingState returns what admission needs to know about a call that arrives while the daemon
-// is starting.
-func (s *pathServer) startingState(c *pathCall) admission.Starting {
-	state := admission.Starting{Age: s.board.Age(), CallerTimeout: c.Timeout}
-	s.board.Members.WithLock(func(t *membership.Table) { state.OtherDaemons, state.OthersServe = t.CountOthers() })
-	return state
-}
-
 // refuse records that a call is refused before it is routed, and returns the error.
 func (s *pathServer) refuse(c *pathCall, e *fault.Error) error {
 	s.record(c, decision.OutcomeRefused, fmt.Sprintf("%v; retry after %v", e, e.RetryAfter.Round(time.Millisecond)))
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -54,6 +54,11 @@
 	TargetNotices *prometheus.CounterVec
 	// StartStages is the time, in seconds from the process start, to each stage of the start.
 	StartStages *prometheus.GaugeVec
+	// StartHolds is the time, in seconds, for which calls were held because the daemon started, by
+	// outcome (served, refused, disconnected).
+	StartHolds *prometheus.HistogramVec
+	// StartRefusals counts the calls refused because the daemon started, by reason.
+	StartRefusals *prometheus.CounterVec
 	// UnknownHeaders counts the unknown headers in targets' answers.
 	UnknownHeaders prometheus.Counter
 	// EvacuatedDataCentres is the number of data centres whose targets get no new requests.
@@ -137,6 +142,8 @@
 		Crashes:              counter("crashes_total", "Sends whose connection the target's end closed before the answer was whole, by pool.", "pool"),
 		TargetNotices:        counter("target_notices_total", "News of targets about themselves in answers: that they leave, want rest, name or lift a limit; by pool and word.", "pool", "notice"),
 		StartStages:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "start_seconds", Help: "Time from the process's start to each stage of it."}, []string{"stage"}),
+		StartHolds:           histogram("start_hold_seconds", "How long calls were held while the daemon started, by outcome.", "outcome", prometheus.ExponentialBuckets(0.05, 2, 8)),
+		StartRefusals:        counter("start_refusals_total", "Calls refused because the daemon was starting, by reason.", "reason"),
 		UnknownHeaders:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "unread_headers_total", Help: "Headers of targets' answers that this daemon does not understand, each name once."}),
 		EvacuatedDataCentres: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "evacuated_data_centres", Help: "Data centres whose targets get no new requests."}),
 		StoreRestores:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_returns_total", Help: "Returns of the platform's store from an older copy that this daemon saw."}),
@@ -144,7 +151,7 @@
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
-		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.Introductions, m.CoordinationSteps, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.Introductions, m.CoordinationSteps, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.StartHolds, m.StartRefusals, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
 	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
 	return m
