Refusals at a starting daemon tell when to come back within what callers follow

Cause: callers ignore a Retry-After of more than a third of their time left, and a starting daemon did not bound it. All callers whose retry another daemon serves were told 50 ms exactly, so that held calls refused together came back together. A daemon that had just started and knew no others took itself for cut off and told them 50 ms while the whole fleet was starting; one whose store had been silent for a minute still told them 1 s.

It is spread by a quarter to either side and stays within 0.3 of the caller's time left, spread included.

The case of TestStartingRetryAfterDependsOnOtherDaemons in which no other daemon is known has an age of 2 s in place of 0; age 0 is now a case of its own and wants the wait of a starting fleet.

Measured: TestStartingRetryAfterIsFollowed, TestStartingRetryAfterFollowsStoreOutage, the added cases of TestStartingRetryAfterDependsOnOtherDaemons and TestDrainingDaemonRefusesWaitingCall fail before and pass now. For a timeout of 1.5 s, half of it left, the longest wait was 1.25 s and is 0.225 s.

--- a/core/admission/starting.go
+++ b/core/admission/starting.go
@@ -16,12 +16,16 @@
 	// otherDaemonRetryAfter is the advised wait where another daemon most likely serves the
 	// retry: next to nothing.
 	otherDaemonRetryAfter = 50 * time.Millisecond
-	// fleetStartRetryAfter is the mean advised wait where the whole fleet waits for its
+	// fleetStartRetryAfter is the least mean advised wait where the whole fleet waits for its
 	// settings: the fleet asks for them up to three times a second, and a caller has few
-	// retries. Waits are spread over fleetStartRetrySpread of it so that callers do not all
-	// retry at once.
-	fleetStartRetryAfter  = time.Second
-	fleetStartRetrySpread = 0.5
+	// retries. fleetStartRetryShare makes it longer the longer the store has not answered, up to
+	// maxFleetStartRetryAfter: it most likely stays away for as long again.
+	fleetStartRetryAfter    = time.Second
+	fleetStartRetryShare    = 0.5
+	maxFleetStartRetryAfter = 5 * time.Second
+	// startRetrySpread is the part of the mean advised wait over which the waits of callers are
+	// spread so that they do not all retry at once.
+	startRetrySpread = 0.5
 )
 
 // Starting is what a daemon that does not serve yet knows when a call arrives.
@@ -71,14 +75,27 @@
 	return s.OthersServe && s.Age > max(maxHoldWithoutSettings(), s.MaxHold())
 }
 
-// RetryAfter returns the advised wait for a call that is refused. A daemon that knows no other
-// live daemon is most likely cut off, and where others have settings, this daemon is the
-// exception in lacking them: in both cases the retry most likely reaches a daemon that serves.
-// Otherwise the whole fleet waits for its settings, and spread, a random number from 0 to 1,
-// spreads out the retries.
+// RetryAfter returns the advised wait for a call that is refused; spread, a random number from 0 to
+// 1, spreads out the retries. It is never longer than callers follow.
 func (s Starting) RetryAfter(spread float64) time.Duration {
-	if s.OtherDaemons == 0 || s.OthersServe {
-		return otherDaemonRetryAfter
+	mean := otherDaemonRetryAfter
+	if s.fleetStarts() {
+		waiting := time.Duration(fleetStartRetryShare * float64(s.Age))
+		mean = min(max(fleetStartRetryAfter, waiting), maxFleetStartRetryAfter)
 	}
-	return time.Duration((1 + fleetStartRetrySpread*(spread-0.5)) * float64(fleetStartRetryAfter))
+	if s.CallerTimeout > 0 {
+		longest := maxRetryAfterShare * float64(max(0, s.CallerTimeout-s.Waited))
+		mean = min(mean, time.Duration(longest/(1+startRetrySpread/2)))
+	}
+	return time.Duration((1 + startRetrySpread*(spread-0.5)) * float64(mean))
+}
+
+// fleetStarts reports whether the whole fleet most likely waits for its settings. A daemon that
+// finds no other within a call's hold is most likely cut off, so that the retry reaches one that
+// serves; before that, the others may just not be known yet.
+func (s Starting) fleetStarts() bool {
+	if s.OtherDaemons == 0 {
+		return s.Age <= maxHoldWithoutSettings()
+	}
+	return !s.OthersServe
 }
--- a/core/admission/starting_test.go
+++ b/core/admission/starting_test.go
@@ -64,17 +64,57 @@
 	}
 }
 
-// TestStartingRetryAfterDependsOnOtherDaemons checks that callers retry almost at once where
-// another daemon serves, and spread over half a second where the whole fleet is starting.
+// TestStartingRetryAfterDependsOnOtherDaemons checks that callers retry almost at once where another daemon
+// serves or the daemon is cut off, and spread over half a second where the whole fleet is starting. A daemon
+// that has just started knows no others yet, so that it cannot tell that it is cut off.
 func TestStartingRetryAfterDependsOnOtherDaemons(t *testing.T) {
-	for _, s := range []Starting{{OtherDaemons: 0}, {OtherDaemons: 5, OthersServe: true}} {
+	for _, s := range []Starting{{OtherDaemons: 0, Age: 2 * time.Second}, {OtherDaemons: 5, OthersServe: true}} {
 		if got := s.RetryAfter(1); got > 100*time.Millisecond {
 			t.Errorf("RetryAfter(1) of %+v = %v, want at most 100ms, since another daemon serves", s, got)
 		}
+		if s.RetryAfter(0) == s.RetryAfter(1) {
+			t.Errorf("RetryAfter(0) and RetryAfter(1) of %+v = %v, want retries spread", s, s.RetryAfter(0))
+		}
+	}
+	for _, all := range []Starting{{OtherDaemons: 294}, {OtherDaemons: 294, Age: 2 * time.Second}, {OtherDaemons: 0}} {
+		first, last := all.RetryAfter(0), all.RetryAfter(1)
+		if first < 500*time.Millisecond || last > 1500*time.Millisecond || last-first < 400*time.Millisecond {
+			t.Errorf("RetryAfter(0), RetryAfter(1) of %+v = %v, %v; want 500ms to 1.5s, at least 400ms apart", all, first, last)
+		}
+	}
+}
+
+// TestStartingRetryAfterFollowsStoreOutage: where the store has not answered for long, callers come back later,
+// since each of them has few retries.
+func TestStartingRetryAfterFollowsStoreOutage(t *testing.T) {
+	early, late := Starting{OtherDaemons: 89, Age: 2 * time.Second}, Starting{OtherDaemons: 89, Age: 6 * time.Second}
+	if late.RetryAfter(0.5) <= early.RetryAfter(0.5) {
+		t.Errorf("RetryAfter after 6s without settings = %v, after 2s = %v; want it longer", late.RetryAfter(0.5), early.RetryAfter(0.5))
+	}
+	day := Starting{OtherDaemons: 89, Age: 24 * time.Hour}
+	if got := day.RetryAfter(1); got > 10*time.Second {
+		t.Errorf("RetryAfter after a day without settings = %v, want at most 10s", got)
+	}
+}
+
+// TestStartingRetryAfterIsFollowed: callers ignore a Retry-After of more than a third of the time that they have
+// left, and callers with little time left must not all come back at the same moment.
+func TestStartingRetryAfterIsFollowed(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		for _, timeout := range []time.Duration{100 * time.Millisecond, time.Second, 1500 * time.Millisecond, 10 * time.Second} {
+			for _, age := range []time.Duration{0, 2 * time.Second, time.Minute} {
+				s := Starting{Age: age, CallerTimeout: timeout, Waited: timeout / 2, OtherDaemons: 89, OthersServe: others}
+				first, last := s.RetryAfter(0), s.RetryAfter(1)
+				if left := timeout - s.Waited; last > left/3 {
+					t.Errorf("RetryAfter(1) of %+v = %v, want at most a third of the %v left", s, last, left)
+				}
+				if last-first < last/4 {
+					t.Errorf("RetryAfter(0), RetryAfter(1) of %+v = %v, %v; want them a quarter of the wait apart", s, first, last)
+				}
+			}
+		}
 	}
-	all := Starting{OtherDaemons: 294}
-	first, last := all.RetryAfter(0), all.RetryAfter(1)
-	if first < 500*time.Millisecond || last > 1500*time.Millisecond || last-first < 400*time.Millisecond {
-		t.Errorf("RetryAfter(0), RetryAfter(1) of %+v = %v, %v; want 500ms to 1.5s, at least 400ms apart", all, first, last)
+	if got := (Starting{CallerTimeout: time.Second, Waited: 2 * time.Second, OtherDaemons: 89}).RetryAfter(1); got != 0 {
+		t.Errorf("RetryAfter of a call whose time is up = %v, want 0", got)
 	}
 }
--- a/node/api/hold.go
+++ b/node/api/hold.go
@@ -74,8 +74,7 @@
 		return nil
 	case err == nil:
 		outcome = holdRefused
-		s.metrics.StartRefusals.WithLabelValues(refusedDraining).Inc()
-		return s.refuseDraining(c)
+		return s.refuseStarting(c, refusedDraining, drainingError())
 	case errors.Is(err, errHoldEnded):
 		outcome = holdRefused
 		return s.refuseStarting(c, refusedHoldEnded, nil)
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -160,12 +160,12 @@
 	if s.board.Phase() == blackboard.Starting {
 		return s.hold(c)
 	}
-	return s.refuseDraining(c)
+	return s.refuse(c, drainingError())
 }
 
-// refuseDraining refuses a call because the daemon is draining.
-func (s *pathServer) refuseDraining(c *pathCall) error {
-	return s.refuse(c, fault.New(fault.ShuttingDown, "this host is shutting down", "retry; another host will serve the request").WithRetry(drainingRetryAfter))
+// drainingError is the error for a call that reaches a draining daemon.
+func drainingError() *fault.Error {
+	return fault.New(fault.ShuttingDown, "this host is shutting down", "retry; another host will serve the request").WithRetry(drainingRetryAfter)
 }
 
 // checkLag refuses a call that cannot meet its path's goal for the time to the answer because
--- a/node/api/starting_test.go
+++ b/node/api/starting_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"doorstack.dev/core/fault"
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
@@ -150,15 +151,33 @@
 	})
 }
 
-// TestDrainingDaemonRefusesWaitingCall checks that a call that waits for a starting daemon is
-// refused as soon as the daemon drains.
+// TestDrainingDaemonRefusesWaitingCall checks that a call that waits for a starting daemon is refused as soon as
+// the daemon drains, for the right reason, and that several such calls do not all come back at the same time.
 func TestDrainingDaemonRefusesWaitingCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		board, handler := newStartingServer()
 		time.AfterFunc(100*time.Millisecond, board.Drain)
-		got, took := serveCall(handler)
-		if got.Code != http.StatusServiceUnavailable || took != 100*time.Millisecond {
-			t.Errorf("answer = %d after %v, want 503 after 100ms", got.Code, took)
+		answers := make([]*httptest.ResponseRecorder, 8)
+		var calls sync.WaitGroup
+		for i := range answers {
+			calls.Go(func() {
+				got, took := serveCall(handler)
+				if got.Code != http.StatusServiceUnavailable || took != 100*time.Millisecond {
+					t.Errorf("answer = %d after %v, want 503 after 100ms", got.Code, took)
+				}
+				if !strings.Contains(got.Body.String(), string(fault.ShuttingDown)) {
+					t.Errorf("answer = %s, want %s", got.Body, fault.ShuttingDown)
+				}
+				answers[i] = got
+			})
+		}
+		calls.Wait()
+		waits := map[string]bool{}
+		for _, got := range answers {
+			waits[got.Header().Get("Retry-After")] = true
+		}
+		if len(waits) < 2 {
+			t.Errorf("Retry-After of %d calls = %v, want them spread", len(answers), waits)
 		}
 	})
 }
