api: a call that arrives as the daemon starts to serve is admitted

Cause: beginCall read the phase again after the failed admission, and took every phase but starting for draining, so that a call that arrived at the moment at which the daemon began to serve was refused as shutting_down.

Change: only a draining daemon refuses there; hold admits the call at once if the daemon has started meanwhile, and does not refuse it for others that serve.

Measured: TestCallAtTheMomentOfTheStartIsAdmitted fails without the check of the phase in hold. The check in beginCall was found by reading; no test reaches the moment between its two reads of the phase.

--- a/node/api/hold.go
+++ b/node/api/hold.go
@@ -46,7 +46,7 @@
 // admission.Starting.MaxHold after the call's arrival, and counts the call as in flight. Callers drop a connection on which nothing is
 // read for a second, or for a third of their time if that is shorter.
 func (s *pathServer) hold(c *pathCall) error {
-	if state := s.startingState(c); state.RefuseAtOnce() {
+	if state := s.startingState(c); s.board.Phase() == blackboard.Starting && state.RefuseAtOnce() {
 		return s.refuseStarting(c, refusedOthersServe, nil)
 	}
 	overhead := heldCallBytes + headSize(c.r)
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -157,10 +157,10 @@
 	if s.board.BeginForward() {
 		return nil
 	}
-	if s.board.Phase() == blackboard.Starting {
-		return s.hold(c)
+	if s.board.Phase() == blackboard.Draining {
+		return s.refuse(c, drainingError())
 	}
-	return s.refuse(c, drainingError())
+	return s.hold(c) // It admits the call at once if the daemon has started meanwhile.
 }
 
 // drainingError is the error for a call that reaches a draining daemon.
--- a/node/api/starting_test.go
+++ b/node/api/starting_test.go
@@ -181,3 +181,30 @@
 		}
 	})
 }
+
+// TestCallAtTheMomentOfTheStartIsAdmitted covers a call that is found to arrive before the daemon serves and is
+// held just after: it was refused as if the daemon were draining. It is admitted at once, also at a daemon that
+// has needed so long that it would refuse calls for others that serve.
+func TestCallAtTheMomentOfTheStartIsAdmitted(t *testing.T) {
+	tree, err := settings.Parse([]byte(goalSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		board, handler := newStartingServer()
+		board.Members.WithLock(func(table *membership.Table) {
+			table.SetHosts([]membership.Host{{Name: "d1"}, {Name: "d2"}}, time.Now())
+			table.RecordHeartbeat("d2", 1, 1, 7, time.Now())
+		})
+		<-time.After(5 * time.Second)
+		began := time.Now()
+		s := handler.(*pathServer)
+		c := &pathCall{w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "http://calls.example/a/", nil), arrivedAt: began}
+		board.Settings.Adopt(&blackboard.SettingsView{Tree: tree, Revision: 1})
+		board.Serve()
+		if err := s.hold(c); err != nil || time.Since(began) != 0 || board.InFlight() != 1 {
+			t.Errorf("hold = %v after %v with %d calls in flight, want the call admitted at once", err, time.Since(began), board.InFlight())
+		}
+		board.EndRequest()
+	})
+}
