Tests of shares: look at the queue only while the pool has free capacity

Cause: the simulation of the tests called Dispatch every 5 ms of virtual time, also while the pool had no capacity left, so that each of up to 64 requests was offered in vain. Under the race detector the tests took 36 to 62 s beside other load.

Change: the simulation calls Dispatch only if there is capacity. The bounds of the tests are unchanged.

--- a/core/admission/share_test.go
+++ b/core/admission/share_test.go
@@ -88,15 +88,17 @@
 			waiting = append(waiting, c)
 		}
 		credit = min(credit+p.capacity*testTick.Seconds(), p.capacity*testTick.Seconds())
-		q.Dispatch(epoch.Add(now), func(it *Item) bool {
-			c := it.Value.(*sharedCall)
-			if credit <= 0 {
-				return false
-			}
-			credit -= float64(it.Tokens)
-			c.completed = true
-			return true
-		})
+		if credit > 0 { // Otherwise Dispatch would offer each request in vain.
+			q.Dispatch(epoch.Add(now), func(it *Item) bool {
+				c := it.Value.(*sharedCall)
+				if credit <= 0 {
+					return false
+				}
+				credit -= float64(it.Tokens)
+				c.completed = true
+				return true
+			})
+		}
 		still := waiting[:0]
 		for _, c := range waiting {
 			if c.completed {
