Queue: a repeat is compared with the earliest time told to its callers

Cause: the times at which the Retry-After of refused calls ends were kept in the order of refusal, but were read as if sorted. If a call told to wait 3 s was refused before one of the same length told to wait 1 s, the second caller was charged for an early repeat although it came back on time, and a stale entry could keep later ones from being forgotten.

Change: the times are kept in order.

--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -21,7 +22,7 @@
 	// kinds are the counts of short and long prompts.
 	kinds     [2]kindCount
 	lastDecay time.Time
-	// returns are the times at which the Retry-After of refused calls ends, the oldest first.
+	// returns are the times at which the Retry-After of refused calls ends, the earliest first.
 	returns map[callKey][]time.Time
 }
 
@@ -234,7 +235,8 @@
 	}
 	key := callKeyOf(it)
 	if times := l.returns[key]; len(times) < maxReturnsPerKey {
-		l.returns[key] = append(times, until)
+		at, _ := slices.BinarySearchFunc(times, until, time.Time.Compare)
+		l.returns[key] = slices.Insert(times, at, until)
 	}
 }
 
