Queue: refusals do not each search a full list of refused calls

Cause: while 1024 refused calls of a level were remembered and none was outdated, each further refusal searched all of them, in a queue under overload and under the lock of the queues.

Change: a full list is searched at most once per 100 ms.

--- a/core/admission/dispatch_bench_test.go
+++ b/core/admission/dispatch_bench_test.go
@@ -63,3 +63,17 @@
 		}
 	})
 }
+
+// BenchmarkRefuse measures a refusal while as many refused calls as fit are remembered, as under retries of
+// many callers.
+func BenchmarkRefuse(b *testing.B) {
+	q := NewQueue(time.Minute)
+	until := epoch.Add(3 * time.Second)
+	for i := range maxReturns {
+		q.Refuse(&Item{Account: "a", Tokens: int64(1000 + i), Arrived: epoch}, until)
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		q.Refuse(&Item{Account: "b", Tokens: int64(1000 + i), Arrived: epoch.Add(time.Duration(i) * time.Microsecond)}, until)
+	}
+}
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -24,6 +24,8 @@
 	lastDecay time.Time
 	// returns are the times at which the Retry-After of refused calls ends, the earliest first.
 	returns map[callKey][]time.Time
+	// nextSweep is the earliest time of the next search of returns for outdated entries.
+	nextSweep time.Time
 }
 
 // kindCount counts the requests of one kind of prompt. Offered and dispatched are decaying counts.
@@ -207,6 +209,9 @@
 	// maxReturns bounds the refused calls of a level that are remembered, about ten seconds of refusals
 	// at 100 per second.
 	maxReturns = 1024
+	// sweepInterval is the least time between two searches of a full list for outdated entries, so that
+	// refusals do not each take longer when there are most of them.
+	sweepInterval = 100 * time.Millisecond
 	// returnMemory is how long after its Retry-After a call is still taken for a repeat.
 	returnMemory = time.Second
 	// maxRepeatCharges bounds the lag that repeats cause, in costs of the call: the other callers of
@@ -224,6 +229,10 @@
 	}
 	if len(l.returns) >= maxReturns {
 		now := it.Arrived // At most the time of the refusal, so that no entry is dropped too early.
+		if now.Before(l.nextSweep) {
+			return
+		}
+		l.nextSweep = now.Add(sweepInterval)
 		for key, times := range l.returns {
 			if times[len(times)-1].Add(returnMemory).Before(now) {
 				delete(l.returns, key)
