Queue: the use of an idle queue is forgotten

Cause: the recent use of accounts decayed only in Dispatch, which is not called while nothing waits, and an account was forgotten by its part of the total, which stays the same while all use decays alike. So doorstack_queue_largest_account_share and `doorstack accounts` showed the last accounts of an idle pool for good.

Change: Stats and AccountShares let the use decay, and a total below one prompt token counts as one for the bound. Stats no longer builds a map for each round of the load poller.

Measured: TestUseOfIdleQueueIsForgotten fails before (share 1 after 1000 s) and passes after; tests of core/admission, node/blackboard and node/controller pass.

--- a/core/admission/queuestats.go
+++ b/core/admission/queuestats.go
@@ -30,7 +30,8 @@
 	// useMemory is the time constant with which the use of accounts decays, long against the calls'
 	// time in an engine.
 	useMemory = 30 * time.Second
-	// minUse is the part of the total below which an account is forgotten.
+	// minUse is the part of the total below which an account is forgotten; a total of less than one
+	// prompt token counts as one, so that the use of an idle queue is forgotten too.
 	minUse = 1e-4
 )
 
@@ -43,7 +44,7 @@
 	u.decayed = now
 	factor, total := math.Exp(-passed.Seconds()/useMemory.Seconds()), 0.0
 	for account, cost := range u.byAccount {
-		if cost < minUse*u.total {
+		if cost < minUse*max(u.total, 1) {
 			delete(u.byAccount, account)
 			continue
 		}
@@ -61,26 +62,34 @@
 	u.total += cost
 }
 
+// share returns the part that a cost is of the total.
+func (u *recentUse) share(cost float64) float64 {
+	if u.total <= 0 {
+		return 0
+	}
+	return cost / u.total
+}
+
 // Stats returns the queue's figures.
-func (q *Queue) Stats() QueueStats {
+func (q *Queue) Stats(now time.Time) QueueStats {
+	q.use.decay(now)
 	s := QueueStats{Short: KindStats{Dispatched: q.dispatched[0]}, Long: KindStats{Dispatched: q.dispatched[1]}}
 	for level := range q.shares {
 		s.Short.Waiting += q.shares[level].kinds[0].waiting
 		s.Long.Waiting += q.shares[level].kinds[1].waiting
 	}
-	for _, share := range q.AccountShares() {
-		s.LargestShare = max(s.LargestShare, share)
+	for _, cost := range q.use.byAccount {
+		s.LargestShare = max(s.LargestShare, q.use.share(cost))
 	}
 	return s
 }
 
 // AccountShares returns the parts of the cost dispatched lately that the accounts took.
-func (q *Queue) AccountShares() map[string]float64 {
+func (q *Queue) AccountShares(now time.Time) map[string]float64 {
+	q.use.decay(now)
 	shares := make(map[string]float64, len(q.use.byAccount))
 	for account, cost := range q.use.byAccount {
-		if q.use.total > 0 {
-			shares[account] = cost / q.use.total
-		}
+		shares[account] = q.use.share(cost)
 	}
 	return shares
 }
--- a/core/admission/queuestats_test.go
+++ b/core/admission/queuestats_test.go
@@ -29,7 +29,7 @@
 		return true
 	})
 	push("a2", "a", true, 3000)
-	got := q.Stats()
+	got := q.Stats(now)
 	if math.Abs(got.LargestShare-0.75) > 1e-3 {
 		t.Errorf("LargestShare = %v, want 0.75", got.LargestShare)
 	}
@@ -39,7 +39,22 @@
 	}
 	dispatch(now.Add(time.Second), func(*Item) bool { return false })
 	dispatch(now.Add(2*time.Second), func(*Item) bool { return false })
-	if shares := fmt.Sprint(len(q.AccountShares())); shares != "2" {
+	if shares := fmt.Sprint(len(q.AccountShares(now.Add(2 * time.Second)))); shares != "2" {
 		t.Errorf("%s accounts are known, want 2", shares)
 	}
 }
+
+// TestUseOfIdleQueueIsForgotten guards against a largest share that shows the last account for as long as no
+// request comes: Dispatch is not called then, and all use decays alike.
+func TestUseOfIdleQueueIsForgotten(t *testing.T) {
+	q := NewQueue(0)
+	q.Push(&Item{ID: "last", Account: "a", Tokens: 200_000, Arrived: epoch})
+	q.Dispatch(epoch, func(*Item) bool { return true })
+	for i := range 1000 {
+		q.Stats(epoch.Add(time.Duration(i) * time.Second))
+	}
+	now := epoch.Add(1000 * time.Second)
+	if got, shares := q.Stats(now).LargestShare, q.AccountShares(now); got != 0 || len(shares) != 0 {
+		t.Errorf("LargestShare = %v, shares %v after 1000 s without requests, want none", got, shares)
+	}
+}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -296,7 +296,7 @@
 
 // accounts lists the accounts in use here and those whose calls this daemon dispatched lately.
 func (s *Server) accounts() []AccountStatus {
-	list, shares := s.Board.Accounts.Status(), s.Board.Queues.LargestShares()
+	list, shares := s.Board.Accounts.Status(), s.Board.Queues.LargestShares(time.Now())
 	for i := range list {
 		if share, ok := shares[list[i].Account]; ok {
 			list[i].Largest = &share
--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -179,24 +179,24 @@
 }
 
 // Stats returns the figures of the queues by pool.
-func (t *QueueTable) Stats() map[string]admission.QueueStats {
+func (t *QueueTable) Stats(at time.Time) map[string]admission.QueueStats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	stats := map[string]admission.QueueStats{}
 	for name, p := range t.pools {
-		stats[name] = p.queue.Stats()
+		stats[name] = p.queue.Stats(at)
 	}
 	return stats
 }
 
 // LargestShares returns for each account the largest part of a pool's cost dispatched lately, and the
 // pool. Only the pools that this daemon places calls for count.
-func (t *QueueTable) LargestShares() map[string]PoolShare {
+func (t *QueueTable) LargestShares(at time.Time) map[string]PoolShare {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	largest := map[string]PoolShare{}
 	for name, p := range t.pools {
-		for account, share := range p.queue.AccountShares() {
+		for account, share := range p.queue.AccountShares(at) {
 			if old := largest[account]; share > old.Share || share == old.Share && name < old.Pool {
 				largest[account] = PoolShare{Pool: name, Share: share}
 			}
--- a/node/blackboard/shares_test.go
+++ b/node/blackboard/shares_test.go
@@ -48,8 +48,8 @@
 			t.Fatal("a prompt that is late still waits, want it refused")
 		}
 	}
-	if s := board.Queues.Stats()["llm"]; s.Long.Dispatched != 0 || len(board.Queues.LargestShares()) != 0 {
-		t.Errorf("after a refusal: %+v, shares %v; want nothing dispatched", s, board.Queues.LargestShares())
+	if s := board.Queues.Stats(now)["llm"]; s.Long.Dispatched != 0 || len(board.Queues.LargestShares(now)) != 0 {
+		t.Errorf("after a refusal: %+v, shares %v; want nothing dispatched", s, board.Queues.LargestShares(now))
 	}
 	for i := range repeats {
 		again := ticket(fmt.Sprint("again", i), "a", 0)
--- a/node/controller/load.go
+++ b/node/controller/load.go
@@ -56,7 +56,7 @@
 // updateQueueMetrics sets the metrics of the queues.
 func (c *LoadPoller) updateQueueMetrics() {
 	m := c.Recorder.Metrics
-	for pool, s := range c.Board.Queues.Stats() {
+	for pool, s := range c.Board.Queues.Stats(time.Now()) {
 		m.QueuedRequests.WithLabelValues(pool).Set(float64(s.Short.Waiting + s.Long.Waiting))
 		m.LargestAccountShare.WithLabelValues(pool).Set(s.LargestShare)
 		for kind, k := range map[string]admission.KindStats{"short": s.Short, "long": s.Long} {
