--- a/core/admission/dispatch_bench_test.go
+++ b/core/admission/dispatch_bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// BenchmarkDispatch measures one look at a queue of 200 waiting requests, none of which finds room, and one
-// that places a request of which nothing else waits, as on each event of a pool.
+// BenchmarkDispatch measures one look at a queue of 200 waiting requests, none of which finds room,
+// and one that places a request of which nothing else waits, as on each event of a pool.
 func BenchmarkDispatch(b *testing.B) {
 	for _, accounts := range []int{24, 1100} {
 		newItem := func(i int) *Item {
@@ -64,8 +64,8 @@
 	})
 }
 
-// BenchmarkRefuse measures a refusal while as many refused calls as fit are remembered, as under retries of
-// many callers.
+// BenchmarkRefuse measures a refusal while as many refused calls as fit are remembered, as under
+// retries of many callers.
 func BenchmarkRefuse(b *testing.B) {
 	q := NewQueue(time.Minute)
 	until := epoch.Add(3 * time.Second)
--- a/core/admission/memory.go
+++ b/core/admission/memory.go
@@ -14,7 +14,7 @@
 	return max(minMemoryShare, 1-sharePerLevel*float64(max(0, level)))
 }
 
-// HeldMemoryShare returns the share of the memory for calls that requests may use while the daemon starts.
-// Their levels are not known yet, so it is the share of the least urgent: the rest is left to more urgent
-// requests that arrive after the start.
+// HeldMemoryShare returns the share of the memory for calls that requests may use while the daemon
+// starts. Their levels are not known yet, so it is the share of the least urgent: the rest is left
+// to more urgent requests that arrive after the start.
 func HeldMemoryShare() float64 { return minMemoryShare }
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -24,11 +24,11 @@
 	Retry bool
 	// Arrived is the time at which the daemon received the request.
 	Arrived time.Time
-	// PrefillSeconds is the time that processing the prompt takes, in seconds; zero if
-	// unknown. Long prompts of known prefill time go shortest first among those of accounts that
-	// have taken about the same, since this answers the most prompts per second; each second that
-	// a prompt has waited is subtracted from its prefill time. A prompt of known prefill time that finds no room does
-	// not stop those behind it, since Dispatch has to offer each of them: each may be refused.
+	// PrefillSeconds is the time that processing the prompt takes, in seconds; zero if unknown. Long
+	// prompts of known prefill time go shortest first among those of accounts that have taken about
+	// the same, since this answers the most prompts per second; each second that a prompt has waited
+	// is subtracted from its prefill time. A prompt of known prefill time that finds no room does not
+	// stop those behind it, since Dispatch has to offer each of them: each may be refused.
 	PrefillSeconds float64
 
 	// LatestStart is the time by which the request has to be placed to be answered in time;
@@ -52,10 +52,11 @@
 	return float64(it.Tokens)
 }
 
-// Queue holds the waiting requests of one pool. Requests are dispatched by priority level.
-// Within a level, accounts share by cost (start-time fair queueing, see share.go), and the requests
-// of an account go in order of arrival, long prompts of known prefill time shortest first. Each AgeingPerLevel of waiting raises a request by one
-// level, up to level 0, where the fair order ensures that it is dispatched in the end.
+// Queue holds the waiting requests of one pool. Requests are dispatched by priority level. Within a
+// level, accounts share by cost (start-time fair queueing, see share.go), and the requests of an
+// account go in order of arrival, long prompts of known prefill time shortest first. Each
+// AgeingPerLevel of waiting raises a request by one level, up to level 0, where the fair order
+// ensures that it is dispatched in the end.
 type Queue struct {
 	// AgeingPerLevel is the wait that raises a request by one level; zero disables ageing.
 	AgeingPerLevel time.Duration
@@ -150,9 +151,9 @@
 	}
 }
 
-// Refuse notes that a request is refused with a Retry-After that ends at the time until, zero if the queue
-// was not the reason. Its account is not charged when Dispatch removes it, but pays for a repeat
-// that arrives before that time.
+// Refuse notes that a request is refused with a Retry-After that ends at the time until, zero if
+// the queue was not the reason. Its account is not charged when Dispatch removes it, but pays for a
+// repeat that arrives before that time.
 func (q *Queue) Refuse(it *Item, until time.Time) {
 	it.refused = true
 	q.level(it).expectReturn(it, until)
--- a/core/admission/queuestats_test.go
+++ b/core/admission/queuestats_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// TestUseOfIdleQueueIsForgotten guards against a largest share that shows the last account for as long as no
-// request comes: Dispatch is not called then, and all use decays alike.
+// TestUseOfIdleQueueIsForgotten guards against a largest share that shows the last account for as
+// long as no request comes: Dispatch is not called then, and all use decays alike.
 func TestUseOfIdleQueueIsForgotten(t *testing.T) {
 	q := NewQueue(0)
 	q.Push(&Item{ID: "last", Account: "a", Tokens: 200_000, Arrived: epoch})
--- a/core/admission/returns_test.go
+++ b/core/admission/returns_test.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// TestOutdatedReturnsMakeRoom guards against a list of refused calls that stays full of outdated entries, with
-// which no early repeat would be charged any more, and against one that grows without bound.
+// TestOutdatedReturnsMakeRoom guards against a list of refused calls that stays full of outdated
+// entries, with which no early repeat would be charged any more, and against one that grows without
+// bound.
 func TestOutdatedReturnsMakeRoom(t *testing.T) {
 	var l levelShares
 	refuse := func(tokens int64, at time.Duration) {
@@ -27,3 +28,24 @@
 		t.Error("the repeat of the latest refused call is not known")
 	}
 }
+
+// TestRepeatIsComparedWithFirstReturn guards against charging a caller that honours its Retry-After
+// because another caller with a prompt of the same length was told to wait for longer, and was
+// refused first.
+func TestRepeatIsComparedWithFirstReturn(t *testing.T) {
+	var l levelShares
+	refused := func(wait time.Duration) {
+		l.expectReturn(&Item{Account: "a", Tokens: 5000, Arrived: epoch}, epoch.Add(wait))
+	}
+	early := func(after time.Duration) bool {
+		return l.takeEarlyRepeat(&Item{Account: "a", Tokens: 5000, Arrived: epoch.Add(after)})
+	}
+	refused(3 * time.Second)
+	refused(time.Second)
+	if early(1100 * time.Millisecond) {
+		t.Error("a call 1.1 s after the refusal counts as an early repeat, want it taken for the one told to wait 1 s")
+	}
+	if !early(1200 * time.Millisecond) {
+		t.Error("the next call does not count as an early repeat, want it taken for the one told to wait 3 s")
+	}
+}
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -192,8 +192,8 @@
 	return math.Floor(l.lag(it) / (lagStep * cost))
 }
 
-// callKey identifies a call among those refused. A repeat may have another ID, but its prompt has the same
-// length, which two calls of one account seldom share.
+// callKey identifies a call among those refused. A repeat may have another ID, but its prompt has
+// the same length, which two calls of one account seldom share.
 type callKey struct {
 	account string
 	long    bool
--- a/core/admission/share_test.go
+++ b/core/admission/share_test.go
@@ -232,8 +232,8 @@
 	}
 }
 
-// TestRepeatingAtOnceEarnsNothing guards against callers that ignore Retry-After and repeat a refused call
-// until it is served. Without a charge, all calls of their account were served.
+// TestRepeatingAtOnceEarnsNothing guards against callers that ignore Retry-After and repeat a
+// refused call until it is served. Without a charge, all calls of their account were served.
 func TestRepeatingAtOnceEarnsNothing(t *testing.T) {
 	patient, repeating := runUnfair(false), runUnfair(true)
 	t.Logf("the account got %.3f with the advised waits, %.3f when it repeats at once", patient.repeating, repeating.repeating)
@@ -312,9 +312,10 @@
 	}
 }
 
-// TestKindsOfPromptAreServedAlike guards against a kind of prompt that is starved by the other one: long
-// prompts may wait longer, so that without a bound one of them is nearly always the oldest that
-// waits, and short ones are refused. With a single account, the shares of accounts do not help.
+// TestKindsOfPromptAreServedAlike guards against a kind of prompt that is starved by the other one:
+// long prompts may wait longer, so that without a bound one of them is nearly always the oldest
+// that waits, and short ones are refused. With a single account, the shares of accounts do not
+// help.
 func TestKindsOfPromptAreServedAlike(t *testing.T) {
 	var kinds [2]served
 	for seed := range uint64(5) {
@@ -376,23 +377,3 @@
 		}
 	}
 }
-
-// TestRepeatIsComparedWithFirstReturn guards against charging a caller that honours its Retry-After because
-// another caller with a prompt of the same length was told to wait for longer, and was refused first.
-func TestRepeatIsComparedWithFirstReturn(t *testing.T) {
-	var l levelShares
-	refused := func(wait time.Duration) {
-		l.expectReturn(&Item{Account: "a", Tokens: 5000, Arrived: epoch}, epoch.Add(wait))
-	}
-	early := func(after time.Duration) bool {
-		return l.takeEarlyRepeat(&Item{Account: "a", Tokens: 5000, Arrived: epoch.Add(after)})
-	}
-	refused(3 * time.Second)
-	refused(time.Second)
-	if early(1100 * time.Millisecond) {
-		t.Error("a call 1.1 s after the refusal counts as an early repeat, want it taken for the one told to wait 1 s")
-	}
-	if !early(1200 * time.Millisecond) {
-		t.Error("the next call does not count as an early repeat, want it taken for the one told to wait 3 s")
-	}
-}
--- a/core/admission/starting_test.go
+++ b/core/admission/starting_test.go
@@ -7,13 +7,14 @@
 	"doorstack.dev/core/forward"
 )
 
-// unknownRoute is how long the caller of a call whose route is not known waits for a first event at least.
+// unknownRoute is how long the caller of a call whose route is not known waits for a first event at
+// least.
 var unknownRoute = forward.CallerStreamTimeout(0, 0)
 
-// TestStartingHoldsCallsForTheirOwnBound: after a loss of all hosts, daemons that had started at 36.0 s served
-// at 37.4 s and refused calls from 36.4 s on, since holds ended with the daemon's age; for half of their
-// callers it was the last retry. A hold depends on the call alone: half of its caller's timeout, and less
-// than its caller waits for the first event.
+// TestStartingHoldsCallsForTheirOwnBound: after a loss of all hosts, daemons that had started at
+// 36.0 s served at 37.4 s and refused calls from 36.4 s on, since holds ended with the daemon's
+// age; for half of their callers it was the last retry. A hold depends on the call alone: half of
+// its caller's timeout, and less than its caller waits for the first event.
 func TestStartingHoldsCallsForTheirOwnBound(t *testing.T) {
 	for _, c := range []struct {
 		what                string
@@ -37,8 +38,8 @@
 	}
 }
 
-// TestStartingRefusesAtOnceOnlyBesideServingDaemons: a call is refused without a hold only if the daemon has
-// been unable to start for longer than any hold and another daemon can serve the retry.
+// TestStartingRefusesAtOnceOnlyBesideServingDaemons: a call is refused without a hold only if the
+// daemon has been unable to start for longer than any hold and another daemon can serve the retry.
 func TestStartingRefusesAtOnceOnlyBesideServingDaemons(t *testing.T) {
 	call := Starting{CallerTimeout: 10 * time.Second, FirstEventTimeout: unknownRoute, OtherDaemons: 89}
 	long := call
@@ -64,9 +65,10 @@
 	}
 }
 
-// TestStartingRetryAfterDependsOnOtherDaemons checks that callers retry almost at once where another daemon
-// serves or the daemon is cut off, and spread over half a second where the whole fleet is starting. A daemon
-// that has just started knows no others yet, so that it cannot tell that it is cut off.
+// TestStartingRetryAfterDependsOnOtherDaemons checks that callers retry almost at once where
+// another daemon serves or the daemon is cut off, and spread over half a second where the whole
+// fleet is starting. A daemon that has just started knows no others yet, so that it cannot tell
+// that it is cut off.
 func TestStartingRetryAfterDependsOnOtherDaemons(t *testing.T) {
 	for _, s := range []Starting{{OtherDaemons: 0, Age: 2 * time.Second}, {OtherDaemons: 5, OthersServe: true}} {
 		if got := s.RetryAfter(1); got > 100*time.Millisecond {
@@ -84,8 +86,8 @@
 	}
 }
 
-// TestStartingRetryAfterFollowsStoreOutage: where the store has not answered for long, callers come back later,
-// since each of them has few retries.
+// TestStartingRetryAfterFollowsStoreOutage: where the store has not answered for long, callers come
+// back later, since each of them has few retries.
 func TestStartingRetryAfterFollowsStoreOutage(t *testing.T) {
 	early, late := Starting{OtherDaemons: 89, Age: 2 * time.Second}, Starting{OtherDaemons: 89, Age: 6 * time.Second}
 	if late.RetryAfter(0.5) <= early.RetryAfter(0.5) {
@@ -97,8 +99,8 @@
 	}
 }
 
-// TestStartingRetryAfterIsFollowed: callers ignore a Retry-After of more than a third of the time that they have
-// left, and callers with little time left must not all come back at the same moment.
+// TestStartingRetryAfterIsFollowed: callers ignore a Retry-After of more than a third of the time
+// that they have left, and callers with little time left must not all come back at the same moment.
 func TestStartingRetryAfterIsFollowed(t *testing.T) {
 	for _, others := range []bool{false, true} {
 		for _, timeout := range []time.Duration{100 * time.Millisecond, time.Second, 1500 * time.Millisecond, 10 * time.Second} {
--- a/core/hostlist/restored.go
+++ b/core/hostlist/restored.go
@@ -38,9 +38,9 @@
 	return true
 }
 
-// hasLaterRemoval reports whether the table knows a removal of a listed host at or after its entry, or a
-// later full read that did not list it. The host has then most likely ended, unless it wrote its
-// entry again after the restore.
+// hasLaterRemoval reports whether the table knows a removal of a listed host at or after its entry,
+// or a later full read that did not list it. The host has then most likely ended, unless it wrote
+// its entry again after the restore.
 func (t *Table) hasLaterRemoval(h Host) bool {
 	if e := t.entries[h.ID]; e != nil {
 		return e.host.State == Gone && h.Revision <= e.host.Revision
@@ -54,9 +54,9 @@
 	return t.skipped[h.ID] && h.Revision.Era() == t.fullReadPosition.Era()
 }
 
-// hasWrongRemoval reports whether the table has a removal, unconfirmed or not, between a host's entry and
-// the full read that lists the entry. A removal from the store would have ended the entry; this one
-// was concluded from a peer's complete list that lacked the host.
+// hasWrongRemoval reports whether the table has a removal, unconfirmed or not, between a host's
+// entry and the full read that lists the entry. A removal from the store would have ended the
+// entry; this one was concluded from a peer's complete list that lacked the host.
 func (t *Table) hasWrongRemoval(h Host, asOf Position) bool {
 	e := t.entries[h.ID]
 	if e == nil {
@@ -82,9 +82,10 @@
 	return true
 }
 
-// mayPrecedeLeaving reports whether an entry from before a restore may be older than the table's entry of the
-// same process, although its position is higher: an unsettled full read listed the process as leaving, with a
-// position of the previous era, and it may have written that after the restore.
+// mayPrecedeLeaving reports whether an entry from before a restore may be older than the table's
+// entry of the same process, although its position is higher: an unsettled full read listed the
+// process as leaving, with a position of the previous era, and it may have written that after the
+// restore.
 func (e *entry) mayPrecedeLeaving(h Host) bool {
 	unsettled := e.host.Revision.Era() < e.listedAt.Era()
 	return e.host.State == Leaving && unsettled && h.Revision.Era() < e.listedAt.Era() && h.State == Live && h.Incarnation <= e.host.Incarnation
--- a/core/hostlist/restored_test.go
+++ b/core/hostlist/restored_test.go
@@ -117,9 +117,9 @@
 	return Host{ID: id, State: state, Revision: NewPosition(2, revision)}
 }
 
-// newTableWithSkippedHost returns a table that read the store before the restore, and again after it, when
-// the store listed target a. As the target may have ended before the first read, the table does not
-// list it.
+// newTableWithSkippedHost returns a table that read the store before the restore, and again after
+// it, when the store listed target a. As the target may have ended before the first read, the table
+// does not list it.
 func newTableWithSkippedHost(t *testing.T) *Table {
 	table := newFirstEraTable()
 	table.Merge(Update{Full: true, AsOf: NewPosition(2, 60), Hosts: []Host{firstEraHost("a", Live, 50)}}, epoch)
@@ -129,8 +129,9 @@
 	return table
 }
 
-// TestSkippedHostIsNotRemovedAtPeers guards against a complete list that lacks a target only because the
-// sender cannot tell from the restored store whether it is alive: peers removed the target for good.
+// TestSkippedHostIsNotRemovedAtPeers guards against a complete list that lacks a target only
+// because the sender cannot tell from the restored store whether it is alive: peers removed the
+// target for good.
 func TestSkippedHostIsNotRemovedAtPeers(t *testing.T) {
 	table, peer := newTableWithSkippedHost(t), NewTable()
 	peer.Merge(Update{AsOf: NewPosition(2, 55), Hosts: []Host{secondEraHost("a", Live, 50), secondEraHost("b", Live, 55)}}, epoch)
@@ -162,8 +163,8 @@
 	}
 }
 
-// TestSkippedHostIsListedOnceAPeerKnowsItsWrite guards against taking a target for ended because the last
-// full read, which did list it, has a later position than its entry.
+// TestSkippedHostIsListedOnceAPeerKnowsItsWrite guards against taking a target for ended because
+// the last full read, which did list it, has a later position than its entry.
 func TestSkippedHostIsListedOnceAPeerKnowsItsWrite(t *testing.T) {
 	table := newTableWithSkippedHost(t)
 	table.Merge(Update{AsOf: NewPosition(2, 60), Confirmed: true, Hosts: []Host{secondEraHost("a", Live, 50)}}, epoch)
@@ -173,8 +174,9 @@
 	}
 }
 
-// TestFullReadCorrectsWrongRemoval guards against a removal concluded from the complete list of a peer of
-// the previous version, which lacks a target that it has skipped: later reads used to be ignored.
+// TestFullReadCorrectsWrongRemoval guards against a removal concluded from the complete list of a
+// peer of the previous version, which lacks a target that it has skipped: later reads used to be
+// ignored.
 func TestFullReadCorrectsWrongRemoval(t *testing.T) {
 	for name, confirmed := range map[string]bool{"confirmed": true, "unconfirmed": false} {
 		table := NewTable()
@@ -194,8 +196,9 @@
 	}
 }
 
-// TestOlderCompleteListDoesNotRemoveListedHost guards against removing a target that a full read just listed,
-// with a position below that of its last write, because a peer's earlier complete list lacks it.
+// TestOlderCompleteListDoesNotRemoveListedHost guards against removing a target that a full read
+// just listed, with a position below that of its last write, because a peer's earlier complete list
+// lacks it.
 func TestOlderCompleteListDoesNotRemoveListedHost(t *testing.T) {
 	table := NewTable()
 	table.Merge(Update{Full: true, AsOf: NewPosition(2, 60), Hosts: []Host{firstEraHost("a", Live, 50)}}, epoch)
@@ -206,8 +209,8 @@
 	}
 }
 
-// TestEntryFromBeforeRestoreDoesNotRevertLeaving guards against a peer's entry from before the restore that
-// makes a target live which the restored store lists as leaving at a lower revision.
+// TestEntryFromBeforeRestoreDoesNotRevertLeaving guards against a peer's entry from before the
+// restore that makes a target live which the restored store lists as leaving at a lower revision.
 func TestEntryFromBeforeRestoreDoesNotRevertLeaving(t *testing.T) {
 	table := NewTable()
 	table.Merge(Update{Full: true, AsOf: NewPosition(2, 60), Hosts: []Host{firstEraHost("a", Leaving, 50)}}, epoch)
--- a/core/membership/introduction_test.go
+++ b/core/membership/introduction_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// TestSeedWithoutPowerIsFoundWithin100ms: a dial to a host without power hangs until its timeout. Whenever the
-// host comes up within the first 4 s, the next dial must follow within 100 ms. Before, the first dial was waited
-// for until its timeout of 500 ms.
+// TestSeedWithoutPowerIsFoundWithin100ms: a dial to a host without power hangs until its timeout.
+// Whenever the host comes up within the first 4 s, the next dial must follow within 100 ms. Before,
+// the first dial was waited for until its timeout of 500 ms.
 func TestSeedWithoutPowerIsFoundWithin100ms(t *testing.T) {
 	start := time.Unix(0, 0)
 	for up := time.Duration(0); up < 4*time.Second; up += 7 * time.Millisecond {
@@ -31,8 +31,8 @@
 	}
 }
 
-// TestDialsOfSeedWithoutPowerAreBounded: a seed whose host stays down is dialed at most 70 times in the first 5 s
-// and at most 3 times a second afterwards.
+// TestDialsOfSeedWithoutPowerAreBounded: a seed whose host stays down is dialed at most 70 times in
+// the first 5 s and at most 3 times a second afterwards.
 func TestDialsOfSeedWithoutPowerAreBounded(t *testing.T) {
 	start := time.Unix(0, 0)
 	var s SeedDialing
@@ -59,10 +59,10 @@
 	}
 }
 
-// TestOverloadedSeedGetsOneIntroductionAtATime: when 585 daemons start together, a seed sends all members to each
-// of them and may take longer than the timeout of an introduction. A connection that waits for the answer must not
-// be joined by another, and the pauses after failures grow, so that the seed gets at most 585 introductions
-// per 500 ms, as it did without repeated dials.
+// TestOverloadedSeedGetsOneIntroductionAtATime: when 585 daemons start together, a seed sends all
+// members to each of them and may take longer than the timeout of an introduction. A connection
+// that waits for the answer must not be joined by another, and the pauses after failures grow, so
+// that the seed gets at most 585 introductions per 500 ms, as it did without repeated dials.
 func TestOverloadedSeedGetsOneIntroductionAtATime(t *testing.T) {
 	const timeout, daemons = 500 * time.Millisecond, 585
 	start := time.Unix(0, 0)
--- a/core/storeread/storeread_test.go
+++ b/core/storeread/storeread_test.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// TestReadOfEmptyCopyIsRemembered covers a store restored from an empty copy, whose revision is zero: the
-// items of the next full read used to be taken for items of the copy.
+// TestReadOfEmptyCopyIsRemembered covers a store restored from an empty copy, whose revision is
+// zero: the items of the next full read used to be taken for items of the copy.
 func TestReadOfEmptyCopyIsRemembered(t *testing.T) {
 	var r Reader
 	r.HandleFullRead(2, 0, testStart)
--- a/node/api/disconnect_start_test.go
+++ b/node/api/disconnect_start_test.go
@@ -31,9 +31,10 @@
 func (p *countingPlacer) ReportFinished(string, blackboard.CallResult, string, time.Duration) {}
 func (p *countingPlacer) ReportLimit(string, string, forward.Notice, time.Time)               {}
 
-// TestHeldCallOfDisconnectedCallerIsNotPlaced covers a call with a body that is held at a starting daemon and whose
-// caller disconnects before the daemon serves. net/http does not notice that before the body is read, so the call
-// was placed and its slot was kept until the daemon tried to send it.
+// TestHeldCallOfDisconnectedCallerIsNotPlaced covers a call with a body that is held at a starting
+// daemon and whose caller disconnects before the daemon serves. net/http does not notice that
+// before the body is read, so the call was placed and its slot was kept until the daemon tried to
+// send it.
 func TestHeldCallOfDisconnectedCallerIsNotPlaced(t *testing.T) {
 	tree, err := settings.Parse([]byte(goalSettings))
 	if err != nil {
--- a/node/api/hold.go
+++ b/node/api/hold.go
@@ -43,8 +43,9 @@
 var errHoldEnded = errors.New("the daemon has not started within the longest hold of the call")
 
 // hold reads a call whole, waits until the daemon has left the starting phase, for at most
-// admission.Starting.MaxHold after the call's arrival, and counts the call as in flight. Callers drop a connection on which nothing is
-// read for a second, or for a third of their time if that is shorter.
+// admission.Starting.MaxHold after the call's arrival, and counts the call as in flight. Callers
+// drop a connection on which nothing is read for a second, or for a third of their time if that is
+// shorter.
 func (s *pathServer) hold(c *pathCall) error {
 	if state := s.startingState(c); s.board.Phase() == blackboard.Starting && state.RefuseAtOnce() {
 		return s.refuseStarting(c, refusedOthersServe, nil)
--- a/node/api/hold_test.go
+++ b/node/api/hold_test.go
@@ -23,8 +23,8 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 )
 
-// pipeListener is a listener of connections in memory, which keep the virtual time of synctest. Nothing of
-// what one end writes is buffered: a write ends when the other end has read it.
+// pipeListener is a listener of connections in memory, which keep the virtual time of synctest.
+// Nothing of what one end writes is buffered: a write ends when the other end has read it.
 type pipeListener struct {
 	conns  chan net.Conn
 	closed chan struct{}
@@ -62,7 +62,8 @@
 	listener *pipeListener
 }
 
-// startHoldServer starts a server with a memory budget in bytes. It must be stopped within the test's bubble.
+// startHoldServer starts a server with a memory budget in bytes. It must be stopped within the
+// test's bubble.
 func startHoldServer(budget int64) (s *holdServer, stop func()) {
 	s = &holdServer{
 		board: blackboard.New(blackboard.Identity{Name: "d1"}, blackboard.DefaultLimits()), memory: callmemory.New(budget),
@@ -113,8 +114,9 @@
 	return testutil.ToFloat64(s.metrics.StartRefusals.WithLabelValues(reason))
 }
 
-// TestHeldCallIsReadAtOnce: callers drop a connection on which nothing is read for a second, or for a third of
-// their time, so that calls could be held for 0.8 s only. A held call is read whole, at once.
+// TestHeldCallIsReadAtOnce: callers drop a connection on which nothing is read for a second, or for
+// a third of their time, so that calls could be held for 0.8 s only. A held call is read whole, at
+// once.
 func TestHeldCallIsReadAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, stop := startHoldServer(64 << 20)
@@ -143,8 +145,9 @@
 	})
 }
 
-// TestSlowlySentCallIsRefusedWhenItsHoldEnds: a caller that stops in the middle of its body is refused at the end
-// of the hold, with a wait that it can follow, rather than after the 10 s in which a caller must make progress.
+// TestSlowlySentCallIsRefusedWhenItsHoldEnds: a caller that stops in the middle of its body is
+// refused at the end of the hold, with a wait that it can follow, rather than after the 10 s in
+// which a caller must make progress.
 func TestSlowlySentCallIsRefusedWhenItsHoldEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, stop := startHoldServer(64 << 20)
@@ -169,8 +172,8 @@
 	})
 }
 
-// TestSlowlySentCallIsServedAfterStart: a call whose body is still being sent when the daemon starts is served,
-// also if the rest comes after the end of what would have been its hold.
+// TestSlowlySentCallIsServedAfterStart: a call whose body is still being sent when the daemon
+// starts is served, also if the rest comes after the end of what would have been its hold.
 func TestSlowlySentCallIsServedAfterStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, stop := startHoldServer(64 << 20)
@@ -190,9 +193,9 @@
 	})
 }
 
-// TestNewestCallsAreRefusedWhenHeldOnesFillMemory: a call that is held takes memory for its head, its connection
-// and its body. When the share of the budget for held calls is used up, new ones are refused at once, and those
-// held before are served.
+// TestNewestCallsAreRefusedWhenHeldOnesFillMemory: a call that is held takes memory for its head,
+// its connection and its body. When the share of the budget for held calls is used up, new ones are
+// refused at once, and those held before are served.
 func TestNewestCallsAreRefusedWhenHeldOnesFillMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const body = 100_000
@@ -233,8 +236,8 @@
 	})
 }
 
-// TestHeldCallsWithoutBodyAreBounded: calls without a body take memory too, so that a flood of them cannot
-// exhaust a small host while the store is away.
+// TestHeldCallsWithoutBodyAreBounded: calls without a body take memory too, so that a flood of them
+// cannot exhaust a small host while the store is away.
 func TestHeldCallsWithoutBodyAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const room = 10
@@ -252,8 +255,8 @@
 	})
 }
 
-// TestMemoryOfHeldCallEndsWithItsCaller: whatever part of a held call has been read, its memory is free as soon
-// as its caller disconnects, not only at the end of the hold.
+// TestMemoryOfHeldCallEndsWithItsCaller: whatever part of a held call has been read, its memory is
+// free as soon as its caller disconnects, not only at the end of the hold.
 func TestMemoryOfHeldCallEndsWithItsCaller(t *testing.T) {
 	for _, sent := range []int{0, 100_000, 200_000} {
 		synctest.Test(t, func(t *testing.T) {
--- a/node/api/starting_test.go
+++ b/node/api/starting_test.go
@@ -62,9 +62,10 @@
 	})
 }
 
-// TestCallsAreHeldUntilSilentStoreAnswers covers a loss of all hosts during which the store was silent: daemons
-// served 1.4 s after their start, and calls that arrived from 0.4 to 1.1 s after it were refused after 0.3 to
-// 0.8 s, for half of the callers the last retry. All of them must be held until the daemon serves.
+// TestCallsAreHeldUntilSilentStoreAnswers covers a loss of all hosts during which the store was
+// silent: daemons served 1.4 s after their start, and calls that arrived from 0.4 to 1.1 s after it
+// were refused after 0.3 to 0.8 s, for half of the callers the last retry. All of them must be held
+// until the daemon serves.
 func TestCallsAreHeldUntilSilentStoreAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		board, handler := newStartingServer()
@@ -83,9 +84,10 @@
 	})
 }
 
-// TestCallHoldIsBoundedWithoutSettings checks that a daemon without settings refuses a call while its caller
-// can still retry and before the caller of a stream gives up, whatever the daemon's age, and that the
-// advised wait is one that callers follow. Each call is sent when the previous one has been refused.
+// TestCallHoldIsBoundedWithoutSettings checks that a daemon without settings refuses a call while
+// its caller can still retry and before the caller of a stream gives up, whatever the daemon's age,
+// and that the advised wait is one that callers follow. Each call is sent when the previous one has
+// been refused.
 func TestCallHoldIsBoundedWithoutSettings(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, handler := newStartingServer()
@@ -105,9 +107,9 @@
 	})
 }
 
-// TestCallHoldDependsOnRouteOnceKnown checks that a daemon that has settings, but does not serve yet, holds a
-// call by its route: a stream with a long goal for longer than one of an unknown route, also if the settings
-// arrive during the hold.
+// TestCallHoldDependsOnRouteOnceKnown checks that a daemon that has settings, but does not serve
+// yet, holds a call by its route: a stream with a long goal for longer than one of an unknown
+// route, also if the settings arrive during the hold.
 func TestCallHoldDependsOnRouteOnceKnown(t *testing.T) {
 	tree, err := settings.Parse([]byte(strings.ReplaceAll(goalSettings, "200ms", "20s")))
 	if err != nil {
@@ -130,8 +132,9 @@
 	})
 }
 
-// TestDaemonThatCannotStartRefusesCallsBesideServingOnes checks that a daemon that has been unable to start for
-// longer than it would hold a call refuses calls at once, to be sent to another daemon, if one serves.
+// TestDaemonThatCannotStartRefusesCallsBesideServingOnes checks that a daemon that has been unable
+// to start for longer than it would hold a call refuses calls at once, to be sent to another
+// daemon, if one serves.
 func TestDaemonThatCannotStartRefusesCallsBesideServingOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		board, handler := newStartingServer()
@@ -151,8 +154,9 @@
 	})
 }
 
-// TestDrainingDaemonRefusesWaitingCall checks that a call that waits for a starting daemon is refused as soon as
-// the daemon drains, for the right reason, and that several such calls do not all come back at the same time.
+// TestDrainingDaemonRefusesWaitingCall checks that a call that waits for a starting daemon is
+// refused as soon as the daemon drains, for the right reason, and that several such calls do not
+// all come back at the same time.
 func TestDrainingDaemonRefusesWaitingCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		board, handler := newStartingServer()
@@ -182,9 +186,9 @@
 	})
 }
 
-// TestCallAtTheMomentOfTheStartIsAdmitted covers a call that is found to arrive before the daemon serves and is
-// held just after: it was refused as if the daemon were draining. It is admitted at once, also at a daemon that
-// has needed so long that it would refuse calls for others that serve.
+// TestCallAtTheMomentOfTheStartIsAdmitted covers a call that is found to arrive before the daemon
+// serves and is held just after: it was refused as if the daemon were draining. It is admitted at
+// once, also at a daemon that has needed so long that it would refuse calls for others that serve.
 func TestCallAtTheMomentOfTheStartIsAdmitted(t *testing.T) {
 	tree, err := settings.Parse([]byte(goalSettings))
 	if err != nil {
--- a/node/cluster/introductions.go
+++ b/node/cluster/introductions.go
@@ -38,17 +38,17 @@
 	counted bool // whether the seed's dialing counts its connection
 }
 
-// introductionEvent is a step of an introduction: its connection is open, or it has ended with or without
-// an answer.
+// introductionEvent is a step of an introduction: its connection is open, or it has ended with or
+// without an answer.
 type introductionEvent struct {
 	*introduction
 	ended, answered bool
 }
 
-// round introduces the daemon at several addresses at the same time, so that an unreachable seed does not
-// delay the others. With repeat, it dials again as membership.SeedDialing says, for up to joinRound. After
-// the first answer nothing is dialed any more, dials without a connection end, and open connections
-// are waited for.
+// round introduces the daemon at several addresses at the same time, so that an unreachable seed
+// does not delay the others. With repeat, it dials again as membership.SeedDialing says, for up to
+// joinRound. After the first answer nothing is dialed any more, dials without a connection end, and
+// open connections are waited for.
 func (i *introductions) round(ctx context.Context, addresses []string, own string, repeat bool) introductionRound {
 	var outcome introductionRound
 	seeds := map[string]*membership.SeedDialing{}
--- a/node/cluster/introductions_test.go
+++ b/node/cluster/introductions_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// seedHost stands for the host of a seed: until up nothing answers a dial, from then on connections open, and the
-// daemon there answers after delay.
+// seedHost stands for the host of a seed: until up nothing answers a dial, from then on connections
+// open, and the daemon there answers after delay.
 type seedHost struct {
 	up, delay     time.Duration
 	refuses       bool // whether the host refuses connections until up
@@ -46,9 +46,10 @@
 	})
 }
 
-// TestSeedThatComesUpIsFoundAtOnce: all hosts have lost power and the seeds come up 90 to 200 ms after this daemon's
-// start; one stays down. The first answer must arrive within 100 ms of the first seed's start, and the round end with
-// it. Without repeated dials it arrived after the timeout of the first dial, 500 ms, and a pause.
+// TestSeedThatComesUpIsFoundAtOnce: all hosts have lost power and the seeds come up 90 to 200 ms
+// after this daemon's start; one stays down. The first answer must arrive within 100 ms of the
+// first seed's start, and the round end with it. Without repeated dials it arrived after the
+// timeout of the first dial, 500 ms, and a pause.
 func TestSeedThatComesUpIsFoundAtOnce(t *testing.T) {
 	for _, refuses := range []bool{false, true} {
 		for up := 10 * time.Millisecond; up < 450*time.Millisecond; up += 23 * time.Millisecond {
@@ -67,8 +68,9 @@
 	}
 }
 
-// TestSlowSeedGetsOneIntroduction: at a start of 585 daemons a seed may take seconds for its answers, with all members
-// in each. A daemon must have one introduction at a time there, however long it waits, and at most 9 within 5 s.
+// TestSlowSeedGetsOneIntroduction: at a start of 585 daemons a seed may take seconds for its
+// answers, with all members in each. A daemon must have one introduction at a time there, however
+// long it waits, and at most 9 within 5 s.
 func TestSlowSeedGetsOneIntroduction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
@@ -85,8 +87,8 @@
 	})
 }
 
-// TestRoundOfSeedsThatStayDown: a round ends after joinRound, so that a new list of seeds takes effect; the intervals of
-// the dials go on growing in the next rounds, and no dial is left behind.
+// TestRoundOfSeedsThatStayDown: a round ends after joinRound, so that a new list of seeds takes
+// effect; the intervals of the dials go on growing in the next rounds, and no dial is left behind.
 func TestRoundOfSeedsThatStayDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -28,8 +28,8 @@
 	mu      sync.Mutex
 	lastID  uint64
 	pending map[uint64]*pendingCall
-	// abandoned are the ids of calls whose callers wait no more, the oldest first. Their late answers still measure
-	// the link.
+	// abandoned are the ids of calls whose callers wait no more, the oldest first. Their late answers
+	// still measure the link.
 	abandoned []uint64
 	// unansweredSince is the time of the first call since the last frame arrived; zero if no call
 	// was made since then.
--- a/node/requestcontrol/disconnect_paths_test.go
+++ b/node/requestcontrol/disconnect_paths_test.go
@@ -24,8 +24,8 @@
 	"doorstack.dev/platform"
 )
 
-// The tests in this file cover callers that disconnect, one path of a call each. All work on the call must
-// end within disconnectLimit.
+// The tests in this file cover callers that disconnect, one path of a call each. All work on the
+// call must end within disconnectLimit.
 
 const disconnectLimit = 500 * time.Millisecond
 
@@ -104,8 +104,9 @@
 	})
 }
 
-// TestCallPlacedAsItsCallerDisconnectsIsNotCounted covers a call that leaves the queue with a placement when its
-// caller disconnects. Which of the two the director sees first is a matter of chance, hence the repetitions.
+// TestCallPlacedAsItsCallerDisconnectsIsNotCounted covers a call that leaves the queue with a
+// placement when its caller disconnects. Which of the two the director sees first is a matter of
+// chance, hence the repetitions.
 func TestCallPlacedAsItsCallerDisconnectsIsNotCounted(t *testing.T) {
 	for range 40 {
 		synctest.Test(t, func(t *testing.T) {
@@ -127,8 +128,8 @@
 	}
 }
 
-// streamTarget is a target that holds each call until its connection closes. Its channels receive a value when
-// a call has arrived, and when its connection has closed.
+// streamTarget is a target that holds each call until its connection closes. Its channels receive a
+// value when a call has arrived, and when its connection has closed.
 type streamTarget struct {
 	*httptest.Server
 	started, stopped chan struct{}
@@ -171,7 +172,8 @@
 	return placement, ok
 }
 
-// checkWithinLimit waits for an event and fails the test if it comes later than disconnectLimit after began.
+// checkWithinLimit waits for an event and fails the test if it comes later than disconnectLimit
+// after began.
 func checkWithinLimit(t *testing.T, event <-chan struct{}, began time.Time, what string) {
 	t.Helper()
 	select {
@@ -184,9 +186,9 @@
 	}
 }
 
-// TestSentCallEndsWhenCallerDisconnects covers a call that was sent, before the first event, in the middle of its
-// stream and as the resumption of an earlier stream: the target's connection closes and the coordinator hears of
-// the end.
+// TestSentCallEndsWhenCallerDisconnects covers a call that was sent, before the first event, in the
+// middle of its stream and as the resumption of an earlier stream: the target's connection closes
+// and the coordinator hears of the end.
 func TestSentCallEndsWhenCallerDisconnects(t *testing.T) {
 	const event = "id: 5\ndata: x\n\n"
 	for name, c := range map[string]struct{ part, lastEventID string }{
@@ -237,8 +239,8 @@
 
 func (h *helper) address() string { return strings.TrimPrefix(h.URL, "http://") }
 
-// startHelper starts a helper that takes the given time to carry out a reserve message. It does not answer release
-// messages while hung is open.
+// startHelper starts a helper that takes the given time to carry out a reserve message. It does not
+// answer release messages while hung is open.
 func startHelper(t *testing.T, reserveTime time.Duration, hung <-chan struct{}) *helper {
 	h := &helper{reserving: make(chan struct{}, 16), released: make(chan struct{}, 16)}
 	h.Server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -264,9 +266,9 @@
 	return h
 }
 
-// TestReservationsEndWhenCallerDisconnects covers a call whose target prefills with two helpers, of which the first
-// stops answering: the other helper's memory was released only after all attempts at the first had failed, 1.5 s
-// after the disconnection.
+// TestReservationsEndWhenCallerDisconnects covers a call whose target prefills with two helpers, of
+// which the first stops answering: the other helper's memory was released only after all attempts
+// at the first had failed, 1.5 s after the disconnection.
 func TestReservationsEndWhenCallerDisconnects(t *testing.T) {
 	s := newStreamTarget(t, "")
 	hung := make(chan struct{})
@@ -291,8 +293,9 @@
 	checkWithinLimit(t, working.released, began, "the memory of the working helper is released")
 }
 
-// TestReservationInProgressIsReleased covers a caller that disconnects while a helper, which takes 200 ms, reserves
-// memory: the message was cut off and the release overtook it, so that the memory was held until it expired.
+// TestReservationInProgressIsReleased covers a caller that disconnects while a helper, which takes
+// 200 ms, reserves memory: the message was cut off and the release overtook it, so that the memory
+// was held until it expired.
 func TestReservationInProgressIsReleased(t *testing.T) {
 	const reserveTime = 200 * time.Millisecond
 	h := startHelper(t, reserveTime, nil)
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -69,7 +69,8 @@
 	CoordinatorLost *prometheus.CounterVec
 	// Introductions counts the introductions of this daemon to seeds and lost members of an open fleet.
 	Introductions *prometheus.CounterVec
-	// CoordinationSteps counts the steps toward a placement, by pool, action and reason (see coordination.Step).
+	// CoordinationSteps counts the steps toward a placement, by pool, action and reason (see
+	// coordination.Step).
 	CoordinationSteps *prometheus.CounterVec
 
 	// traffic holds only the counters that Traffic reads.
