api: the test of holds by route does not depend on the order of a map

Cause: TestCallHoldDependsOnRouteOnceKnown sent its two calls in the order of a map to one daemon, so that settings arrived during the hold of one of them, by chance. A hold that did not follow the settings was noticed in few runs only.

Change: each call has a daemon of its own, whose settings are known before it or arrive during its hold.

--- a/node/api/starting_test.go
+++ b/node/api/starting_test.go
@@ -115,21 +115,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	synctest.Test(t, func(t *testing.T) {
-		board, handler := newStartingServer()
-		time.AfterFunc(time.Second, func() { board.Settings.Adopt(&blackboard.SettingsView{Tree: tree, Revision: 1}) })
-		began := time.Now()
-		for path, want := range map[string]time.Duration{"/chat/": 1700 * time.Millisecond, "/audit/": 5 * time.Second} {
-			r := httptest.NewRequest(http.MethodPost, "http://calls.example"+path, strings.NewReader("x"))
-			r.Header.Set("X-Deadline-Ms", "10000")
-			w := httptest.NewRecorder()
-			handler.ServeHTTP(w, r)
-			if took := time.Since(began); w.Code != http.StatusServiceUnavailable || took != want {
-				t.Errorf("%s: answer = %d after %v, want 503 after %v", path, w.Code, took, want)
-			}
-			began = time.Now()
+	for path, want := range map[string]time.Duration{"/chat/": 1700 * time.Millisecond, "/audit/": 5 * time.Second} {
+		for _, known := range []time.Duration{0, time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				board, handler := newStartingServer()
+				time.AfterFunc(known, func() { board.Settings.Adopt(&blackboard.SettingsView{Tree: tree, Revision: 1}) })
+				synctest.Wait()
+				began := time.Now()
+				r := httptest.NewRequest(http.MethodPost, "http://calls.example"+path, strings.NewReader("x"))
+				r.Header.Set("X-Deadline-Ms", "10000")
+				w := httptest.NewRecorder()
+				handler.ServeHTTP(w, r)
+				if took := time.Since(began); w.Code != http.StatusServiceUnavailable || took != want {
+					t.Errorf("%s, settings after %v: answer = %d after %v, want 503 after %v", path, known, w.Code, took, want)
+				}
+			})
 		}
-	})
+	}
 }
 
 // TestDaemonThatCannotStartRefusesCallsBesideServingOnes checks that a daemon that has been unable
