Peer listen address apart from the announced one; gauge of memory held for calls

Cause: daemons announce the address that they listen on, so no proxy fits between two daemons of the soak test, and no metric tells whether the memory of held calls is released.

--- a/node/cmd/doorstackd/main.go
+++ b/node/cmd/doorstackd/main.go
@@ -20,12 +20,13 @@
 
 // cli is the command line.
 type cli struct {
-	Config   string           `xor:"file" required:"" type:"path" placeholder:"FILE" help:"The daemon's configuration file: addresses, data centre, platform, peer keys."`
-	Platform bool             `xor:"file" required:"" help:"Run on the users' platform. An environment variable names its settings file."`
-	Metrics  string           `placeholder:"PORT" help:"With --platform: the port for operators and metrics, on the host's own address."`
-	Check    bool             `help:"Check the file and exit."`
-	LogLevel slog.Level       `default:"info" help:"Lowest level to log: debug, info, warn or error."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Config     string           `xor:"file" required:"" type:"path" placeholder:"FILE" help:"The daemon's configuration file: addresses, data centre, platform, peer keys."`
+	Platform   bool             `xor:"file" required:"" help:"Run on the users' platform. An environment variable names its settings file."`
+	Metrics    string           `placeholder:"PORT" help:"With --platform: the port for operators and metrics, on the host's own address."`
+	PeerListen string           `placeholder:"IP:PORT" help:"With --platform: the address to listen on for other daemons, if it is not the one that they dial."`
+	Check      bool             `help:"Check the file and exit."`
+	LogLevel   slog.Level       `default:"info" help:"Lowest level to log: debug, info, warn or error."`
+	Version    kong.VersionFlag `help:"Print the version and exit."`
 }
 
 // version is the version of this program.
@@ -103,7 +104,7 @@
 		return nil
 	}
 	debug.SetGCPercent(gcPercent)
-	d, err := onplatform.New(boot, c.Metrics, log)
+	d, err := onplatform.New(boot, onplatform.Addresses{MetricsPort: c.Metrics, PeerListen: c.PeerListen}, log)
 	if err != nil {
 		return err
 	}
--- a/node/config/config.go
+++ b/node/config/config.go
@@ -26,6 +26,9 @@
 	Admin string `yaml:"admin"`
 	// Peer is the address for the other daemons, as IP:port.
 	Peer string `yaml:"peer"`
+	// PeerListen is the address on which the daemon listens for the other daemons, if it is not the one
+	// that they dial, as behind a proxy or an address translation. It is a flag of the command.
+	PeerListen string `yaml:"-"`
 	// DataCentre and Region are the location of the host.
 	DataCentre string `yaml:"data_centre"`
 	Region     string `yaml:"region"`
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -135,6 +135,7 @@
 		source, parse = d.adapter.Settings, d.adapter.Parse
 	}
 	d.director = &requestcontrol.Director{Board: d.Board, Targets: client, Recorder: d.recorder, SuspendedTime: clock.SuspendedTime, RetryPolicy: requestcontrol.DefaultRetryPolicy(), Memory: callmemory.New(d.Config.BodyMemoryMB << 20)}
+	d.Metrics.RegisterCallMemory(d.director.Memory.InUse)
 	d.settings = &controller.Settings{
 		Board:       d.Board,
 		Source:      source,
--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -40,7 +40,11 @@
 	if err != nil {
 		return err
 	}
-	peerServer, err := newServer("peer", &d.Config.Peer, d.hub.Handler())
+	peerAddress := &d.Config.Peer
+	if d.Config.PeerListen != "" {
+		peerAddress = &d.Config.PeerListen
+	}
+	peerServer, err := newServer("peer", peerAddress, d.hub.Handler())
 	if err != nil {
 		return err
 	}
--- a/node/onplatform/onplatform.go
+++ b/node/onplatform/onplatform.go
@@ -80,10 +80,18 @@
 	return admission.RepeatLimit{Share: boot.Bounds.RepeatShare, Slack: boot.Bounds.RepeatSlack, Window: boot.Bounds.RepeatWindow}
 }
 
-// New creates a daemon from the platform's settings file. metricsPort is the port for operators and
-// metrics; if it is empty, the default port is used.
-func New(boot *platform.Boot, metricsPort string, log *slog.Logger) (*daemon.Daemon, error) {
-	file := configFileOf(boot, metricsPort)
+// Addresses are listen addresses that the platform's settings file does not have.
+type Addresses struct {
+	// MetricsPort is the port for operators and metrics; if it is empty, the default port is used.
+	MetricsPort string
+	// PeerListen is config.File.PeerListen.
+	PeerListen string
+}
+
+// New creates a daemon from the platform's settings file.
+func New(boot *platform.Boot, addresses Addresses, log *slog.Logger) (*daemon.Daemon, error) {
+	file := configFileOf(boot, addresses.MetricsPort)
+	file.PeerListen = addresses.PeerListen
 	return daemon.NewWithAdapter(&file, newAdapter(boot, log), log)
 }
 
--- a/node/onplatform/regressions_test.go
+++ b/node/onplatform/regressions_test.go
@@ -104,7 +104,7 @@
 	buffer := &testlog.Buffer{}
 	log := slog.New(slog.NewJSONHandler(buffer, nil))
 	boot.CallerAddress, boot.ReadyAddress, boot.PeerAddress = testaddr.Free(t), testaddr.Free(t), testaddr.Free(t)
-	d, err := New(boot, "0", log)
+	d, err := New(boot, Addresses{MetricsPort: "0"}, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -165,6 +165,13 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, []string{label})
 }
 
+// RegisterCallMemory registers the gauge of the memory that the daemon holds for its callers, in bytes.
+func (m *Metrics) RegisterCallMemory(inUse func() int64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "call_memory_bytes", Help: "Memory held for callers: bodies of requests, held calls and unread parts of answers.",
+	}, func() float64 { return float64(inUse()) }))
+}
+
 // RegisterDroppedLines registers the counter of dropped log lines, whose value dropped returns.
 func (m *Metrics) RegisterDroppedLines(dropped func() int64) {
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
