Soak: slow peer links, a flood, a draining coordinator and a start without the store

Cause: the soak did not reach coordination over slow links, held calls at a start, drains with waiting calls, or accounts that ask for more than their share. Change: links between daemons, slow or late beside the plan; after the plan one account floods while the coordinator of the engines drains, then all daemons start while the store is silent.

--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -13,11 +13,12 @@
 	"doorstack.dev/platform/standin"
 )
 
-// The account that all calls belong to, its API key and the host name that callers use.
+// The account that all calls but those of floods belong to, its API key and the host name that callers use.
 const (
-	accountName = "a"
-	apiKey      = "key-of-a"
-	callHost    = "calls.example"
+	accountName  = "a"
+	apiKeyPrefix = "key-of-"
+	apiKey       = apiKeyPrefix + accountName
+	callHost     = "calls.example"
 )
 
 // The services of the configuration: one of plain services and one of model engines.
--- a/node/internal/soak/caller.go
+++ b/node/internal/soak/caller.go
@@ -53,14 +53,20 @@
 
 // callWithBody is call with a given request body.
 func (tb *testbed) callWithBody(ctx context.Context, client *http.Client, daemon int, path *Path, temporaryRoute int, body string) Call {
+	return tb.send(ctx, client, Call{Daemon: daemon, Path: path, TemporaryRoute: temporaryRoute, RequestBody: body})
+}
+
+// send sends the request of a call, which has the fields that describe it, and records the outcome.
+func (tb *testbed) send(ctx context.Context, client *http.Client, c Call) Call {
+	c.ID, c.Timeout = tb.calls.newID(), c.Path.Timeout
 	request := &standin.CallerRequest{
-		Daemon: tb.daemons[daemon].frontend.Address(), Host: callHost, Path: path.Prefix + "x", ID: tb.calls.newID(), APIKey: apiKey,
-		TokenCounts: path.TokenCounts, DeadlineMS: int(path.Timeout.Milliseconds()), Body: body, ReadPause: tb.pauseOfCaller(),
+		Daemon: tb.daemons[c.Daemon].frontend.Address(), Host: callHost, Path: c.Path.Prefix + "x", ID: c.ID, APIKey: apiKeyPrefix + c.account(),
+		TokenCounts: c.Path.TokenCounts, DeadlineMS: int(c.Timeout.Milliseconds()), Body: c.RequestBody, ReadPause: tb.pauseOfCaller(),
 	}
-	if temporaryRoute > 0 {
-		request.Path = temporaryPrefix(temporaryRoute) + "x"
+	if c.TemporaryRoute > 0 {
+		request.Path = temporaryPrefix(c.TemporaryRoute) + "x"
 	}
-	c := Call{ID: request.ID, Daemon: daemon, Path: path, TemporaryRoute: temporaryRoute, Sent: time.Now(), Timeout: path.Timeout, RequestBody: body}
+	c.Sent = time.Now()
 	response := request.Do(ctx, client)
 	c.Done = time.Now()
 	c.Disconnected = ctx.Err() != nil
--- a/node/internal/soak/disturb.go
+++ b/node/internal/soak/disturb.go
@@ -73,6 +73,10 @@
 		tb.coolTargets(ctx, e)
 	case SlowCallers:
 		tb.slowCallersDown(ctx, e)
+	case SlowPeers:
+		tb.slowPeersDown(ctx, e)
+	case LatePeer:
+		injectLinkFault(ctx, daemon.peerLink, e)
 	case StoreRestore:
 		defer tb.beginDisturbance(e.Kind, allDaemons)()
 		tb.restoreStore(ctx, e)
@@ -94,7 +98,7 @@
 	case FrontendReset, TargetReset, StoreReset:
 		l.Reset(resetFraction)
 		return
-	case FrontendDelay:
+	case FrontendDelay, LatePeer:
 		l.Set(Delayed)
 	case FrontendOneWay, TargetOneWay:
 		l.Set(OneWay)
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -29,6 +29,16 @@
 	HasRetryAfter bool
 	// RequestBody is the body of the request; Body is that of the answer.
 	RequestBody string
+	// Account is the account that calls; empty for accountName.
+	Account string
+}
+
+// account returns the account that calls.
+func (c *Call) account() string {
+	if c.Account == "" {
+		return accountName
+	}
+	return c.Account
 }
 
 // Execution is a call that reached a target, as the target recorded it.
@@ -82,6 +92,13 @@
 	TargetCentres map[string]string
 	// Cold are the times in which targets were cold.
 	Cold []ColdTime
+	// Floods and Drains are the floods of calls, and the drains of coordinators with waiting calls.
+	Floods []Flood
+	Drains []Drain
+	// Rounds are the rounds of calls after the last fault, and UnreleasedMemory the bytes that each daemon holds
+	// for calls after the last one, by the daemon's index.
+	Rounds           []Round
+	UnreleasedMemory map[int]float64
 	// ProcessStarts are the start times of each daemon's processes, by the daemon's index.
 	ProcessStarts map[int][]time.Time
 	// UnreleasedReservations are reservations that were neither released nor expired, with their
@@ -120,14 +137,14 @@
 	var list []Violation
 	for i := range r.Calls {
 		c := &r.Calls[i]
-		for _, check := range []func(*Record, *Call) string{checkSingleExecution, checkRefusal, checkAnswer, checkServiceAndAccount, checkAttempts, checkAnswered, checkTimeout, checkRoute, checkDisconnected} {
+		for _, check := range []func(*Record, *Call) string{checkSingleExecution, checkRefusal, checkAnswer, checkServiceAndAccount, checkAttempts, checkAnswered, checkTimeout, checkRoute, checkDisconnected, checkHeld, checkDrains} {
 			if finding := check(r, c); finding != "" {
 				rule, description, _ := strings.Cut(finding, ": ")
 				list = append(list, Violation{rule, c.ID, description})
 			}
 		}
 	}
-	list = slices.Concat(list, checkConfigOrder(r), checkNotices(r), checkCrashingCalls(r), checkRateLimits(r), checkEvacuations(r), checkColdTargets(r))
+	list = slices.Concat(list, checkConfigOrder(r), checkNotices(r), checkCrashingCalls(r), checkRateLimits(r), checkEvacuations(r), checkColdTargets(r), checkFloods(r), checkCoordinators(r), checkMemory(r))
 	for _, id := range r.UnreleasedReservations {
 		list = append(list, Violation{"LEAK", id, "reservation was neither released nor expired"})
 	}
@@ -183,7 +200,7 @@
 		switch {
 		case execution.Service != c.Path.Service:
 			return "ROUTE: executed at a target of service " + execution.Service
-		case execution.Account != accountName || execution.APIKey != "":
+		case execution.Account != c.account() || execution.APIKey != "":
 			return fmt.Sprintf("UNASKED: executed for account %q with API key %q", execution.Account, execution.APIKey)
 		}
 	}
--- a/node/internal/soak/link.go
+++ b/node/internal/soak/link.go
@@ -39,6 +39,7 @@
 
 	mu      sync.Mutex
 	fault   Fault
+	delay   time.Duration
 	changed chan struct{}
 	conns   map[net.Conn]bool
 }
@@ -69,6 +70,13 @@
 	}
 }
 
+// SetDelay sets the delay of each piece of data while the link has no fault.
+func (l *Link) SetDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
 // Reset resets each open connection with the probability of share.
 func (l *Link) Reset(share float64) {
 	l.mu.Lock()
@@ -147,7 +155,7 @@
 func (l *Link) awaitPassage(back bool) {
 	for {
 		l.mu.Lock()
-		fault, changed := l.fault, l.changed
+		fault, delay, changed := l.fault, l.delay, l.changed
 		l.mu.Unlock()
 		switch {
 		case fault == Delayed:
@@ -156,6 +164,9 @@
 		case fault == Silent, fault == OneWay && back:
 			<-changed
 		default:
+			if delay > 0 {
+				<-time.After(delay)
+			}
 			return
 		}
 	}
--- a/node/internal/soak/process.go
+++ b/node/internal/soak/process.go
@@ -28,6 +28,8 @@
 	settingsFile string
 	metricsPort  string // the port for operators, of flag --metrics
 	frontend     *Link  // the link through which callers reach the daemon
+	peerListen   string // where the daemon listens for the others, of flag --peer-listen
+	peerLink     *Link  // the link through which the others reach it, at the address that it announces
 	log          *os.File
 
 	// controlMu is held while an event restarts or suspends the process.
@@ -40,10 +42,10 @@
 }
 
 // newProcess writes a daemon's settings file and starts the daemon, which logs to a file in
-// dir. The daemon listens for peers on peerAddress and joins the others through the peer
-// addresses in seeds; store is the store's address.
+// dir. The daemon is reached by peers through a link at peerAddress and joins the others through the
+// peer addresses in seeds; store is the store's address.
 func newProcess(index int, dir, program string, seeds []string, peerAddress, store string) (*process, error) {
-	addresses := make([]string, 4)
+	addresses := make([]string, 5)
 	for i := range addresses {
 		var err error
 		if addresses[i], err = testaddr.Find(); err != nil {
@@ -56,7 +58,7 @@
 	}
 	name := fmt.Sprint("d", index+1)
 	p := &process{
-		index: index, program: program, metricsPort: metrics, settingsFile: filepath.Join(dir, name+".toml"),
+		index: index, program: program, metricsPort: metrics, peerListen: addresses[4], settingsFile: filepath.Join(dir, name+".toml"),
 		boot: standin.Boot{
 			Name: name, IP: ip, DataCentre: fmt.Sprint("z", index%2+1), CallerAddress: addresses[0], ReadyAddress: addresses[1],
 			PeerAddress: peerAddress, Seeds: seeds, StoreAddress: store,
@@ -65,6 +67,9 @@
 	if p.frontend, err = NewLink(addresses[3], p.boot.CallerAddress); err != nil {
 		return nil, err
 	}
+	if p.peerLink, err = NewLink(peerAddress, p.peerListen); err != nil {
+		return nil, err
+	}
 	if p.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
 		return nil, err
 	}
@@ -76,7 +81,7 @@
 
 // start starts the process.
 func (p *process) start() error {
-	cmd := exec.Command(p.program, "--platform", "--metrics", p.metricsPort)
+	cmd := exec.Command(p.program, "--platform", "--metrics", p.metricsPort, "--peer-listen", p.peerListen)
 	cmd.Env = append(os.Environ(), standin.BootEnvironment(p.settingsFile))
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
@@ -161,10 +166,11 @@
 	return true
 }
 
-// close kills the process, also a suspended one, and closes its link and log.
+// close kills the process, also a suspended one, and closes its links and log.
 func (p *process) close() {
 	p.signal(syscall.SIGCONT)
 	p.stop(syscall.SIGKILL)
 	p.frontend.Close()
+	p.peerLink.Close()
 	_ = p.log.Close()
 }
--- a/node/internal/soak/soak.go
+++ b/node/internal/soak/soak.go
@@ -26,6 +26,8 @@
 	// status 200.
 	Calls, Served int
 	Events        int
+	// Reached tells how much of what a run is meant to bring about it did.
+	Reached string
 }
 
 // The times before the first fault and after the last.
@@ -54,7 +56,12 @@
 	plan := NewPlan(o.Seed, o.Duration)
 	tb.runPlan(ctx, plan, o.Duration)
 	unrecovered := tb.checkRecovery(ctx)
+	tb.flood(ctx)
+	tb.startFleet(ctx, o.Seed)
+	unrecovered = append(unrecovered, tb.checkRecovery(ctx)...)
+	tb.rounds = tb.playRounds(ctx)
 	sleep(ctx, settleTime)
+	tb.heldMemory = tb.unreleasedMemory(ctx)
 	record := tb.collectRecord()
 	result := &Result{Violations: append(Judge(record), unrecovered...), Calls: len(record.Calls), Events: len(plan)}
 	for i := range record.Calls {
@@ -62,6 +69,7 @@
 			result.Served++
 		}
 	}
+	result.Reached = record.reached()
 	return result, nil
 }
 
--- a/node/internal/soak/soak_test.go
+++ b/node/internal/soak/soak_test.go
@@ -54,7 +54,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("%d events, %d calls, %d served", result.Events, result.Calls, result.Served)
+			t.Logf("%d events, %d calls, %d served; %s", result.Events, result.Calls, result.Served, result.Reached)
 			if result.Served < result.Calls/4 {
 				t.Errorf("%d of %d calls were served, want at least a quarter", result.Served, result.Calls)
 			}
--- a/node/internal/soak/testbed.go
+++ b/node/internal/soak/testbed.go
@@ -40,7 +40,11 @@
 	disturbances   []Disturbance
 	evacuated      []EvacuatedTime
 	cold           []ColdTime
-	inRotation     []bool // by daemon: callers may choose it
+	floods         []Flood
+	drains         []Drain
+	rounds         []Round
+	heldMemory     map[int]float64 // bytes that daemons hold for calls after the last one
+	inRotation     []bool          // by daemon: callers may choose it
 }
 
 // temporaryRoutes is how many temporary routes a configuration has. Each configuration adds
@@ -132,7 +136,9 @@
 			{Name: plainService, ColdStartS: coldStart.Seconds(), ColdPerS: coldPerSecond},
 			{Name: engineService, ColdStartS: coldStart.Seconds(), ColdPerS: coldPerSecond, Engine: standin.Engine(100_000)},
 		},
-		Tenants: []standin.Tenant{{Name: accountName, APIKeys: []string{apiKey}}},
+	}
+	for _, account := range append([]string{floodAccount}, otherAccounts...) {
+		c.Tenants = append(c.Tenants, standin.Tenant{Name: account, APIKeys: []string{apiKeyPrefix + account}})
 	}
 	for _, path := range paths {
 		c.Routes = append(c.Routes, path.configRoute(path.Prefix))
@@ -211,7 +217,7 @@
 	r := &Record{
 		Calls: tb.calls.list(), Executions: tb.executions.list(), Disturbances: slices.Clone(tb.disturbances),
 		Published: slices.Clone(tb.published), ProcessStarts: map[int][]time.Time{}, UnreleasedReservations: tb.unreleasedReservations(),
-		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), TargetCentres: map[string]string{},
+		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), Floods: slices.Clone(tb.floods), Drains: slices.Clone(tb.drains), Rounds: tb.rounds, UnreleasedMemory: tb.heldMemory, TargetCentres: map[string]string{},
 	}
 	for number := 1; number <= tb.targetsCreated; number++ {
 		r.TargetCentres[fmt.Sprint("t", number)] = dataCentreOfTarget(number)
