Soak: longer silence of the store at a start for odd seeds; served calls are judged for their hold

Cause: with one to two seconds of silence all held calls are served before a hold that is too long could be seen, so the rule HELD could not fail on a daemon that holds for ever. Change: odd seeds add two seconds; the rule covers calls that are served after the hold too. Measured: go test -race -run 'Judge|Plan|Link' passes; seeds not run with it yet.

--- a/node/internal/soak/hardload_test.go
+++ b/node/internal/soak/hardload_test.go
@@ -34,6 +34,29 @@
 	}
 }
 
+// TestJudgeChecksServedHolds checks that a call which is served after a hold beyond its bound is a violation, and that
+// the rule concerns calls at a start only.
+func TestJudgeChecksServedHolds(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind   Kind
+		waited float64
+		rule   string
+	}{
+		"held for the bound, then served":    {FleetStart, 1.5, ""},
+		"held beyond the bound, then served": {FleetStart, 2.6, "HELD"},
+		"waited at another time":             {TargetFailures, 2.6, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			call, execution := successfulCall(safePath)
+			execution.Started, call.Done = timeAt(10+c.waited), timeAt(10.1+c.waited)
+			expectRule(t, Judge(&Record{
+				Calls: []Call{call}, Executions: map[string][]Execution{"c": {execution}},
+				Disturbances: []Disturbance{{From: timeAt(9), To: timeAt(14), Kind: c.kind, Daemon: allDaemons}},
+			}), c.rule)
+		})
+	}
+}
+
 // TestJudgeChecksMemory checks that memory which a daemon still holds for calls, or does not tell, is a violation.
 func TestJudgeChecksMemory(t *testing.T) {
 	expectRule(t, Judge(&Record{UnreleasedMemory: map[int]float64{0: 0, 1: 0}}), "")
--- a/node/internal/soak/starts.go
+++ b/node/internal/soak/starts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +19,8 @@
 	// minStoreSilence and maxStoreSilence bound how long the store does not answer after the daemons' start.
 	minStoreSilence = time.Second
 	maxStoreSilence = 2 * time.Second
+	// longerSilence is added for odd seeds: the holds of calls end before the store answers.
+	longerSilence = 2 * time.Second
 	// startCallers is how many callers call the starting daemons; each pauses for startPause.
 	startCallers = 12
 	startPause   = 20 * time.Millisecond
@@ -57,7 +60,7 @@
 			}
 		})
 	}
-	sleep(ctx, minStoreSilence+randomDuration(rng, maxStoreSilence-minStoreSilence))
+	sleep(ctx, minStoreSilence+randomDuration(rng, maxStoreSilence-minStoreSilence)+longerSilence*time.Duration(seed%2))
 	tb.storeLink.Set(NoFault)
 	readyCtx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
@@ -68,22 +71,31 @@
 	callers.Wait()
 }
 
-// checkHeld checks calls that a starting daemon refused: they were not held for longer than they may be, and were
-// not executed, also those that may be repeated.
+// checkHeld checks calls at starting daemons: none is held for longer than it may be, whether it is refused or served
+// then, and a refused one is not executed, also if it may be repeated.
 func checkHeld(r *Record, c *Call) string {
-	if c.Status != 503 || !strings.Contains(c.Body, notReadyKind) {
+	bound := min(maxHold, time.Duration(maxHoldShare*float64(c.Timeout)))
+	refused := c.Status == 503 && strings.Contains(c.Body, notReadyKind)
+	executions, held := r.executionsOf(c.ID), c.Done.Sub(c.Sent)
+	switch {
+	case refused && len(executions) > 0:
+		return fmt.Sprintf("HELD: refused by a starting daemon, but executed at %s", executions[0].Target)
+	case len(executions) > 0 && r.sentDuringFleetStart(c):
+		held = executions[0].Started.Sub(c.Sent) // All targets are idle then, so that a call waits for the start only.
+	case !refused:
 		return ""
 	}
-	if executions := r.executionsOf(c.ID); len(executions) > 0 {
-		return fmt.Sprintf("HELD: refused by a starting daemon, but executed at %s", executions[0].Target)
-	}
-	bound := min(maxHold, time.Duration(maxHoldShare*float64(c.Timeout)))
-	if held := c.Done.Sub(c.Sent); held > bound+answerSlack+loadSlack {
-		return fmt.Sprintf("HELD: refused by a starting daemon after %v, may be held for %v", held.Round(time.Millisecond), bound)
+	if held > bound+answerSlack+loadSlack {
+		return fmt.Sprintf("HELD: held by a starting daemon for %v, may be held for %v", held.Round(time.Millisecond), bound)
 	}
 	return ""
 }
 
+// sentDuringFleetStart reports whether a call was sent while the daemons started without the store.
+func (r *Record) sentDuringFleetStart(c *Call) bool {
+	return slices.ContainsFunc(r.Disturbances, func(d Disturbance) bool { return d.Kind == FleetStart && d.overlaps(c.Sent, c.Sent.Add(1)) })
+}
+
 // memoryReleaseTime is how long after the last call a daemon may still hold memory for calls.
 const memoryReleaseTime = 5 * time.Second
 
