--- a/node/internal/soak/floods.go
+++ b/node/internal/soak/floods.go
@@ -145,7 +145,7 @@
 }
 
 // reached counts the calls of each account that a flood's answers went to, those in flight elsewhere during a drain,
-// those that a starting fleet refused or served late, and the rounds. It is printed, not judged.
+// those that a starting fleet refused or served late, the rounds and the steps toward placements. It is printed, not judged.
 func (r *Record) reached() string {
 	served, waited, refused, held := map[string]int{}, 0, 0, 0
 	for i := range r.Calls {
@@ -172,5 +172,5 @@
 			}
 		}
 	}
-	return fmt.Sprintf("flood served %v, %d calls in flight elsewhere at a drain, %d refused and %d held and served at a start, %d rounds", served, waited, refused, held, len(r.Rounds))
+	return fmt.Sprintf("flood served %v, %d calls in flight elsewhere at a drain, %d refused and %d held and served at a start, %d rounds; steps by the plan's end, by daemon: %v", served, waited, refused, held, len(r.Rounds), r.PlanSteps.Steps)
 }
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -95,6 +95,8 @@
 	// Floods and Drains are the floods of calls, and the drains of coordinators with waiting calls.
 	Floods []Flood
 	Drains []Drain
+	// PlanSteps are the steps that the processes which outlived the plan had counted at its end.
+	PlanSteps Round
 	// Rounds are the rounds of calls after the last fault, and UnreleasedMemory the bytes that each daemon holds
 	// for calls after the last one, by the daemon's index.
 	Rounds           []Round
--- a/node/internal/soak/peerlinks.go
+++ b/node/internal/soak/peerlinks.go
@@ -91,30 +91,7 @@
 // playRound makes the calls of a round one after another.
 func (tb *testbed) playRound(ctx context.Context) (Round, error) {
 	round := Round{Steps: map[string]map[string][]float64{}}
-	count := func(sign float64) error {
-		for _, p := range tb.daemons {
-			families, err := p.metrics(ctx)
-			if err != nil {
-				return err
-			}
-			for _, m := range families["doorstack_coordination_steps_total"].GetMetric() {
-				labels := map[string]string{}
-				for _, l := range m.GetLabel() {
-					labels[l.GetName()] = l.GetValue()
-				}
-				pool, action := labels["pool"], labels["action"]
-				if round.Steps[pool] == nil {
-					round.Steps[pool] = map[string][]float64{}
-				}
-				if round.Steps[pool][action] == nil {
-					round.Steps[pool][action] = make([]float64, len(tb.daemons))
-				}
-				round.Steps[pool][action][p.index] += sign * m.GetCounter().GetValue()
-			}
-		}
-		return nil
-	}
-	if err := count(-1); err != nil {
+	if err := tb.addSteps(ctx, &round, -1); err != nil {
 		return round, err
 	}
 	client := newClient()
@@ -125,7 +102,32 @@
 			tb.call(ctx, client, p.index, streamPath, 0)
 		}
 	}
-	return round, count(1)
+	return round, tb.addSteps(ctx, &round, 1)
+}
+
+// addSteps adds the steps that the daemons have counted so far, times sign, to a round.
+func (tb *testbed) addSteps(ctx context.Context, round *Round, sign float64) error {
+	for _, p := range tb.daemons {
+		families, err := p.metrics(ctx)
+		if err != nil {
+			return err
+		}
+		for _, m := range families["doorstack_coordination_steps_total"].GetMetric() {
+			labels := map[string]string{}
+			for _, l := range m.GetLabel() {
+				labels[l.GetName()] = l.GetValue()
+			}
+			pool, action := labels["pool"], labels["action"]
+			if round.Steps[pool] == nil {
+				round.Steps[pool] = map[string][]float64{}
+			}
+			if round.Steps[pool][action] == nil {
+				round.Steps[pool][action] = make([]float64, len(tb.daemons))
+			}
+			round.Steps[pool][action][p.index] += sign * m.GetCounter().GetValue()
+		}
+	}
+	return nil
 }
 
 // metrics returns the metrics of the process.
--- a/node/internal/soak/soak.go
+++ b/node/internal/soak/soak.go
@@ -56,6 +56,8 @@
 	plan := NewPlan(o.Seed, o.Duration)
 	tb.runPlan(ctx, plan, o.Duration)
 	unrecovered := tb.checkRecovery(ctx)
+	tb.planSteps.Steps = map[string]map[string][]float64{}
+	_ = tb.addSteps(ctx, &tb.planSteps, 1) // They are printed only.
 	tb.flood(ctx)
 	tb.startFleet(ctx, o.Seed)
 	unrecovered = append(unrecovered, tb.checkRecovery(ctx)...)
--- a/node/internal/soak/testbed.go
+++ b/node/internal/soak/testbed.go
@@ -42,6 +42,7 @@
 	cold           []ColdTime
 	floods         []Flood
 	drains         []Drain
+	planSteps      Round // the steps that the processes which outlived the plan had counted then
 	rounds         []Round
 	heldMemory     map[int]float64 // bytes that daemons hold for calls after the last one
 	inRotation     []bool          // by daemon: callers may choose it
@@ -217,7 +218,7 @@
 	r := &Record{
 		Calls: tb.calls.list(), Executions: tb.executions.list(), Disturbances: slices.Clone(tb.disturbances),
 		Published: slices.Clone(tb.published), ProcessStarts: map[int][]time.Time{}, UnreleasedReservations: tb.unreleasedReservations(),
-		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), Floods: slices.Clone(tb.floods), Drains: slices.Clone(tb.drains), Rounds: tb.rounds, UnreleasedMemory: tb.heldMemory, TargetCentres: map[string]string{},
+		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), Floods: slices.Clone(tb.floods), Drains: slices.Clone(tb.drains), PlanSteps: tb.planSteps, Rounds: tb.rounds, UnreleasedMemory: tb.heldMemory, TargetCentres: map[string]string{},
 	}
 	for number := 1; number <= tb.targetsCreated; number++ {
 		r.TargetCentres[fmt.Sprint("t", number)] = dataCentreOfTarget(number)
