cluster: an ended call is not counted, in whatever order its messages are handled

Cause: Four faults. (b) Requests are handled in goroutines and wait there up to 20 ms for a ping, while progress messages are handled in order: an end handled first found nothing, and the call was placed for nobody. (c) An end handled between the entry in coordinated and Queues.Push found no ticket; the call was then placed and, without an entry, never expired. (d) servePlace took a cancelled ticket for an empty placement and recorded it.

Numbers are needed since Director.place asks again under the same attempt. servePlace checks after Push that the call is still registered. A closed Placed channel is answered with an error.

--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -48,10 +48,14 @@
 		return answer, nil
 	}
 	now = time.Now()
-	p.adoptCalls(from, in.Pool, in.Calls, now)
+	p.adoptCalls(from, in.Pool, p.withoutEnded(&in), now)
 	p.mergeLimits(in.Pool, in.Limits, now)
 	p.mu.Lock()
 	call := p.coordinated[in.Attempt]
+	if call == nil && p.ended.covers(in.Attempt, in.Number) {
+		p.mu.Unlock()
+		return placeAnswer{}, errCallEnded
+	}
 	if call != nil {
 		call.lastRenewed = now
 		answer := call.answer
@@ -65,11 +69,16 @@
 	call.ticket = p.newTicket(&in, now)
 	p.coordinated[in.Attempt] = call
 	p.mu.Unlock()
-	p.cluster.Board.Queues.Push(call.ticket)
+	if !p.queueCall(call) {
+		return placeAnswer{}, errCallEnded
+	}
 	timer := time.NewTimer(maxAnswerDelay)
 	defer timer.Stop()
 	select {
-	case placement := <-call.ticket.Placed():
+	case placement, ok := <-call.ticket.Placed():
+		if !ok {
+			return placeAnswer{}, errCallEnded // The request was dropped.
+		}
 		return p.recordPlacement(call, &placement), nil
 	case <-timer.C:
 	}
@@ -77,6 +86,20 @@
 	return placeAnswer{Attempt: in.Attempt, Verdict: routing.Wait}, nil
 }
 
+// queueCall adds a registered request to its pool's queue, and returns false if its end was reported in the meantime:
+// endCall then found no ticket in the queue.
+func (p *Placer) queueCall(call *coordinatedCall) bool {
+	p.cluster.Board.Queues.Push(call.ticket)
+	attempt := call.ticket.Attempt
+	p.mu.Lock()
+	registered := p.coordinated[attempt] == call
+	p.mu.Unlock()
+	if !registered {
+		p.dropCall(call, attempt, blackboard.CallCancelled)
+	}
+	return registered
+}
+
 // redirectAnswer returns the answer to a request that another daemon should have got. A request that waits here
 // stays here.
 func (p *Placer) redirectAnswer(ctx context.Context, in *placeRequest) (placeAnswer, bool) {
@@ -174,7 +197,7 @@
 	}
 	p.mu.Lock()
 	call.answer = &answer
-	if d.Verdict != routing.Place {
+	if d.Verdict != routing.Place && p.coordinated[call.ticket.Attempt] == call {
 		delete(p.coordinated, call.ticket.Attempt)
 	}
 	p.mu.Unlock()
@@ -204,6 +227,9 @@
 		p.cluster.Board.Targets.Suspect(in.Suspect, now.Add(min(in.SuspectFor, maxSuspectDuration)), now)
 	}
 	if in.Ended {
+		p.mu.Lock()
+		p.ended.add(in.Attempt, in.Through, time.Now())
+		p.mu.Unlock()
 		p.endCall(in.Attempt, in.Result)
 		return empty{}, nil
 	}
@@ -218,9 +244,13 @@
 	call := p.coordinated[attempt]
 	delete(p.coordinated, attempt)
 	p.mu.Unlock()
-	if call == nil {
-		return
+	if call != nil {
+		p.dropCall(call, attempt, result)
 	}
+}
+
+// dropCall removes a call that is no longer registered from its queue or its target.
+func (p *Placer) dropCall(call *coordinatedCall, attempt string, result blackboard.CallResult) {
 	if call.ticket != nil && p.cluster.Board.Queues.Remove(call.ticket) {
 		call.ticket.Cancel()
 		return
--- a/node/cluster/placecall.go
+++ b/node/cluster/placecall.go
@@ -139,7 +139,7 @@
 	case ctx.Err() != nil:
 		// The caller is gone, or the call's time is over.
 		p.links.update(func(peers *coordination.Peers, _ time.Time) { peers.Abandoned(name) })
-		p.notify(name, peer.KindProgress, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+		p.notifyEnded(name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled})
 		return
 	case errors.Is(err, context.DeadlineExceeded):
 		reason = lostTimeout
@@ -167,7 +167,7 @@
 		p.cluster.Recorder.Log.Warn("dependency is lost", "dependency", "coordinator", "peer", name, "pool", t.Pool.Name,
 			"request", t.Request.ID, "timeout_ms", step.Timeout.Milliseconds(), "error", err.Error())
 	}
-	p.notify(name, peer.KindProgress, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+	p.notifyEnded(name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled})
 }
 
 // requestPlacement sends the placement request and waits for the placement.
--- a/node/cluster/placeelsewhere.go
+++ b/node/cluster/placeelsewhere.go
@@ -95,7 +95,7 @@
 		ended := len(p.countedAt[c.Attempt]) == 0
 		p.mu.Unlock()
 		if ended {
-			p.notify(to, peer.KindProgress, callProgress{Attempt: c.Attempt, Ended: true, Result: blackboard.CallCancelled})
+			p.notifyEnded(to, callProgress{Attempt: c.Attempt, Result: blackboard.CallCancelled})
 		}
 	}
 }
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -64,6 +64,10 @@
 	// coordinated are the other daemons' requests and calls that this daemon coordinates,
 	// by attempt.
 	coordinated map[string]*coordinatedCall
+	// requests is the number of placement requests that this daemon has sent.
+	requests uint64
+	// ended are the attempts of other daemons whose end was reported lately.
+	ended endedAttempts
 }
 
 func newPlacer(c *Cluster) *Placer {
@@ -89,7 +93,7 @@
 		// older state.
 		p.cluster.Recorder.Log.Info("placement is not accepted", "request", t.Request.ID, "peer", c.Name, "target", answer.Target,
 			"reason", "the target or a helper is draining, evacuated, outside the homes, in backoff or unknown here, or the call would exceed the target's rate limit")
-		p.notify(c.Name, peer.KindProgress, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+		p.notifyEnded(c.Name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled})
 		return blackboard.Placement{}, false
 	}
 	if answer.Verdict == routing.Place {
@@ -137,6 +141,8 @@
 	p.mu.Lock()
 	known := p.informed[t.Pool.Name] == c
 	p.informed[t.Pool.Name] = c
+	p.requests++
+	q.Number = p.requests
 	p.mu.Unlock()
 	if !known {
 		q.Calls = p.handOverCalls(t.Pool.Name, c.Name)
@@ -201,10 +207,18 @@
 	delete(p.elsewhere, attempt)
 	p.mu.Unlock()
 	for _, name := range names {
-		p.notify(name, peer.KindProgress, callProgress{Attempt: attempt, Ended: true, Result: result, Suspect: suspect, SuspectFor: suspectFor})
+		p.notifyEnded(name, callProgress{Attempt: attempt, Result: result, Suspect: suspect, SuspectFor: suspectFor})
 	}
 }
 
+// notifyEnded tells a coordinator that a call has ended, as far as it was requested by now.
+func (p *Placer) notifyEnded(name string, end callProgress) {
+	p.mu.Lock()
+	end.Ended, end.Through = true, p.requests
+	p.mu.Unlock()
+	p.notify(name, peer.KindProgress, end)
+}
+
 // notify sends a message about a call over an open link. Where the message is lost the
 // coordinator drops the call after its deadline.
 func (p *Placer) notify(name string, kind peer.Kind, message any) {
--- a/node/cluster/placewire.go
+++ b/node/cluster/placewire.go
@@ -41,6 +41,8 @@
 	Rank int `cbor:"19,keyasint,omitempty"`
 	// Insist asks for a placement although the asked daemon hears one that is ranked before it.
 	Insist bool `cbor:"20,keyasint,omitempty"`
+	// Number counts the requesting daemon's placement requests, from 1; 0 from a version that does not number them.
+	Number uint64 `cbor:"21,keyasint,omitempty"`
 }
 
 // placeAnswer is a placement, a refusal, a redirect, or routing.Wait for a call that waits.
@@ -87,4 +89,7 @@
 	// Suspect is a target that gets no calls for SuspectFor.
 	Suspect    string        `cbor:"4,keyasint,omitempty"`
 	SuspectFor time.Duration `cbor:"5,keyasint,omitempty"`
+	// Through is the number of the last placement request that the requesting daemon sent before the call's end; 0 from
+	// a version that does not number its requests.
+	Through uint64 `cbor:"6,keyasint,omitempty"`
 }
