coordination: requests, holds and redirects share one bound; slownet delivers as a network does

Cause: Two. slownet's Write returned when a message had arrived, so that a connection carried one message per delay and lag, 16.5 ms at a weak host: heartbeats kept placements and handshakes waiting. And a call could spend a third of its goal on holding and on each request once more: on a late probe, a slow second daemon and a third, 149.6 ms of 300 in all.

Change: core/coordination: a call has one bound, a third of the goal that is left when it begins, for all requests, holds and redirects; then it is decided alone (reason time_used_up). Waiting for its turn at a coordinator that answers does not count. While another daemon can be asked, holds end after two thirds of the bound, so that there is time to ask it. slownet: segments are on the way independent of each other, in order, 64 at most; what was sent before Close arrives.

--- a/core/coordination/call.go
+++ b/core/coordination/call.go
@@ -52,6 +52,7 @@
 	ReasonSearch    = "search"           // no other daemon is known yet
 	ReasonNobody    = "nobody"           // no daemon can be asked
 	ReasonExhausted = "requests_used_up" // as many requests were sent as a call may take
+	ReasonTime      = "time_used_up"     // requests and holds have taken the share of the goal
 )
 
 // maxRequests is how many daemons a call is sent to: the first, the second, and one more after a redirect or a
@@ -79,12 +80,13 @@
 
 // Call is the state of one call while a daemon looks for its placement.
 type Call struct {
-	goalDue, deadline time.Time
-	holdUntil         time.Time
-	requests          int
-	startRetries      int
-	tried             []string
-	redirected        bool
+	// until is when requests, holds and redirects have taken their share of the goal, and holdUntil when a call is no
+	// longer held if another daemon can be asked.
+	until, holdUntil time.Time
+	requests         int
+	startRetries     int
+	tried            []string
+	redirected       bool
 	// follow is the daemon to which the call was redirected and insistAt the one that is asked again,
 	// while these requests are to be sent.
 	follow, insistAt *Candidate
@@ -93,23 +95,26 @@
 
 // NewCall returns a call that needs a placement from now on. A zero goalDue means that the call has no goal.
 func NewCall(now, goalDue, deadline time.Time) *Call {
-	c := &Call{goalDue: goalDue, deadline: deadline}
-	c.holdUntil = now.Add(min(c.share(now), maxHold))
-	return c
-}
-
-// share returns the share of what is left of the call's goal, or of its time where it has no goal or has missed it.
-func (c *Call) share(now time.Time) time.Duration {
-	due := c.goalDue
+	due := goalDue
 	if !due.After(now) {
-		due = c.deadline
+		due = deadline
 	}
-	return max(due.Sub(now)/goalShare, minBound)
+	share := max(due.Sub(now)/goalShare, minBound)
+	return &Call{until: now.Add(share), holdUntil: now.Add(min(share*holdNumerator/holdDenominator, maxHold))}
 }
 
+// Waited records that the call has waited for its turn at a coordinator that answers. That time does not count as
+// spent on finding one.
+func (c *Call) Waited(d time.Duration) { c.until = c.until.Add(d) }
+
 // RequestTimeout returns the timeout of a request for a call to a peer.
 func (p *Peers) RequestTimeout(c *Call, name string, now time.Time) time.Duration {
-	return min(p.Timeout(name), c.share(now))
+	return min(p.Timeout(name), c.until.Sub(now))
+}
+
+// RepeatTimeout returns the timeout of a repeated request for a call that waits at a peer.
+func (p *Peers) RepeatTimeout(c *Call, name string, now time.Time) time.Duration {
+	return max(p.RequestTimeout(c, name, now), minBound)
 }
 
 // Tried records that a peer did not place the call.
@@ -152,6 +157,18 @@
 
 // Next returns the next step of a call. The ranking has all daemons that may coordinate the pool, in order.
 func (p *Peers) Next(c *Call, ranking []Candidate, self Self, now time.Time) Step {
+	if !now.Before(c.until) && (self.Draining || len(ranking) == 0 || ranking[0].Name != self.Name) {
+		return Step{Action: Alone, Reason: ReasonTime}
+	}
+	step := p.next(c, ranking, self, now)
+	if step.Action == Ask {
+		c.requests++
+		step.Timeout = p.RequestTimeout(c, step.Peer.Name, now)
+	}
+	return step
+}
+
+func (p *Peers) next(c *Call, ranking []Candidate, self Self, now time.Time) Step {
 	if step, ok := p.afterRedirect(c, ranking, self, now); ok {
 		return step
 	}
@@ -174,7 +191,7 @@
 			return Step{Action: Coordinate, Reason: reason, Rank: i + 1}
 		}
 		if !slices.Contains(c.tried, candidate.Name) {
-			if step, ok := p.stepTo(c, candidate, now); ok {
+			if step, ok := p.stepTo(c, candidate, p.holdEnd(c, ranking[i+1:]), now); ok {
 				step.Rank, step.Insist = i+1, insist && step.Action == Ask
 				if step.Reason == "" {
 					step.Reason = reason
@@ -200,7 +217,7 @@
 				return Step{Action: Coordinate, Reason: ReasonRedirect, Peer: to}, true
 			}
 			p.insist(c, to)
-		} else if step, ok := p.stepTo(c, to, now); ok {
+		} else if step, ok := p.stepTo(c, to, c.holdUntil, now); ok {
 			if step.Action == Ask {
 				c.follow = nil
 				step.Reason = ReasonRedirect
@@ -219,9 +236,7 @@
 	if p.State(at.Name) != Ready {
 		return Step{}, false
 	}
-	step := p.ask(c, at, now)
-	step.Reason, step.Rank, step.Insist = ReasonInsist, rankOf(ranking, at.Name), true
-	return step, true
+	return Step{Action: Ask, Peer: at, Reason: ReasonInsist, Rank: rankOf(ranking, at.Name), Insist: true}, true
 }
 
 // rankOf returns the position of a daemon in a ranking, counted from 1.
@@ -233,18 +248,21 @@
 	return at + 1
 }
 
-func (p *Peers) ask(c *Call, to Candidate, now time.Time) Step {
-	c.requests++
-	return Step{Action: Ask, Peer: to, Timeout: p.RequestTimeout(c, to.Name, now)}
+// holdEnd returns when the hold for a link ends: while a daemon ranked later can be asked, time for that is left.
+func (p *Peers) holdEnd(c *Call, later []Candidate) time.Time {
+	if slices.ContainsFunc(later, func(l Candidate) bool { return p.State(l.Name) == Ready && !slices.Contains(c.tried, l.Name) }) {
+		return c.holdUntil
+	}
+	return c.until
 }
 
 // stepTo returns the step that leads to a placement by a peer, or false if the call goes on without it.
-func (p *Peers) stepTo(c *Call, to Candidate, now time.Time) (Step, bool) {
+func (p *Peers) stepTo(c *Call, to Candidate, holdEnd, now time.Time) (Step, bool) {
 	x := p.get(to.Name)
-	hold := Step{Action: Hold, Reason: ReasonLink, Peer: to, Until: c.holdUntil}
+	hold := Step{Action: Hold, Reason: ReasonLink, Peer: to, Until: holdEnd}
 	switch x.state {
 	case Ready:
-		return p.ask(c, to, now), true
+		return Step{Action: Ask, Peer: to}, true
 	case NotLinked, Linking:
 		if x.state == Linking && x.since.Add(maxLinkWait).Before(hold.Until) {
 			hold.Until = x.since.Add(maxLinkWait)
@@ -256,9 +274,7 @@
 	case Late:
 		if x.heard && !x.probing {
 			x.probing, x.heard = true, false
-			step := p.ask(c, to, now)
-			step.Reason = ReasonProbe
-			return step, true
+			return Step{Action: Ask, Peer: to, Reason: ReasonProbe}, true
 		}
 	case Busy:
 		return p.stepToBusy(c, x, to, now)
@@ -270,7 +286,7 @@
 // answered is starting: where no daemon has answered yet, the whole fleet is, and the call is held.
 func (p *Peers) stepToBusy(c *Call, x *peer, to Candidate, now time.Time) (Step, bool) {
 	if now.Sub(x.since) >= busyTime {
-		return p.ask(c, to, now), true
+		return Step{Action: Ask, Peer: to}, true
 	}
 	if x.answered || p.anyAnswered() || now.Sub(x.refusedSince) >= maxStartWait || !now.Before(c.holdUntil) {
 		return Step{}, false
@@ -287,7 +303,7 @@
 	}
 	c.startRetries++
 	c.requests-- // A refusal costs a round trip only.
-	return p.ask(c, to, now), true
+	return Step{Action: Ask, Peer: to}, true
 }
 
 // anyAnswered reports whether a daemon has answered a placement request over a link that is open.
--- a/core/coordination/peers.go
+++ b/core/coordination/peers.go
@@ -24,11 +24,14 @@
 	// unknownTimeout.
 	MaxTimeout     = 250 * time.Millisecond
 	unknownTimeout = 100 * time.Millisecond
-	// goalShare is the share of what is left of a call's goal that one request may take, and that the call may be
-	// held in all: 100 of 300 ms and 40 of 120 ms.
-	goalShare = 3
-	// minBound is the least time that a goal leaves to a request. A call whose goal is nearly over gains nothing
-	// from a placement without the coordinator.
+	// goalShare is the share of what is left of a call's goal that its requests, holds and redirects take in all before
+	// it is decided alone: 100 of 300 ms and 40 of 120 ms. While a daemon ranked later can be asked, holds take
+	// two thirds of that.
+	goalShare       = 3
+	holdNumerator   = 2
+	holdDenominator = 3
+	// minBound is the least time that a goal leaves to a call's requests, and to a repeated one of a call that waits. A
+	// call whose goal is nearly over gains nothing from a placement without the coordinator.
 	minBound = 20 * time.Millisecond
 	// maxHold bounds the time that a call is held, and maxLinkWait the time since a link began to be opened: a
 	// daemon whose host is frozen or cut off may not answer for seconds.
--- a/node/cluster/placecall.go
+++ b/node/cluster/placecall.go
@@ -182,16 +182,23 @@
 		delete(p.pending, t.Attempt)
 		p.mu.Unlock()
 	}()
-	for ; ; step.Timeout = p.links.requestTimeout(call, c.Name) {
+	var waiting time.Time // since when the call waits at the coordinator
+	for ; ; step.Timeout = p.links.repeatTimeout(call, c.Name) {
 		answer, err := p.askOnce(ctx, step, t)
 		if err != nil || answer.Verdict == verdictRedirect {
 			return answer, err
 		}
 		p.links.answered(c.Name)
+		if !waiting.IsZero() {
+			call.Waited(time.Since(waiting))
+		}
+		waiting = time.Now()
 		if answer.Verdict != routing.Wait {
 			return answer, nil
 		}
 		answer, placed, err := p.awaitLater(ctx, c.Name, later)
+		call.Waited(time.Since(waiting))
+		waiting = time.Now()
 		if placed || err != nil {
 			return answer, err
 		}
--- a/node/cluster/placelinks.go
+++ b/node/cluster/placelinks.go
@@ -317,9 +317,9 @@
 // servePing answers a measurement.
 func servePing(context.Context, string, empty) (empty, error) { return empty{}, nil }
 
-// requestTimeout returns the timeout of a request for a call to a peer.
-func (l *placementLinks) requestTimeout(call *coordination.Call, name string) time.Duration {
+// repeatTimeout returns the timeout of a repeated request for a call that waits at a peer.
+func (l *placementLinks) repeatTimeout(call *coordination.Call, name string) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peers.RequestTimeout(call, name, time.Now())
+	return l.peers.RepeatTimeout(call, name, time.Now())
 }
--- a/node/internal/slownet/slownet.go
+++ b/node/internal/slownet/slownet.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -182,21 +183,34 @@
 func (hostAddr) Network() string  { return "tcp" }
 func (a hostAddr) String() string { return string(a) }
 
-// conn is one side of a connection.
+// maxInFlight is the number of segments that a connection may have on the way, as the window of a TCP connection.
+const maxInFlight = 64
+
+// conn is one side of a connection. Segments are on the way independent of each other, and arrive in order.
 type conn struct {
 	net.Conn
 	from, to *Host
-	closed   chan struct{}
-	once     sync.Once
+	onTheWay chan segment
+	closed   chan struct{} // no more writes
+	failed   chan struct{} // the other side reads no more
+	start    sync.Once     // of deliver
+	close    sync.Once
+}
+
+// segment is data on the way.
+type segment struct {
+	data      []byte
+	arrivesAt time.Time
 }
 
 func newConn(pipe net.Conn, from, to *Host) *conn {
-	return &conn{Conn: pipe, from: from, to: to, closed: make(chan struct{})}
+	return &conn{Conn: pipe, from: from, to: to, onTheWay: make(chan segment, maxInFlight), closed: make(chan struct{}), failed: make(chan struct{})}
 }
 
-// Write sends over both hosts' links, a segment at a time. It returns net.ErrClosed if the
-// connection is closed while a segment waits for the links.
+// Write sends over both hosts' links, a segment at a time, and returns when the last one has been sent.
+// It returns net.ErrClosed if the connection is closed while a segment waits for the links.
 func (c *conn) Write(p []byte) (int, error) {
+	c.start.Do(func() { go c.deliver() })
 	done := 0
 	for done < len(p) {
 		next := p[done:min(len(p), done+segmentSize)]
@@ -204,18 +218,46 @@
 		if in := c.to.in.reserve(len(next)); in.After(through) {
 			through = in
 		}
-		if !c.waitUntil(through.Add(c.from.network.Delay+c.to.Lag)) || !c.waitThawed(c.from) || !c.waitThawed(c.to) {
+		if !c.waitUntil(through) || !c.waitThawed(c.from) {
 			return done, net.ErrClosed
 		}
-		n, err := c.Conn.Write(next)
-		done += n
-		if err != nil {
-			return done, err
+		select {
+		case c.onTheWay <- segment{append([]byte(nil), next...), time.Now().Add(c.from.network.Delay + c.to.Lag)}:
+			done += len(next)
+		case <-c.closed:
+			return done, net.ErrClosed
+		case <-c.failed:
+			return done, net.ErrClosed
 		}
 	}
 	return done, nil
 }
 
+// deliver passes segments to the other side as they arrive. After Close it delivers those that are on the way.
+func (c *conn) deliver() {
+	defer func() { _ = c.Conn.Close() }()
+	defer close(c.failed)
+	for {
+		var s segment
+		select {
+		case s = <-c.onTheWay:
+		default:
+			select {
+			case s = <-c.onTheWay:
+			case <-c.closed:
+				return
+			}
+		}
+		time.Sleep(time.Until(s.arrivesAt))
+		for thawed := c.to.frozen(); thawed != nil; thawed = c.to.frozen() {
+			<-thawed
+		}
+		if _, err := c.Conn.Write(s.data); err != nil {
+			return
+		}
+	}
+}
+
 // waitUntil waits until a time and reports whether the connection is still open.
 func (c *conn) waitUntil(until time.Time) bool {
 	timer := time.NewTimer(time.Until(until))
@@ -243,8 +285,26 @@
 	}
 }
 
-// Close implements net.Conn. A Write that waits for the link returns at once.
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		select {
+		case <-c.closed:
+			err = net.ErrClosed
+		default:
+		}
+	}
+	return n, err
+}
+
+// Close implements net.Conn. A Read or Write that waits returns at once; what is on the way is delivered before the
+// other side sees the end.
 func (c *conn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	return c.Conn.Close()
+	c.close.Do(func() {
+		close(c.closed)
+		c.start.Do(func() { go c.deliver() })
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	})
+	return nil
 }
