--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -147,12 +147,20 @@
 	for _, c := range calls {
 		p.mu.Lock()
 		known := p.coordinated[c.Attempt] != nil
+		call := &coordinatedCall{requester: from, pool: pool, lastRenewed: now, expires: now.Add(adoptedCallTTL), answer: &placeAnswer{}}
 		if !known {
-			p.coordinated[c.Attempt] = &coordinatedCall{requester: from, pool: pool, lastRenewed: now, expires: now.Add(adoptedCallTTL), answer: &placeAnswer{}}
+			p.coordinated[c.Attempt] = call
 		}
 		p.mu.Unlock()
-		if !known {
-			p.cluster.Board.Targets.Adopt(c, now)
+		if known {
+			continue
+		}
+		p.cluster.Board.Targets.Adopt(c, now)
+		p.mu.Lock()
+		ended := p.coordinated[c.Attempt] != call
+		p.mu.Unlock()
+		if ended { // Its end was handled before Adopt, and found nothing to remove.
+			p.cluster.Board.Targets.Finish(c.Attempt, blackboard.CallCancelled, now)
 		}
 	}
 }
--- a/node/cluster/placefleet_test.go
+++ b/node/cluster/placefleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,10 @@
 	network slownet.Network
 	daemons []*placeDaemon
 	running sync.WaitGroup
+	weak    int // number of weak hosts
+	// silent is true while no calls come. prepare, if set, changes a daemon before it is started.
+	silent  atomic.Bool
+	prepare func(*placeDaemon)
 
 	mu     sync.Mutex
 	placed []placedCall
@@ -66,15 +71,21 @@
 
 // startPlaceFleet starts all daemons within 20 ms, on links of the given one-way delay. Each knows the targets and
 // serves after storeRead, and then has a call each 100 ms, until stop.
-func startPlaceFleet(t *testing.T, delay time.Duration) *placeFleet {
-	f := &placeFleet{t: t, began: time.Now(), network: slownet.Network{Delay: delay}}
+func startPlaceFleet(t *testing.T, delay time.Duration, options ...func(*placeFleet)) *placeFleet {
+	f := &placeFleet{t: t, began: time.Now(), network: slownet.Network{Delay: delay}, weak: fleetWeak}
+	for _, set := range options {
+		set(f)
+	}
 	tree, err := settings.Parse([]byte(testSettings))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i := range fleetStrong + fleetWeak {
+	for i := range fleetStrong + f.weak {
 		d := f.newDaemon(i)
 		d.board.Settings.Adopt(&blackboard.SettingsView{Tree: tree, Revision: 1})
+		if f.prepare != nil {
+			f.prepare(d)
+		}
 		f.daemons = append(f.daemons, d)
 	}
 	for i, d := range f.daemons {
@@ -92,7 +103,9 @@
 			d.cluster.HeartbeatNow()
 			pass(time.Duration(i) * 4 * time.Millisecond)
 			for n := 0; ctx.Err() == nil; n++ {
-				f.running.Go(func() { f.call(ctx, d, fmt.Sprint(d.name, "-", n)) })
+				if !f.silent.Load() {
+					f.running.Go(func() { f.call(ctx, d, fmt.Sprint(d.name, "-", n)) })
+				}
 				pass(100 * time.Millisecond)
 			}
 		})
@@ -147,20 +160,24 @@
 	hub.SetHTTPClient(d.host.Client())
 	d.cluster = New(d.board, hub, record, &controller.Settings{Board: d.board, Recorder: record, ShouldWatch: func() bool { return true }}, nil)
 	d.cluster.Directory, d.cluster.DisableLeases = &controller.Directory{Board: d.board, Recorder: record}, true
-	d.cluster.SetSeeds([]string{"10.0.0.22:8229", "10.0.0.23:8229"})
+	d.cluster.SetSeeds([]string{"10.0.0.6:8229", "10.0.0.7:8229"})
 	return d
 }
 
+func (d *placeDaemon) newFleetTicket(id string, now time.Time) *blackboard.Ticket {
+	return &blackboard.Ticket{
+		Attempt: id, Pool: d.board.Settings.Current().Tree.Pool("svc"), Deadline: now.Add(fleetTimeout),
+		Request: routing.Request{ID: id, DataCentre: "dc", Goal: fleetGoal.Seconds()},
+		Item:    &admission.Item{ID: id, Account: "/a", Tokens: 1, Arrived: now},
+	}
+}
+
 // call places a call as a daemon does, and ends it 200 ms later.
 func (f *placeFleet) call(ctx context.Context, d *placeDaemon, id string) {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	began := time.Now()
-	ticket := &blackboard.Ticket{
-		Attempt: id, Pool: d.board.Settings.Current().Tree.Pool("svc"), Deadline: began.Add(fleetTimeout),
-		Request: routing.Request{ID: id, DataCentre: "dc", Goal: fleetGoal.Seconds()},
-		Item:    &admission.Item{ID: id, Account: "/a", Tokens: 1, Arrived: began},
-	}
+	ticket := d.newFleetTicket(id, began)
 	by := d.name
 	placement, ok := d.cluster.Placer.Place(ctx, ticket)
 	if ok {
--- a/node/internal/slownet/slownet.go
+++ b/node/internal/slownet/slownet.go
@@ -252,12 +252,22 @@
 		for thawed := c.to.frozen(); thawed != nil; thawed = c.to.frozen() {
 			<-thawed
 		}
+		select {
+		case <-c.closed:
+			c.boundWrite()
+		default:
+		}
 		if _, err := c.Conn.Write(s.data); err != nil {
 			return
 		}
 	}
 }
 
+// closeTimeout bounds how long data on the way to a host that reads no more outlives a closed connection.
+const closeTimeout = time.Second
+
+func (c *conn) boundWrite() { _ = c.Conn.SetWriteDeadline(time.Now().Add(closeTimeout)) }
+
 // waitUntil waits until a time and reports whether the connection is still open.
 func (c *conn) waitUntil(until time.Time) bool {
 	timer := time.NewTimer(time.Until(until))
@@ -303,6 +313,7 @@
 func (c *conn) Close() error {
 	c.close.Do(func() {
 		close(c.closed)
+		c.boundWrite()
 		c.start.Do(func() { go c.deliver() })
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	})
