status: the coordinator that a daemon asks for each pool

Cause: An operator could not see which daemon a host asks, nor why two place a pool's calls.

Change: doorstack status and GET /v1/status list for each pool the daemon asked now, the first of the ranking, the state of the link to that one and its mean round-trip time.

Measured: TestPrintStatusShowsCoordinators; TestCoordinatorIsFrozen checks on all weak hosts that the status names another coordinator while the first is frozen.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -39,6 +39,21 @@
 	Claims  ClaimStatus    `json:"claims"`
 	Shares  []ShareStatus  `json:"shares,omitempty"`
 	Leases  []LeaseStatus  `json:"leases,omitempty"`
+	// Coordinators are the daemons that this daemon asks for placements, by pool.
+	Coordinators []CoordinatorStatus `json:"coordinators,omitempty"`
+}
+
+// CoordinatorStatus is the daemon that this daemon asks for the placements of a pool's calls.
+type CoordinatorStatus struct {
+	Pool string `json:"pool"`
+	// Coordinator is the daemon asked now, and First the first of the ranking, which differs while that one cannot
+	// be asked.
+	Coordinator string `json:"coordinator"`
+	First       string `json:"first"`
+	// State is that of the link to the first: not linked, linking, ready, late, busy, failed, or "this daemon".
+	State string `json:"state"`
+	// RoundTrip is the mean measured round-trip time to the first; zero if none was measured.
+	RoundTrip time.Duration `json:"round_trip,omitempty"`
 }
 
 // MemberStatus is a member of the fleet as known to this daemon. Revision is that of its settings.
--- a/node/cluster/coordinator.go
+++ b/node/cluster/coordinator.go
@@ -7,6 +7,7 @@
 	"doorstack.dev/core/coordination"
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/rendezvous"
+	"doorstack.dev/node/admin"
 	"doorstack.dev/node/blackboard"
 )
 
@@ -59,6 +60,24 @@
 	return coordination.Candidate{Name: self}
 }
 
+// status returns which daemon is asked for the placements of a pool's calls.
+func (p *Placer) status(pool string, now time.Time) admin.CoordinatorStatus {
+	s := admin.CoordinatorStatus{Pool: pool, Coordinator: p.coordinatorOf(pool, now).Name}
+	s.First = s.Coordinator
+	if ranking := p.rankingOf(pool); len(ranking) > 0 {
+		s.First = ranking[0].Name
+	}
+	if s.First == p.cluster.Board.Self.Name {
+		s.State = "this daemon"
+		return s
+	}
+	p.links.mu.Lock()
+	defer p.links.mu.Unlock()
+	s.State = p.links.peers.State(s.First).String()
+	s.RoundTrip, _ = p.links.peers.RTT(s.First)
+	return s
+}
+
 // rankCandidates returns the daemons that may coordinate a pool in the pool's rendezvous order. Only daemons
 // on strong hosts are considered (see membership.StrongMembers), since a coordinator handles two to four
 // frames for each call of the fleet.
--- a/node/cluster/explain.go
+++ b/node/cluster/explain.go
@@ -51,6 +51,11 @@
 	for _, o := range c.Board.Leases.Owned(now) {
 		s.Leases = append(s.Leases, admin.LeaseStatus{Target: o.Target, Owner: c.Board.Self.Name, FencingToken: o.Fence, ExpiresAt: o.ExpiresAt})
 	}
+	if view := c.Board.Settings.Current(); view != nil && c.openFleet() {
+		for _, pool := range view.Tree.Pools() {
+			s.Coordinators = append(s.Coordinators, c.Placer.status(pool.Name, now))
+		}
+	}
 	return s
 }
 
--- a/node/cluster/placefleet_test.go
+++ b/node/cluster/placefleet_test.go
@@ -301,6 +301,12 @@
 		if second := f.checkOneCoordinator(3200*time.Millisecond, 4500*time.Millisecond, first); second == first {
 			t.Errorf("%s places calls while it is frozen", first)
 		}
+		for _, d := range f.daemons[fleetStrong:] { // What an operator sees.
+			s := d.cluster.Status().Coordinators[0]
+			if s.First == first && (s.Coordinator == first || s.State != "late" && s.State != "failed" || s.RoundTrip < 9*time.Millisecond) {
+				t.Errorf("%s: status = %+v while %s is frozen, want another coordinator and the round-trip time measured before", d.name, s, first)
+			}
+		}
 		f.daemon(first).host.Thaw()
 		f.waitUntil(6 * time.Second)
 		if back := f.checkOneCoordinator(4700*time.Millisecond, 6*time.Second); back != first {
--- a/node/cmd/doorstack/status.go
+++ b/node/cmd/doorstack/status.go
@@ -72,6 +72,10 @@
 		_, _ = fmt.Fprintln(out)
 		printMembers(out, s)
 	}
+	if len(s.Fleet.Coordinators) > 0 {
+		_, _ = fmt.Fprintln(out)
+		printCoordinators(out, s.Fleet.Coordinators)
+	}
 	_, _ = fmt.Fprintln(out)
 	printTargets(out, s.Targets)
 }
@@ -93,6 +97,19 @@
 	t.flush()
 }
 
+// printCoordinators writes which daemon is asked for the placements of each pool's calls.
+func printCoordinators(out io.Writer, coordinators []admin.CoordinatorStatus) {
+	t := newTable(out, "POOL", "COORDINATOR", "FIRST", "STATE OF THE FIRST", "ROUND TRIP")
+	for _, c := range coordinators {
+		roundTrip := "-"
+		if c.RoundTrip > 0 {
+			roundTrip = c.RoundTrip.Round(100 * time.Microsecond).String()
+		}
+		t.addRow(c.Pool, c.Coordinator, c.First, c.State, roundTrip)
+	}
+	t.flush()
+}
+
 // printTraffic writes the messages between the daemon and its peers, as averages per second since
 // the daemon started.
 func printTraffic(out io.Writer, s *admin.Status, now time.Time) {
--- a/node/cmd/doorstack/status_test.go
+++ b/node/cmd/doorstack/status_test.go
@@ -33,3 +33,20 @@
 		}
 	}
 }
+
+// TestPrintStatusShowsCoordinators checks that an operator sees when a daemon asks another coordinator than the first of
+// the ranking, and why.
+func TestPrintStatusShowsCoordinators(t *testing.T) {
+	s := &admin.Status{Fleet: admin.FleetStatus{Coordinators: []admin.CoordinatorStatus{
+		{Pool: "llm", Coordinator: "edge-2", First: "edge-1", State: "late", RoundTrip: 9120 * time.Microsecond},
+		{Pool: "svc", Coordinator: "edge-3", First: "edge-3", State: "linking"},
+	}}}
+	var out strings.Builder
+	printStatus(&out, s)
+	text := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{"llm edge-2 edge-1 late 9.1ms", "svc edge-3 edge-3 linking -"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("printStatus: output lacks %q:\n%s", want, out.String())
+		}
+	}
+}
