slownet: selectors as the linter asks

Cause: The linter found two selectors that name an embedded field.

Change: They don't.

Measured: The linter finds nothing in the packages touched.

--- a/node/internal/slownet/slownet.go
+++ b/node/internal/slownet/slownet.go
@@ -266,7 +266,7 @@
 // closeTimeout bounds how long data on the way to a host that reads no more outlives a closed connection.
 const closeTimeout = time.Second
 
-func (c *conn) boundWrite() { _ = c.Conn.SetWriteDeadline(time.Now().Add(closeTimeout)) }
+func (c *conn) boundWrite() { _ = c.SetWriteDeadline(time.Now().Add(closeTimeout)) }
 
 // waitUntil waits until a time and reports whether the connection is still open.
 func (c *conn) waitUntil(until time.Time) bool {
@@ -315,7 +315,7 @@
 		close(c.closed)
 		c.boundWrite()
 		c.start.Do(func() { go c.deliver() })
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(time.Unix(1, 0))
 	})
 	return nil
 }
