--- a/model/check.sh
+++ b/model/check.sh
@@ -82,7 +82,7 @@
 	expect violated membership.pml "-D$rule"
 done
 expect safe coordinator.pml
-for rule in NO_FORGET NO_CHECK NO_SAME NO_EXPIRY; do
+for rule in NO_FORGET NO_CHECK NO_SAME NO_EXPIRY NO_ONCE NO_INSIST NO_HEARD; do
 	expect violated coordinator.pml "-D$rule"
 done
 wait
