coordination: nothing is sent for a call whose time is used up

Cause: A daemon that became the first of its own ranking while a call was redirected sent that call's request after the bound, with a timeout below zero.

Change: Next decides alone, or as the coordinator, once the bound is over.

Measured: TestRequestsHoldsAndRedirectsShareOneBound covers a redirect that arrives as the bound ends; go test -race ./core/coordination passes.

--- a/core/coordination/call.go
+++ b/core/coordination/call.go
@@ -157,7 +157,10 @@
 
 // Next returns the next step of a call. The ranking has all daemons that may coordinate the pool, in order.
 func (p *Peers) Next(c *Call, ranking []Candidate, self Self, now time.Time) Step {
-	if !now.Before(c.until) && (self.Draining || len(ranking) == 0 || ranking[0].Name != self.Name) {
+	if !now.Before(c.until) && !self.Searching {
+		if len(ranking) > 0 && ranking[0].Name == self.Name && !self.Draining {
+			return Step{Action: Coordinate, Reason: ReasonFirst, Rank: 1}
+		}
 		return Step{Action: Alone, Reason: ReasonTime}
 	}
 	step := p.next(c, ranking, self, now)
--- a/core/coordination/coordination_test.go
+++ b/core/coordination/coordination_test.go
@@ -183,6 +183,13 @@
 		t.Errorf("three requests without an answer took %v of a goal of 300 ms, want a third at most", took)
 	}
 
+	// A redirect that arrives as the bound ends, and a daemon that has become the first of its own ranking meanwhile.
+	call = newTestCall(at(0))
+	p.Next(call, ranked("b", "self"), self, at(0))
+	p.Redirected(call, Candidate{Name: "b"}, Candidate{Name: "c"}, at(100))
+	checkStep(t, "redirected too late", p.Next(call, ranked("b", "self"), self, at(100)), Alone, "", ReasonTime, false)
+	checkStep(t, "first itself by now", p.Next(call, ranked("self", "b"), self, at(100)), Coordinate, "", ReasonFirst, false)
+
 	// The time for which a coordinator lets a call wait for its turn is not spent on finding one.
 	p = NewPeers()
 	p.LinkOpened("a", at(0))
