cluster: what keeps warm links open

Cause: The test of warm links did not say which rule keeps them open.

Change: Comments. The measurement of each minute must come before the peer's limit for idle links, since the peer does not spare links that only the requesting daemon wants.

--- a/core/coordination/peers.go
+++ b/core/coordination/peers.go
@@ -50,7 +50,8 @@
 	// HeardWithin is how recently a daemon must have received something from another for it to count as heard.
 	HeardWithin = 250 * time.Millisecond
 	// sampleMaxAge is the age of the newest sample after which the round-trip time is measured again. A fleet of
-	// 520 measures its coordinator 9 times a second.
+	// 520 measures its coordinator 9 times a second. It must be less than the 5 minutes after which the peer closes
+	// a link without calls as idle.
 	sampleMaxAge = time.Minute
 	// probeInterval is the pause between two measurements of a late peer.
 	probeInterval = 100 * time.Millisecond
--- a/node/cluster/placefaults_test.go
+++ b/node/cluster/placefaults_test.go
@@ -156,7 +156,8 @@
 }
 
 // TestWarmLinksAreNotClosedAsIdle covers a pool without calls for longer than linkIdleTimeout: the first call
-// afterwards must not wait for a link to be opened.
+// afterwards must not wait for a link to be opened. The measurement of each minute keeps the link in use on both sides;
+// that this daemon's CloseIdle spares the links that it wants does not stop the other side from closing them.
 func TestWarmLinksAreNotClosedAsIdle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		watches := map[string]*linkWatch{}
