--- a/node/cluster/placecall.go
+++ b/node/cluster/placecall.go
@@ -139,7 +139,7 @@
 	case ctx.Err() != nil:
 		// The caller is gone, or the call's time is over.
 		p.links.update(func(peers *coordination.Peers, _ time.Time) { peers.Abandoned(name) })
-		p.notify(name, peer.KindProgress, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+		p.notifyEnded(name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled})
 		return
 	case errors.Is(err, context.DeadlineExceeded):
 		reason = lostTimeout
@@ -167,7 +167,7 @@
 		p.cluster.Recorder.Log.Warn("dependency is lost", "dependency", "coordinator", "peer", name, "pool", t.Pool.Name,
 			"request", t.Request.ID, "timeout_ms", step.Timeout.Milliseconds(), "error", err.Error())
 	}
-	p.notify(name, peer.KindProgress, callProgress{Attempt: t.Attempt, Ended: true, Result: blackboard.CallCancelled})
+	p.notifyEnded(name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled})
 }
 
 // requestPlacement sends the placement request and waits for the placement.
@@ -182,16 +182,23 @@
 		delete(p.pending, t.Attempt)
 		p.mu.Unlock()
 	}()
-	for ; ; step.Timeout = p.links.requestTimeout(call, c.Name) {
+	var waiting time.Time // since when the call waits at the coordinator
+	for ; ; step.Timeout = p.links.repeatTimeout(call, c.Name) {
 		answer, err := p.askOnce(ctx, step, t)
 		if err != nil || answer.Verdict == verdictRedirect {
 			return answer, err
 		}
 		p.links.answered(c.Name)
+		if !waiting.IsZero() {
+			call.Waited(time.Since(waiting))
+		}
+		waiting = time.Now()
 		if answer.Verdict != routing.Wait {
 			return answer, nil
 		}
 		answer, placed, err := p.awaitLater(ctx, c.Name, later)
+		call.Waited(time.Since(waiting))
+		waiting = time.Now()
 		if placed || err != nil {
 			return answer, err
 		}
