cluster: calls are listed for a coordinator under the lock that their end waits for

Cause: found in review. A call that ended while the calls for a coordinator were listed was entered in countedAt after its end, and the coordinator counted it until adoptedCallTTL. newTicket read the settings again after a wait, and would panic if the pool was gone by then. A peer found late by a ping woke no call that waited for a change. A report of calls compared each running call with each attempt. Change: calls are listed while the placer's lock is held; the pool is resolved once for each request; a ping that times out goes through update; the attempts are a set.

--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -10,6 +10,7 @@
 	"doorstack.dev/core/membership"
 	"doorstack.dev/core/rendezvous"
 	"doorstack.dev/core/routing"
+	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
@@ -38,7 +39,11 @@
 func (p *Placer) servePlace(ctx context.Context, from string, in placeRequest) (placeAnswer, error) {
 	now := time.Now()
 	view := p.cluster.Board.Settings.Current()
-	if view == nil || view.Tree.Pool(in.Pool) == nil || p.cluster.Board.Phase() != blackboard.Serving {
+	var pool *settings.ResolvedPool
+	if view != nil {
+		pool = view.Tree.Pool(in.Pool)
+	}
+	if pool == nil || p.cluster.Board.Phase() != blackboard.Serving {
 		if answer, ok := p.successorAnswer(&in, now); ok {
 			return answer, nil
 		}
@@ -66,7 +71,7 @@
 		return placeAnswer{Attempt: in.Attempt, Verdict: routing.Wait}, nil
 	}
 	call = &coordinatedCall{requester: from, pool: in.Pool, lastRenewed: now, expires: now.Add(in.UntilDeadline + callExpiryMargin)}
-	call.ticket = p.newTicket(&in, now)
+	call.ticket = p.newTicket(pool, &in, now)
 	p.coordinated[in.Attempt] = call
 	p.mu.Unlock()
 	if !p.queueCall(call) {
@@ -166,9 +171,8 @@
 }
 
 // newTicket returns the ticket with which another daemon's request waits in the pool's queue.
-func (p *Placer) newTicket(in *placeRequest, now time.Time) *blackboard.Ticket {
+func (p *Placer) newTicket(pool *settings.ResolvedPool, in *placeRequest, now time.Time) *blackboard.Ticket {
 	board := p.cluster.Board
-	pool := board.Settings.Current().Tree.Pool(in.Pool)
 	capacity := board.Targets.Capacity(pool.Name, now)
 	params := requestcontrol.RoutingParams(pool, capacity, board.Members.DaemonCount())
 	arrived := now.Add(-in.Waited)
--- a/node/cluster/endedcalls_test.go
+++ b/node/cluster/endedcalls_test.go
@@ -62,7 +62,7 @@
 func TestEndBeforeTheQueue(t *testing.T) {
 	p := newTestPlacer(t, 1)
 	in := testRequest("a")
-	call := &coordinatedCall{requester: "requester", pool: "svc", ticket: p.newTicket(&in, time.Now())}
+	call := &coordinatedCall{requester: "requester", pool: "svc", ticket: p.newTicket(p.cluster.Board.Settings.Current().Tree.Pool(in.Pool), &in, time.Now())}
 	p.coordinated["a"] = call
 	p.endCall("a", blackboard.CallCancelled)
 	if p.queueCall(call) {
--- a/node/cluster/placeelsewhere.go
+++ b/node/cluster/placeelsewhere.go
@@ -69,19 +69,8 @@
 
 // reportCalls reports those calls that are running to a coordinator. The others may still wait for their placement.
 func (p *Placer) reportCalls(ctx context.Context, pool, to string, attempts []string) {
-	calls := slices.DeleteFunc(p.cluster.Board.Targets.Calls(pool, time.Now()), func(c blackboard.CallState) bool {
-		return !slices.Contains(attempts, c.Attempt)
-	})
-	if len(calls) == 0 {
-		return
-	}
-	p.mu.Lock()
-	for _, c := range calls {
-		delete(p.elsewhere, c.Attempt)
-		p.countAt(c.Attempt, to)
-	}
-	p.mu.Unlock()
-	if to == p.cluster.Board.Self.Name {
+	calls := p.takeElsewhere(pool, to, attempts)
+	if len(calls) == 0 || to == p.cluster.Board.Self.Name {
 		return
 	}
 	if err := p.cluster.Hub.Notify(ctx, p.links.address(to), peer.KindCalls, callsReport{Pool: pool, Calls: calls}); err != nil {
@@ -100,6 +89,24 @@
 	}
 }
 
+// takeElsewhere removes the running calls among the given ones from those placed elsewhere and records that the
+// coordinator counts them. The calls are listed under the lock, for which ReportFinished waits: a call that ends
+// meanwhile is either not listed, or its end is reported.
+func (p *Placer) takeElsewhere(pool, to string, attempts []string) []blackboard.CallState {
+	wanted := make(map[string]bool, len(attempts))
+	for _, attempt := range attempts {
+		wanted[attempt] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	calls := slices.DeleteFunc(p.cluster.Board.Targets.Calls(pool, time.Now()), func(c blackboard.CallState) bool { return !wanted[c.Attempt] })
+	for _, c := range calls {
+		delete(p.elsewhere, c.Attempt)
+		p.countAt(c.Attempt, to)
+	}
+	return calls
+}
+
 // countAt records that a coordinator counts a call of this daemon; the lock is held.
 func (p *Placer) countAt(attempt, coordinator string) {
 	if at := p.countedAt[attempt]; coordinator != p.cluster.Board.Self.Name && !slices.Contains(at, coordinator) {
--- a/node/cluster/placelinks.go
+++ b/node/cluster/placelinks.go
@@ -294,10 +294,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	err := l.cluster.Hub.Call(ctx, l.address(name), peer.KindPing, empty{}, &empty{})
-	l.mu.Lock()
-	if err != nil && ctx.Err() != nil && l.peers.State(name) == coordination.Ready {
-		l.peers.TimedOut(name, pingTimeout, time.Now())
+	if err != nil && ctx.Err() != nil && l.state(name) == coordination.Ready {
+		l.update(func(peers *coordination.Peers, now time.Time) { peers.TimedOut(name, pingTimeout, now) })
 	}
+	l.mu.Lock()
 	delete(l.pinging, name)
 	l.mu.Unlock()
 	close(done)
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -156,9 +156,11 @@
 // ends to that coordinator, where a call whose end is not reported would count for
 // adoptedCallTTL.
 func (p *Placer) handOverCalls(pool, coordinator string) []blackboard.CallState {
-	calls := p.cluster.Board.Targets.Calls(pool, time.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The calls are listed under the lock, for which ReportFinished waits: a call that ends meanwhile is
+	// either not listed, or its end is reported.
+	calls := p.cluster.Board.Targets.Calls(pool, time.Now())
 	calls = slices.DeleteFunc(calls, func(c blackboard.CallState) bool { return p.coordinated[c.Attempt] != nil })
 	for _, c := range calls {
 		p.countAt(c.Attempt, coordinator)
--- a/node/cluster/placement_test.go
+++ b/node/cluster/placement_test.go
@@ -149,7 +149,7 @@
 	in.Calls = []blackboard.CallState{{Attempt: "old", Target: "t1"}}
 	p.adoptCalls("requester", "svc", in.Calls, now)
 	waiting := testRequest("waits")
-	ticket := p.newTicket(&waiting, now)
+	ticket := p.newTicket(p.cluster.Board.Settings.Current().Tree.Pool(waiting.Pool), &waiting, now)
 	p.coordinated["waits"] = &coordinatedCall{requester: "requester", pool: "svc", ticket: ticket, lastRenewed: now, expires: now.Add(time.Hour)}
 	if list := p.expiredCalls(now.Add(placementRequestTTL / 2)); len(list) != 0 {
 		t.Fatalf("expiredCalls() before the request's TTL = %v, want none", list)
