--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -177,6 +177,7 @@
 	d.director.Placer = d.cluster.Placer
 	d.cluster.DisableLeases = true
 	d.director.Exchanger = target.NewExchanger(d.adapter.Dialect)
+	d.director.Exchanger.Connect.OnConnect = d.recorder.RecordConnect
 	slowdowns := &controller.SlowdownPoller{Board: d.Board, Exchanger: d.director.Exchanger, Recorder: d.recorder, Coordinates: d.cluster.Placer.Coordinates}
 	lag := &controller.LagMonitor{Board: d.Board, Recorder: d.recorder}
 	d.loops = append(d.loops, lag.Run, directory.Run, d.director.Exchanger.Run, slowdowns.Run)
@@ -245,6 +246,12 @@
 // process can check the effects of a killed daemon.
 func (d *Daemon) SimulateCrash() { d.targets.Disconnect() }
 
+// SetTargetDialer replaces how connections to targets are opened, so that a test can cut the host off from
+// them. It must be called before Run.
+func (d *Daemon) SetTargetDialer(dial func(ctx context.Context, address string) (target.Socket, error)) {
+	d.director.Exchanger.Connect.Dial = dial
+}
+
 // Run serves until ctx ends or Drain has finished, and then stops the hub, the listeners and the
 // controllers.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -13,14 +13,13 @@
 	"time"
 
 	"doorstack.dev/node/sock"
-	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
 // persistConn is a persistent connection to a target. It carries one call at a time.
 type persistConn struct {
 	address     string
-	conn        net.Conn
+	conn        Socket
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -142,11 +141,7 @@
 	if pc.probes == probes && pc.unacked == unacked {
 		return nil
 	}
-	conn, ok := pc.conn.(*net.TCPConn)
-	if !ok {
-		return errors.New("only a TCP connection can be probed")
-	}
-	raw, err := conn.SyscallConn()
+	raw, err := pc.conn.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -158,7 +153,7 @@
 		return nil
 	}
 	pc.probes = probes
-	return conn.SetKeepAliveConfig(net.KeepAliveConfig{Enable: probes, Idle: probeIdle, Interval: probeInterval, Count: probeCount})
+	return pc.conn.SetKeepAliveConfig(net.KeepAliveConfig{Enable: probes, Idle: probeIdle, Interval: probeInterval, Count: probeCount})
 }
 
 // setUnackedTimeout bounds the time that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT).
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -1,14 +1,11 @@
 package target
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"sync"
-	"syscall"
 	"time"
 
 	"doorstack.dev/core/fault"
@@ -43,6 +40,8 @@
 // closed, and such sends would not count towards the limits on retries.
 type Exchanger struct {
 	Dialect Dialect
+	// Connect opens the connections to targets.
+	Connect *Connector
 
 	mu   sync.Mutex
 	idle map[string][]*persistConn // by address, most recently used last
@@ -50,12 +49,6 @@
 
 // The bounds of connections to targets.
 const (
-	// connectTimeout is many times the round trip between data centres (2 ms) and
-	// below the shortest goal for an answer (300 ms).
-	connectTimeout = 250 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged. Without it a target
-	// whose host lost power or network would not be noticed.
-	unackedTimeout = time.Second
 	// defaultIdleTimeout is how long an idle connection is kept where the target names no time.
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutShare is the share of the target's own idle timeout for which a connection is
@@ -67,7 +60,7 @@
 
 // NewExchanger returns an Exchanger without connections.
 func NewExchanger(d Dialect) *Exchanger {
-	return &Exchanger{Dialect: d, idle: map[string][]*persistConn{}}
+	return &Exchanger{Dialect: d, Connect: NewConnector(), idle: map[string][]*persistConn{}}
 }
 
 // Reply is a target's answer, whose body may not have arrived yet.
@@ -183,7 +176,7 @@
 	for {
 		pc := e.popIdle(address)
 		if pc == nil {
-			return dial(ctx, address)
+			return e.Connect.open(ctx, address)
 		}
 		if pc.usable(time.Now()) {
 			pc.bytesSent.Store(0)
@@ -236,6 +229,7 @@
 			return
 		case now := <-ticker.C:
 			e.closeExpired(now)
+			e.Connect.forget(now)
 		}
 	}
 }
@@ -264,16 +258,3 @@
 		pc.close()
 	}
 }
-
-func dial(ctx context.Context, address string) (*persistConn, error) {
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
-		return setUnackedTimeout(raw, unackedTimeout)
-	}}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	pc := &persistConn{address: address, conn: conn, idleTimeout: defaultIdleTimeout, unacked: unackedTimeout}
-	pc.reader = bufio.NewReaderSize(conn, readBufferSize)
-	return pc, nil
-}
