Test: a host that loses its path to the targets serves its callers

Symptom: callers of such a host were refused or waited until their deadline, while hosts beside it served the same targets.

--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -36,6 +36,7 @@
 	storeEndpoint *standin.Endpoint // the daemon's own address of the store, which a test can make refuse
 	boot          *platform.Boot
 	log           *testlog.Buffer
+	path          *targetPath
 	exited        chan struct{} // closed once Run has returned
 	stop          context.CancelFunc
 }
@@ -136,7 +137,7 @@
 	for _, other := range f.daemons {
 		boot.Seeds = append(boot.Seeds, other.boot.PeerAddress)
 	}
-	d := &testDaemon{storeEndpoint: endpoint, boot: boot, log: &testlog.Buffer{}, exited: make(chan struct{})}
+	d := &testDaemon{storeEndpoint: endpoint, boot: boot, log: &testlog.Buffer{}, path: newTargetPath(), exited: make(chan struct{})}
 	// configFileOf derives the fleet's key from the store's address, which differs between daemons
 	// here: they need a common key.
 	file := configFileOf(boot, metrics)
@@ -145,6 +146,7 @@
 	if d.Daemon, err = daemon.NewWithAdapter(&file, newAdapter(boot, log), log); err != nil {
 		f.t.Fatal(err)
 	}
+	d.SetTargetDialer(d.path.dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	go func() {
--- /dev/null
+++ b/node/onplatform/lost_path_test.go
@@ -0,0 +1,228 @@
+package onplatform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"doorstack.dev/node/target"
+	"doorstack.dev/platform/standin"
+)
+
+// pathState is the state of a daemon's network path to all targets.
+type pathState int
+
+const (
+	pathWorks pathState = iota
+	// pathRefused resets open connections and refuses new ones.
+	pathRefused
+	// pathSilent delivers nothing, on open connections and to new ones.
+	pathSilent
+	// pathClosedToNew refuses new connections; open ones go on.
+	pathClosedToNew
+)
+
+func (s pathState) String() string {
+	return [...]string{"works", "refused", "silent", "closed to new connections"}[s]
+}
+
+// The times that the operating system gives a silent path before it reports an error.
+const (
+	simulatedDialTimeout    = 250 * time.Millisecond
+	simulatedUnackedTimeout = time.Second
+)
+
+// targetPath is a daemon's network path to all targets, which a test can cut.
+type targetPath struct {
+	mu    sync.Mutex
+	state pathState
+	conns map[*pathConn]bool
+	dials int // connections opened
+}
+
+func newTargetPath() *targetPath { return &targetPath{conns: map[*pathConn]bool{}} }
+
+// set changes the state of the path. Connections that were silent stay so.
+func (p *targetPath) set(state pathState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = state
+	for c := range p.conns {
+		switch state {
+		case pathRefused:
+			c.fail(syscall.ECONNRESET)
+		case pathSilent:
+			c.silent.Store(true)
+		}
+	}
+}
+
+func (p *targetPath) opened() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dials
+}
+
+func (p *targetPath) dial(ctx context.Context, address string) (target.Socket, error) {
+	p.mu.Lock()
+	state := p.state
+	p.mu.Unlock()
+	switch state {
+	case pathRefused, pathClosedToNew:
+		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: syscall.ECONNREFUSED}
+	case pathSilent:
+		ctx, cancel := context.WithTimeout(ctx, simulatedDialTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: ctx.Err()}
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &pathConn{TCPConn: conn.(*net.TCPConn), path: p}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = true
+	p.dials++
+	return c, nil
+}
+
+// pathConn is a connection over a targetPath.
+type pathConn struct {
+	*net.TCPConn
+	path   *targetPath
+	silent atomic.Bool
+	mu     sync.Mutex
+	failed error
+}
+
+// fail makes reads and writes fail with err.
+func (c *pathConn) fail(err error) {
+	c.mu.Lock()
+	c.failed = err
+	c.mu.Unlock()
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
+func (c *pathConn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
+func (c *pathConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(b)
+		if failed := c.failure(); failed != nil {
+			return 0, &net.OpError{Op: "read", Net: "tcp4", Err: failed}
+		}
+		if err == nil && c.silent.Load() {
+			continue // The bytes are lost on the way.
+		}
+		return n, err
+	}
+}
+
+func (c *pathConn) Write(b []byte) (int, error) {
+	if failed := c.failure(); failed != nil {
+		return 0, &net.OpError{Op: "write", Net: "tcp4", Err: failed}
+	}
+	if !c.silent.Load() {
+		return c.TCPConn.Write(b)
+	}
+	time.AfterFunc(simulatedUnackedTimeout, func() { c.fail(syscall.ETIMEDOUT) })
+	return len(b), nil
+}
+
+func (c *pathConn) Close() error {
+	c.path.mu.Lock()
+	delete(c.path.conns, c)
+	c.path.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// cutDetection is the time after the loss of its paths within which a daemon must serve its callers again.
+const cutDetection = 3 * time.Second
+
+// newRequestAt returns a request to daemon d.
+func (f *fleet) newRequestAt(d *testDaemon, path string) *standin.CallerRequest {
+	r := f.newRequest(path)
+	r.Daemon = d.boot.CallerAddress
+	return r
+}
+
+// newPathFleet starts three daemons, three plain targets and three engines, and sends each daemon some calls so
+// that it has open connections to targets.
+func newPathFleet(t *testing.T) *fleet {
+	f := newFleet(t, 3, 3)
+	for i := range 3 {
+		f.addTarget(fmt.Sprint("e", i+1), engineService, 16).Script(standin.AnswerStream(1, 3, false))
+	}
+	for _, d := range f.daemons {
+		f.waitReady(d)
+		for _, path := range []string{safePath, unsafePath, promptPath, safePath, unsafePath, promptPath} {
+			if got := f.do(f.newRequestAt(d, path)); got.Status != http.StatusOK {
+				t.Fatalf("before the cut: %s at %s: %+v", path, d.boot.Name, got)
+			}
+		}
+	}
+	return f
+}
+
+// awaitServed sends calls to a daemon until one of each path is served, and fails the test if that takes longer
+// than cutDetection.
+func (f *fleet) awaitServed(d *testDaemon) {
+	f.t.Helper()
+	began := time.Now()
+	for _, path := range []string{safePath, unsafePath, promptPath} {
+		f.eventually(path+" served at "+d.boot.Name, func() bool {
+			return f.do(f.newRequestAt(d, path)).Status == http.StatusOK
+		})
+	}
+	if took := time.Since(began); took > cutDetection {
+		f.t.Errorf("served at %s after %v, bound %v", d.boot.Name, took, cutDetection)
+	}
+}
+
+// checkServed sends calls of each path to a daemon and requires that each is served, at one target only.
+func (f *fleet) checkServed(d *testDaemon, rounds int) {
+	f.t.Helper()
+	served, sent := 0, 0
+	for range rounds {
+		for _, path := range []string{safePath, unsafePath, promptPath} {
+			r := f.newRequestAt(d, path)
+			sent++
+			got := f.do(r)
+			if got.Status == http.StatusOK {
+				served++
+			} else {
+				f.t.Logf("%s at %s: status %d %s", path, d.boot.Name, got.Status, got.Body)
+			}
+			if n := len(f.callsWithID(r.ID)); path == unsafePath && n > 1 {
+				f.t.Errorf("%s ran at %d targets", path, n)
+			}
+		}
+	}
+	if served < sent {
+		f.t.Errorf("%s served %d of %d calls", d.boot.Name, served, sent)
+	}
+}
+
+func TestHostWithoutPathToTargetsServesItsCallers(t *testing.T) {
+	for _, state := range []pathState{pathRefused, pathSilent, pathClosedToNew} {
+		t.Run(state.String(), func(t *testing.T) {
+			f := newPathFleet(t)
+			cut := f.daemons[0]
+			cut.path.set(state)
+			f.awaitServed(cut)
+			f.checkServed(cut, 10)
+		})
+	}
+}
