Hosts without a path to targets reach them through other daemons

Callers of a host that could not connect to targets were refused, or waited until their deadline, while hosts beside it served the same targets.

Cause: a daemon had one way to a target, its own.

Change: a connection is opened by a race of ways. The direct one comes first; when it fails or is slower than usual, other daemons are asked to connect in its place. If a relay connects where the direct way did not, the path is lost, not the target; later connections go through relays first, and a probe finds out when the path is back. core/reach decides, node/relay carries bytes only: the call, its placement, attempts, deadline and cancellation stay with the daemon that took it. The relay is asked over the daemons' authenticated link, connects to known targets only, never chains, and waits for its connections when it leaves. This holds for every kind of loss (refused, silent, to some or all targets), as it asks whether somebody else connects, not how the path failed.

--- a/node/blackboard/target_views.go
+++ b/node/blackboard/target_views.go
@@ -82,6 +82,18 @@
 	Models []string
 }
 
+// HasAddress reports whether a known target listens at an address.
+func (t *TargetTable) HasAddress(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.byID {
+		if s.address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Addresses returns all targets, sorted by id.
 func (t *TargetTable) Addresses() []TargetAddress {
 	t.mu.Lock()
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"doorstack.dev/node/confservice"
 	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
+	"doorstack.dev/node/relay"
 	"doorstack.dev/node/requestcontrol"
 	"doorstack.dev/node/target"
 	"doorstack.dev/node/telemetry"
@@ -47,6 +48,7 @@
 	targets      *target.Client
 	hub          *peer.Hub
 	cluster      *cluster.Cluster
+	relays       *relay.Server // nil without an adapter
 	callerServer *khttp.Server
 	app          *kratos.App
 	loops        []func(context.Context)
@@ -177,10 +179,14 @@
 	d.director.Placer = d.cluster.Placer
 	d.cluster.DisableLeases = true
 	d.director.Exchanger = target.NewExchanger(d.adapter.Dialect)
-	d.director.Exchanger.Connect.OnConnect = d.recorder.RecordConnect
+	connector := d.director.Exchanger.Connect
+	connector.OnConnect = d.recorder.RecordConnect
+	connector.Relays = &relay.Client{Board: d.Board, Hub: d.hub}
+	d.relays = relay.NewServer(d.Board, connector, d.recorder, d.hub)
+	d.Metrics.RegisterRelayedConnections(d.relays.Relaying)
 	slowdowns := &controller.SlowdownPoller{Board: d.Board, Exchanger: d.director.Exchanger, Recorder: d.recorder, Coordinates: d.cluster.Placer.Coordinates}
 	lag := &controller.LagMonitor{Board: d.Board, Recorder: d.recorder}
-	d.loops = append(d.loops, lag.Run, directory.Run, d.director.Exchanger.Run, slowdowns.Run)
+	d.loops = append(d.loops, lag.Run, directory.Run, d.director.Exchanger.Run, connector.Run, slowdowns.Run)
 }
 
 // onAdopt applies a new revision of the settings to the targets and announces it to peers with a
--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -28,13 +28,19 @@
 		// Give the balancer time to see that this host is not ready.
 		time.Sleep(time.Duration(d.Config.DrainDelay))
 	}
-	for d.Board.InFlight() > 0 && !d.graceExpired(began) {
+	for d.inUse() && !d.graceExpired(began) {
 		time.Sleep(drainPollInterval)
 	}
 	d.Log.Info("drained", "cut", d.Board.InFlight(), "took", time.Since(began).Round(time.Millisecond).String())
 	close(d.drained)
 }
 
+// inUse reports whether calls are in flight here, or connections are relayed for calls of other daemons. Those close
+// idle connections through a daemon that leaves.
+func (d *Daemon) inUse() bool {
+	return d.Board.InFlight() > 0 || d.relays != nil && d.relays.Relaying() > 0
+}
+
 // killMargin is how long before the platform kills the process the wait for calls in flight ends,
 // so that the last log lines are written.
 const killMargin = 200 * time.Millisecond
--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -44,7 +44,11 @@
 	if d.Config.PeerListen != "" {
 		peerAddress = &d.Config.PeerListen
 	}
-	peerServer, err := newServer("peer", peerAddress, d.hub.Handler())
+	peerHandler := d.hub.Handler()
+	if d.relays != nil {
+		peerHandler = d.relays.Handler(peerHandler)
+	}
+	peerServer, err := newServer("peer", peerAddress, peerHandler)
 	if err != nil {
 		return err
 	}
--- a/node/onplatform/lost_path_test.go
+++ b/node/onplatform/lost_path_test.go
@@ -226,3 +226,22 @@
 		})
 	}
 }
+func TestTargetsStayInUseWhileOtherHostsLoseTheirPaths(t *testing.T) {
+	for i := range 3 {
+		t.Run(fmt.Sprint("daemon ", i+1), func(t *testing.T) {
+			f := newPathFleet(t)
+			cut := f.daemons[i]
+			cut.path.set(pathRefused)
+			for range 4 { // Failures of the daemon that was cut off.
+				for _, path := range []string{safePath, unsafePath, promptPath} {
+					f.do(f.newRequestAt(cut, path))
+				}
+			}
+			for j, d := range f.daemons {
+				if j != i {
+					f.checkServed(d, 5)
+				}
+			}
+		})
+	}
+}
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -48,6 +48,7 @@
 //   - KindLimit reports a target's rate limit to the coordinator.
 //   - KindCalls reports calls that were placed without the coordinator.
 //   - KindPing measures the round-trip time to a peer.
+//   - KindRelay asks a peer to connect to a target in this daemon's place.
 const (
 	KindChallenge       Kind = 1
 	KindHello           Kind = 2
@@ -78,6 +79,7 @@
 	KindLimit           Kind = 27
 	KindCalls           Kind = 28
 	KindPing            Kind = 29
+	KindRelay           Kind = 30
 )
 
 // kindNames holds the names of the kinds in metrics and logs.
@@ -90,7 +92,7 @@
 	KindPlace: "place", KindPlaced: "placed", KindProgress: "progress",
 	KindSettingsChanges: "settings_changes", KindDigests: "digests",
 	KindCrash: "crash", KindVerdicts: "verdicts", KindFacts: "facts", KindTrial: "trial", KindLimit: "limit",
-	KindCalls: "calls", KindPing: "ping",
+	KindCalls: "calls", KindPing: "ping", KindRelay: "relay",
 }
 
 // String returns the name of the kind in metrics, or "unknown".
--- /dev/null
+++ b/node/relay/relay.go
@@ -0,0 +1,49 @@
+// Package relay lets a daemon reach targets through another daemon when its own host has lost its path to them.
+//
+// The daemon asks a peer, over their link, to connect to a target (Client.Open). The peer does so directly, never
+// through a further relay, and answers with a ticket. The daemon then opens a TCP connection to the peer's address and
+// names the ticket in an HTTP upgrade; from there on the peer copies bytes between the two connections and knows
+// nothing of the calls they carry. The calls stay the daemon's own: it has them placed, counts their attempts, and
+// cancels them by closing the connection. A connection that the target resets is reset towards the daemon too, so
+// that a truncated answer looks truncated.
+package relay
+
+import "doorstack.dev/core/reach"
+
+// path is the HTTP path under which a relay accepts tickets, and protocol the name of the upgrade.
+const (
+	path     = "/relay/"
+	protocol = "doorstack-relay"
+)
+
+// outcome says whether a relay has connected to a target.
+type outcome string
+
+// The outcomes. All but connected and unreachable say that another relay may be able to connect.
+const (
+	connected     outcome = "connected"
+	unreachable   outcome = "unreachable"
+	noPath        outcome = "no_path"
+	unknownTarget outcome = "unknown_target"
+	leaving       outcome = "leaving"
+	busy          outcome = "busy"
+)
+
+// openRequest asks a peer to connect to a target.
+type openRequest struct {
+	Address string `cbor:"1,keyasint"`
+}
+
+// openAnswer is the peer's answer. The ticket is set if it has connected.
+type openAnswer struct {
+	Outcome outcome `cbor:"1,keyasint"`
+	Ticket  string  `cbor:"2,keyasint,omitempty"`
+}
+
+// Status is what a daemon reports of its paths to targets and of its work as a relay.
+type Status struct {
+	// Paths is the state of the daemon's own paths.
+	Paths reach.Summary
+	// Relaying is the number of connections that the daemon relays for others.
+	Relaying int
+}
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -19,6 +19,7 @@
 // persistConn is a persistent connection to a target. It carries one call at a time.
 type persistConn struct {
 	address     string
+	relay       string // the daemon that relays the connection, or empty
 	conn        Socket
 	reader      *bufio.Reader
 	idleSince   time.Time
@@ -35,6 +36,10 @@
 	unacked time.Duration
 }
 
+func newPersistConn(address, relay string, conn Socket, reader *bufio.Reader) *persistConn {
+	return &persistConn{address: address, relay: relay, conn: conn, reader: reader, idleTimeout: defaultIdleTimeout, unacked: unackedTimeout}
+}
+
 // maxInlineWrite is the largest body, in bytes, that is written before the answer is read.
 // A larger body is written in a goroutine of its own: a target may answer before it has read
 // the whole body, and stop reading.
--- a/node/target/connect.go
+++ b/node/target/connect.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"doorstack.dev/core/reach"
+	"github.com/go-faster/errors"
 )
 
 // The bounds of connections to targets.
@@ -19,21 +20,50 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged. Without it a target
 	// whose host lost power or network would not be noticed.
 	unackedTimeout = time.Second
+	// relayTimeout bounds the opening of a relayed connection, in which the relay connects to the target within
+	// connectTimeout.
+	relayTimeout = 2 * connectTimeout
 )
 
-// Connector opens connections to targets and records which paths work.
+var (
+	// ErrUnreachableFromRelay means that a relay could not connect to the target either.
+	ErrUnreachableFromRelay = errors.New("the relay cannot connect to the target")
+	// ErrNoPath means that this host has lost its path to the target and that no other daemon relays for it.
+	ErrNoPath = errors.New("this host has no path to the target, and no other host relays for it")
+)
+
+// Relays opens connections to targets through other daemons.
+type Relays interface {
+	// Candidates returns this daemon and the daemons that may serve as relays.
+	Candidates() (self reach.Relay, relays []reach.Relay)
+	// Open connects to a target through a relay. The reader holds what has been read from the connection. The error
+	// is ErrUnreachableFromRelay if the target is at fault.
+	Open(ctx context.Context, relay, address string) (Socket, *bufio.Reader, error)
+	// Usable reports whether connections through a relay may carry further calls.
+	Usable(relay string) bool
+}
+
+// Connector opens connections to targets, directly or through relays, and records which paths work.
 type Connector struct {
 	// Dial opens a TCP connection. Tests replace it to cut the host off.
 	Dial func(ctx context.Context, address string) (Socket, error)
+	// Relays is nil if all connections are direct.
+	Relays Relays
 	// OnConnect is called after each attempt to connect, with the state of all paths; nil means no call.
-	OnConnect func(connected bool, paths reach.Summary)
+	OnConnect func(relay string, connected bool, paths reach.Summary)
+
+	// spare takes a connection that was opened and is not needed at once.
+	spare func(*persistConn)
 
-	mu    sync.Mutex
-	paths *reach.Paths
+	mu        sync.Mutex
+	paths     *reach.Paths
+	verifying map[string]bool // targets whose path is being verified
 }
 
 // NewConnector returns a Connector that knows no path yet.
-func NewConnector() *Connector { return &Connector{Dial: dialTCP, paths: reach.New()} }
+func NewConnector() *Connector {
+	return &Connector{Dial: DialTCP, paths: reach.New(), spare: (*persistConn).close, verifying: map[string]bool{}}
+}
 
 // Socket is a TCP connection.
 type Socket interface {
@@ -42,7 +72,8 @@
 	SetKeepAliveConfig(config net.KeepAliveConfig) error
 }
 
-func dialTCP(ctx context.Context, address string) (Socket, error) {
+// DialTCP opens a TCP connection with the timeouts of connections to targets.
+func DialTCP(ctx context.Context, address string) (Socket, error) {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		return setUnackedTimeout(raw, unackedTimeout)
 	}}
@@ -53,34 +84,132 @@
 	return conn.(*net.TCPConn), nil
 }
 
-// open opens a connection to a target.
-func (c *Connector) open(ctx context.Context, address string) (*persistConn, error) {
+// AllLost reports whether this host counts as cut off from all targets.
+func (c *Connector) AllLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paths.AllLost()
+}
+
+// Lost reports whether this host's own path to a target counts as lost.
+func (c *Connector) Lost(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paths.Lost(address)
+}
+
+// Summary returns the state of the paths.
+func (c *Connector) Summary() reach.Summary {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paths.Summary()
+}
+
+// ConnectDirect opens a direct connection to a target and records whether that worked.
+func (c *Connector) ConnectDirect(ctx context.Context, address string) (Socket, error) {
+	began := time.Now()
 	conn, err := c.Dial(ctx, address)
-	c.record(ctx, address, err)
-	if err != nil {
-		return nil, err
+	if err == nil || ctx.Err() == nil { // A cancelled attempt says nothing about the path.
+		c.recordDirect(address, began, err)
 	}
-	pc := &persistConn{address: address, conn: conn, idleTimeout: defaultIdleTimeout, unacked: unackedTimeout}
-	pc.reader = bufio.NewReaderSize(conn, readBufferSize)
-	return pc, nil
+	return conn, err
 }
 
-// record records the end of an attempt to connect, unless it ended because ctx did.
-func (c *Connector) record(ctx context.Context, address string, err error) {
-	if err != nil && ctx.Err() != nil {
-		return
-	}
-	now := time.Now()
+// recordDirect records the end of a direct attempt to connect.
+func (c *Connector) recordDirect(address string, began time.Time, err error) {
+	c.update("", err == nil, func(p *reach.Paths, now time.Time) {
+		if err == nil {
+			p.DirectConnected(address, now.Sub(began), now)
+		} else {
+			p.DirectFailed(address, now)
+		}
+	})
+}
+
+// update changes the paths and reports an attempt to connect.
+func (c *Connector) update(relay string, connected bool, change func(*reach.Paths, time.Time)) {
 	c.mu.Lock()
-	if err == nil {
-		c.paths.DirectConnected(address, now)
-	} else {
-		c.paths.DirectFailed(address, now)
-	}
+	change(c.paths, time.Now())
 	summary := c.paths.Summary()
 	c.mu.Unlock()
 	if c.OnConnect != nil {
-		c.OnConnect(err == nil, summary)
+		c.OnConnect(relay, connected, summary)
+	}
+}
+
+// ways returns the ways to a target, in the order in which to try them.
+func (c *Connector) ways(address string) []reach.Way {
+	if c.Relays == nil {
+		return []reach.Way{{}}
+	}
+	self, relays := c.Relays.Candidates()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paths.Ways(address, self, relays, time.Now())
+}
+
+// preferred reports whether a kept connection is one that would be opened now: a direct one unless the path is lost,
+// and otherwise one through a relay that is still usable.
+func (c *Connector) preferred(pc *persistConn) bool {
+	lost := c.Lost(pc.address)
+	if pc.relay == "" {
+		return !lost
+	}
+	return lost && c.Relays.Usable(pc.relay)
+}
+
+// Verify finds out, in the background, whether the path to a target works, after a call over a direct connection
+// failed.
+func (c *Connector) Verify(address string) {
+	if c.Relays == nil {
+		return
+	}
+	c.mu.Lock()
+	busy := c.verifying[address]
+	c.verifying[address] = true
+	c.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+		defer cancel()
+		if pc, err := c.open(ctx, address); err == nil {
+			c.spare(pc)
+		}
+		c.mu.Lock()
+		delete(c.verifying, address)
+		c.mu.Unlock()
+	}()
+}
+
+// probeCheckInterval is how often it is checked whether a probe of a lost path is due.
+const probeCheckInterval = 100 * time.Millisecond
+
+// Run probes lost paths until ctx ends.
+func (c *Connector) Run(ctx context.Context) {
+	ticker := time.NewTicker(probeCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.mu.Lock()
+			address, due := c.paths.Probe(now)
+			c.mu.Unlock()
+			if due {
+				go c.probe(ctx, address)
+			}
+		}
+	}
+}
+
+func (c *Connector) probe(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	if conn, err := c.ConnectDirect(ctx, address); err == nil {
+		c.spare(newPersistConn(address, "", conn, bufio.NewReaderSize(conn, readBufferSize)))
 	}
 }
 
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -60,7 +60,9 @@
 
 // NewExchanger returns an Exchanger without connections.
 func NewExchanger(d Dialect) *Exchanger {
-	return &Exchanger{Dialect: d, Connect: NewConnector(), idle: map[string][]*persistConn{}}
+	e := &Exchanger{Dialect: d, Connect: NewConnector(), idle: map[string][]*persistConn{}}
+	e.Connect.spare = e.putIdle
+	return e
 }
 
 // Reply is a target's answer, whose body may not have arrived yet.
@@ -74,6 +76,9 @@
 	// Sent is the time just before the call's first byte was written.
 	Sent time.Time
 
+	// Relay is the daemon that the call went through; it is empty if this host's own path was used.
+	Relay string
+
 	conn         *persistConn
 	resp         *http.Response
 	stopDeadline func() bool
@@ -124,6 +129,7 @@
 	if err != nil {
 		stop()
 		pc.close()
+		e.verifyPath(ctx, pc)
 		execution := fault.Unknown
 		if pc.bytesSent.Load() == 0 {
 			execution = fault.NotRun
@@ -134,6 +140,13 @@
 	return reply, nil
 }
 
+// verifyPath finds out whether this host's path to a target works, after a call over it failed.
+func (e *Exchanger) verifyPath(ctx context.Context, pc *persistConn) {
+	if pc.relay == "" && ctx.Err() == nil {
+		e.Connect.Verify(pc.address)
+	}
+}
+
 // exchange writes a call and reads the head of its answer, skipping answers to earlier calls.
 func (e *Exchanger) exchange(pc *persistConn, c *forward.Message) (*Reply, error) {
 	req := &http.Request{
@@ -150,7 +163,7 @@
 		}
 		head := e.Dialect.ReadHead(resp.StatusCode, resp.Header)
 		if c.ID == "" || head.RequestID == c.ID {
-			return &Reply{Head: head, Header: resp.Header, Body: &answerBody{Reader: resp.Body}, Length: resp.ContentLength, conn: pc, resp: resp}, nil
+			return &Reply{Head: head, Header: resp.Header, Body: &answerBody{Reader: resp.Body}, Length: resp.ContentLength, Relay: pc.relay, conn: pc, resp: resp}, nil
 		}
 		// A late answer to an earlier call; the answer to this call may follow.
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainSize)); err != nil {
@@ -178,7 +191,7 @@
 		if pc == nil {
 			return e.Connect.open(ctx, address)
 		}
-		if pc.usable(time.Now()) {
+		if pc.usable(time.Now()) && e.Connect.preferred(pc) {
 			pc.bytesSent.Store(0)
 			return pc, nil
 		}
@@ -240,7 +253,7 @@
 	for address, list := range e.idle {
 		kept := list[:0]
 		for _, pc := range list {
-			if pc.expired(now) {
+			if pc.expired(now) || !e.Connect.preferred(pc) {
 				expired = append(expired, pc)
 				continue
 			}
--- /dev/null
+++ b/node/target/relayed.go
@@ -0,0 +1,43 @@
+package target
+
+import (
+	"sync/atomic"
+)
+
+// RelayedConn is a connection to a target that this daemon opened for another one. The kernel probes it while it is
+// silent: the other daemon cannot see that the target's host has died.
+type RelayedConn struct {
+	*persistConn
+	// unanswered counts the bytes sent since the target last sent any.
+	unanswered atomic.Int64
+}
+
+// NewRelayedConn prepares a connection for relaying.
+func NewRelayedConn(conn Socket) (*RelayedConn, error) {
+	c := &RelayedConn{persistConn: &persistConn{conn: conn, unacked: unackedTimeout}}
+	if err := c.prepare(true, 0); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Read reads from the target.
+func (c *RelayedConn) Read(b []byte) (int, error) {
+	n, err := c.conn.Read(b)
+	if n > 0 {
+		c.unanswered.Store(0)
+	}
+	return n, err
+}
+
+// Write writes to the target. A target may read a large body slowly.
+func (c *RelayedConn) Write(b []byte) (int, error) {
+	size := c.unanswered.Add(int64(len(b)))
+	if err := c.prepare(size <= maxInlineWrite, int(size)); err != nil {
+		return 0, err
+	}
+	return c.conn.Write(b)
+}
+
+// Close closes the connection.
+func (c *RelayedConn) Close() error { return c.conn.Close() }
--- a/node/telemetry/paths.go
+++ b/node/telemetry/paths.go
@@ -1,6 +1,9 @@
 package telemetry
 
-import "doorstack.dev/core/reach"
+import (
+	"doorstack.dev/core/reach"
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // pathState is a summary of the paths to targets, as it is logged.
 type pathState string
@@ -14,30 +17,47 @@
 
 func stateOf(s reach.Summary) pathState {
 	switch {
-	case s.Failing == 0:
+	case s.Failing == 0 && s.Lost == 0:
 		return pathsWork
-	case s.Failing == s.Known && s.Known > 1:
+	case s.AllLost || s.Failing == s.Known && s.Known > 1:
 		return pathsLost
 	default:
 		return pathsFailing
 	}
 }
 
-// RecordConnect counts an attempt to connect to a target and logs a change of the state of all paths. With the
-// lines of other daemons it shows whether targets failed or this host's path to them.
-func (r *Recorder) RecordConnect(connected bool, s reach.Summary) {
-	outcome := "connected"
+// The ways to connect to a target, in metrics.
+const (
+	wayDirect = "direct"
+	wayRelay  = "relay"
+)
+
+// RecordConnect counts an attempt to connect to a target, through a relay if one is named, and logs a change of the
+// state of all paths. With the lines of other daemons it shows whether targets failed or this host's path to them.
+func (r *Recorder) RecordConnect(relay string, connected bool, s reach.Summary) {
+	way, outcome := wayDirect, "connected"
+	if relay != "" {
+		way = wayRelay
+	}
 	if !connected {
 		outcome = "failed"
 	}
-	r.Metrics.TargetConnects.WithLabelValues(outcome).Inc()
+	r.Metrics.TargetConnects.WithLabelValues(way, outcome).Inc()
 	r.Metrics.UnreachedTargets.Set(float64(s.Failing))
+	r.Metrics.LostPaths.Set(float64(s.Lost))
 	state := stateOf(s)
 	r.mu.Lock()
 	changed := r.paths != state && (r.paths != "" || state != pathsWork)
 	r.paths = state
 	r.mu.Unlock()
 	if changed {
-		r.Log.Info("paths to targets", "state", string(state), "not_reached", s.Failing, "of", s.Known)
+		r.Log.Info("paths to targets", "state", string(state), "not_reached", s.Failing, "lost", s.Lost, "of", s.Known, "relay", relay)
 	}
 }
+
+// RegisterRelayedConnections registers the gauge of the connections that the daemon relays for others.
+func (m *Metrics) RegisterRelayedConnections(relaying func() int) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "relayed_connections", Help: "Connections to targets that this daemon relays for other daemons.",
+	}, func() float64 { return float64(relaying()) }))
+}
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -67,10 +67,12 @@
 	StoreRestores prometheus.Counter
 	// CoordinatorLost counts the placement requests that a coordinator did not answer.
 	CoordinatorLost *prometheus.CounterVec
-	// TargetConnects counts the attempts to connect to targets, by outcome, and UnreachedTargets is the number of
-	// targets whose latest attempt failed.
-	TargetConnects   *prometheus.CounterVec
-	UnreachedTargets prometheus.Gauge
+	// TargetConnects counts the attempts to connect to targets, by way and outcome. UnreachedTargets is the number of
+	// targets whose latest direct attempt failed, LostPaths of those to which this host's own path is lost.
+	TargetConnects              *prometheus.CounterVec
+	UnreachedTargets, LostPaths prometheus.Gauge
+	// RelayRequests counts the requests of other daemons to connect to a target, by outcome.
+	RelayRequests *prometheus.CounterVec
 	// Introductions counts the introductions of this daemon to seeds and lost members of an open fleet.
 	Introductions *prometheus.CounterVec
 	// CoordinationSteps counts the steps toward a placement, by pool, action and reason (see
@@ -142,8 +144,10 @@
 		Orders:               counter("orders_total", "Orders to targets, by outcome.", "outcome"),
 		Lag:                  prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "lag_seconds", Help: "How long what arrives waits for the processor.", Buckets: prometheus.ExponentialBuckets(0.001, 3, 8)}),
 		CoordinatorLost:      counter("coordinator_lost_total", "Questions for a place that the pool's coordinator left unanswered, by pool and reason.", "pool", "reason"),
-		TargetConnects:       counter("target_connects_total", "Attempts to connect to targets, by outcome.", "outcome"),
-		UnreachedTargets:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "unreached_targets", Help: "Targets to which the latest attempt to connect failed."}),
+		TargetConnects:       counter("target_connects_total", "Attempts to connect to targets, by way and outcome.", "way", "outcome"),
+		RelayRequests:        counter("relay_requests_total", "Requests of other daemons to connect to a target in their place, by outcome.", "outcome"),
+		LostPaths:            prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "lost_paths", Help: "Targets that other daemons reach and this host does not."}),
+		UnreachedTargets:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "unreached_targets", Help: "Targets to which the latest direct attempt to connect failed."}),
 		Introductions:        counter("introductions_total", "Introductions of this daemon to seeds and lost members, by outcome.", "outcome"),
 		CoordinationSteps:    counter("coordination_steps_total", "Steps toward a placement: requests to a coordinator, calls held, redirects, and calls placed by this daemon itself; by pool, action and reason.", "pool", "action", "reason"),
 		Crashes:              counter("crashes_total", "Sends whose connection the target's end closed before the answer was whole, by pool.", "pool"),
@@ -158,7 +162,7 @@
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
-		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.TargetConnects, m.UnreachedTargets, m.Introductions, m.CoordinationSteps, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.StartHolds, m.StartRefusals, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.TargetConnects, m.UnreachedTargets, m.LostPaths, m.RelayRequests, m.Introductions, m.CoordinationSteps, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.StartHolds, m.StartRefusals, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
 	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
 	return m
