A call that breaks with the host's path says nothing of its target

Cause: what a daemon saw of its own connections counted as the targets' state, and it is told to the pool's coordinator and to the table of crashing calls. A reset path breaks all its calls at once, three at a target open its breaker, and two such resets quarantine a sound call for the whole fleet.

If the path failed, no failure, suspect or crash is recorded, and the log line says so.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"doorstack.dev/core/admission"
 	"doorstack.dev/core/membership"
+	"doorstack.dev/core/reach"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/core/watch"
 	"doorstack.dev/node/blackboard"
@@ -258,6 +259,9 @@
 	d.director.Exchanger.Connect.Dial = dial
 }
 
+// TargetPaths returns the state of this host's own paths to targets.
+func (d *Daemon) TargetPaths() reach.Summary { return d.director.Exchanger.Connect.Summary() }
+
 // Run serves until ctx ends or Drain has finished, and then stops the hub, the listeners and the
 // controllers.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/node/onplatform/lost_path_test.go
+++ b/node/onplatform/lost_path_test.go
@@ -245,3 +245,66 @@
 		})
 	}
 }
+
+// breakCallsInProgress sends copies of a sound call to a daemon and resets its path to the targets, which have
+// them all by then.
+func (f *fleet) breakCallsInProgress(cut *testDaemon, copies int) {
+	release := make(chan struct{})
+	var arrived atomic.Int64
+	f.scriptAll(func(_ http.ResponseWriter, r *http.Request, _ standin.Call) {
+		arrived.Add(1)
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	var callers sync.WaitGroup
+	for range copies {
+		a := f.newRequestTo(cut, unsafePath, soundBody)
+		callers.Go(func() { f.do(a) })
+	}
+	f.eventually("all copies at targets", func() bool { return int(arrived.Load()) == copies })
+	cut.path.set(pathRefused)
+	callers.Wait()
+	close(release)
+	for id, target := range f.targets {
+		target.Script(standin.Succeed("ok"))
+		if id[0] == 'e' {
+			target.Script(standin.AnswerStream(1, 3, false))
+		}
+	}
+}
+
+// The reset of a path breaks all calls on it at once. The targets have not failed, and the calls have not crashed
+// them: other daemons must go on using both.
+func TestCallsBrokenByLostPathSayNothingOfTargets(t *testing.T) {
+	const copies = 9 // three for each target
+	f := newPathFleet(t)
+	f.awaitMembership()
+	cut := f.daemons[0]
+	for range 2 {
+		f.breakCallsInProgress(cut, copies)
+		f.checkServed(f.daemons[1], 1)
+		cut.path.set(pathWorks)
+		f.eventually("a direct connection", func() bool { return cut.TargetPaths().Lost == 0 })
+	}
+	f.eventually("the ends of all calls", func() bool {
+		calls := 0
+		for _, d := range f.daemons {
+			for _, target := range d.Board.Targets.Status(time.Now()) {
+				calls += target.OwnCalls
+			}
+		}
+		return calls == 0
+	})
+	for _, d := range f.daemons {
+		for _, target := range d.Board.Targets.Status(time.Now()) {
+			if target.Failures > 0 {
+				t.Errorf("%s counts %d failures of %s", d.boot.Name, target.Failures, target.Address)
+			}
+		}
+		if !d.Board.Poison.Empty() {
+			t.Errorf("%s counts a sound call as crashing", d.boot.Name)
+		}
+	}
+}
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -48,6 +48,8 @@
 	// lastTarget is the latest target, for the log. failedHelper is the address of the helper
 	// (see forward.Helper) that made the latest attempt fail, if any.
 	lastTarget, failedHelper string
+	// lastRelay is the daemon that the latest attempt went through, or empty.
+	lastRelay string
 	// prefilledAttempt is the latest attempt whose target has prefilled the prompt.
 	prefilledAttempt string
 	// silenceWatch watches the current attempt.
@@ -94,7 +96,7 @@
 // pool, not to the account's retry budget as in Director.mayRetry.
 func (f *forwarding) mayRetry(ctx context.Context, err error) bool {
 	var typed *fault.Error
-	if errors.As(err, &typed) || errors.Is(err, errCallerWrite) || errors.Is(err, errQuarantined) || ctx.Err() != nil {
+	if errors.As(err, &typed) || errors.Is(err, errCallerWrite) || errors.Is(err, errQuarantined) || errors.Is(err, target.ErrNoPath) || ctx.Err() != nil {
 		return false
 	}
 	if !f.progress.MayRetry() {
@@ -159,53 +161,111 @@
 	return err
 }
 
-// finishAttempt records the end of an attempt and wakes the pool's queue for the freed room.
+// finishAttempt records the end of an attempt. If the connection broke off, what that says of the target is recorded
+// only once it is known whether the target or this host's path to it failed; the call does not wait for that.
 func (f *forwarding) finishAttempt(ctx context.Context, p *blackboard.Placement, err error) {
-	d := f.director
-	result := blackboard.CallSucceeded
+	end := f.attemptEnd(ctx, p, err)
+	if err == nil {
+		f.director.recordEnd(f.request, end)
+		return
+	}
+	if !errors.Is(err, target.ErrNoPath) {
+		f.excluded = append(f.excluded, end.target)
+	}
+	connect := f.director.Exchanger.Connect
+	if end.cancelled || !target.BrokenOff(err) && !errors.Is(err, errSilent) {
+		f.director.recordEnd(f.request, end)
+		return
+	}
+	go func() {
+		end.pathFailed = connect.PathFailed(p.Address, end.relay, err)
+		f.director.recordEnd(f.request, end)
+	}()
+}
+
+// attemptEnd is the end of an attempt.
+type attemptEnd struct {
+	attempt string
+	// chosen is the target that the call was sent to, and target the one that the end speaks of: chosen, or a helper.
+	chosen, target string
+	// relay is the daemon that the call went through, or empty.
+	relay string
+	err   error
+	// cancelled reports that the end says nothing of the target, cause why.
+	cancelled bool
+	cause     error
+	// callerGone reports that the attempt ended because the caller did.
+	callerGone bool
+	// suspectFor is how long the target gets no calls.
+	suspectFor time.Duration
+	// pathFailed reports that this host's path to the target failed.
+	pathFailed bool
+}
+
+func (f *forwarding) attemptEnd(ctx context.Context, p *blackboard.Placement, err error) attemptEnd {
+	end := attemptEnd{attempt: p.Attempt, chosen: p.Decision.Chosen, target: p.Decision.Chosen, relay: f.lastRelay, err: err}
+	if err == nil {
+		return end
+	}
+	end.target = f.failedTarget(p)
+	end.callerGone = ctx.Err() != nil || errors.Is(err, errCallerWrite)
+	end.cancelled = end.callerGone || errors.Is(err, errRejected) || errors.Is(err, errQuarantined)
+	end.cause = ctx.Err()
+	if end.cause == nil {
+		end.suspectFor = f.suspectDuration(err)
+	}
+	return end
+}
+
+// recordEnd records the end of an attempt and wakes the pool's queue for the freed room.
+func (d *Director) recordEnd(r *Request, end attemptEnd) {
+	result, suspect := blackboard.CallSucceeded, ""
 	switch {
-	case err == nil:
-	case ctx.Err() != nil || errors.Is(err, errCallerWrite) || errors.Is(err, errRejected) || errors.Is(err, errQuarantined):
+	case end.err == nil:
+	case end.cancelled || end.pathFailed:
 		result = blackboard.CallCancelled
 	default:
 		result = blackboard.CallFailed
 	}
-	suspect, suspectFor := "", time.Duration(0)
-	if err != nil {
-		failed := f.failedTarget(p)
-		f.excluded = append(f.excluded, failed)
-		if suspectFor = f.suspectDuration(err); suspectFor > 0 && ctx.Err() == nil {
-			suspect = failed
-			d.Board.Targets.Suspect(suspect, time.Now().Add(suspectFor), time.Now())
-		}
-		f.recordFailedAttempt(ctx, p.Attempt, failed, err)
+	if end.suspectFor > 0 && !end.pathFailed {
+		suspect = end.target
+		d.Board.Targets.Suspect(suspect, time.Now().Add(end.suspectFor), time.Now())
+	}
+	if end.err != nil {
+		d.recordFailedAttempt(r, &end)
 	}
-	f.recordCrashOrSuccess(ctx, p, err)
-	d.Board.Targets.Finish(p.Attempt, result, time.Now())
+	d.recordCrashOrSuccess(r, &end)
+	d.Board.Targets.Finish(end.attempt, result, time.Now())
 	if d.Placer != nil {
-		d.Placer.ReportFinished(p.Attempt, result, suspect, suspectFor)
+		d.Placer.ReportFinished(end.attempt, result, suspect, end.suspectFor)
 	}
-	d.Board.Queues.Wake(f.request.Route.Pool.Name)
+	d.Board.Queues.Wake(r.Route.Pool.Name)
 }
 
 // recordCrashOrSuccess records whether the target survived the call. An error answer from the
 // target itself shows that it did; recordCrash determines whether another failure was a crash.
-func (f *forwarding) recordCrashOrSuccess(ctx context.Context, p *blackboard.Placement, err error) {
+func (d *Director) recordCrashOrSuccess(r *Request, end *attemptEnd) {
 	switch {
-	case err == nil || errors.Is(err, errTargetError):
-		f.director.recordSuccess(f.request)
-	case ctx.Err() == nil && !errors.Is(err, errCallerWrite):
-		f.director.recordCrash(f.request, p.Decision.Chosen, err)
+	case end.err == nil || errors.Is(end.err, errTargetError):
+		d.recordSuccess(r)
+	case !end.callerGone && !end.pathFailed:
+		d.recordCrash(r, end.chosen, end.err)
 	}
 }
 
 // recordFailedAttempt records why an attempt gave no answer.
-func (f *forwarding) recordFailedAttempt(ctx context.Context, attempt, failed string, err error) {
-	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: failed, Attempt: attempt, Reason: err.Error(), CallKey: f.request.poisonKey().String()}
-	if cause := ctx.Err(); cause != nil {
-		rec.Outcome, rec.Reason = decision.OutcomeCancelled, cause.Error()
+func (d *Director) recordFailedAttempt(r *Request, end *attemptEnd) {
+	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String()}
+	switch {
+	case end.cause != nil:
+		rec.Outcome, rec.Reason = decision.OutcomeCancelled, end.cause.Error()
+	case end.pathFailed:
+		rec.Reason = "this host's path to the target failed: " + rec.Reason
+	}
+	if end.relay != "" {
+		rec.Reason += "; relayed by " + end.relay
 	}
-	f.director.record(f.request, rec)
+	d.record(r, rec)
 }
 
 // How long no calls are sent to a target after it failed one: a full target has room
@@ -264,7 +324,7 @@
 		Target: p.Decision.Chosen, Account: r.Account.Path, Timeout: time.Until(r.Deadline), LastEventID: f.lastEventID,
 		Helpers: forwardHelpers(p),
 	})
-	f.failedHelper = ""
+	f.failedHelper, f.lastRelay = "", ""
 	reservations, err := d.reserveMemory(ctx, r, p)
 	if err != nil {
 		f.failedHelper = reservations.refusedBy
@@ -277,6 +337,7 @@
 	f.silenceWatch = watch
 	reply, err := d.Exchanger.Send(attemptCtx, p.Address, &call)
 	if err != nil {
+		f.lastRelay = target.RelayOf(err)
 		execution := target.ExecutionOf(err)
 		f.progress.RecordFailure(execution, execution != fault.NotRun)
 		if errors.Is(err, target.ErrCallerDisconnected) {
@@ -284,6 +345,7 @@
 		}
 		return watch.stop(attemptCtx, err)
 	}
+	f.lastRelay = reply.Relay
 	f.recordNotice(p.Decision.Chosen, reply)
 	err = watch.stop(attemptCtx, f.handleReply(attemptCtx, reply, p))
 	d.Exchanger.Close(reply)
--- a/node/target/client.go
+++ b/node/target/client.go
@@ -25,6 +25,8 @@
 	Execution fault.Execution
 	// Code is the code of the target's refusal, or empty.
 	Code string
+	// Relay is the daemon that the call went through, or empty.
+	Relay string
 	// Err is the cause.
 	Err error
 }
@@ -47,6 +49,15 @@
 	return fault.Unknown
 }
 
+// RelayOf returns the daemon that a failed call went through, or an empty string.
+func RelayOf(err error) string {
+	var call *CallError
+	if errors.As(err, &call) {
+		return call.Relay
+	}
+	return ""
+}
+
 // ConnectionClosed reports whether a call that may have run failed because the target's end of
 // the connection was closed or reset, as it is when the target's process ends.
 func ConnectionClosed(err error) bool {
--- a/node/target/connect.go
+++ b/node/target/connect.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"doorstack.dev/core/fault"
 	"doorstack.dev/core/reach"
 	"github.com/go-faster/errors"
 )
@@ -57,12 +58,12 @@
 
 	mu        sync.Mutex
 	paths     *reach.Paths
-	verifying map[string]bool // targets whose path is being verified
+	verifying map[string]*verification // by target address
 }
 
 // NewConnector returns a Connector that knows no path yet.
 func NewConnector() *Connector {
-	return &Connector{Dial: DialTCP, paths: reach.New(), spare: (*persistConn).close, verifying: map[string]bool{}}
+	return &Connector{Dial: DialTCP, paths: reach.New(), spare: (*persistConn).close, verifying: map[string]*verification{}}
 }
 
 // Socket is a TCP connection.
@@ -158,29 +159,59 @@
 	return lost && c.Relays.Usable(pc.relay)
 }
 
-// Verify finds out, in the background, whether the path to a target works, after a call over a direct connection
-// failed.
-func (c *Connector) Verify(address string) {
-	if c.Relays == nil {
-		return
-	}
+// verification is an attempt to connect that tells why a call failed.
+type verification struct {
+	done chan struct{}
+	// connected reports, once done is closed, whether the target was reached in some way.
+	connected bool
+}
+
+// verify finds out, in the background, whether a target can be reached, and in which ways.
+func (c *Connector) verify(address string) *verification {
 	c.mu.Lock()
-	busy := c.verifying[address]
-	c.verifying[address] = true
-	c.mu.Unlock()
-	if busy {
-		return
+	defer c.mu.Unlock()
+	if v := c.verifying[address]; v != nil {
+		return v
 	}
+	v := &verification{done: make(chan struct{})}
+	c.verifying[address] = v
 	go func() {
+		defer close(v.done)
 		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 		defer cancel()
 		if pc, err := c.open(ctx, address); err == nil {
+			v.connected = true
 			c.spare(pc)
 		}
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		delete(c.verifying, address)
-		c.mu.Unlock()
 	}()
+	return v
+}
+
+// PathFailed reports whether a call failed because of the path to its target and not because of the target. relay is
+// the daemon that the call went through, if any. It waits until a new attempt to connect has shown which, at most
+// relayTimeout.
+func (c *Connector) PathFailed(address, relay string, err error) bool {
+	switch {
+	case errors.Is(err, ErrNoPath):
+		return true
+	case c.Relays == nil || ExecutionOf(err) == fault.NotRun:
+		return false // The ways to the target have been tried.
+	}
+	v := c.verify(address)
+	<-v.done
+	if relay == "" {
+		return c.Lost(address)
+	}
+	return v.connected
+}
+
+// BrokenOff reports whether a call may have failed because of the path to its target: no byte arrived for too long, or
+// the connection was reset. A connection that ends in order was ended by the target.
+func BrokenOff(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, ErrNoPath)
 }
 
 // probeCheckInterval is how often it is checked whether a probe of a lost path is due.
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -129,24 +129,16 @@
 	if err != nil {
 		stop()
 		pc.close()
-		e.verifyPath(ctx, pc)
 		execution := fault.Unknown
 		if pc.bytesSent.Load() == 0 {
 			execution = fault.NotRun
 		}
-		return nil, &CallError{Execution: execution, Err: err}
+		return nil, &CallError{Execution: execution, Relay: pc.relay, Err: err}
 	}
 	reply.stopDeadline, reply.Sent = stop, sent
 	return reply, nil
 }
 
-// verifyPath finds out whether this host's path to a target works, after a call over it failed.
-func (e *Exchanger) verifyPath(ctx context.Context, pc *persistConn) {
-	if pc.relay == "" && ctx.Err() == nil {
-		e.Connect.Verify(pc.address)
-	}
-}
-
 // exchange writes a call and reads the head of its answer, skipping answers to earlier calls.
 func (e *Exchanger) exchange(pc *persistConn, c *forward.Message) (*Reply, error) {
 	req := &http.Request{
