Relays are found where most hosts have lost their paths

Cause: three relays at most were asked for a connection, in an order that knew nothing of those that had worked; and a relay that had not yet noticed its own loss called the target unreachable.

Change: a relay that worked is asked first, and up to eight are asked while the path is lost. A relay calls a target unreachable only after it has reached another one; if it cannot, it has lost its own path and says so.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -15,16 +15,17 @@
 // Paths is what a daemon knows of its own paths to targets, by target address, and of its relays.
 type Paths struct {
 	targets map[string]*path
-	// relays holds until when each relay that could not help is avoided.
-	relays map[string]time.Time
+	relays  map[string]*relayState
 	// direct and relayed estimate the time to connect in each way.
 	direct, relayed coordination.RTT
 	// allLost reports that the path to all targets counts as lost, whether or not each was tried.
 	allLost bool
 	// unreached are the lost targets since the last direct connection to any target.
-	unreached  map[string]bool
-	lastProbed string
-	nextProbe  time.Time
+	unreached map[string]bool
+	// lastConnected are the two targets that were connected to directly last, the latest first.
+	lastConnected [2]string
+	lastProbed    string
+	nextProbe     time.Time
 }
 
 // path is the daemon's own path to one target.
@@ -32,33 +33,39 @@
 	rtt  coordination.RTT
 	lost bool
 	// failed reports that the latest direct connection failed.
-	failed   bool
-	lastUsed time.Time
+	failed bool
+}
+
+// relayState is what is known of a relay. At most one of its fields is set.
+type relayState struct {
+	// works reports that the relay's latest connection worked.
+	works bool
+	// avoidUntil is until when a relay that could not help is avoided.
+	avoidUntil time.Time
 }
 
 // New returns Paths without any knowledge.
 func New() *Paths {
-	return &Paths{targets: map[string]*path{}, relays: map[string]time.Time{}, unreached: map[string]bool{}}
+	return &Paths{targets: map[string]*path{}, relays: map[string]*relayState{}, unreached: map[string]bool{}}
 }
 
 // minLostTargets is the number of targets that must be lost, without a direct connection to any target in
 // between, before the path to all targets counts as lost: a single one may have a path of its own that failed.
 const minLostTargets = 2
 
-func (p *Paths) target(address string, now time.Time) *path {
+func (p *Paths) target(address string) *path {
 	t := p.targets[address]
 	if t == nil {
 		t = &path{}
 		p.targets[address] = t
 	}
-	t.lastUsed = now
 	return t
 }
 
 // DirectConnected records a direct connection that was established within the time took. If the path to the target was
 // lost, the paths of the other targets are most likely back too.
-func (p *Paths) DirectConnected(address string, took time.Duration, now time.Time) {
-	t := p.target(address, now)
+func (p *Paths) DirectConnected(address string, took time.Duration) {
+	t := p.target(address)
 	t.rtt.Add(took)
 	p.direct.Add(took)
 	if t.lost {
@@ -69,17 +76,34 @@
 	t.failed = false
 	p.allLost = false
 	clear(p.unreached)
+	if p.lastConnected[0] != address {
+		p.lastConnected = [2]string{address, p.lastConnected[0]}
+	}
+}
+
+// Witness returns a target other than the given one that was connected to lately. If a connection to both fails, the
+// host's path is more likely to have failed than both targets.
+func (p *Paths) Witness(address string) (string, bool) {
+	for _, other := range p.lastConnected {
+		if other != "" && other != address {
+			return other, true
+		}
+	}
+	return "", false
 }
 
+// WitnessFailed records that direct connections to a target and to its Witness failed.
+func (p *Paths) WitnessFailed() { p.allLost = true }
+
 // DirectFailed records a direct connection that failed.
-func (p *Paths) DirectFailed(address string, now time.Time) { p.target(address, now).failed = true }
+func (p *Paths) DirectFailed(address string) { p.target(address).failed = true }
 
 // RelayConnected records that a relay connected to a target within the time took. directTried reports that a direct
 // connection was attempted at the same time and has not been established: the path is lost then.
-func (p *Paths) RelayConnected(address, relay string, directTried bool, took time.Duration, now time.Time) {
-	delete(p.relays, relay)
+func (p *Paths) RelayConnected(address, relay string, directTried bool, took time.Duration) {
+	p.relays[relay] = &relayState{works: true}
 	p.relayed.Add(took)
-	t := p.target(address, now)
+	t := p.target(address)
 	if !directTried {
 		return
 	}
@@ -93,7 +117,9 @@
 const relayAvoidance = time.Second
 
 // RelayFailed records that a daemon could not serve as a relay.
-func (p *Paths) RelayFailed(relay string, now time.Time) { p.relays[relay] = now.Add(relayAvoidance) }
+func (p *Paths) RelayFailed(relay string, now time.Time) {
+	p.relays[relay] = &relayState{avoidUntil: now.Add(relayAvoidance)}
+}
 
 // Lost reports whether the daemon's own path to a target counts as lost.
 func (p *Paths) Lost(address string) bool {
@@ -159,19 +185,21 @@
 	return next, true
 }
 
-// forgetAfter is how long an unused target is remembered, longer than any pause between two calls to a target in use.
-const forgetAfter = 10 * time.Minute
-
-// Forget removes targets that have not been used for long, and relays that are no longer avoided.
-func (p *Paths) Forget(now time.Time) {
-	for address, t := range p.targets {
-		if now.Sub(t.lastUsed) > forgetAfter {
+// Forget removes what is known of targets that no longer exist, and of relays that may be asked again.
+func (p *Paths) Forget(exists func(address string) bool, now time.Time) {
+	for address := range p.targets {
+		if !exists(address) {
 			delete(p.targets, address)
 			delete(p.unreached, address)
 		}
 	}
-	for name, until := range p.relays {
-		if !now.Before(until) {
+	for i, address := range p.lastConnected {
+		if !exists(address) {
+			p.lastConnected[i] = ""
+		}
+	}
+	for name, r := range p.relays {
+		if !r.works && !now.Before(r.avoidUntil) {
 			delete(p.relays, name)
 		}
 	}
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -9,23 +9,29 @@
 
 func TestFailingTargetsAreCountedUntilConnected(t *testing.T) {
 	p := New()
-	p.DirectFailed("a", start)
-	p.DirectFailed("b", start)
-	p.DirectConnected("c", time.Millisecond, start)
+	p.DirectFailed("a")
+	p.DirectFailed("b")
+	p.DirectConnected("c", time.Millisecond)
 	if s := p.Summary(); s.Failing != 2 || s.Known != 3 {
 		t.Fatalf("summary %+v, want 2 of 3 failing", s)
 	}
-	p.DirectConnected("a", time.Millisecond, start)
+	p.DirectConnected("a", time.Millisecond)
 	if s := p.Summary(); s.Failing != 1 {
 		t.Fatalf("summary %+v, want 1 failing", s)
 	}
 }
 
-func TestUnusedTargetsAreForgotten(t *testing.T) {
+func TestTargetsThatAreGoneAreForgotten(t *testing.T) {
 	p := New()
-	p.DirectFailed("a", start)
-	p.Forget(start.Add(forgetAfter + time.Second))
-	if s := p.Summary(); s.Known != 0 {
-		t.Fatalf("summary %+v, want none", s)
+	for _, address := range []string{"gone", "here"} {
+		p.DirectConnected(address, time.Millisecond)
+		p.RelayConnected(address, "n1", true, time.Millisecond)
+	}
+	p.Forget(func(address string) bool { return address == "here" }, start)
+	if s := p.Summary(); s.Known != 1 || s.Lost != 1 {
+		t.Fatalf("summary %+v, want one", s)
+	}
+	if w, known := p.Witness("other"); w != "here" {
+		t.Fatalf("witness %q, %v, want the one that is left", w, known)
 	}
 }
--- a/core/reach/ways.go
+++ b/core/reach/ways.go
@@ -23,9 +23,13 @@
 	Patience time.Duration
 }
 
-// maxRelays bounds the relays that are tried for one connection. Where all daemons of a data centre have lost their
-// paths, the second one, which is in another data centre, still helps.
-const maxRelays = 3
+// The bounds of the relays that are tried for one connection: to a target whose path may work, and to one whose path
+// is lost. Where many daemons have lost their paths together, several relays may have to be asked; they refuse at
+// once.
+const (
+	maxRelays         = 3
+	maxRelaysWhenLost = 8
+)
 
 // The bounds of Way.Patience, for times that were measured on an idle host and for hosts that have measured none.
 const (
@@ -66,42 +70,45 @@
 	return initialPatience
 }
 
-// chooseRelays returns the relays to try for a target. The first is in the daemon's own data centre, where a relay
-// adds the least delay; the second is in another one, as the daemons of a data centre may lose their paths
-// together. Among equals each daemon and target have their own order, so that the load spreads over the relays.
+// candidate is a relay with what decides its place in the order.
+type candidate struct {
+	Relay
+	works bool
+	score uint64
+}
+
+// chooseRelays returns the relays to try for a target. Those that work come first. Of the others the first is in the
+// daemon's own data centre, where a relay adds the least delay, and the second in another one, as the daemons of a
+// data centre may lose their paths together. Among equals each daemon and target have their own order, so that the
+// load spreads over the relays.
 func (p *Paths) chooseRelays(address string, self Relay, relays []Relay, now time.Time) []string {
 	key := self.Name + "\x00" + address
-	type candidate struct {
-		Relay
-		score uint64
-	}
 	var near, far []candidate
 	for _, r := range relays {
-		if now.Before(p.relays[r.Name]) {
-			continue
+		c := candidate{Relay: r}
+		if known := p.relays[r.Name]; known != nil {
+			if now.Before(known.avoidUntil) {
+				continue
+			}
+			c.works = known.works
 		}
-		c := candidate{r, rendezvous.Score(key, r.Name)}
+		c.score = rendezvous.Score(key, r.Name)
 		if r.DataCentre == self.DataCentre {
 			near = append(near, c)
 		} else {
 			far = append(far, c)
 		}
 	}
-	order := func(a, b candidate) int {
-		if a.Strong != b.Strong {
-			if a.Strong {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.score, a.score)
+	slices.SortFunc(near, compareCandidates)
+	slices.SortFunc(far, compareCandidates)
+	limit := maxRelays
+	if p.Lost(address) {
+		limit = maxRelaysWhenLost
 	}
-	slices.SortFunc(near, order)
-	slices.SortFunc(far, order)
 	var names []string
-	for len(names) < maxRelays && len(near)+len(far) > 0 {
+	for len(names) < limit && len(near)+len(far) > 0 {
 		from := &near
-		if len(near) == 0 || len(names)%2 == 1 && len(far) > 0 {
+		if len(near) == 0 || len(far) > 0 && preferFar(near[0], far[0], len(names)) {
 			from = &far
 		}
 		names = append(names, (*from)[0].Name)
@@ -109,3 +116,28 @@
 	}
 	return names
 }
+
+// preferFar reports whether the best relay of another data centre comes before the best one of the own data centre, if
+// chosen relays come before them.
+func preferFar(near, far candidate, chosen int) bool {
+	if near.works != far.works {
+		return far.works
+	}
+	return !near.works && chosen%2 == 1
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(compareBools(a.works, b.works), compareBools(a.Strong, b.Strong), cmp.Compare(b.score, a.score))
+}
+
+// compareBools sorts true before false.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/core/reach/ways_test.go
+++ b/core/reach/ways_test.go
@@ -26,10 +26,10 @@
 	return names, directAt
 }
 
-func loseAll(p *Paths, at time.Time) {
+func loseAll(p *Paths) {
 	for _, address := range []string{"a", "b"} {
-		p.DirectFailed(address, at)
-		p.RelayConnected(address, "n2", true, time.Millisecond, at)
+		p.DirectFailed(address)
+		p.RelayConnected(address, "n2", true, time.Millisecond)
 	}
 }
 
@@ -38,11 +38,11 @@
 	if _, at := relayNames(p.Ways("a", self, relays, start)); at != 0 {
 		t.Fatalf("direct way at %d, want first", at)
 	}
-	p.DirectFailed("a", start)
+	p.DirectFailed("a")
 	if p.Lost("a") {
 		t.Fatal("a failed connection alone shows no lost path: the target may be down")
 	}
-	p.RelayConnected("a", "n2", true, time.Millisecond, start)
+	p.RelayConnected("a", "n2", true, time.Millisecond)
 	names, at := relayNames(p.Ways("a", self, relays, start))
 	if at != len(names) {
 		t.Fatalf("direct way at %d of a lost path, want last", at)
@@ -60,6 +60,41 @@
 	}
 }
 
+func TestWorkingRelayComesFirst(t *testing.T) {
+	p := New()
+	p.RelayConnected("a", "f2", true, time.Millisecond)
+	names, _ := relayNames(p.Ways("other", self, relays, start))
+	if names[0] != "f2" {
+		t.Fatalf("relays %v, want the one that works first", names)
+	}
+}
+
+// Most daemons may have lost their paths together.
+func TestManyRelaysAreAskedWhenThePathIsLost(t *testing.T) {
+	p := New()
+	p.RelayConnected("a", "n1", true, time.Millisecond)
+	names, _ := relayNames(p.Ways("a", self, relays, start))
+	if len(names) != len(relays) {
+		t.Fatalf("relays %v, want all %d", names, len(relays))
+	}
+}
+
+func TestPathIsLostIfTheLastTargetsFailTogether(t *testing.T) {
+	p := New()
+	if _, known := p.Witness("a"); known {
+		t.Fatal("no target was connected to")
+	}
+	p.DirectConnected("b", time.Millisecond)
+	p.DirectConnected("a", time.Millisecond)
+	if w, known := p.Witness("a"); !known || w != "b" {
+		t.Fatalf("witness %q, want b", w)
+	}
+	p.WitnessFailed()
+	if !p.AllLost() {
+		t.Fatal("all paths should count as lost")
+	}
+}
+
 func TestFailedRelayIsAvoidedForAWhile(t *testing.T) {
 	p := New()
 	p.RelayFailed("n2", start)
@@ -73,11 +108,11 @@
 
 func TestAllPathsAreLostAfterTwoTargets(t *testing.T) {
 	p := New()
-	loseAll(p, start)
+	loseAll(p)
 	if !p.AllLost() || !p.Lost("never tried") {
 		t.Fatal("all paths should count as lost")
 	}
-	p.DirectConnected("b", time.Millisecond, start)
+	p.DirectConnected("b", time.Millisecond)
 	if p.AllLost() || p.Lost("a") {
 		t.Fatal("a direct connection ends the loss of all paths")
 	}
@@ -87,9 +122,9 @@
 	p := New()
 	for i := range 5 {
 		address := fmt.Sprint("lost", i)
-		p.DirectFailed(address, start)
-		p.RelayConnected(address, "n2", true, time.Millisecond, start)
-		p.DirectConnected("reached", time.Millisecond, start)
+		p.DirectFailed(address)
+		p.RelayConnected(address, "n2", true, time.Millisecond)
+		p.DirectConnected("reached", time.Millisecond)
 	}
 	if p.AllLost() || p.Lost("reached") || !p.Lost("lost3") {
 		t.Fatalf("summary %+v, want only the lost ones", p.Summary())
@@ -98,8 +133,8 @@
 
 func TestOtherTargetsAnswerDoesNotRestoreLostPaths(t *testing.T) {
 	p := New()
-	loseAll(p, start)
-	p.DirectConnected("reached", time.Millisecond, start)
+	loseAll(p)
+	p.DirectConnected("reached", time.Millisecond)
 	if p.AllLost() || !p.Lost("a") || !p.Lost("b") {
 		t.Fatalf("summary %+v, want two lost paths", p.Summary())
 	}
@@ -110,7 +145,7 @@
 	if _, due := p.Probe(start); due {
 		t.Fatal("nothing to probe")
 	}
-	loseAll(p, start)
+	loseAll(p)
 	seen := map[string]bool{}
 	at := start
 	for range 2 {
@@ -127,7 +162,7 @@
 	if len(seen) != 2 {
 		t.Fatalf("probed %v, want both", seen)
 	}
-	p.DirectConnected("a", time.Millisecond, at)
+	p.DirectConnected("a", time.Millisecond)
 	if _, due := p.Probe(at.Add(probeInterval)); due {
 		t.Fatal("the paths are back")
 	}
@@ -139,10 +174,10 @@
 		t.Fatalf("patience %v without a measurement", got)
 	}
 	for range 50 {
-		p.DirectConnected("far", 40*time.Millisecond, start)
+		p.DirectConnected("far", 40*time.Millisecond)
 	}
 	for range 50 {
-		p.DirectConnected("near", time.Millisecond, start)
+		p.DirectConnected("near", time.Millisecond)
 	}
 	near, far := p.Ways("near", self, nil, start)[0].Patience, p.Ways("far", self, nil, start)[0].Patience
 	if near != minPatience || far < 40*time.Millisecond || far > 60*time.Millisecond {
--- a/node/relay/client.go
+++ b/node/relay/client.go
@@ -68,6 +68,15 @@
 	return false
 }
 
+// Targets implements target.Relays.
+func (c *Client) Targets() map[string]bool {
+	addresses := map[string]bool{}
+	for _, t := range c.Board.Targets.Addresses() {
+		addresses[t.Address] = true
+	}
+	return addresses
+}
+
 // Open implements target.Relays.
 func (c *Client) Open(ctx context.Context, relay, address string) (target.Socket, *bufio.Reader, error) {
 	to := peer.Address{Name: relay, Address: c.Board.Members.Address(relay)}
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -74,6 +74,9 @@
 		return openAnswer{Outcome: noPath}
 	}
 	socket, err := s.Connect.ConnectDirect(ctx, address)
+	if err != nil && !s.Connect.Vouch(ctx, address) {
+		return openAnswer{Outcome: noPath}
+	}
 	if err != nil {
 		return openAnswer{Outcome: unreachable}
 	}
--- a/node/target/connect.go
+++ b/node/target/connect.go
@@ -42,6 +42,8 @@
 	Open(ctx context.Context, relay, address string) (Socket, *bufio.Reader, error)
 	// Usable reports whether connections through a relay may carry further calls.
 	Usable(relay string) bool
+	// Targets returns the addresses of all known targets.
+	Targets() map[string]bool
 }
 
 // Connector opens connections to targets, directly or through relays, and records which paths work.
@@ -120,13 +122,33 @@
 func (c *Connector) recordDirect(address string, began time.Time, err error) {
 	c.update("", err == nil, func(p *reach.Paths, now time.Time) {
 		if err == nil {
-			p.DirectConnected(address, now.Sub(began), now)
+			p.DirectConnected(address, now.Sub(began))
 		} else {
-			p.DirectFailed(address, now)
+			p.DirectFailed(address)
 		}
 	})
 }
 
+// Vouch reports whether this host's path works although a direct connection to a target has failed: it connects to
+// another target.
+func (c *Connector) Vouch(ctx context.Context, address string) bool {
+	c.mu.Lock()
+	witness, known := c.paths.Witness(address)
+	c.mu.Unlock()
+	if !known {
+		return true
+	}
+	conn, err := c.ConnectDirect(ctx, witness)
+	if err != nil {
+		if ctx.Err() == nil {
+			c.update("", false, func(p *reach.Paths, _ time.Time) { p.WitnessFailed() })
+		}
+		return false
+	}
+	c.spare(newPersistConn(witness, "", conn, bufio.NewReaderSize(conn, readBufferSize)))
+	return true
+}
+
 // update changes the paths and reports an attempt to connect.
 func (c *Connector) update(relay string, connected bool, change func(*reach.Paths, time.Time)) {
 	c.mu.Lock()
@@ -244,9 +266,13 @@
 	}
 }
 
-// forget removes what is known of targets that are no longer used.
+// forget removes what is known of targets that no longer exist.
 func (c *Connector) forget(now time.Time) {
+	if c.Relays == nil {
+		return
+	}
+	targets := c.Relays.Targets()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.paths.Forget(now)
+	c.paths.Forget(func(address string) bool { return targets[address] }, now)
 }
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -221,19 +221,26 @@
 	}
 }
 
-// sweepInterval is how often expired idle connections are closed.
-const sweepInterval = time.Second
+// sweepInterval is how often expired idle connections are closed, and forgetInterval how often what is known of targets
+// that are gone is removed.
+const (
+	sweepInterval  = time.Second
+	forgetInterval = 10 * time.Second
+)
 
 // Run closes expired idle connections until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	forget := time.NewTicker(forgetInterval)
+	defer forget.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			e.closeExpired(now)
+		case now := <-forget.C:
 			e.Connect.forget(now)
 		}
 	}
--- a/node/target/race.go
+++ b/node/target/race.go
@@ -147,7 +147,7 @@
 	r.mu.Lock()
 	lost := r.directTried && !r.directConnected
 	c.update(relay, true, func(p *reach.Paths, now time.Time) {
-		p.RelayConnected(r.address, relay, lost, now.Sub(began), now)
+		p.RelayConnected(r.address, relay, lost, now.Sub(began))
 	})
 	r.mu.Unlock()
 	pc := newPersistConn(r.address, relay, conn, reader)
