storeread: an empty store is watched, not read again and again

Callers saw nothing; the store got full reads without a pause from each watching daemon while it was empty, as before the first configuration or after a restore from an empty copy.

Cause: the reader's revision zero meant that a full read is due, and it is also the revision of an empty store.

Change: the reader keeps apart whether it has a cursor and what the cursor is. Result: TestEmptyStoreIsWatched failed before and passes.

--- a/core/storeread/storeread.go
+++ b/core/storeread/storeread.go
@@ -28,8 +28,11 @@
 
 // Reader tracks the reading of one store. The zero value has read nothing.
 type Reader struct {
-	era    int64
-	cursor int64 // the revision read up to; zero if a full read is due
+	era int64
+	// cursor is the revision read up to; hasCursor is false if a full read is due. An empty store is at
+	// revision zero.
+	cursor    int64
+	hasCursor bool
 	// readUpTo is the revision up to which the era was read, and readBefore its value before the
 	// last full read; notRead if nothing of the era was read. Zero is the revision of an empty
 	// store.
@@ -57,7 +60,7 @@
 
 // NextCall plans the next call, which may wait for changes for up to wait.
 func (r *Reader) NextCall(wait time.Duration, now time.Time) Plan {
-	if r.cursor == 0 || r.rereadPending && r.settled(now) {
+	if !r.hasCursor || r.rereadPending && r.settled(now) {
 		return Plan{Full: true}
 	}
 	if r.rereadPending {
@@ -97,7 +100,7 @@
 }
 
 // HandleHistoryGone records that the store no longer has the changes after the last read.
-func (r *Reader) HandleHistoryGone() { r.cursor = 0 }
+func (r *Reader) HandleHistoryGone() { r.hasCursor = false }
 
 // HandleFullRead records the answer to a full read and returns the verdict on it.
 func (r *Reader) HandleFullRead(era, asOf int64, now time.Time) Verdict {
@@ -109,7 +112,8 @@
 	case r.settled(now):
 		r.rereadPending = false
 	}
-	r.cursor, r.readUpTo, r.readBefore = asOf, asOf, r.readUpTo
+	r.cursor, r.hasCursor = asOf, true
+	r.readUpTo, r.readBefore = asOf, r.readUpTo
 	return Accept
 }
 
--- a/core/storeread/storeread_test.go
+++ b/core/storeread/storeread_test.go
@@ -51,6 +51,19 @@
 	}
 }
 
+// A store that is empty is at revision zero. Read in full again and again, it would get calls without a pause.
+func TestEmptyStoreIsWatched(t *testing.T) {
+	var r Reader
+	for era := range int64(3) {
+		if r.HandleFullRead(era, 0, testStart) != Accept {
+			t.Fatalf("the full read of era %d is not accepted", era)
+		}
+		if p := r.NextCall(time.Second, testStart); p.Full || p.After != 0 {
+			t.Errorf("NextCall after the full read of an empty store = %+v, want a watch after 0", p)
+		}
+	}
+}
+
 // TestFullReadAfterHistoryGone checks that items changed after the last read have positions in
 // the current era at once, before it has settled.
 func TestFullReadAfterHistoryGone(t *testing.T) {
