storeread: the property test takes a removal for knowledge only if it is one

The trace: era 2 starts from a copy without t1; daemon 0 reads it and hands daemon 2 a complete list without t1; t1, alive, writes itself again; daemon 2 confirms the removal 2.5 s later and, in its first read of the era, does not trust an entry that may be as old as the copy. So it leaves out a living target until the era has settled. Then t1 leaves, unknown to daemon 2, the store is restored, and daemon 2 hears from daemon 1 of t1 as live: older than the truth, but nothing that daemon 2 had known is reverted.

Change: the check counted each absence as knowledge of the end. It now compares the removal's position with that of the target's own announcement; a removal from before it is not knowledge. All that a daemon did learn of a target's leaving or end is checked as before.

--- a/core/storeread/storeread_test.go
+++ b/core/storeread/storeread_test.go
@@ -128,7 +128,9 @@
 	log      []change
 	copies   []model // with the fields of the store only
 	// actual is the real state of each target that has not ended.
-	actual     map[string]hostlist.State
+	actual map[string]hostlist.State
+	// announced is where each target first wrote that it leaves, or where its entry was first removed.
+	announced  map[string]hostlist.Position
 	daemons    []*daemon
 	nextTarget int
 }
@@ -151,6 +153,12 @@
 	m.revision++
 	e := entry{state, m.revision}
 	m.log = append(m.log, change{id, e})
+	if _, known := m.announced[id]; state != hostlist.Live && !known {
+		if m.announced == nil {
+			m.announced = map[string]hostlist.Position{}
+		}
+		m.announced[id] = hostlist.NewPosition(m.era, m.revision)
+	}
 	if state == hostlist.Gone {
 		delete(m.entries, id)
 		return
@@ -268,15 +276,19 @@
 	}
 	for i := range m.nextTarget {
 		id := fmt.Sprint("t", i)
-		if state, listed := known[id]; (!listed || state == hostlist.Leaving) && d.hasSeen(id) && m.actual[id] != hostlist.Live {
+		state, listed := known[id]
+		if m.actual[id] != hostlist.Live && (listed && state == hostlist.Leaving || !listed && m.knowsEnd(d, id)) {
 			d.seenEnding[id] = true
 		}
 	}
 }
 
-// hasSeen reports whether the daemon's table has an entry or a tombstone of the target.
-func (d *daemon) hasSeen(id string) bool {
-	return slices.ContainsFunc(d.table.Since(hostlist.Extent{}).Hosts, func(h hostlist.Host) bool { return h.ID == id })
+// knowsEnd reports whether the daemon's table has a removal of the target that is not older than what the target
+// announced. An older one was concluded, while the target lived, from a list that lacked it.
+func (m *model) knowsEnd(d *daemon, id string) bool {
+	return slices.ContainsFunc(d.table.Since(hostlist.Extent{}).Hosts, func(h hostlist.Host) bool {
+		return h.ID == id && h.State == hostlist.Gone && h.Revision >= m.announced[id]
+	})
 }
 
 // TestTablesConvergeAcrossRestores checks that while targets start, leave and end and the store
