Status and logs name the relay of a call and lost paths; a leaving relay is tested

Cause: an operator could not see in status or explain that a call went through another host. Change: status has the paths and the relayed connections, the records of a call name the relay. TestRelayedCallSurvivesLeavingRelay covers a relay that leaves in the middle of a call, which it finishes.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -134,9 +134,11 @@
 type Summary struct {
 	// Known are the targets to which a connection was tried, Failing those whose latest direct one failed, and
 	// Lost those to which this daemon's own path is lost.
-	Known, Failing, Lost int
+	Known   int `json:"known"`
+	Failing int `json:"failing"`
+	Lost    int `json:"lost"`
 	// AllLost reports that the path to all targets counts as lost.
-	AllLost bool
+	AllLost bool `json:"all_lost"`
 }
 
 // Summary returns the present state.
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -13,6 +13,7 @@
 	"doorstack.dev/core/fault"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/relay"
 	"doorstack.dev/node/telemetry"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
@@ -23,6 +24,8 @@
 	Metrics *telemetry.Metrics
 	// Fleet queries the other daemons. It is nil on a daemon without peers.
 	Fleet Fleet
+	// Paths returns the state of this host's paths to targets. It is nil on a daemon that always connects directly.
+	Paths func() relay.Status
 }
 
 // Fleet provides the status of the fleet and the records of other daemons.
@@ -119,6 +122,7 @@
 	Targets     []blackboard.TargetStatus  `json:"targets"`
 	Explain     ExplainStatus              `json:"explain"`
 	Fleet       FleetStatus                `json:"fleet"`
+	Paths       relay.Status               `json:"paths"`
 	// Started is when this process started. Traffic counts from then on.
 	Started time.Time           `json:"started,omitzero"`
 	Traffic []telemetry.Traffic `json:"traffic,omitempty"`
@@ -217,6 +221,9 @@
 	if s.Fleet != nil {
 		status.Fleet = s.Fleet.Status()
 	}
+	if s.Paths != nil {
+		status.Paths = s.Paths()
+	}
 	traffic, err := s.Metrics.Traffic()
 	if err != nil {
 		status.Incomplete = "traffic between daemons: " + err.Error()
--- a/node/cmd/doorstack/status.go
+++ b/node/cmd/doorstack/status.go
@@ -68,6 +68,13 @@
 	if len(s.Evacuated) > 0 {
 		_, _ = fmt.Fprintf(out, "evacuated data centres: %s\n", strings.Join(s.Evacuated, ", "))
 	}
+	if s.Paths.Lost > 0 || s.Paths.AllLost || s.Paths.Relaying > 0 {
+		all := ""
+		if s.Paths.AllLost {
+			all = " (the host counts as cut off from all targets)"
+		}
+		_, _ = fmt.Fprintf(out, "paths lost to %d of %d targets%s, connections relayed for other daemons %d\n", s.Paths.Lost, s.Paths.Known, all, s.Paths.Relaying)
+	}
 	if len(s.Fleet.Members) > 0 {
 		_, _ = fmt.Fprintln(out)
 		printMembers(out, s)
--- a/node/cmd/doorstack/status_test.go
+++ b/node/cmd/doorstack/status_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"doorstack.dev/core/reach"
 	"doorstack.dev/node/admin"
+	"doorstack.dev/node/relay"
 	"doorstack.dev/node/telemetry"
 )
 
@@ -50,3 +52,13 @@
 		}
 	}
 }
+
+func TestPrintStatusShowsLostPaths(t *testing.T) {
+	var out strings.Builder
+	printStatus(&out, &admin.Status{Paths: relay.Status{Summary: reach.Summary{Known: 21, Lost: 18, AllLost: true}, Relaying: 3}})
+	for _, want := range []string{"paths lost to 18 of 21 targets", "cut off from all targets", "relayed for other daemons 3"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("status lacks %q:\n%s", want, out.String())
+		}
+	}
+}
--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -46,6 +46,7 @@
 	}
 	peerHandler := d.hub.Handler()
 	if d.relays != nil {
+		operators.Paths = d.relays.Status
 		peerHandler = d.relays.Handler(peerHandler)
 	}
 	peerServer, err := newServer("peer", peerAddress, peerHandler)
--- a/node/onplatform/lost_path_test.go
+++ b/node/onplatform/lost_path_test.go
@@ -308,3 +308,31 @@
 		}
 	}
 }
+
+// A relay that leaves finishes the calls that it relays, and gets no further ones.
+func TestRelayedCallSurvivesLeavingRelay(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.awaitMembership()
+	cut, relay := f.daemons[0], f.daemons[1]
+	release := make(chan struct{})
+	var arrived atomic.Bool
+	f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		arrived.Store(true)
+		<-release
+		standin.Succeed("whole")(w, r, c)
+	})
+	cut.path.set(pathRefused)
+	a := f.newRequestAt(cut, unsafePath)
+	answer := make(chan standin.CallerResponse, 1)
+	go func() { answer <- f.do(a) }()
+	f.eventually("the call at the target", arrived.Load)
+	relay.Drain()
+	f.eventually("the relay known to be leaving", func() bool { return cut.Board.Members.DaemonCount() == 1 })
+	close(release)
+	if got := <-answer; got.Status != http.StatusOK || got.Body != "whole" {
+		t.Errorf("relayed call: status %d %q", got.Status, got.Body)
+	}
+	if got := f.do(f.newRequestAt(cut, unsafePath)); got.Status != http.StatusServiceUnavailable {
+		t.Errorf("call without any path: status %d %q, want a refusal", got.Status, got.Body)
+	}
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -40,10 +40,9 @@
 	Ticket  string  `cbor:"2,keyasint,omitempty"`
 }
 
-// Status is what a daemon reports of its paths to targets and of its work as a relay.
+// Status is the state of a daemon's own paths to targets and of its work as a relay.
 type Status struct {
-	// Paths is the state of the daemon's own paths.
-	Paths reach.Summary
+	reach.Summary
 	// Relaying is the number of connections that the daemon relays for others.
-	Relaying int
+	Relaying int `json:"relaying"`
 }
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -52,6 +52,9 @@
 // Relaying returns the number of connections that are relayed.
 func (s *Server) Relaying() int { return int(s.open.Load()) }
 
+// Status returns the state of the daemon's paths and of its work as a relay.
+func (s *Server) Status() Status { return Status{Summary: s.Connect.Summary(), Relaying: s.Relaying()} }
+
 // serveOpen connects to a target for a peer.
 func (s *Server) serveOpen(ctx context.Context, from string, in openRequest) (openAnswer, error) {
 	answer := s.connect(ctx, from, in.Address)
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -421,5 +421,8 @@
 		rec.Outcome = decision.OutcomeFailed
 		rec.Reason = fmt.Sprintf("after %d sends: %v", f.progress.Sends(), err)
 	}
+	if err == nil && f.lastRelay != "" {
+		rec.Reason = "relayed by " + f.lastRelay
+	}
 	f.director.record(r, rec)
 }
