Engines and services of the project's own protocol are reached through relays too

Cause: target.Client dialed directly, as the forwarded calls did. Change: one Connector a daemon opens all connections to targets, for both clients, and each daemon relays. The client keeps its own timeouts, since engines may read large prompts slowly. Calls that break off on an open connection still count as the target's failure there; that remains open.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -45,11 +45,12 @@
 	confClient   *confservice.Client
 	recorder     *telemetry.Recorder
 	director     *requestcontrol.Director
+	connector    *target.Connector
 	settings     *controller.Settings
 	targets      *target.Client
 	hub          *peer.Hub
 	cluster      *cluster.Cluster
-	relays       *relay.Server // nil without an adapter
+	relays       *relay.Server
 	callerServer *khttp.Server
 	app          *kratos.App
 	loops        []func(context.Context)
@@ -151,10 +152,11 @@
 	d.hub.SetLogger(d.Log)
 	d.cluster = cluster.New(d.Board, d.hub, d.recorder, d.settings, client)
 	d.director.Claimer, d.director.ShareRequester, d.director.CrashReporter = d.cluster, d.cluster, d.cluster
+	d.provisionConnector()
 	d.Board.Accounts.SetShareFunc(d.Board.Shares.Share)
 	pause := &controller.PauseDetector{Board: d.Board, Recorder: d.recorder, SuspendedTime: clock.SuspendedTime, OnPause: d.cluster.Invalidate}
 	workers := &worker.Pool{Board: d.Board, Size: d.Config.Workers}
-	d.loops = []func(context.Context){d.settings.Run, pause.Run, workers.Run, d.cluster.Run}
+	d.loops = []func(context.Context){d.settings.Run, pause.Run, workers.Run, d.cluster.Run, d.connector.Run}
 	if d.adapter != nil {
 		d.provisionAdapter()
 		return
@@ -164,6 +166,20 @@
 	d.loops = append(d.loops, hosts.Run, reports.Run)
 }
 
+// provisionConnector sets up the connections to targets: this daemon's own, which may go through other daemons, and
+// those that it relays for them.
+func (d *Daemon) provisionConnector() {
+	d.connector = target.NewConnector()
+	if d.adapter == nil {
+		d.connector.Dial = target.DialPatient
+	}
+	d.connector.OnConnect = d.recorder.RecordConnect
+	d.connector.Relays = &relay.Client{Board: d.Board, Hub: d.hub, Dial: d.connector.Dial}
+	d.targets.UseConnector(d.connector)
+	d.relays = relay.NewServer(d.Board, d.connector, d.recorder, d.hub)
+	d.Metrics.RegisterRelayedConnections(d.relays.Relaying)
+}
+
 // feedMaxHold is how long the settings controller waits for a change in the adapter's Settings.
 // The wait itself costs no call to the store, which only the adapter's Targets reads.
 const feedMaxHold = 5 * time.Second
@@ -179,15 +195,10 @@
 	d.Board.Members.OpenFleet()
 	d.director.Placer = d.cluster.Placer
 	d.cluster.DisableLeases = true
-	d.director.Exchanger = target.NewExchanger(d.adapter.Dialect)
-	connector := d.director.Exchanger.Connect
-	connector.OnConnect = d.recorder.RecordConnect
-	connector.Relays = &relay.Client{Board: d.Board, Hub: d.hub}
-	d.relays = relay.NewServer(d.Board, connector, d.recorder, d.hub)
-	d.Metrics.RegisterRelayedConnections(d.relays.Relaying)
+	d.director.Exchanger = target.NewExchanger(d.adapter.Dialect, d.connector)
 	slowdowns := &controller.SlowdownPoller{Board: d.Board, Exchanger: d.director.Exchanger, Recorder: d.recorder, Coordinates: d.cluster.Placer.Coordinates}
 	lag := &controller.LagMonitor{Board: d.Board, Recorder: d.recorder}
-	d.loops = append(d.loops, lag.Run, directory.Run, d.director.Exchanger.Run, connector.Run, slowdowns.Run)
+	d.loops = append(d.loops, lag.Run, directory.Run, d.director.Exchanger.Run, slowdowns.Run)
 }
 
 // onAdopt applies a new revision of the settings to the targets and announces it to peers with a
@@ -256,11 +267,11 @@
 // SetTargetDialer replaces how connections to targets are opened, so that a test can cut the host off from
 // them. It must be called before Run.
 func (d *Daemon) SetTargetDialer(dial func(ctx context.Context, address string) (target.Socket, error)) {
-	d.director.Exchanger.Connect.Dial = dial
+	d.connector.Dial = dial
 }
 
 // TargetPaths returns the state of this host's own paths to targets.
-func (d *Daemon) TargetPaths() reach.Summary { return d.director.Exchanger.Connect.Summary() }
+func (d *Daemon) TargetPaths() reach.Summary { return d.connector.Summary() }
 
 // Run serves until ctx ends or Drain has finished, and then stops the hub, the listeners and the
 // controllers.
--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -38,7 +38,7 @@
 // inUse reports whether calls are in flight here, or connections are relayed for calls of other daemons. Those close
 // idle connections through a daemon that leaves.
 func (d *Daemon) inUse() bool {
-	return d.Board.InFlight() > 0 || d.relays != nil && d.relays.Relaying() > 0
+	return d.Board.InFlight() > 0 || d.relays.Relaying() > 0
 }
 
 // killMargin is how long before the platform kills the process the wait for calls in flight ends,
--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -26,7 +26,7 @@
 	limits := api.DefaultLimits()
 	limits.Memory = d.director.Memory
 	callers := api.NewServer(d.Board, d.director, d.Metrics, limits)
-	operators := &admin.Server{Board: d.Board, Metrics: d.Metrics, Fleet: d.cluster}
+	operators := &admin.Server{Board: d.Board, Metrics: d.Metrics, Fleet: d.cluster, Paths: d.relays.Status}
 	d.cluster.HandleExplain(func(request string) ([]byte, error) { return json.Marshal(operators.Explain(request)) })
 	var err error
 	handler := callers.Handler()
@@ -44,12 +44,7 @@
 	if d.Config.PeerListen != "" {
 		peerAddress = &d.Config.PeerListen
 	}
-	peerHandler := d.hub.Handler()
-	if d.relays != nil {
-		operators.Paths = d.relays.Status
-		peerHandler = d.relays.Handler(peerHandler)
-	}
-	peerServer, err := newServer("peer", peerAddress, peerHandler)
+	peerServer, err := newServer("peer", peerAddress, d.relays.Handler(d.hub.Handler()))
 	if err != nil {
 		return err
 	}
--- a/node/relay/client.go
+++ b/node/relay/client.go
@@ -19,6 +19,8 @@
 type Client struct {
 	Board *blackboard.Blackboard
 	Hub   *peer.Hub
+	// Dial opens the connections to relays.
+	Dial func(ctx context.Context, address string) (target.Socket, error)
 
 	mu sync.Mutex
 	// candidates are the relays as of view.
@@ -91,7 +93,7 @@
 	default:
 		return nil, nil, errors.New(relay + " does not relay: " + string(answer.Outcome))
 	}
-	conn, err := target.DialTCP(ctx, to.Address)
+	conn, err := c.Dial(ctx, to.Address)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "connect to the relay "+relay)
 	}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -54,7 +54,7 @@
 	relayBoard.MergeUpdate(hostlist.Update{Full: true, AsOf: 1, Hosts: []hostlist.Host{{
 		ID: "t", Role: hostlist.RoleTarget, Address: address, Pool: "svc", DataCentre: "dc", Region: "r", State: hostlist.Live, Slots: 1, Revision: 1,
 	}}}, time.Now())
-	p := &pair{address: address, exchanger: target.NewExchanger(platform.Headers{})}
+	p := &pair{address: address, exchanger: target.NewExchanger(platform.Headers{}, target.NewConnector())}
 	relayHub := peer.NewHub("relay", []string{"key"}, telemetry.NewMetrics())
 	recorder := &telemetry.Recorder{Board: relayBoard, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()}
 	p.server = NewServer(relayBoard, target.NewConnector(), recorder, relayHub)
@@ -65,7 +65,7 @@
 		relayHub.Close()
 		listener.Close()
 	})
-	p.client = &Client{Board: board, Hub: hub}
+	p.client = &Client{Board: board, Hub: hub, Dial: target.DialTCP}
 	board.Members.WithLock(func(m *membership.Table) {
 		m.Receive(membership.Rumor{Name: "relay", Address: strings.TrimPrefix(listener.URL, "http://"), DataCentre: "dc", Region: "r", Incarnation: 1})
 	})
--- a/node/requestcontrol/caller_disconnect_test.go
+++ b/node/requestcontrol/caller_disconnect_test.go
@@ -65,7 +65,7 @@
 	board := blackboard.New(blackboard.Identity{Name: "d1"}, blackboard.DefaultLimits())
 	placer := &singleTargetPlacer{address: listener.Addr().String()}
 	d := &Director{
-		Board: board, Placer: placer, Exchanger: target.NewExchanger(platform.Headers{}),
+		Board: board, Placer: placer, Exchanger: target.NewExchanger(platform.Headers{}, target.NewConnector()),
 		Recorder: &telemetry.Recorder{Board: board, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()},
 	}
 	r := &Request{
--- a/node/requestcontrol/disconnect_paths_test.go
+++ b/node/requestcontrol/disconnect_paths_test.go
@@ -33,7 +33,7 @@
 func newDisconnectDirector(p Placer) *Director {
 	board := blackboard.New(blackboard.Identity{Name: "d1", DataCentre: "dc", Region: "r"}, blackboard.DefaultLimits())
 	return &Director{
-		Board: board, Placer: p, Exchanger: target.NewExchanger(platform.Headers{}), RetryPolicy: DefaultRetryPolicy(),
+		Board: board, Placer: p, Exchanger: target.NewExchanger(platform.Headers{}, target.NewConnector()), RetryPolicy: DefaultRetryPolicy(),
 		Recorder: &telemetry.Recorder{Board: board, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()},
 	}
 }
--- a/node/requestcontrol/hold_answer_test.go
+++ b/node/requestcontrol/hold_answer_test.go
@@ -24,7 +24,7 @@
 		_, _ = w.Write([]byte(strings.Repeat("x", size)))
 	}))
 	defer server.Close()
-	exchanger := target.NewExchanger(platform.Headers{})
+	exchanger := target.NewExchanger(platform.Headers{}, target.NewConnector())
 	f := &forwarding{director: &Director{Memory: callmemory.New(limit)}}
 	hold := func(path string) (*bufferedAnswer, error) {
 		reply, err := exchanger.Send(t.Context(), strings.TrimPrefix(server.URL, "http://"), &forward.Message{Method: http.MethodGet, URI: path, Host: "x", Header: http.Header{}})
--- a/node/target/client.go
+++ b/node/target/client.go
@@ -70,21 +70,31 @@
 // Client calls targets over HTTP. It is safe for concurrent use.
 type Client struct {
 	http         *http.Client
+	transport    *http.Transport
 	disconnected atomic.Bool
 }
 
 // dialTimeout bounds the time to connect to a target.
 const dialTimeout = time.Second
 
-// NewClient returns a client with its own connection pool.
+// NewClient returns a client with its own connection pool, which connects to targets directly.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-	}}}
+	}
+	return &Client{http: &http.Client{Transport: transport}, transport: transport}
+}
+
+// UseConnector opens all connections with a connector, which may open them through relays. It must be called before
+// the client is used.
+func (c *Client) UseConnector(connector *Connector) {
+	c.transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return connector.connect(ctx, address)
+	}
 }
 
 // Disconnect makes every later call fail and closes the idle connections.
--- a/node/target/connect.go
+++ b/node/target/connect.go
@@ -77,9 +77,17 @@
 
 // DialTCP opens a TCP connection with the timeouts of connections to targets.
 func DialTCP(ctx context.Context, address string) (Socket, error) {
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+	return dial(ctx, address, &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		return setUnackedTimeout(raw, unackedTimeout)
-	}}
+	}})
+}
+
+// DialPatient opens a TCP connection to a target that may read a large body slowly.
+func DialPatient(ctx context.Context, address string) (Socket, error) {
+	return dial(ctx, address, &net.Dialer{Timeout: dialTimeout})
+}
+
+func dial(ctx context.Context, address string, dialer *net.Dialer) (Socket, error) {
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
@@ -160,6 +168,15 @@
 	}
 }
 
+// connect opens a connection to a target, directly or through a relay.
+func (c *Connector) connect(ctx context.Context, address string) (net.Conn, error) {
+	pc, err := c.open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return pc.conn, nil // A target sends nothing before the first call, so the reader holds no bytes.
+}
+
 // ways returns the ways to a target, in the order in which to try them.
 func (c *Connector) ways(address string) []reach.Way {
 	if c.Relays == nil {
@@ -236,17 +253,25 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, ErrNoPath)
 }
 
-// probeCheckInterval is how often it is checked whether a probe of a lost path is due.
-const probeCheckInterval = 100 * time.Millisecond
+// probeCheckInterval is how often it is checked whether a probe of a lost path is due, and forgetInterval how often
+// what is known of targets that are gone is removed.
+const (
+	probeCheckInterval = 100 * time.Millisecond
+	forgetInterval     = 10 * time.Second
+)
 
 // Run probes lost paths until ctx ends.
 func (c *Connector) Run(ctx context.Context) {
 	ticker := time.NewTicker(probeCheckInterval)
 	defer ticker.Stop()
+	forget := time.NewTicker(forgetInterval)
+	defer forget.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case now := <-forget.C:
+			c.forget(now)
 		case now := <-ticker.C:
 			c.mu.Lock()
 			address, due := c.paths.Probe(now)
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -58,10 +58,10 @@
 	maxIdlePerTarget = 24
 )
 
-// NewExchanger returns an Exchanger without connections.
-func NewExchanger(d Dialect) *Exchanger {
-	e := &Exchanger{Dialect: d, Connect: NewConnector(), idle: map[string][]*persistConn{}}
-	e.Connect.spare = e.putIdle
+// NewExchanger returns an Exchanger that opens its connections with a connector.
+func NewExchanger(d Dialect, c *Connector) *Exchanger {
+	e := &Exchanger{Dialect: d, Connect: c, idle: map[string][]*persistConn{}}
+	c.spare = e.putIdle
 	return e
 }
 
@@ -221,27 +221,19 @@
 	}
 }
 
-// sweepInterval is how often expired idle connections are closed, and forgetInterval how often what is known of targets
-// that are gone is removed.
-const (
-	sweepInterval  = time.Second
-	forgetInterval = 10 * time.Second
-)
+// sweepInterval is how often expired idle connections are closed.
+const sweepInterval = time.Second
 
 // Run closes expired idle connections until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	forget := time.NewTicker(forgetInterval)
-	defer forget.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			e.closeExpired(now)
-		case now := <-forget.C:
-			e.Connect.forget(now)
 		}
 	}
 }
--- a/node/target/exchange_test.go
+++ b/node/target/exchange_test.go
@@ -108,7 +108,7 @@
 			writeAnswer(conn, "x", "ok")
 			return true
 		})
-		e := NewExchanger(testDialect{})
+		e := NewExchanger(testDialect{}, NewConnector())
 		for i := range 2 {
 			m := testMessage("x", "")
 			m.Method = method
@@ -129,7 +129,7 @@
 		writeAnswer(conn, "x", fmt.Sprint(connection, call))
 		return true
 	})
-	e := NewExchanger(testDialect{})
+	e := NewExchanger(testDialect{}, NewConnector())
 	for i := range 3 {
 		if got, err := sendAndRead(t, e, address, testMessage("x", "")); err != nil || got != fmt.Sprint(0, i) {
 			t.Fatalf("answer = %q, %v, want the next answer of the first connection", got, err)
@@ -153,7 +153,7 @@
 		_, _ = io.WriteString(conn, text)
 		return true
 	})
-	e := NewExchanger(testDialect{})
+	e := NewExchanger(testDialect{}, NewConnector())
 	ctx := context.Background()
 	reply, err := e.Send(ctx, address, testMessage("x", ""))
 	if err != nil {
@@ -174,7 +174,7 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
-	if _, err := sendAndRead(t, NewExchanger(testDialect{}), address, testMessage("x", "")); ExecutionOf(err) != fault.NotRun {
+	if _, err := sendAndRead(t, NewExchanger(testDialect{}, NewConnector()), address, testMessage("x", "")); ExecutionOf(err) != fault.NotRun {
 		t.Fatalf("Send = %v, want an error of execution not run", err)
 	}
 }
@@ -190,7 +190,7 @@
 		}
 		return true
 	})
-	e := NewExchanger(testDialect{})
+	e := NewExchanger(testDialect{}, NewConnector())
 	large := strings.Repeat("x", 32<<20)
 	if got, err := sendAndRead(t, e, address, testMessage("x", large)); err != nil || got != "0" {
 		t.Fatalf("answer to the large call = %q, %v, want the one of connection 0", got, err)
@@ -208,7 +208,7 @@
 		writeAnswer(conn, "x", fmt.Sprint(connection, call))
 		return true
 	})
-	e := NewExchanger(testDialect{})
+	e := NewExchanger(testDialect{}, NewConnector())
 	m := testMessage("x", "")
 	m.CallerDisconnected = func() bool { return true }
 	_, err := e.Send(context.Background(), address, m)
--- a/node/target/probes_test.go
+++ b/node/target/probes_test.go
@@ -74,7 +74,7 @@
 		writeAnswer(conn, "x", "ok")
 		return true
 	})
-	e := NewExchanger(testDialect{})
+	e := NewExchanger(testDialect{}, NewConnector())
 	send := func(probe bool) tcpOptions {
 		m := testMessage("x", "")
 		m.ProbeConnection = probe
@@ -110,7 +110,7 @@
 		writeAnswer(conn, "x", "ok")
 		return true
 	})
-	e := NewExchanger(testDialect{})
+	e := NewExchanger(testDialect{}, NewConnector())
 	send := func(body string) tcpOptions { return optionsDuring(t, e, address, testMessage("x", body)) }
 	if o := send(strings.Repeat("x", 100<<10)); o.userTimeout < slowestRead || o.keepAlive {
 		t.Errorf("options of a call with a large body = %+v, want a user timeout of %v at least, no keep-alive", o, slowestRead)
