--- a/node/onplatform/lost_path_test.go
+++ b/node/onplatform/lost_path_test.go
@@ -43,7 +43,6 @@
 	mu    sync.Mutex
 	state pathState
 	conns map[*pathConn]bool
-	dials int // connections opened
 }
 
 func newTargetPath() *targetPath { return &targetPath{conns: map[*pathConn]bool{}} }
@@ -63,12 +62,6 @@
 	}
 }
 
-func (p *targetPath) opened() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dials
-}
-
 func (p *targetPath) dial(ctx context.Context, address string) (target.Socket, error) {
 	p.mu.Lock()
 	state := p.state
@@ -90,7 +83,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conns[c] = true
-	p.dials++
 	return c, nil
 }
 
