The end of a broken call is recorded from a copy of the request

Cause: read again as a newcomer: the end is recorded while the next attempt may change the request (its key and whether it is suspected), a data race; and a host that has lost its path to one target only refused a call although another target could be reached. Change: the goroutine has a copy; the call is refused at once only if the paths to all targets count as lost.

--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -96,9 +96,12 @@
 // pool, not to the account's retry budget as in Director.mayRetry.
 func (f *forwarding) mayRetry(ctx context.Context, err error) bool {
 	var typed *fault.Error
-	if errors.As(err, &typed) || errors.Is(err, errCallerWrite) || errors.Is(err, errQuarantined) || errors.Is(err, target.ErrNoPath) || ctx.Err() != nil {
+	if errors.As(err, &typed) || errors.Is(err, errCallerWrite) || errors.Is(err, errQuarantined) || ctx.Err() != nil {
 		return false
 	}
+	if errors.Is(err, target.ErrNoPath) && f.director.Exchanger.Connect.AllLost() {
+		return false // The other targets cannot be reached either.
+	}
 	if !f.progress.MayRetry() {
 		return false
 	}
@@ -169,17 +172,16 @@
 		f.director.recordEnd(f.request, end)
 		return
 	}
-	if !errors.Is(err, target.ErrNoPath) {
-		f.excluded = append(f.excluded, end.target)
-	}
-	connect := f.director.Exchanger.Connect
+	f.excluded = append(f.excluded, end.target)
 	if end.cancelled || !target.BrokenOff(err) && !errors.Is(err, errSilent) {
 		f.director.recordEnd(f.request, end)
 		return
 	}
+	f.request.poisonKey() // The copy below takes the computed key along.
+	request := *f.request // The next attempt changes the original.
 	go func() {
-		end.pathFailed = connect.PathFailed(p.Address, end.relay, err)
-		f.director.recordEnd(f.request, end)
+		end.pathFailed = f.director.Exchanger.Connect.PathFailed(p.Address, end.relay, err)
+		f.director.recordEnd(&request, end)
 	}()
 }
 
