--- a/node/daemon/drain.go
+++ b/node/daemon/drain.go
@@ -28,17 +28,20 @@
 		// Give the balancer time to see that this host is not ready.
 		time.Sleep(time.Duration(d.Config.DrainDelay))
 	}
-	for d.inUse() && !d.graceExpired(began) {
+	for d.inUse(began) && !d.graceExpired(began) {
 		time.Sleep(drainPollInterval)
 	}
 	d.Log.Info("drained", "cut", d.Board.InFlight(), "took", time.Since(began).Round(time.Millisecond).String())
 	close(d.drained)
 }
 
-// inUse reports whether calls are in flight here, or connections are relayed for calls of other daemons. Those close
-// idle connections through a daemon that leaves.
-func (d *Daemon) inUse() bool {
-	return d.Board.InFlight() > 0 || d.relays.Relaying() > 0
+// relayDrainTimeout is how long a leaving daemon waits for the connections that it relays. A daemon may keep an idle
+// one for that long.
+const relayDrainTimeout = 30 * time.Second
+
+// inUse reports whether calls are in flight here, or connections are relayed for calls of other daemons.
+func (d *Daemon) inUse(began time.Time) bool {
+	return d.Board.InFlight() > 0 || d.relays.Relaying() > 0 && time.Since(began) < relayDrainTimeout
 }
 
 // killMargin is how long before the platform kills the process the wait for calls in flight ends,
