--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -18,7 +18,7 @@
 	relays  map[string]*relayState
 	// direct and relayed estimate the time to connect in each way.
 	direct, relayed coordination.RTT
-	// allLost reports that the path to all targets counts as lost, whether or not each was tried.
+	// allLost reports that the path to all targets counts as lost, including those not connected to yet.
 	allLost bool
 	// unreached are the lost targets since the last direct connection to any target.
 	unreached map[string]bool
@@ -81,9 +81,9 @@
 	}
 }
 
-// Witness returns a target other than the given one that was connected to lately. If a connection to both fails, the
+// ReferenceTarget returns a target other than the given one that was connected to lately. If a connection to both fails, the
 // host's path is more likely to have failed than both targets.
-func (p *Paths) Witness(address string) (string, bool) {
+func (p *Paths) ReferenceTarget(address string) (string, bool) {
 	for _, other := range p.lastConnected {
 		if other != "" && other != address {
 			return other, true
@@ -92,8 +92,8 @@
 	return "", false
 }
 
-// WitnessFailed records that direct connections to a target and to its Witness failed.
-func (p *Paths) WitnessFailed() { p.allLost = true }
+// ReferenceFailed records that direct connections to a target and to its reference target failed.
+func (p *Paths) ReferenceFailed() { p.allLost = true }
 
 // DirectFailed records a direct connection that failed.
 func (p *Paths) DirectFailed(address string) { p.target(address).failed = true }
@@ -132,7 +132,7 @@
 
 // Summary counts the targets by the state of their paths.
 type Summary struct {
-	// Known are the targets to which a connection was tried, Failing those whose latest direct one failed, and
+	// Known are the targets with at least one connection attempt, Failing those whose latest direct one failed, and
 	// Lost those to which this daemon's own path is lost.
 	Known   int `json:"known"`
 	Failing int `json:"failing"`
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -31,7 +31,7 @@
 	if s := p.Summary(); s.Known != 1 || s.Lost != 1 {
 		t.Fatalf("summary %+v, want one", s)
 	}
-	if w, known := p.Witness("other"); w != "here" {
-		t.Fatalf("witness %q, %v, want the one that is left", w, known)
+	if w, known := p.ReferenceTarget("other"); w != "here" {
+		t.Fatalf("reference %q, %v, want the one that is left", w, known)
 	}
 }
--- a/core/reach/ways.go
+++ b/core/reach/ways.go
@@ -19,8 +19,8 @@
 type Way struct {
 	// Relay is the name of the relay; it is empty for a direct connection.
 	Relay string
-	// Patience is how long to wait for this way before the next one is tried beside it.
-	Patience time.Duration
+	// AttemptDelay is how long to wait for this way before the next one is tried beside it.
+	AttemptDelay time.Duration
 }
 
 // The bounds of the relays that are tried for one connection: to a target whose path may work, and to one whose path
@@ -31,19 +31,20 @@
 	maxRelaysWhenLost = 8
 )
 
-// The bounds of Way.Patience, for times that were measured on an idle host and for hosts that have measured none.
+// The least attempt delay, below which a busy host would ask relays for targets that it reaches, and the delay as long
+// as no connect time is known.
 const (
-	minPatience     = 10 * time.Millisecond
-	initialPatience = 50 * time.Millisecond
+	minAttemptDelay     = 10 * time.Millisecond
+	initialAttemptDelay = 50 * time.Millisecond
 )
 
 // Ways returns the ways to a target in the order in which to try them. self is this daemon; relays are the daemons
 // that may serve as relays, this one not included.
 func (p *Paths) Ways(address string, self Relay, relays []Relay, now time.Time) []Way {
-	direct := Way{Patience: p.directPatience(address)}
+	direct := Way{AttemptDelay: p.directDelay(address)}
 	var ways []Way
 	for _, name := range p.chooseRelays(address, self, relays, now) {
-		ways = append(ways, Way{Relay: name, Patience: p.relayPatience()})
+		ways = append(ways, Way{Relay: name, AttemptDelay: p.relayDelay()})
 	}
 	if p.Lost(address) {
 		return append(ways, direct)
@@ -51,23 +52,23 @@
 	return append([]Way{direct}, ways...)
 }
 
-func (p *Paths) directPatience(address string) time.Duration {
+func (p *Paths) directDelay(address string) time.Duration {
 	if t := p.targets[address]; t != nil {
 		if _, known := t.rtt.Mean(); known {
-			return max(minPatience, t.rtt.Timeout())
+			return max(minAttemptDelay, t.rtt.Timeout())
 		}
 	}
 	if _, known := p.direct.Mean(); known {
-		return max(minPatience, p.direct.Timeout())
+		return max(minAttemptDelay, p.direct.Timeout())
 	}
-	return initialPatience
+	return initialAttemptDelay
 }
 
-func (p *Paths) relayPatience() time.Duration {
+func (p *Paths) relayDelay() time.Duration {
 	if _, known := p.relayed.Mean(); known {
-		return max(minPatience, p.relayed.Timeout())
+		return max(minAttemptDelay, p.relayed.Timeout())
 	}
-	return initialPatience
+	return initialAttemptDelay
 }
 
 // candidate is a relay with what decides its place in the order.
--- a/core/reach/ways_test.go
+++ b/core/reach/ways_test.go
@@ -81,15 +81,15 @@
 
 func TestPathIsLostIfTheLastTargetsFailTogether(t *testing.T) {
 	p := New()
-	if _, known := p.Witness("a"); known {
+	if _, known := p.ReferenceTarget("a"); known {
 		t.Fatal("no target was connected to")
 	}
 	p.DirectConnected("b", time.Millisecond)
 	p.DirectConnected("a", time.Millisecond)
-	if w, known := p.Witness("a"); !known || w != "b" {
-		t.Fatalf("witness %q, want b", w)
+	if w, known := p.ReferenceTarget("a"); !known || w != "b" {
+		t.Fatalf("reference %q, want b", w)
 	}
-	p.WitnessFailed()
+	p.ReferenceFailed()
 	if !p.AllLost() {
 		t.Fatal("all paths should count as lost")
 	}
@@ -170,7 +170,7 @@
 
 func TestPatienceFollowsMeasuredTimes(t *testing.T) {
 	p := New()
-	if got := p.Ways("a", self, relays, start)[0].Patience; got != initialPatience {
+	if got := p.Ways("a", self, relays, start)[0].AttemptDelay; got != initialAttemptDelay {
 		t.Fatalf("patience %v without a measurement", got)
 	}
 	for range 50 {
@@ -179,8 +179,8 @@
 	for range 50 {
 		p.DirectConnected("near", time.Millisecond)
 	}
-	near, far := p.Ways("near", self, nil, start)[0].Patience, p.Ways("far", self, nil, start)[0].Patience
-	if near != minPatience || far < 40*time.Millisecond || far > 60*time.Millisecond {
+	near, far := p.Ways("near", self, nil, start)[0].AttemptDelay, p.Ways("far", self, nil, start)[0].AttemptDelay
+	if near != minAttemptDelay || far < 40*time.Millisecond || far > 60*time.Millisecond {
 		t.Fatalf("patience %v for a near target and %v for a far one", near, far)
 	}
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -171,7 +171,7 @@
 func (d *Daemon) provisionConnector() {
 	d.connector = target.NewConnector()
 	if d.adapter == nil {
-		d.connector.Dial = target.DialPatient
+		d.connector.Dial = target.DialForLargeBodies
 	}
 	d.connector.OnConnect = d.recorder.RecordConnect
 	d.connector.Relays = &relay.Client{Board: d.Board, Hub: d.hub, Dial: d.connector.Dial}
--- a/node/internal/fleet/lost_path_test.go
+++ b/node/internal/fleet/lost_path_test.go
@@ -19,7 +19,7 @@
 			if cut.Load() {
 				return nil, syscall.ECONNREFUSED
 			}
-			return target.DialPatient(ctx, address)
+			return target.DialForLargeBodies(ctx, address)
 		})
 	})
 	if err != nil {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -77,7 +77,7 @@
 		return openAnswer{Outcome: noPath}
 	}
 	socket, err := s.Connect.ConnectDirect(ctx, address)
-	if err != nil && !s.Connect.Vouch(ctx, address) {
+	if err != nil && !s.Connect.CheckOwnPath(ctx, address) {
 		return openAnswer{Outcome: noPath}
 	}
 	if err != nil {
@@ -158,7 +158,7 @@
 	upstream := make(chan struct{})
 	go func() {
 		defer close(upstream)
-		if from, _ := copyBytes(conn, in); from {
+		if ended, _ := copyBytes(conn, in); ended {
 			_ = conn.Close() // The daemon has closed its side, which cancels the call.
 			return
 		}
--- a/node/target/connect.go
+++ b/node/target/connect.go
@@ -82,8 +82,8 @@
 	}})
 }
 
-// DialPatient opens a TCP connection to a target that may read a large body slowly.
-func DialPatient(ctx context.Context, address string) (Socket, error) {
+// DialForLargeBodies opens a TCP connection to a target that may read a large body slowly.
+func DialForLargeBodies(ctx context.Context, address string) (Socket, error) {
 	return dial(ctx, address, &net.Dialer{Timeout: dialTimeout})
 }
 
@@ -137,23 +137,23 @@
 	})
 }
 
-// Vouch reports whether this host's path works although a direct connection to a target has failed: it connects to
+// CheckOwnPath reports whether this host's path works although a direct connection to a target has failed: it connects to
 // another target.
-func (c *Connector) Vouch(ctx context.Context, address string) bool {
+func (c *Connector) CheckOwnPath(ctx context.Context, address string) bool {
 	c.mu.Lock()
-	witness, known := c.paths.Witness(address)
+	reference, known := c.paths.ReferenceTarget(address)
 	c.mu.Unlock()
 	if !known {
 		return false
 	}
-	conn, err := c.ConnectDirect(ctx, witness)
+	conn, err := c.ConnectDirect(ctx, reference)
 	if err != nil {
 		if ctx.Err() == nil {
-			c.update("", false, func(p *reach.Paths, _ time.Time) { p.WitnessFailed() })
+			c.update("", false, func(p *reach.Paths, _ time.Time) { p.ReferenceFailed() })
 		}
 		return false
 	}
-	c.spare(newPersistConn(witness, "", conn, bufio.NewReaderSize(conn, readBufferSize)))
+	c.spare(newPersistConn(reference, "", conn, bufio.NewReaderSize(conn, readBufferSize)))
 	return true
 }
 
@@ -229,14 +229,14 @@
 	return v
 }
 
-// verifyWitness finds out whether the path to another target works too, once that to one target is lost. Otherwise each
+// verifyReference finds out whether the path to another target works too, once that to one target is lost. Otherwise each
 // target would be found to be lost only by a call that its open connections hold up.
-func (c *Connector) verifyWitness(address string) {
+func (c *Connector) verifyReference(address string) {
 	c.mu.Lock()
-	witness, known := c.paths.Witness(address)
+	reference, known := c.paths.ReferenceTarget(address)
 	c.mu.Unlock()
 	if known {
-		c.verify(witness)
+		c.verify(reference)
 	}
 }
 
@@ -258,9 +258,9 @@
 	return v.connected
 }
 
-// BrokenOff reports whether a call may have failed because of the path to its target: no byte arrived for too long, or
+// MayBePathFailure reports whether a call may have failed because of the path to its target: no byte arrived for too long, or
 // the connection was reset. A connection that ends in order was ended by the target.
-func BrokenOff(err error) bool {
+func MayBePathFailure(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, ErrNoPath)
 }
 
--- a/node/target/race.go
+++ b/node/target/race.go
@@ -40,7 +40,7 @@
 	relaysCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	var failures []raceResult
-	timer := time.NewTimer(ways[0].Patience)
+	timer := time.NewTimer(ways[0].AttemptDelay)
 	defer timer.Stop()
 	r.start(ctx, relaysCtx, ways[0])
 	for next := 1; ; {
@@ -51,7 +51,7 @@
 		case <-timer.C:
 		case result := <-r.results:
 			if result.err == nil {
-				c.avoidMistaken(failures)
+				c.avoidWrongRelays(failures)
 				return result.conn, nil
 			}
 			failures = append(failures, result)
@@ -59,38 +59,38 @@
 				return nil, raceError(failures, lost)
 			}
 			if result.relay == "" {
-				begin = minVouches
+				begin = minConfirmations
 			}
 		}
 		for ; begin > 0 && next < len(ways); begin-- {
 			r.start(ctx, relaysCtx, ways[next])
-			timer.Reset(ways[next].Patience)
+			timer.Reset(ways[next].AttemptDelay)
 			next++
 		}
 	}
 }
 
-// minVouches is the number of relays whose word is taken that a target is unreachable: the first two are in different
-// data centres where there are several, and the path between two data centres may fail.
-const minVouches = 2
+// minConfirmations is the number of relays that must fail to reach a target before it counts as unreachable. The
+// first two relays are in different data centres, as the path between two data centres may fail.
+const minConfirmations = 2
 
 // targetFailed reports whether the failures show that the target is at fault, so that further relays need not be asked.
 func targetFailed(failures []raceResult) bool {
-	direct, vouches := false, 0
+	direct, confirmations := false, 0
 	for _, f := range failures {
 		switch {
 		case f.relay == "":
 			direct = true
 		case errors.Is(f.err, ErrUnreachableFromRelay):
-			vouches++
+			confirmations++
 		}
 	}
-	return direct && vouches >= minVouches
+	return direct && confirmations >= minConfirmations
 }
 
-// avoidMistaken records the relays that called a target unreachable which another way then reached: they may have
+// avoidWrongRelays records the relays that called a target unreachable which another way then reached: they may have
 // lost their own path.
-func (c *Connector) avoidMistaken(failures []raceResult) {
+func (c *Connector) avoidWrongRelays(failures []raceResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, f := range failures {
@@ -103,16 +103,16 @@
 // raceError returns the error of a race in which all ways failed. If the path is lost and no relay has tried the
 // target, nothing is known of the target.
 func raceError(failures []raceResult, lost bool) error {
-	var direct, vouched error
+	var direct, confirmed error
 	for _, f := range failures {
 		switch {
 		case f.relay == "":
 			direct = f.err
 		case errors.Is(f.err, ErrUnreachableFromRelay):
-			vouched = f.err
+			confirmed = f.err
 		}
 	}
-	if lost && vouched == nil {
+	if lost && confirmed == nil {
 		return errors.Wrap(ErrNoPath, direct.Error())
 	}
 	return direct
@@ -171,7 +171,7 @@
 	})
 	r.mu.Unlock()
 	if newlyLost {
-		c.verifyWitness(r.address)
+		c.verifyReference(r.address)
 	}
 	pc := newPersistConn(r.address, relay, conn, reader)
 	if !r.deliver(raceResult{relay: relay, conn: pc}) {
