Failed attempts name the shared parts of the prompt and the events received

When an engine crashes, the log did not say which of its calls share a part of their prompts, nor which of them were past the beginning of their answers. The line of a failed attempt has both now (shared_parts, events_received). No decision changes.

--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -59,6 +59,10 @@
 	// CallKey identifies what was asked for. It stays the same when a caller sends the call
 	// again under another request ID.
 	CallKey string `json:"call,omitempty"`
+	// SharedParts are the ids of the prompt's parts that other prompts may contain too.
+	SharedParts []string `json:"shared_parts,omitempty"`
+	// EventsReceived is the number of events that the target sent in a failed attempt.
+	EventsReceived int `json:"events_received,omitempty"`
 
 	// The inputs, by kind of decision.
 	Routing  *routing.Decision   `json:"routing,omitempty"`
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -27,6 +27,9 @@
 	// PromptTokens and OutputTokens are the lengths stated by the caller; zero for plain
 	// services.
 	PromptTokens, OutputTokens int64
+	// SharedParts are the ids of the prompt's parts that other prompts may contain too, in their
+	// order; the last part of a prompt is its own.
+	SharedParts []string
 }
 
 // SendParams is what the daemon adds to a call when it sends it to a target.
--- a/node/requestcontrol/attemptend.go
+++ b/node/requestcontrol/attemptend.go
@@ -42,6 +42,8 @@
 	// cancelled reports that the end says nothing of the target, cause why.
 	cancelled bool
 	cause     error
+	// events is the number of events that the target sent in the attempt.
+	events int
 	// callerGone reports that the attempt ended because the caller did.
 	callerGone bool
 	// suspectFor is how long the target gets no calls.
@@ -51,7 +53,7 @@
 }
 
 func (f *forwarding) attemptEnd(ctx context.Context, p *blackboard.Placement, err error) attemptEnd {
-	end := attemptEnd{attempt: p.Attempt, chosen: p.Decision.Chosen, target: p.Decision.Chosen, relay: f.lastRelay, err: err}
+	end := attemptEnd{attempt: p.Attempt, chosen: p.Decision.Chosen, target: p.Decision.Chosen, relay: f.lastRelay, err: err, events: f.attemptEvents}
 	if err == nil {
 		return end
 	}
@@ -103,7 +105,7 @@
 
 // recordFailedAttempt records why an attempt gave no answer.
 func (d *Director) recordFailedAttempt(r *Request, end *attemptEnd) {
-	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String()}
+	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String(), SharedParts: r.SharedParts, EventsReceived: end.events}
 	switch {
 	case end.cause != nil:
 		rec.Outcome, rec.Reason = decision.OutcomeCancelled, end.cause.Error()
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -37,6 +37,8 @@
 	// lastEventID is the id of the last event delivered to the caller.
 	lastEventID string
 	eventCount  int
+	// attemptEvents is the number of events received in the current attempt.
+	attemptEvents int
 	// longestGap is the longest time between two events, and lastEventAt the time of
 	// the latest event.
 	timeToFirstEvent, longestGap time.Duration
@@ -220,7 +222,7 @@
 		Target: p.Decision.Chosen, Account: r.Account.Path, Timeout: time.Until(r.Deadline), LastEventID: f.lastEventID,
 		Helpers: forwardHelpers(p),
 	})
-	f.failedHelper, f.lastRelay = "", ""
+	f.failedHelper, f.lastRelay, f.attemptEvents = "", "", 0
 	reservations, err := d.reserveMemory(ctx, r, p)
 	if err != nil {
 		f.failedHelper = reservations.refusedBy
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -38,6 +38,8 @@
 	Path    *settings.ResolvedPath
 	// LastEventID is the id of the last event that the caller received from the stream.
 	LastEventID string
+	// SharedParts are the ids of the prompt's parts that other prompts may contain too.
+	SharedParts []string
 
 	promptTokens    int64
 	prefixes        []uint64
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -264,6 +264,9 @@
 	if d.Revision != 0 {
 		list = append(list, slog.Int64("revision", d.Revision))
 	}
+	if len(d.SharedParts) > 0 {
+		list = append(list, slog.Any("shared_parts", d.SharedParts), slog.Int("events_received", d.EventsReceived))
+	}
 	if c := d.Routing; c != nil {
 		list = append(list,
 			slog.Int64("prompt_tokens", c.Request.PromptTokens),
