Prompts with a part that crashes targets are quarantined

Callers saw engine after engine crash (9 to 19 in five seconds, for as long as the calls came), with all streams on them. Cause: crashes were charged to the request as a whole. Calls that share a part of their prompts but differ in the rest were each quarantined after their own three crashes, and the next one started from zero. Class: blame kept under a key that is finer than the cause.

Crashes are charged to the shared parts of prompts, too. Which part is the cause follows from all prompts that the crashing targets had, so they are reported to three daemons of each pool (core/poison, JudgeParts): the part that explains the crashes best is blamed, and its crashes no longer count against the parts beside it.

--- a/core/poison/key.go
+++ b/core/poison/key.go
@@ -1,5 +1,7 @@
 // Package poison detects requests that crash the targets which run them (queries of death)
-// and quarantines them, so that they are not sent to further targets.
+// and quarantines them, so that they are not sent to further targets. The cause may be the
+// request as a whole, or one part of its prompt that many otherwise different requests share; so
+// crashes are counted for both, and a quarantine applies to a request or to all that contain a part.
 //
 // A single crash does not show that a request is the cause: a target that crashes is running a
 // dozen requests, at most one of which caused the crash. A request under which several targets
@@ -42,6 +44,11 @@
 	return k
 }
 
+// PartKey returns the key of a part of the prompts to a pool, which prompts of any account may contain.
+func PartKey(pool, part string) Key {
+	return KeyOf("", []byte("part of a prompt"), []byte(pool), []byte(part))
+}
+
 // writeLengthPrefixed hashes the length of a part and then the part, so that different lists of
 // parts never hash the same bytes.
 func writeLengthPrefixed(h hash.Hash, part []byte) {
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -88,6 +88,8 @@
 	Lifted bool `cbor:"3,keyasint,omitempty"`
 	// Age is the time since the last crash, attempt or success of the request.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Part is set if the verdict is on a part of prompts; Request is then the part's key.
+	Part *PartVerdict `cbor:"5,keyasint,omitempty"`
 }
 
 // supersedes reports whether the verdict replaces what is known of the same request.
@@ -98,11 +100,13 @@
 	return v.Lifted && !known.lifted
 }
 
-// Table holds a daemon's records of requests under which targets crashed. It is not safe for
+// Table holds a daemon's records of requests and parts under which targets crashed. It is not safe for
 // concurrent use.
 type Table struct {
 	records   map[Key]*record
-	successes successSet
+	successes timeSet
+	// answered holds, for the parts of answered prompts, when the latest of these answers began.
+	answered timeSet
 }
 
 // record is the state of one request.
@@ -114,6 +118,11 @@
 	// quarantinedAt is when this daemon learned of the quarantine, and trialAt when the current
 	// trial started; zero if there is none.
 	quarantinedAt, trialAt time.Time
+	// part is set in the record of a part of prompts, whose quarantine applies from appliesAt on.
+	part      *PartVerdict
+	appliesAt time.Time
+	// position is the part's place in the prompt of the first crash.
+	position int
 }
 
 // crashEvent is a crash of one target under the request of the record.
@@ -121,17 +130,25 @@
 	target    string
 	at        time.Time
 	suspected bool // see Crash.Suspected
+	// account is set in the record of a part: the account of all requests, or nothing if they are of several.
+	account string
+	// requests is set in the record of a part: the requests with the part that the target had.
+	requests []Key
+	// progressed is the number of these requests whose answers had progressed (see progressedEvents).
+	progressed int
 }
 
 // quarantined reports whether the request is quarantined now.
 func (r *record) quarantined() bool { return r.count > 0 && !r.lifted }
 
 func (r *record) verdict(k Key, now time.Time) Verdict {
-	return Verdict{Request: k, Count: r.count, Lifted: r.lifted, Age: max(0, now.Sub(r.lastUsed))}
+	return Verdict{Request: k, Count: r.count, Lifted: r.lifted, Age: max(0, now.Sub(r.lastUsed)), Part: r.part.aged(now.Sub(r.quarantinedAt))}
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{records: map[Key]*record{}} }
+func NewTable() *Table {
+	return &Table{records: map[Key]*record{}, successes: timeSet{max: maxSuccesses}, answered: timeSet{max: maxAnsweredParts}}
+}
 
 // Empty reports whether the table has no records.
 func (t *Table) Empty() bool { return len(t.records) == 0 }
@@ -148,11 +165,11 @@
 	if r.quarantined() {
 		return r.crashInQuarantine(k, now)
 	}
-	if !r.addCrash(crashEvent{c.Target, now, c.Suspected}) {
+	if !r.addCrash(crashEvent{target: c.Target, at: now, suspected: c.Suspected}) {
 		return CrashResult{Accepted: true}
 	}
 	r.crashes = slices.DeleteFunc(r.crashes, func(e crashEvent) bool { return now.Sub(e.at) > retention })
-	if len(r.crashes) < quarantineThreshold || r.distinctTimes() < minDistinctTimes {
+	if len(r.crashes) < quarantineThreshold || distinctTimes(r.crashes) < minDistinctTimes {
 		return CrashResult{Accepted: true}
 	}
 	return r.quarantine(k, now)
@@ -203,10 +220,10 @@
 // distinctTimes returns the number of different times at which targets crashed. A crash counts as
 // a new time if its request was already suspected, or if it happened more than coincidenceWindow
 // after the last crash that counted as a new time.
-func (r *record) distinctTimes() int {
+func distinctTimes(crashes []crashEvent) int {
 	n := 0
 	var last time.Time
-	for _, e := range r.crashes {
+	for _, e := range crashes {
 		if n == 0 || e.suspected || e.at.Sub(last) > coincidenceWindow {
 			n++
 			last = e.at
@@ -218,7 +235,7 @@
 // RecordSuccess records that a target completed a request, which clears its crashes and lifts its
 // quarantine. If there was a quarantine, it returns the verdict for the other daemons and true.
 func (t *Table) RecordSuccess(k Key, now time.Time) (Verdict, bool) {
-	t.successes.add(k, now)
+	t.successes.add(k, now, now)
 	r := t.records[k]
 	if r == nil {
 		return Verdict{}, false
@@ -238,7 +255,7 @@
 	if r == nil || now.Sub(r.lastUsed) > retention {
 		return Status{}
 	}
-	if !r.quarantined() {
+	if !r.quarantined() || now.Before(r.appliesAt) {
 		return Status{Suspected: len(r.crashes) > 0}
 	}
 	r.lastUsed = now
@@ -281,9 +298,17 @@
 		return Verdict{}, false
 	}
 	r := t.record(v.Request, now)
-	r.count, r.lifted, r.lastUsed, r.crashes = v.Count, v.Lifted, last, nil
+	if v.Part == nil {
+		r.crashes = nil
+	} else if !r.quarantined() {
+		r.appliesAt = now.Add(ObjectionWindow)
+	}
+	r.count, r.lifted, r.lastUsed = v.Count, v.Lifted, last
 	r.quarantinedAt, r.trialAt = now, time.Time{}
-	if r.quarantined() && t.successes.contains(v.Request, now) {
+	switch {
+	case v.Part != nil:
+		t.mergePart(r, &v, now)
+	case r.quarantined() && t.successes.contains(v.Request, now):
 		r.lifted = true
 	}
 	return r.verdict(v.Request, now), true
@@ -324,14 +349,26 @@
 	return xxhash.Sum64(data)
 }
 
-// Counts returns the number of quarantined requests and of other recorded requests.
-func (t *Table) Counts() (quarantined, others int) {
+// Counts are numbers of records.
+type Counts struct {
+	// Requests and Parts are quarantined, Others are neither.
+	Requests, Parts, Others int
+}
+
+// Counts returns the number of quarantined requests, of quarantined parts and of other records.
+func (t *Table) Counts() Counts {
+	var c Counts
 	for _, r := range t.records {
-		if r.quarantined() {
-			quarantined++
+		switch {
+		case !r.quarantined():
+			c.Others++
+		case r.part != nil:
+			c.Parts++
+		default:
+			c.Requests++
 		}
 	}
-	return quarantined, len(t.records) - quarantined
+	return c
 }
 
 // removeExpired deletes the records that have not been used for longer than retention.
@@ -395,25 +432,3 @@
 	}
 	return r.lastUsed.Before(other.lastUsed)
 }
-
-// successSet holds the requests that succeeded recently, in two generations: when the current one
-// is full or too old it replaces the previous one, whose entries are dropped.
-type successSet struct {
-	current, previous map[Key]time.Time
-	rotatedAt         time.Time // when the current generation was started
-}
-
-func (s *successSet) add(k Key, now time.Time) {
-	if s.current == nil || len(s.current) >= maxSuccesses/2 || now.Sub(s.rotatedAt) > successValidity {
-		s.current, s.previous, s.rotatedAt = map[Key]time.Time{}, s.current, now
-	}
-	s.current[k] = now
-}
-
-func (s *successSet) contains(k Key, now time.Time) bool {
-	at, found := s.current[k]
-	if !found {
-		at, found = s.previous[k]
-	}
-	return found && now.Sub(at) <= successValidity
-}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -114,15 +114,17 @@
 	// Evacuated are the data centres whose targets get no new requests.
 	Evacuated []string `json:"evacuated,omitempty"`
 	// Quarantined is the number of calls that no daemon sends because they crash targets.
-	Quarantined int                        `json:"quarantined,omitempty"`
-	InFlight    int64                      `json:"in_flight"`
-	Waiting     map[string]int             `json:"waiting"`             // requests by pool
-	HostsRead   time.Time                  `json:"hosts_read,omitzero"` // when the host list was read
-	Accounts    []blackboard.AccountStatus `json:"accounts"`
-	Targets     []blackboard.TargetStatus  `json:"targets"`
-	Explain     ExplainStatus              `json:"explain"`
-	Fleet       FleetStatus                `json:"fleet"`
-	Paths       relay.Status               `json:"paths"`
+	Quarantined int `json:"quarantined,omitempty"`
+	// QuarantinedParts is the number of prompt parts that are quarantined.
+	QuarantinedParts int                        `json:"quarantined_parts,omitempty"`
+	InFlight         int64                      `json:"in_flight"`
+	Waiting          map[string]int             `json:"waiting"`             // requests by pool
+	HostsRead        time.Time                  `json:"hosts_read,omitzero"` // when the host list was read
+	Accounts         []blackboard.AccountStatus `json:"accounts"`
+	Targets          []blackboard.TargetStatus  `json:"targets"`
+	Explain          ExplainStatus              `json:"explain"`
+	Fleet            FleetStatus                `json:"fleet"`
+	Paths            relay.Status               `json:"paths"`
 	// Started is when this process started. Traffic counts from then on.
 	Started time.Time           `json:"started,omitzero"`
 	Traffic []telemetry.Traffic `json:"traffic,omitempty"`
@@ -194,7 +196,7 @@
 	self := s.Board.Self
 	bytes, evicted := s.Board.Decisions.Usage()
 	_, read := s.Board.Members.Hosts()
-	quarantined, _ := s.Board.Poison.Counts()
+	quarantines := s.Board.Poison.Counts()
 	status := Status{
 		Name:          self.Name,
 		DataCentre:    self.DataCentre,
@@ -204,14 +206,14 @@
 		Rejected:      s.Board.Settings.Rejected(),
 		StorePosition: s.storePosition(),
 		Evacuated:     s.Board.EvacuatedDataCentres(),
-		Quarantined:   quarantined,
-		InFlight:      s.Board.InFlight(),
-		Waiting:       s.Board.Queues.Lengths(),
-		HostsRead:     read,
-		Accounts:      s.accounts(),
-		Targets:       s.Board.Targets.Status(now),
-		Explain:       ExplainStatus{Bytes: bytes, Evicted: evicted},
-		Started:       now.Add(-s.Board.Age()),
+		Quarantined:   quarantines.Requests, QuarantinedParts: quarantines.Parts,
+		InFlight:  s.Board.InFlight(),
+		Waiting:   s.Board.Queues.Lengths(),
+		HostsRead: read,
+		Accounts:  s.accounts(),
+		Targets:   s.Board.Targets.Status(now),
+		Explain:   ExplainStatus{Bytes: bytes, Evicted: evicted},
+		Started:   now.Add(-s.Board.Age()),
 	}
 	if view := s.Board.Settings.Current(); view != nil {
 		status.Revision = view.Revision
--- a/node/blackboard/poison.go
+++ b/node/blackboard/poison.go
@@ -6,7 +6,7 @@
 	"doorstack.dev/core/poison"
 )
 
-// PoisonTable holds the requests that crash the targets that run them, and the sends in progress.
+// PoisonTable holds the requests and the parts of prompts that crash targets, and the sends in progress.
 type PoisonTable struct {
 	mu    Mutex
 	table *poison.Table
@@ -15,6 +15,8 @@
 
 // activeSend is a send in progress.
 type activeSend struct {
+	// account is the account of the request.
+	account string
 	// cancel ends the send.
 	cancel func()
 }
@@ -23,22 +25,27 @@
 	return &PoisonTable{mu: NewMutex(RankPoison), table: poison.NewTable(), sends: map[poison.Key]map[*activeSend]bool{}}
 }
 
-// BeginSend records that a request is being sent. cancel is called, under the table's lock,
-// if the request is quarantined before the caller of BeginSend has called ended.
-func (t *PoisonTable) BeginSend(k poison.Key, cancel func()) (ended func()) {
+// BeginSend records that a request is being sent, under its own key or those of the parts of its prompt. cancel is
+// called, under the table's lock, if one of them is quarantined before the caller of BeginSend has called ended. ended
+// may be called more than once.
+func (t *PoisonTable) BeginSend(keys []poison.Key, account string, cancel func()) (ended func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := &activeSend{cancel}
-	if t.sends[k] == nil {
-		t.sends[k] = map[*activeSend]bool{}
+	s := &activeSend{account, cancel}
+	for _, k := range keys {
+		if t.sends[k] == nil {
+			t.sends[k] = map[*activeSend]bool{}
+		}
+		t.sends[k][s] = true
 	}
-	t.sends[k][s] = true
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		delete(t.sends[k], s)
-		if len(t.sends[k]) == 0 {
-			delete(t.sends, k)
+		for _, k := range keys {
+			delete(t.sends[k], s)
+			if len(t.sends[k]) == 0 {
+				delete(t.sends, k)
+			}
 		}
 	}
 }
@@ -77,6 +84,56 @@
 	return t.table.RecordSuccess(k, at)
 }
 
+// RecordOwnCrash adds what this daemon knows to its report of a crash. It returns the verdicts that follow from the crash
+// of a trial.
+func (t *PoisonTable) RecordOwnCrash(c *poison.PartCrash, at time.Time) []poison.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.RecordOwnCrash(c, at)
+}
+
+// RecordPartCrash records that a target crashed while it had a prompt with shared parts.
+func (t *PoisonTable) RecordPartCrash(c *poison.PartCrash, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.RecordPartCrash(c, at)
+}
+
+// JudgeParts returns the verdicts that follow from the recorded crashes.
+func (t *PoisonTable) JudgeParts(at time.Time) []poison.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	verdicts := t.table.JudgeParts(at)
+	for i := range verdicts {
+		if !verdicts[i].Lifted {
+			t.cancelWhenApplied(verdicts[i].Request)
+		}
+	}
+	return verdicts
+}
+
+// cancelWhenApplied cancels the sends of prompts with a quarantined part once the quarantine applies, unless it has been
+// lifted by then.
+func (t *PoisonTable) cancelWhenApplied(k poison.Key) {
+	time.AfterFunc(poison.ObjectionWindow, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for s := range t.sends[k] {
+			if t.table.CheckPart(k, s.account, time.Now()).Quarantined {
+				s.cancel()
+			}
+		}
+	})
+}
+
+// RecordAnswer records that a prompt with shared parts was answered, by an answer that began at a time. It returns the
+// verdicts that lift quarantines.
+func (t *PoisonTable) RecordAnswer(pool string, parts []string, began, at time.Time) []poison.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.RecordAnswer(pool, parts, began, at)
+}
+
 // Check returns what is known of a request that is about to be sent.
 func (t *PoisonTable) Check(k poison.Key, at time.Time) poison.Status {
 	t.mu.Lock()
@@ -84,6 +141,38 @@
 	return t.table.Check(k, at)
 }
 
+// Quarantine is what applies to a request that is quarantined by some keys.
+type Quarantine struct {
+	// Keys are those that are quarantined.
+	Keys []poison.Key
+	// RetryAfter is the time until a trial may be due, and TrialDue reports that it is due for all keys.
+	RetryAfter time.Duration
+	TrialDue   bool
+}
+
+// Quarantined returns what applies to a request of an account: whether it is quarantined itself or by a part of its
+// prompt.
+func (t *PoisonTable) Quarantined(request poison.Key, parts []poison.Key, account string, at time.Time) Quarantine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := Quarantine{TrialDue: true}
+	q.add(request, t.table.Check(request, at))
+	for _, k := range parts {
+		q.add(k, t.table.CheckPart(k, account, at))
+	}
+	return q
+}
+
+// add adds a key with its status.
+func (q *Quarantine) add(k poison.Key, status poison.Status) {
+	if !status.Quarantined {
+		return
+	}
+	q.Keys = append(q.Keys, k)
+	q.RetryAfter = max(q.RetryAfter, status.RetryAfter)
+	q.TrialDue = q.TrialDue && status.TrialDue
+}
+
 // StartTrial reports whether a quarantined request may be sent once as a trial, and records the trial.
 func (t *PoisonTable) StartTrial(k poison.Key, at time.Time) bool {
 	t.mu.Lock()
@@ -106,7 +195,11 @@
 	for _, v := range verdicts {
 		if next, isNew := t.table.Merge(v, at); isNew {
 			changed = append(changed, next)
-			if !next.Lifted {
+			switch {
+			case next.Lifted:
+			case next.Part != nil:
+				t.cancelWhenApplied(next.Request)
+			default:
 				t.cancelSends(next.Request)
 			}
 		}
@@ -128,8 +221,8 @@
 	return t.table.Digest(at)
 }
 
-// Counts returns the number of quarantined requests and of the other requests on record.
-func (t *PoisonTable) Counts() (quarantined, others int) {
+// Counts returns the numbers of records.
+func (t *PoisonTable) Counts() poison.Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.table.Counts()
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -65,6 +65,9 @@
 	// peer. mu guards them, and shareRequests.
 	reconciledAt, differsSince, verdictsSentAt map[string]time.Time
 
+	// judging reports that JudgeParts is due to be called.
+	judging atomic.Bool
+
 	mu            sync.Mutex
 	shareRequests map[string]*shareRequest // the last request for a share between renewals, by account
 }
@@ -104,6 +107,7 @@
 	hub.Handle(peer.KindFacts, peer.TypedHandler(c.serveTargets))
 	hub.Handle(peer.KindAcquire, peer.TypedHandler(c.serveAcquire))
 	hub.Handle(peer.KindCrash, peer.TypedHandler(c.serveCrash))
+	hub.Handle(peer.KindPartCrash, peer.TypedHandler(c.servePartCrash))
 	hub.Handle(peer.KindVerdicts, peer.TypedHandler(c.serveVerdicts))
 	hub.Handle(peer.KindTrial, peer.TypedHandler(c.serveTrial))
 	return c
--- a/node/cluster/verdicts.go
+++ b/node/cluster/verdicts.go
@@ -33,17 +33,17 @@
 	living, _ := c.Board.Members.AliveNames()
 	for _, name := range rendezvous.Top(crash.Request.String(), living, trackerCount) {
 		if name != c.Board.Self.Name { // This daemon's own table has counted the crash.
-			go c.reportCrash(name, crash)
+			go c.reportCrash(name, peer.KindCrash, crash, crash.Request, crash.Target)
 		}
 	}
 }
 
-func (c *Cluster) reportCrash(tracker string, crash poison.Crash) {
+func (c *Cluster) reportCrash(tracker string, kind peer.Kind, crash any, request poison.Key, target string) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
 	defer cancel()
-	if err := c.Hub.Notify(ctx, c.address(tracker), peer.KindCrash, crash); err != nil {
-		c.Recorder.Log.Info("crash of a target could not be reported to a peer", "peer", tracker, "call", crash.Request.String(),
-			"target", crash.Target, "error", err.Error())
+	if err := c.Hub.Notify(ctx, c.address(tracker), kind, crash); err != nil {
+		c.Recorder.Log.Info("crash of a target could not be reported to a peer", "peer", tracker, "call", request.String(),
+			"target", target, "error", err.Error())
 	}
 }
 
@@ -111,17 +111,27 @@
 	if len(fresh) == 0 {
 		return empty{}, nil
 	}
+	if slices.ContainsFunc(fresh, func(v poison.Verdict) bool { return v.Part != nil && v.Lifted }) {
+		c.judgePartsSoon()
+	}
 	for _, v := range fresh {
-		c.Recorder.Log.Warn("verdict on a call received", "call", v.Request.String(), "lifted", v.Lifted, "count", v.Count,
+		c.Recorder.Log.Warn("verdict on a call received", "call", v.Request.String(), "part", v.PartID(), "lifted", v.Lifted, "count", v.Count,
 			"age_s", v.Age.Seconds(), "peer", from)
 	}
-	if slices.ContainsFunc(fresh, func(v poison.Verdict) bool { return !slices.Contains(in, v) }) {
+	if slices.ContainsFunc(fresh, func(v poison.Verdict) bool { return !containsVerdict(in, v) }) {
 		from = "" // The peer also gets verdicts that supersede its own.
 	}
 	c.sendVerdicts(fresh, from)
 	return empty{}, nil
 }
 
+// containsVerdict reports whether a list has a verdict, of whatever age.
+func containsVerdict(list []poison.Verdict, v poison.Verdict) bool {
+	return slices.ContainsFunc(list, func(other poison.Verdict) bool {
+		return other.Request == v.Request && other.Count == v.Count && other.Lifted == v.Lifted
+	})
+}
+
 // syncVerdicts sends all verdicts to a peer that holds different ones. The peer does the
 // same, and both end with the union.
 func (c *Cluster) syncVerdicts(from string, theirs uint64) {
--- a/node/cmd/doorstack/status.go
+++ b/node/cmd/doorstack/status.go
@@ -63,7 +63,7 @@
 	}
 	_, _ = fmt.Fprintf(out, "in flight %d, waiting %d, decision records %d KB (%d evicted), idempotency keys %d\n", s.InFlight, waiting, s.Explain.Bytes>>10, s.Explain.Evicted, s.Fleet.Claims.Keys)
 	if s.StorePosition != "" || s.Quarantined > 0 {
-		_, _ = fmt.Fprintf(out, "store known to %s, calls quarantined %d\n", s.StorePosition, s.Quarantined)
+		_, _ = fmt.Fprintf(out, "store known to %s, calls quarantined %d, prompt parts %d\n", s.StorePosition, s.Quarantined, s.QuarantinedParts)
 	}
 	if len(s.Evacuated) > 0 {
 		_, _ = fmt.Fprintf(out, "evacuated data centres: %s\n", strings.Join(s.Evacuated, ", "))
--- a/node/onplatform/quarantine_propagation_test.go
+++ b/node/onplatform/quarantine_propagation_test.go
@@ -92,7 +92,7 @@
 	}
 	most, frames := 0, int64(0)
 	for _, d := range f.daemons {
-		_, others := d.board.Poison.Counts()
+		others := d.board.Poison.Counts().Others
 		most = max(most, others)
 		for _, k := range sound {
 			if d.board.Poison.Check(k, time.Now()).Quarantined {
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -49,6 +49,7 @@
 //   - KindCalls reports calls that were placed without the coordinator.
 //   - KindPing measures the round-trip time to a peer.
 //   - KindRelay asks a peer to connect to a target in this daemon's place.
+//   - KindPartCrash reports that a target crashed while it had a prompt with shared parts.
 const (
 	KindChallenge       Kind = 1
 	KindHello           Kind = 2
@@ -80,6 +81,7 @@
 	KindCalls           Kind = 28
 	KindPing            Kind = 29
 	KindRelay           Kind = 30
+	KindPartCrash       Kind = 31
 )
 
 // kindNames holds the names of the kinds in metrics and logs.
@@ -93,6 +95,7 @@
 	KindSettingsChanges: "settings_changes", KindDigests: "digests",
 	KindCrash: "crash", KindVerdicts: "verdicts", KindFacts: "facts", KindTrial: "trial", KindLimit: "limit",
 	KindCalls: "calls", KindPing: "ping", KindRelay: "relay",
+	KindPartCrash: "part_crash",
 }
 
 // String returns the name of the kind in metrics, or "unknown".
--- a/node/requestcontrol/attemptend.go
+++ b/node/requestcontrol/attemptend.go
@@ -23,7 +23,7 @@
 		f.director.recordEnd(f.request, end)
 		return
 	}
-	f.request.poisonKey() // The copy below takes the computed key along.
+	f.request.poisonKey() // The copy below takes the computed keys along.
 	request := *f.request // The next attempt changes the original.
 	go func() {
 		end.pathFailed = f.director.Exchanger.Connect.PathFailed(p.Address, end.relay, err)
@@ -42,8 +42,8 @@
 	// cancelled reports that the end says nothing of the target, cause why.
 	cancelled bool
 	cause     error
-	// events is the number of events that the target sent in the attempt.
-	events int
+	// answer is how far the target had come with its answer.
+	answer answerProgress
 	// callerGone reports that the attempt ended because the caller did.
 	callerGone bool
 	// suspectFor is how long the target gets no calls.
@@ -53,7 +53,7 @@
 }
 
 func (f *forwarding) attemptEnd(ctx context.Context, p *blackboard.Placement, err error) attemptEnd {
-	end := attemptEnd{attempt: p.Attempt, chosen: p.Decision.Chosen, target: p.Decision.Chosen, relay: f.lastRelay, err: err, events: f.attemptEvents}
+	end := attemptEnd{attempt: p.Attempt, chosen: p.Decision.Chosen, target: p.Decision.Chosen, relay: f.lastRelay, err: err, answer: f.attemptAnswer}
 	if err == nil {
 		return end
 	}
@@ -85,6 +85,7 @@
 		d.recordFailedAttempt(r, &end)
 	}
 	d.recordCrashOrSuccess(r, &end)
+	d.recordPartEnd(r, &end)
 	d.Board.Targets.Finish(end.attempt, result, time.Now())
 	if d.Placer != nil {
 		d.Placer.ReportFinished(end.attempt, result, suspect, end.suspectFor)
@@ -105,7 +106,7 @@
 
 // recordFailedAttempt records why an attempt gave no answer.
 func (d *Director) recordFailedAttempt(r *Request, end *attemptEnd) {
-	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String(), SharedParts: r.SharedParts, EventsReceived: end.events}
+	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String(), SharedParts: r.SharedParts, EventsReceived: end.answer.events}
 	switch {
 	case end.cause != nil:
 		rec.Outcome, rec.Reason = decision.OutcomeCancelled, end.cause.Error()
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -37,8 +37,10 @@
 	// lastEventID is the id of the last event delivered to the caller.
 	lastEventID string
 	eventCount  int
-	// attemptEvents is the number of events received in the current attempt.
-	attemptEvents int
+	// attemptAnswer is the progress of the answer in the current attempt. partSendEnded ends the cancellation of the
+	// attempt's send by the quarantine of a part.
+	attemptAnswer answerProgress
+	partSendEnded func()
 	// longestGap is the longest time between two events, and lastEventAt the time of
 	// the latest event.
 	timeToFirstEvent, longestGap time.Duration
@@ -222,7 +224,7 @@
 		Target: p.Decision.Chosen, Account: r.Account.Path, Timeout: time.Until(r.Deadline), LastEventID: f.lastEventID,
 		Helpers: forwardHelpers(p),
 	})
-	f.failedHelper, f.lastRelay, f.attemptEvents = "", "", 0
+	f.failedHelper, f.lastRelay, f.attemptAnswer = "", "", answerProgress{}
 	reservations, err := d.reserveMemory(ctx, r, p)
 	if err != nil {
 		f.failedHelper = reservations.refusedBy
@@ -232,6 +234,8 @@
 	attemptCtx, watch := f.watchSilence(ctx, p)
 	defer watch.release()
 	defer d.cancelOnQuarantine(r, watch.cancel)()
+	f.partSendEnded = d.cancelOnPartQuarantine(r, watch.cancel)
+	defer f.partSendEnded()
 	f.silenceWatch = watch
 	reply, err := d.Exchanger.Send(attemptCtx, p.Address, &call)
 	if err != nil {
@@ -244,6 +248,7 @@
 		return watch.stop(attemptCtx, err)
 	}
 	f.lastRelay = reply.Relay
+	f.attemptAnswer.selfDelimited = reply.SelfDelimited()
 	f.recordNotice(p.Decision.Chosen, reply)
 	err = watch.stop(attemptCtx, f.handleReply(attemptCtx, reply, p))
 	d.Exchanger.Close(reply)
@@ -300,6 +305,7 @@
 	if f.request.Path.Kind == settings.CallStreaming && reply.Status == http.StatusOK {
 		return f.relay(reply, p)
 	}
+	f.attemptAnswer.began = time.Now()
 	answer, err := f.holdAnswer(ctx, reply)
 	if err != nil {
 		return truncatedError(err)
--- a/node/requestcontrol/poison.go
+++ b/node/requestcontrol/poison.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"doorstack.dev/core/decision"
-	"doorstack.dev/core/fault"
 	"doorstack.dev/core/poison"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/target"
@@ -14,7 +13,7 @@
 )
 
 // A request that crashes several targets is quarantined: no daemon sends it to another target,
-// whichever caller it comes from (see core/poison). Director checks the quarantine before each
+// whichever caller it comes from (see core/poison). So are all prompts with a part that crashes targets. Director checks the quarantine before each
 // send and records how each send ended. Log messages and decision records say "call" for the request;
 // the log field call holds its poison key.
 
@@ -22,6 +21,10 @@
 type CrashReporter interface {
 	// NotifyCrash reports that a target crashed while it had a request.
 	NotifyCrash(c poison.Crash)
+	// NotifyPartCrash reports that a target crashed while it had a prompt with shared parts.
+	NotifyPartCrash(c *poison.PartCrash)
+	// NotifyPartLifted tells that an answer has lifted the quarantine of a part.
+	NotifyPartLifted(v poison.Verdict)
 	// BroadcastVerdict sends all daemons a verdict that this daemon reached.
 	BroadcastVerdict(v poison.Verdict)
 	// RequestTrial asks whether a quarantined request may be sent once. One daemon decides on all
@@ -29,8 +32,8 @@
 	RequestTrial(ctx context.Context, request poison.Key) bool
 }
 
-// checkQuarantine returns an error for a quarantined request, unless the request is admitted
-// as a trial. A trial must not be checked again before it is sent: it has begun with the check,
+// checkQuarantine returns an error for a request that is quarantined, itself or by a part of its prompt, unless it is
+// admitted as a trial. A trial must not be checked again before it is sent: it has begun with the check,
 // so another check would refuse it.
 func (d *Director) checkQuarantine(ctx context.Context, r *Request) (trial bool, err error) {
 	r.suspected = false
@@ -39,23 +42,34 @@
 	}
 	status := d.Board.Poison.Check(r.poisonKey(), time.Now())
 	r.suspected = status.Suspected
-	if !status.Quarantined {
+	found := d.Board.Poison.Quarantined(r.poisonKey(), r.partKeys(), r.Account.Path, time.Now())
+	if len(found.Keys) == 0 {
 		return false, nil
 	}
-	if status.TrialDue && d.requestTrial(ctx, r.poisonKey()) {
+	key := found.Keys[0].String()
+	if found.TrialDue && d.requestTrials(ctx, found.Keys) {
 		d.record(r, decision.Record{
-			Kind: decision.KindAdmit, Outcome: decision.OutcomeAdmitted, CallKey: r.poisonKey().String(), Reason: "a quarantined call is tried once more",
+			Kind: decision.KindAdmit, Outcome: decision.OutcomeAdmitted, CallKey: key, Reason: "a quarantined call is tried once more", SharedParts: r.SharedParts,
 		})
 		return true, nil
 	}
-	refusal := fault.New(fault.CrashesTargets, "several targets crashed while running this request, so it is not sent to another one",
-		"do not send it again unchanged; operators find the targets in the log by the field call").WithRetry(status.RetryAfter)
+	refusal := errorForQuarantine(found.Keys[0] != r.poisonKey(), found.RetryAfter)
 	d.record(r, decision.Record{
-		Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, CallKey: r.poisonKey().String(), Reason: refusal.Error(),
+		Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, CallKey: key, Reason: refusal.Error(), SharedParts: r.SharedParts,
 	})
 	return false, refusal
 }
 
+// requestTrials reports whether this daemon may send a request once as a trial although all these keys are quarantined.
+func (d *Director) requestTrials(ctx context.Context, keys []poison.Key) bool {
+	for _, k := range keys {
+		if !d.requestTrial(ctx, k) {
+			return false
+		}
+	}
+	return true
+}
+
 // requestTrial reports whether this daemon may send a quarantined request as a trial.
 func (d *Director) requestTrial(ctx context.Context, k poison.Key) bool {
 	if d.CrashReporter == nil {
@@ -88,7 +102,16 @@
 	if r.payloadSize() > smallRequestSize && d.Board.Poison.Empty() {
 		return func() {}
 	}
-	return d.Board.Poison.BeginSend(r.poisonKey(), func() { cancel(errQuarantined) })
+	return d.Board.Poison.BeginSend([]poison.Key{r.poisonKey()}, r.Account.Path, func() { cancel(errQuarantined) })
+}
+
+// cancelOnPartQuarantine calls cancel if a part of the prompt is quarantined before the returned function is called:
+// when the target has begun to answer, or the send has ended.
+func (d *Director) cancelOnPartQuarantine(r *Request, cancel context.CancelCauseFunc) func() {
+	if len(r.SharedParts) == 0 {
+		return func() {}
+	}
+	return d.Board.Poison.BeginSend(r.partKeys(), r.Account.Path, func() { cancel(errQuarantined) })
 }
 
 // recordSuccess records that a target survived a request.
--- /dev/null
+++ b/node/requestcontrol/promptparts.go
@@ -0,0 +1,99 @@
+package requestcontrol
+
+import (
+	"time"
+
+	"doorstack.dev/core/fault"
+	"doorstack.dev/core/poison"
+	"doorstack.dev/node/target"
+)
+
+// partKeys returns the keys of the shared parts of the request's prompt.
+func (r *Request) partKeys() []poison.Key {
+	if r.cachedPartKeys == nil && len(r.SharedParts) > 0 {
+		r.cachedPartKeys = poison.PartKeys(r.Route.Pool.Name, r.SharedParts)
+	}
+	return r.cachedPartKeys
+}
+
+// answerProgress is how far a target has come with its answer in the current attempt.
+type answerProgress struct {
+	// events is the number of events received, began the time of the first, or of the head of an answer that is not a
+	// stream.
+	events int
+	began  time.Time
+	// selfDelimited reports that the answer's own length or encoding marks its end.
+	selfDelimited bool
+	// survived reports that the answer has gone on for so long that its prompt does not crash the target.
+	survived bool
+}
+
+// recordAnswerProgress counts an event of the answer. Once the target has survived the prompt, the prompt's parts are
+// cleared.
+func (f *forwarding) recordAnswerProgress(now time.Time) {
+	a := &f.attemptAnswer
+	if a.events == 0 {
+		a.began = now
+		f.partSendEnded()
+	}
+	a.events++
+	if !a.survived && poison.Survived(now.Sub(a.began), a.events) {
+		a.survived = true
+		f.director.recordPartAnswer(f.request, a)
+	}
+}
+
+// recordPartAnswer records that a target survived the prompt.
+func (d *Director) recordPartAnswer(r *Request, a *answerProgress) {
+	if len(r.SharedParts) == 0 || a.began.IsZero() {
+		return
+	}
+	lifted := d.Board.Poison.RecordAnswer(r.Route.Pool.Name, r.SharedParts, a.began, time.Now())
+	for _, v := range lifted {
+		d.Recorder.Log.Warn("the quarantine of a prompt part is lifted", "request", r.ID, "part", v.Part.ID,
+			"pool", r.Route.Pool.Name, "key", v.Request.String(), "count", v.Count)
+		if d.CrashReporter != nil {
+			d.CrashReporter.NotifyPartLifted(v)
+		}
+	}
+}
+
+// recordPartEnd records what the end of an attempt says of the shared parts of its prompt. An answer without a length of
+// its own may have ended with the target's process.
+func (d *Director) recordPartEnd(r *Request, end *attemptEnd) {
+	switch {
+	case len(r.SharedParts) == 0 || end.answer.survived:
+	case end.err == nil && end.answer.selfDelimited:
+		d.recordPartAnswer(r, &end.answer)
+	case end.err != nil && !end.callerGone && !end.pathFailed && target.ConnectionClosed(end.err):
+		d.recordPartCrash(r, end)
+	}
+}
+
+// recordPartCrash records that a target crashed while it had a prompt with shared parts, and reports it to the daemons
+// that collect such crashes.
+func (d *Director) recordPartCrash(r *Request, end *attemptEnd) {
+	crash := poison.PartCrash{
+		Account: r.Account.Path, Pool: r.Route.Pool.Name, Parts: r.SharedParts, Target: end.chosen, Request: r.poisonKey(), Events: end.answer.events,
+	}
+	for _, v := range d.Board.Poison.RecordOwnCrash(&crash, time.Now()) {
+		d.Recorder.Log.Warn("a trial of a quarantined prompt part crashed its target", "request", r.ID, "part", v.Part.ID, "account", v.Part.Account,
+			"pool", crash.Pool, "target", end.chosen, "key", v.Request.String(), "count", v.Count)
+		if d.CrashReporter != nil {
+			d.CrashReporter.BroadcastVerdict(v)
+		}
+	}
+	if d.CrashReporter != nil {
+		d.CrashReporter.NotifyPartCrash(&crash)
+	}
+}
+
+// errorForQuarantine returns the error for a request that is refused because it or a part of its prompt is quarantined.
+func errorForQuarantine(part bool, retryAfter time.Duration) *fault.Error {
+	if part {
+		return fault.New(fault.CrashesTargets, "several targets crashed while running prompts that share a part with this one, so it is not sent to another one",
+			"do not send prompts with that part; operators find it in the log by the field call").WithRetry(retryAfter)
+	}
+	return fault.New(fault.CrashesTargets, "several targets crashed while running this request, so it is not sent to another one",
+		"do not send it again unchanged; operators find the targets in the log by the field call").WithRetry(retryAfter)
+}
--- a/node/requestcontrol/relay.go
+++ b/node/requestcontrol/relay.go
@@ -53,7 +53,7 @@
 }
 
 func (f *forwarding) deliverEvent(e eventstream.Event, reply *target.Reply, p *blackboard.Placement) error {
-	f.attemptEvents++
+	f.recordAnswerProgress(time.Now())
 	f.silenceWatch.pause()
 	defer f.silenceWatch.eventReceived() // A caller that reads slowly does not make its target silent.
 	f.recordEventTime(time.Now())
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -44,6 +44,7 @@
 	promptTokens    int64
 	prefixes        []uint64
 	cachedPoisonKey *poison.Key
+	cachedPartKeys  []poison.Key
 	// suspected reports that a target had already crashed while running this request when the
 	// request was last checked for quarantine, which is before each send.
 	suspected bool
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -84,6 +84,10 @@
 	stopDeadline func() bool
 }
 
+// SelfDelimited reports whether the answer's length or encoding marks its end. The end of any other answer is that of the
+// connection, which the target's process may have caused by ending.
+func (r *Reply) SelfDelimited() bool { return r.Length >= 0 || len(r.resp.TransferEncoding) > 0 }
+
 // answerBody records whether an answer was read to its end.
 type answerBody struct {
 	io.Reader
