--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -81,6 +81,8 @@
 	// announceDraining and requestBackoff select the notices in the target's answers: that the
 	// target drains, and that the daemon is to back off.
 	announceDraining, requestBackoff bool
+	// unframed makes the target answer without a length and without chunks.
+	unframed bool
 	// rateLimit is the limit in the target's answers, in calls per second; nil for none.
 	rateLimit *float64
 }
@@ -159,7 +161,7 @@
 func (b *backend) serve(w http.ResponseWriter, r *http.Request, c standin.Call) {
 	execution := b.executions.add(Execution{ID: c.ID, Target: b.target.ID, Service: b.service, Account: c.Account(), APIKey: c.APIKey(), Started: time.Now(), LastEvent: c.LastEventID()})
 	defer b.executions.update(func() { execution.Ended = time.Now() })
-	if strings.HasPrefix(c.Body, crashBodyPrefix) {
+	if strings.HasPrefix(c.Body, crashBodyPrefix) || strings.Contains(c.Header.Get("X-Prompt-Prefix"), badPartPrefix) {
 		b.executions.update(func() { execution.Crashed = true })
 		b.crash(w, r, c)
 		return
@@ -182,6 +184,8 @@
 		standin.CloseConnection(w, r, c)
 	case outcome < 0.6:
 		<-r.Context().Done() // The target hangs.
+	case b.answersUnframed():
+		b.serveUnframed(w, r, c)
 	case b.service == engineService:
 		b.stream(w, r, c, outcome < 0.8)
 	default:
@@ -194,6 +198,44 @@
 	}
 }
 
+func (b *backend) answersUnframed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unframed
+}
+
+// truncatedShare is the share of unframed answers that are truncated.
+const truncatedShare = 0.3
+
+// serveUnframed answers without a length and without chunks; some answers are truncated. The end of a plain answer can
+// be told from a truncation only by a reset.
+func (b *backend) serveUnframed(w http.ResponseWriter, r *http.Request, c standin.Call) {
+	contentType, body, ending := "text/plain", safePath.Answer(c.ID), standin.EndWhole
+	if rand.Float64() < truncatedShare {
+		ending = standin.EndReset
+	}
+	if b.service == engineService {
+		contentType, body = "text/event-stream", ""
+		first := 1
+		if after := c.LastEventID(); after != "" {
+			if _, err := fmt.Sscan(after, &first); err != nil {
+				panic(http.ErrAbortHandler) // The daemon sent a last event that is not a number.
+			}
+			first++
+		}
+		for i := first; i <= eventCount(c.ID); i++ {
+			body += standin.EventText(i, eventText(c.ID, i))
+		}
+		if ending == standin.EndReset && rand.IntN(2) == 0 {
+			ending = standin.EndInside
+		}
+	}
+	if body == "" {
+		ending = standin.EndWhole
+	}
+	standin.Unframed(contentType, body, ending)(w, r, c)
+}
+
 // stream answers with a stream of events. A resumed call gets the events after the one that its
 // Last-Event-ID header names.
 func (b *backend) stream(w http.ResponseWriter, r *http.Request, c standin.Call, truncate bool) {
--- a/node/internal/soak/caller.go
+++ b/node/internal/soak/caller.go
@@ -59,9 +59,12 @@
 // send sends the request of a call, which has the fields that describe it, and records the outcome.
 func (tb *testbed) send(ctx context.Context, client *http.Client, c Call) Call {
 	c.ID, c.Timeout = tb.calls.newID(), c.Path.Timeout
+	if c.Path.Streaming && c.PromptParts == "" {
+		c.PromptParts = soundParts(c.ID)
+	}
 	request := &standin.CallerRequest{
 		Daemon: tb.daemons[c.Daemon].frontend.Address(), Host: callHost, Path: c.Path.Prefix + "x", ID: c.ID, APIKey: apiKeyPrefix + c.account(),
-		TokenCounts: c.Path.TokenCounts, DeadlineMS: int(c.Timeout.Milliseconds()), Body: c.RequestBody, ReadPause: tb.pauseOfCaller(),
+		TokenCounts: c.Path.TokenCounts, PromptParts: c.PromptParts, DeadlineMS: int(c.Timeout.Milliseconds()), Body: c.RequestBody, ReadPause: tb.pauseOfCaller(),
 	}
 	if c.TemporaryRoute > 0 {
 		request.Path = temporaryPrefix(c.TemporaryRoute) + "x"
@@ -95,7 +98,10 @@
 		client := newClient()
 		daemon := tb.pickReadyDaemon()
 		stay := time.Now().Add(rand.N(maxStay))
-		for time.Now().Before(stay) && ctx.Err() == nil {
+		if tb.herdDaemon.Load() > 0 {
+			stay = time.Now()
+		}
+		for first := true; (first || time.Now().Before(stay)) && ctx.Err() == nil; first = false {
 			path, temporaryRoute := tb.pickPath()
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), path.Timeout+giveUpAfter)
 			if rand.Float64() < disconnectShare {
--- a/node/internal/soak/disturb.go
+++ b/node/internal/soak/disturb.go
@@ -65,6 +65,14 @@
 	case TargetBackoff:
 		defer tb.beginDisturbance(e.Kind, allDaemons)()
 		tb.requestBackoff(ctx, e)
+	case PartCrashes:
+		defer tb.beginDisturbance(e.Kind, allDaemons)()
+		tb.sendCrashingParts(ctx, e)
+	case UnframedAnswers:
+		defer tb.beginDisturbance(e.Kind, allDaemons)()
+		tb.answerUnframed(ctx, e)
+	case ConnectionHerd:
+		tb.herdConnections(ctx, e)
 	case TargetRateLimit:
 		tb.setRateLimits(ctx, e)
 	case Evacuation:
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -31,6 +31,8 @@
 	RequestBody string
 	// Account is the account that calls; empty for accountName.
 	Account string
+	// PromptParts are the parts of the prompt that the request declares; BadPart is the one that crashes engines, if any.
+	PromptParts, BadPart string
 }
 
 // account returns the account that calls.
@@ -92,6 +94,8 @@
 	TargetCentres map[string]string
 	// Cold are the times in which targets were cold.
 	Cold []ColdTime
+	// Herds are the times in which most callers opened their connections to one daemon.
+	Herds []Herd
 	// Floods and Drains are the floods of calls, and the drains of coordinators with waiting calls.
 	Floods []Flood
 	Drains []Drain
@@ -146,7 +150,7 @@
 			}
 		}
 	}
-	list = slices.Concat(list, checkConfigOrder(r), checkNotices(r), checkCrashingCalls(r), checkRateLimits(r), checkEvacuations(r), checkColdTargets(r), checkFloods(r), checkCoordinators(r), checkMemory(r))
+	list = slices.Concat(list, checkConfigOrder(r), checkNotices(r), checkCrashingCalls(r), checkCrashingParts(r), checkHerds(r), checkRateLimits(r), checkEvacuations(r), checkColdTargets(r), checkFloods(r), checkCoordinators(r), checkMemory(r))
 	for _, id := range r.UnreleasedReservations {
 		list = append(list, Violation{"LEAK", id, "reservation was neither released nor expired"})
 	}
--- /dev/null
+++ b/node/internal/soak/parts.go
@@ -0,0 +1,226 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The kinds of events that addPartEvents draws, from a random source of their own.
+const (
+	PartCrashes     Kind = "part-crashes"     // prompts that share a part which crashes each engine are sent, no two alike
+	UnframedAnswers Kind = "unframed-answers" // targets answer without a length and without chunks
+	ConnectionHerd  Kind = "connection-herd"  // most callers open their connections to one daemon
+)
+
+const (
+	// badPartPrefix begins the id of a part that crashes engines.
+	badPartPrefix = "bad-"
+	// partCrashInterval is the pause between two prompts with such a part.
+	partCrashInterval = 120 * time.Millisecond
+	// longPartCrashes is how long they are sent in a long run, so that sound prompts are judged beside them, and longRun
+	// the duration of such a run.
+	longPartCrashes = 9 * time.Second
+	longRun         = 20 * time.Second
+	// herdTime is how long a herd lasts, and herdShare the share of new connections that goes to its daemon. It fits into
+	// a phase of planned operations.
+	herdTime  = 4500 * time.Millisecond
+	herdShare = 0.75
+)
+
+// The bounds that the users of doorstack set on crashing parts and herds.
+const (
+	// crashesUntilKnown is the number of crashes after which daemons have undisturbedBefore to learn of a part, and
+	// maxLatePartSends how many more of its prompts may reach engines later.
+	crashesUntilKnown = 5
+	maxLatePartSends  = 3
+	// soundAfter is the time from the crashesUntilKnown'th crash on after which sound prompts must be served.
+	soundAfter = 2 * undisturbedBefore
+	// minSoundShare is the share of sound prompts that must not be refused because of a crashing part, and
+	// minHerdShare the share of calls that the daemon of a herd must serve, from undisturbedBefore on.
+	minSoundShare = 0.5
+	minHerdShare  = 0.75
+	// minCallsJudged is the number of calls from which on their share is judged.
+	minCallsJudged = 20
+)
+
+// addPartEvents adds a herd at the start of the run, where nothing else disturbs daemons, and crashing parts and unframed
+// answers in the phases with faults.
+func addPartEvents(plan []Event, seed uint64, duration time.Duration) []Event {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	if duration > phaseDuration {
+		plan = append(plan, Event{Start: 0, Duration: herdTime, Kind: ConnectionHerd, Selector: rng.IntN(1000)})
+	}
+	for start := phaseDuration; start+maxFaultDuration <= duration; start += 2 * phaseDuration {
+		plan = append(plan, Event{Start: start + randomDuration(rng, phaseDuration/2), Duration: maxFaultDuration, Kind: UnframedAnswers, Selector: rng.IntN(1000)})
+	}
+	crashes := Event{Start: phaseDuration + randomDuration(rng, phaseDuration/2), Duration: maxFaultDuration, Kind: PartCrashes, Selector: rng.IntN(1000)}
+	if duration >= longRun {
+		crashes.Duration = longPartCrashes
+	}
+	if crashes.Start+crashes.Duration <= duration {
+		plan = append(plan, crashes)
+	}
+	slices.SortStableFunc(plan, func(a, b Event) int { return int(a.Start - b.Start) })
+	return plan
+}
+
+// soundParts returns the prompt parts of a call: two that other calls share, and its own.
+func soundParts(id string) string {
+	return fmt.Sprintf("system:40,topic-%d:400,%s:1000", rand.IntN(4), id)
+}
+
+// sendCrashingParts sends prompts with a bad part beside the parts of the sound ones, every partCrashInterval to a random
+// daemon for the event's duration, and later finalRounds times to each daemon.
+func (tb *testbed) sendCrashingParts(ctx context.Context, e Event) {
+	bad := fmt.Sprint(badPartPrefix, e.Selector)
+	client := newClient()
+	defer client.CloseIdleConnections()
+	var sends sync.WaitGroup
+	send := func(daemon, number int) {
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), streamPath.Timeout+giveUpAfter)
+		defer cancel()
+		tb.send(callCtx, client, Call{
+			Daemon: daemon, Path: streamPath, RequestBody: fmt.Sprint("prompt ", bad, " ", number), BadPart: bad,
+			PromptParts: fmt.Sprintf("system:40,%s:400,own-%d:1000", bad, number),
+		})
+	}
+	n := 0
+	for end := time.Now().Add(e.Duration); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, partCrashInterval) {
+		n++
+		daemon, number := tb.pickReadyDaemon(), n
+		sends.Go(func() { send(daemon, number) })
+	}
+	sends.Wait()
+	sleep(ctx, undisturbedBefore+loadSlack)
+	for range finalRounds {
+		for daemon := range tb.daemons {
+			n++
+			send(daemon, n)
+		}
+	}
+}
+
+// answerUnframed lets every second target answer without a length and without chunks for the event's duration.
+func (tb *testbed) answerUnframed(ctx context.Context, e Event) {
+	half := tb.everySecondTarget(e.Selector)
+	for _, b := range half {
+		b.updateNotices(func() { b.unframed = true })
+	}
+	sleep(ctx, e.Duration)
+	for _, b := range half {
+		b.updateNotices(func() { b.unframed = false })
+	}
+}
+
+// Herd is the time in which most callers opened their connections to one daemon.
+type Herd struct {
+	From, To time.Time
+	Daemon   int
+}
+
+// herdConnections lets most callers choose one daemon for the event's duration, and open a connection for each call.
+func (tb *testbed) herdConnections(ctx context.Context, e Event) {
+	h := Herd{From: time.Now(), Daemon: e.Selector % len(tb.daemons)}
+	tb.herdDaemon.Store(int64(h.Daemon) + 1)
+	sleep(ctx, e.Duration)
+	tb.herdDaemon.Store(0)
+	h.To = time.Now()
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.herds = append(tb.herds, h)
+}
+
+// checkCrashingParts checks that prompts with a crashing part no longer reach engines once the daemons must know of it,
+// and that sound prompts are not refused because of it.
+func checkCrashingParts(r *Record) []Violation {
+	byPart := map[string][]*Call{}
+	for i := range r.Calls {
+		if c := &r.Calls[i]; c.BadPart != "" {
+			byPart[c.BadPart] = append(byPart[c.BadPart], c)
+		}
+	}
+	var list []Violation
+	for part, calls := range byPart {
+		var crashes []time.Time
+		last := calls[0].Sent
+		for _, c := range calls {
+			for _, execution := range r.Executions[c.ID] {
+				if execution.Crashed {
+					crashes = append(crashes, execution.Started)
+				}
+			}
+			if c.Sent.After(last) {
+				last = c.Sent
+			}
+		}
+		if len(crashes) < crashesUntilKnown {
+			continue
+		}
+		slices.SortFunc(crashes, time.Time.Compare)
+		fifth := crashes[crashesUntilKnown-1]
+		late := 0
+		for _, c := range calls {
+			if c.Sent.After(fifth.Add(undisturbedBefore)) && len(r.executionsOf(c.ID)) > 0 && r.undisturbed(c.Daemon, c.Sent.Add(-undisturbedBefore), c.Done, losesState) {
+				late++
+			}
+		}
+		if late > maxLatePartSends {
+			list = append(list, Violation{"BUDGET", part, fmt.Sprintf("%d prompts with this part were executed later than %v after its fifth crash; %d crashes in all", late, undisturbedBefore, len(crashes))})
+		}
+		if problem := r.refusedForPart(fifth.Add(soundAfter), last); problem != "" {
+			list = append(list, Violation{"LOST", part, problem})
+		}
+	}
+	return list
+}
+
+// refusedForPart checks how many sound prompts were refused because of a crashing part between two times. It returns what
+// is wrong, or nothing.
+func (r *Record) refusedForPart(from, to time.Time) string {
+	n, refused := 0, 0
+	for i := range r.Calls {
+		c := &r.Calls[i]
+		if c.BadPart != "" || c.Path != streamPath || c.Sent.Before(from) || c.Sent.After(to) || !r.undisturbed(c.Daemon, c.Sent.Add(-undisturbedBefore), c.Done, losesState) {
+			continue
+		}
+		n++
+		if c.Status == 503 && strings.Contains(c.Body, "crashes_targets") {
+			refused++
+		}
+	}
+	if n >= minCallsJudged && float64(n-refused) < minSoundShare*float64(n) {
+		return fmt.Sprintf("%d of %d sound prompts were refused because of a crashing part", refused, n)
+	}
+	return ""
+}
+
+// checkHerds checks that the daemon of a herd serves its callers.
+func checkHerds(r *Record) []Violation {
+	var list []Violation
+	for _, h := range r.Herds {
+		n, served := 0, 0
+		from := h.From.Add(undisturbedBefore)
+		if !r.undisturbed(h.Daemon, h.From.Add(-undisturbedBefore), h.To.Add(undisturbedBefore), func(k Kind) bool { return isFault(k) || losesState(k) }) {
+			continue
+		}
+		for i := range r.Calls {
+			c := &r.Calls[i]
+			if c.Daemon != h.Daemon || c.Sent.Before(from) || c.Sent.After(h.To) || c.Disconnected || c.TemporaryRoute != 0 || c.BadPart != "" {
+				continue
+			}
+			n++
+			if c.Status == 200 && c.Complete {
+				served++
+			}
+		}
+		if n >= minCallsJudged && float64(served) < minHerdShare*float64(n) {
+			list = append(list, Violation{"RECOVER", fmt.Sprint("daemon ", h.Daemon), fmt.Sprintf("served %d of %d calls while most callers opened their connections to it", served, n)})
+		}
+	}
+	return list
+}
--- a/node/internal/soak/testbed.go
+++ b/node/internal/soak/testbed.go
@@ -29,6 +29,8 @@
 	calls         *callLog
 	// callersAreSlow is true while some callers read slowly.
 	callersAreSlow atomic.Bool
+	// herdDaemon is one more than the index of the daemon that most callers choose, or 0.
+	herdDaemon atomic.Int64
 
 	mu             sync.Mutex
 	backends       []*backend // the targets in the store, oldest first
@@ -42,6 +44,7 @@
 	cold           []ColdTime
 	floods         []Flood
 	drains         []Drain
+	herds          []Herd
 	planSteps      Round // the steps that the processes which outlived the plan had counted then
 	rounds         []Round
 	heldMemory     map[int]float64 // bytes that daemons hold for calls after the last one
@@ -177,6 +180,9 @@
 func (tb *testbed) pickReadyDaemon() int {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	if herd := int(tb.herdDaemon.Load()) - 1; herd >= 0 && tb.inRotation[herd] && rand.Float64() < herdShare {
+		return herd
+	}
 	var list []int
 	for i, ready := range tb.inRotation {
 		if ready {
@@ -218,7 +224,7 @@
 	r := &Record{
 		Calls: tb.calls.list(), Executions: tb.executions.list(), Disturbances: slices.Clone(tb.disturbances),
 		Published: slices.Clone(tb.published), ProcessStarts: map[int][]time.Time{}, UnreleasedReservations: tb.unreleasedReservations(),
-		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), Floods: slices.Clone(tb.floods), Drains: slices.Clone(tb.drains), PlanSteps: tb.planSteps, Rounds: tb.rounds, UnreleasedMemory: tb.heldMemory, TargetCentres: map[string]string{},
+		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), Floods: slices.Clone(tb.floods), Drains: slices.Clone(tb.drains), Herds: slices.Clone(tb.herds), PlanSteps: tb.planSteps, Rounds: tb.rounds, UnreleasedMemory: tb.heldMemory, TargetCentres: map[string]string{},
 	}
 	for number := 1; number <= tb.targetsCreated; number++ {
 		r.TargetCentres[fmt.Sprint("t", number)] = dataCentreOfTarget(number)
