--- a/node/internal/soak/parts.go
+++ b/node/internal/soak/parts.go
@@ -26,6 +26,9 @@
 	// the duration of such a run.
 	longPartCrashes = 9 * time.Second
 	longRun         = 20 * time.Second
+	// quietPartCrashes is how long they are sent after the plan, when nothing else disturbs daemons: longer than
+	// soundAfter.
+	quietPartCrashes = 8 * time.Second
 	// herdTime is how long a herd lasts, and herdShare the share of new connections that goes to its daemon. It fits into
 	// a phase of planned operations.
 	herdTime  = 4500 * time.Millisecond
@@ -77,7 +80,7 @@
 // sendCrashingParts sends prompts with a bad part beside the parts of the sound ones, every partCrashInterval to a random
 // daemon for the event's duration, and later finalRounds times to each daemon.
 func (tb *testbed) sendCrashingParts(ctx context.Context, e Event) {
-	bad := fmt.Sprint(badPartPrefix, e.Selector)
+	bad := fmt.Sprint(badPartPrefix, e.Start.Milliseconds(), "-", e.Selector)
 	client := newClient()
 	defer client.CloseIdleConnections()
 	var sends sync.WaitGroup
@@ -105,6 +108,18 @@
 	}
 }
 
+// playPartCrashes makes calls while prompts with a bad part are sent and nothing else disturbs daemons.
+func (tb *testbed) playPartCrashes(ctx context.Context, seed uint64) {
+	callCtx, stop := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for range callerCount {
+		callers.Go(func() { tb.runCaller(callCtx) })
+	}
+	tb.apply(ctx, Event{Duration: quietPartCrashes, Kind: PartCrashes, Selector: int(seed % 1000)})
+	stop()
+	callers.Wait()
+}
+
 // answerUnframed lets every second target answer without a length and without chunks for the event's duration.
 func (tb *testbed) answerUnframed(ctx context.Context, e Event) {
 	half := tb.everySecondTarget(e.Selector)
