A release of reserved memory does not overtake a slow reservation

Cause: the message that reserves was cut off after 0.5 s without an answer, and the release, on another connection, was carried out before it. Class: an order with an unknown outcome taken for one that was not carried out.

--- a/node/requestcontrol/disconnect_paths_test.go
+++ b/node/requestcontrol/disconnect_paths_test.go
@@ -323,3 +323,29 @@
 		t.Errorf("results = %v, want one %v", placer.results, blackboard.CallCancelled)
 	}
 }
+
+// TestReleaseDoesNotOvertakeSlowReservation covers a helper that answers the message to reserve memory only after
+// reservationCallTimeout: the message was cut off, and the release was carried out before it, so that the helper held
+// memory that nobody used.
+func TestReleaseDoesNotOvertakeSlowReservation(t *testing.T) {
+	h := startHelper(t, reservationCallTimeout+reservationCallTimeout/2, nil)
+	placer := &groupPlacer{
+		singleTargetPlacer: singleTargetPlacer{address: "127.0.0.1:1"},
+		helpers:            []blackboard.TargetAddress{{ID: "a", Address: h.address()}},
+	}
+	d := newDisconnectDirector(placer)
+	ctx, disconnect := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = d.Forward(ctx, newStreamRequest(), rejectingAnswerWriter{t})
+	}()
+	<-h.reserving
+	disconnect()
+	<-ended
+	<-h.released
+	h.Close() // Waits until all messages have been carried out.
+	if h.reserved {
+		t.Error("the helper holds the memory after the release, want it released")
+	}
+}
--- a/node/requestcontrol/reservations.go
+++ b/node/requestcontrol/reservations.go
@@ -23,7 +23,7 @@
 const (
 	reservationTTL           = 2500 * time.Millisecond
 	reservationRenewInterval = 800 * time.Millisecond
-	// reservationCallTimeout bounds a reserve or release message, which targets answer immediately.
+	// reservationCallTimeout bounds the wait for the answer to a reserve or release message. Targets answer immediately.
 	reservationCallTimeout = 500 * time.Millisecond
 	// maxReleaseAttempts bounds how often an unsuccessful release is sent.
 	maxReleaseAttempts = 3
@@ -98,18 +98,24 @@
 	h.director.record(h.request, decision.Record{Kind: decision.KindGroup, Outcome: outcome, Attempt: attempt, Reason: reason})
 }
 
-// reserve reserves or renews the memory at a helper, and returns early at the end of ctx. The message
-// is not cut off then: the helper might carry it out after the release, and would hold the memory for
-// reservationTTL.
+var errUnansweredMessage = errors.New("the helper has not answered the previous message")
+
+// reserve reserves or renews the memory at a helper, and returns early at the end of ctx or after
+// reservationCallTimeout. The message is not cut off then: the helper might carry it out after the release, and would
+// hold the memory for reservationTTL. After that time a message that is still unanswered no longer matters.
 func (h *heldReservations) reserve(ctx context.Context, r *heldReservation) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if !r.sending.TryLock() {
+		return errUnansweredMessage // Waiting for it would delay the renewals at other helpers.
+	}
+	ctx, cancel := context.WithTimeout(ctx, reservationCallTimeout)
+	defer cancel()
 	sent := make(chan error, 1)
-	r.sending.Lock()
 	go func() {
 		defer r.sending.Unlock()
-		sent <- h.send(context.WithoutCancel(ctx), r, h.director.Exchanger.Dialect.ReserveMessage(r.target, r.id, r.tokens, reservationTTL))
+		sent <- h.send(context.WithoutCancel(ctx), r, h.director.Exchanger.Dialect.ReserveMessage(r.target, r.id, r.tokens, reservationTTL), reservationTTL)
 	}()
 	select {
 	case err := <-sent:
@@ -161,7 +167,7 @@
 	defer r.sending.Unlock()
 	var err error
 	for range maxReleaseAttempts {
-		if err = h.send(ctx, r, h.director.Exchanger.Dialect.ReleaseMessage(r.target, r.id)); err == nil {
+		if err = h.send(ctx, r, h.director.Exchanger.Dialect.ReleaseMessage(r.target, r.id), reservationCallTimeout); err == nil {
 			return
 		}
 	}
@@ -170,9 +176,9 @@
 }
 
 // send sends a reserve or release message to a helper and returns an error unless the helper
-// carried it out.
-func (h *heldReservations) send(ctx context.Context, r *heldReservation, message forward.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, reservationCallTimeout)
+// carried it out within a time.
+func (h *heldReservations) send(ctx context.Context, r *heldReservation, message forward.Message, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	exchanger := h.director.Exchanger
 	reply, err := exchanger.Send(ctx, r.address, &message)
