Records of crashing parts are bounded by themselves; a metric for quarantines

Parts of all accounts shared the bound of one account (256 records), so a single crash of an engine with many parts could evict the one that crashes engines. They have 1,024 records of their own, and those with the fewest crashes go first (TestCrashesWithManyPartsKeepTheSuspect). At most 32 suspects are compared with each other.

doorstack_quarantines_total counts verdicts on calls and parts.

--- a/core/poison/key.go
+++ b/core/poison/key.go
@@ -49,6 +49,9 @@
 	return KeyOf("", []byte("part of a prompt"), []byte(pool), []byte(part))
 }
 
+// partPrefix is the prefix that the keys of all parts share.
+var partPrefix = PartKey("", "").accountPrefix()
+
 // writeLengthPrefixed hashes the length of a part and then the part, so that different lists of
 // parts never hash the same bytes.
 func writeLengthPrefixed(h hash.Hash, part []byte) {
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -34,6 +34,8 @@
 	// ObjectionWindow is the time from a verdict that quarantines a part until it applies. A daemon that knows of an
 	// answer to a prompt with the part objects within it; the verdict and the objection have to cross the fleet.
 	ObjectionWindow = 300 * time.Millisecond
+	// maxSuspects bounds the parts that are compared with each other.
+	maxSuspects = 32
 	// maxAnsweredParts bounds the number of parts whose latest answer is remembered.
 	maxAnsweredParts = 16384
 )
@@ -244,11 +246,12 @@
 			suspects = append(suspects, suspect{k, r, answered})
 		}
 	}
-	slices.SortFunc(suspects, func(a, b suspect) int {
+	compare := func(a, b suspect) int {
 		return cmp.Or(compareBools(a.answered, b.answered), cmp.Compare(b.record.crashRate(), a.record.crashRate()),
 			cmp.Compare(b.record.position, a.record.position), bytes.Compare(a.key[:], b.key[:]))
-	})
-	return suspects, quarantined
+	}
+	slices.SortFunc(suspects, compare)
+	return suspects[:min(len(suspects), maxSuspects)], quarantined
 }
 
 // compareBools sorts false before true.
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -453,3 +453,36 @@
 		}
 	}
 }
+
+// TestCrashesWithManyPartsKeepTheSuspect checks that targets which crash with ever new parts beside a bad one do not
+// drive it from the table, and that the table stays bounded.
+func TestCrashesWithManyPartsKeepTheSuspect(t *testing.T) {
+	table := NewTable()
+	quarantined := false
+	for i := range 8 {
+		for n := range 400 {
+			table.RecordPartCrash(partCrash("/a", 1000*i+n, fmt.Sprint("t", i), fmt.Sprint("topic ", i, " ", n)), at(time.Duration(i)*time.Second))
+		}
+		table.RecordPartCrash(partCrash("/b", i, fmt.Sprint("t", i), "bad"), at(time.Duration(i)*time.Second))
+		table.JudgeParts(at(time.Duration(i) * time.Second))
+		quarantined = quarantined || table.partQuarantined("/b", "bad", at(time.Duration(i)*time.Second+ObjectionWindow))
+	}
+	if counts := table.Counts(); !quarantined || counts.Parts+counts.Others > maxPartRecords {
+		t.Errorf("part quarantined: %v, %+v; want it quarantined and at most %d records", quarantined, counts, maxPartRecords)
+	}
+}
+
+// BenchmarkJudgeParts judges the crashes of sixteen targets with sixteen prompts of five shared parts each.
+func BenchmarkJudgeParts(b *testing.B) {
+	for b.Loop() {
+		table := NewTable()
+		for i := range 16 {
+			now := at(time.Duration(i) * 300 * time.Millisecond)
+			for n := range 16 {
+				parts := []string{"system", fmt.Sprint("topic ", n%4), fmt.Sprint("session ", n), fmt.Sprint("document ", n%8), fmt.Sprint("turn ", i, n)}
+				table.RecordPartCrash(partCrash("/a", 100*i+n, fmt.Sprint("t", i), parts...), now)
+			}
+			table.JudgeParts(now)
+		}
+	}
+}
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -40,6 +40,8 @@
 	// so that an account which sends ever new requests evicts only its own records.
 	maxRecords           = 4096
 	maxRecordsPerAccount = 256
+	// maxPartRecords bounds the records of the parts of prompts of all accounts.
+	maxPartRecords = 1024
 	// maxSuccesses bounds the number of remembered successes.
 	maxSuccesses = 2048
 )
@@ -405,13 +407,21 @@
 		}
 	}
 	switch {
-	case ofAccount >= maxRecordsPerAccount:
+	case ofAccount >= maxRecordsLike(k):
 		t.evict(func(other Key) bool { return other.accountPrefix() == k.accountPrefix() })
 	case len(t.records) >= maxRecords:
 		t.evict(func(Key) bool { return true })
 	}
 }
 
+// maxRecordsLike returns the bound of the records that share the prefix of a key.
+func maxRecordsLike(k Key) int {
+	if k.accountPrefix() == partPrefix {
+		return maxPartRecords
+	}
+	return maxRecordsPerAccount
+}
+
 // evict deletes the first record in eviction order among those for which eligible returns true.
 func (t *Table) evict(eligible func(Key) bool) {
 	var worst Key
@@ -424,11 +434,14 @@
 	delete(t.records, worst)
 }
 
-// evictBefore defines the eviction order: records without a quarantine first, then the least
-// recently used.
+// evictBefore defines the eviction order: records without a quarantine first, of parts those with the fewest crashes,
+// then the least recently used.
 func (r *record) evictBefore(other *record) bool {
 	if r.quarantined() != other.quarantined() {
 		return other.quarantined()
 	}
+	if r.part != nil && other.part != nil && len(r.crashes) != len(other.crashes) {
+		return len(r.crashes) < len(other.crashes)
+	}
 	return r.lastUsed.Before(other.lastUsed)
 }
--- a/node/cluster/partcrashes.go
+++ b/node/cluster/partcrashes.go
@@ -45,7 +45,9 @@
 	time.AfterFunc(poison.SettleTime, func() {
 		c.judging.Store(false)
 		verdicts := c.Board.Poison.JudgeParts(time.Now())
-		for _, v := range verdicts {
+		for i := range verdicts {
+			v := &verdicts[i]
+			c.Recorder.CountVerdict(v)
 			msg := "a prompt part is quarantined"
 			if v.Lifted {
 				msg = "the quarantine of a prompt part is lifted"
--- a/node/cluster/verdicts.go
+++ b/node/cluster/verdicts.go
@@ -51,6 +51,7 @@
 func (c *Cluster) serveCrash(_ context.Context, from string, in poison.Crash) (empty, error) {
 	if found := c.Board.Poison.RecordCrash(in, time.Now()); found.Quarantined {
 		v := found.Verdict
+		c.Recorder.CountVerdict(&v)
 		c.Recorder.Log.Warn("a call is quarantined", "call", in.Request.String(), "target", in.Target, "count", v.Count,
 			"reason", "several targets crashed under the call", "peer", from)
 		c.BroadcastVerdict(v)
@@ -114,7 +115,9 @@
 	if slices.ContainsFunc(fresh, func(v poison.Verdict) bool { return v.Part != nil && v.Lifted }) {
 		c.judgePartsSoon()
 	}
-	for _, v := range fresh {
+	for i := range fresh {
+		v := &fresh[i]
+		c.Recorder.CountVerdict(v)
 		c.Recorder.Log.Warn("verdict on a call received", "call", v.Request.String(), "part", v.PartID(), "lifted", v.Lifted, "count", v.Count,
 			"age_s", v.Age.Seconds(), "peer", from)
 	}
--- a/node/requestcontrol/poison.go
+++ b/node/requestcontrol/poison.go
@@ -137,6 +137,7 @@
 	}
 	d.CrashReporter.NotifyCrash(crash)
 	if result.Quarantined {
+		d.Recorder.CountVerdict(&result.Verdict)
 		d.Recorder.Log.Warn("a call is quarantined", "request", r.ID, "call", r.poisonKey().String(), "pool", r.Route.Pool.Name,
 			"target", id, "count", result.Verdict.Count, "reason", fmt.Sprintf("the last of several targets crashed while running it: %v", err))
 		d.CrashReporter.BroadcastVerdict(result.Verdict)
--- a/node/requestcontrol/promptparts.go
+++ b/node/requestcontrol/promptparts.go
@@ -52,6 +52,7 @@
 	}
 	lifted := d.Board.Poison.RecordAnswer(r.Route.Pool.Name, r.SharedParts, began, time.Now())
 	for _, v := range lifted {
+		d.Recorder.CountVerdict(&v)
 		d.Recorder.Log.Warn("the quarantine of a prompt part is lifted", "request", r.ID, "part", v.Part.ID,
 			"pool", r.Route.Pool.Name, "key", v.Request.String(), "count", v.Count)
 		if d.CrashReporter != nil {
@@ -91,6 +92,7 @@
 		Account: r.Account.Path, Pool: r.Route.Pool.Name, Parts: r.SharedParts, Target: id, Request: r.poisonKey(), Events: events,
 	}
 	for _, v := range d.Board.Poison.RecordOwnCrash(&crash, time.Now()) {
+		d.Recorder.CountVerdict(&v)
 		d.Recorder.Log.Warn("a trial of a quarantined prompt part crashed its target", "request", r.ID, "part", v.Part.ID, "account", v.Part.Account,
 			"pool", crash.Pool, "target", id, "key", v.Request.String(), "count", v.Count)
 		if d.CrashReporter != nil {
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -48,6 +48,8 @@
 	LogLinesOmitted      prometheus.Counter
 	// Lag observes the time, in seconds, that incoming data waits for the CPU.
 	Lag prometheus.Histogram
+	// Quarantines counts the verdicts that this daemon reached or learned of.
+	Quarantines *prometheus.CounterVec
 	// Crashes counts the sends during which the target closed the connection.
 	Crashes *prometheus.CounterVec
 	// TargetNotices counts the new notices of targets about themselves.
@@ -150,6 +152,7 @@
 		UnreachedTargets:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "unreached_targets", Help: "Targets to which the latest direct attempt to connect failed."}),
 		Introductions:        counter("introductions_total", "Introductions of this daemon to seeds and lost members, by outcome.", "outcome"),
 		CoordinationSteps:    counter("coordination_steps_total", "Steps toward a placement: requests to a coordinator, calls held, redirects, and calls placed by this daemon itself; by pool, action and reason.", "pool", "action", "reason"),
+		Quarantines:          counter("quarantines_total", "Verdicts on calls and prompt parts that crash targets, reached here or learned of, by subject and change.", "subject", "change"),
 		Crashes:              counter("crashes_total", "Sends whose connection the target's end closed before the answer was whole, by pool.", "pool"),
 		TargetNotices:        counter("target_notices_total", "News of targets about themselves in answers: that they leave, want rest, name or lift a limit; by pool and word.", "pool", "notice"),
 		StartStages:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "start_seconds", Help: "Time from the process's start to each stage of it."}, []string{"stage"}),
@@ -162,7 +165,7 @@
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
-		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.TargetConnects, m.UnreachedTargets, m.LostPaths, m.RelayRequests, m.Introductions, m.CoordinationSteps, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.StartHolds, m.StartRefusals, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.TargetConnects, m.UnreachedTargets, m.LostPaths, m.RelayRequests, m.Introductions, m.CoordinationSteps, m.Quarantines, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.StartHolds, m.StartRefusals, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
 	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
 	return m
