A part replaces a blamed one only if it is about as likely the cause

With two crashing parts and nothing answered lately, the system prompt that all prompts share has the crashes of both. Now the crash rates count, too, and a part with a low one is not blamed before five crashes.

--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -20,6 +20,8 @@
 	// ambiguousRate is the share of a suspected part's crash rate from which on another part, which was at the same
 	// crashing targets, is as likely the cause. More crashes are awaited then, up to answeredPartThreshold.
 	ambiguousRate = 0.6
+	// minEarlyRate is the crash rate below which a part is not quarantined before answeredPartThreshold crashes.
+	minEarlyRate = 0.4
 	// progressedEvents is the number of events from which on an answer has progressed so far that its prompt hardly
 	// crashed the target, and progressedWeight how many more requests such a one counts for.
 	progressedEvents = 4
@@ -212,7 +214,8 @@
 	for i, s := range suspects {
 		r := s.record
 		crashes := unexplained(r, betterThan(s, blamed))
-		if !suffice(crashes, s.answered, now) || len(crashes) < answeredPartThreshold && ambiguous(s, suspects[i+1:]) {
+		doubtful := r.crashRate() < minEarlyRate || ambiguous(s, suspects[i+1:])
+		if !suffice(crashes, s.answered, now) || doubtful && len(crashes) < answeredPartThreshold {
 			continue
 		}
 		part := PartVerdict{ID: r.part.ID, Account: commonAccount(crashes), Since: successValidity}
@@ -281,7 +284,7 @@
 // answered does not explain them as well as one that was not.
 func ambiguous(s suspect, others []suspect) bool {
 	return slices.ContainsFunc(others, func(other suspect) bool {
-		return other.answered == s.answered && other.record.crashRate() >= ambiguousRate*s.record.crashRate() && len(unexplained(s.record, []suspect{other})) == 0
+		return other.answered == s.answered && other.asLikelyAs(s) && len(unexplained(s.record, []suspect{other})) == 0
 	})
 }
 
@@ -297,9 +300,15 @@
 	return slices.DeleteFunc(slices.Clone(blamed), func(b suspect) bool { return explains(s, b) })
 }
 
-// explains reports whether a part was at all targets that crashed under another one, and at further ones.
+// explains reports whether a part was at all targets that crashed under another one, and at further ones, and is not
+// much less likely the cause by its crash rate.
 func explains(s, other suspect) bool {
-	return len(s.record.crashes) > len(other.record.crashes) && len(unexplained(other.record, []suspect{s})) == 0
+	return s.asLikelyAs(other) && len(s.record.crashes) > len(other.record.crashes) && len(unexplained(other.record, []suspect{s})) == 0
+}
+
+// asLikelyAs reports whether a part is about as likely the cause of its crashes as another one, by their crash rates.
+func (s suspect) asLikelyAs(other suspect) bool {
+	return s.record.crashRate() >= ambiguousRate*other.record.crashRate()
 }
 
 // had reports whether the target of a crash had a request with the record's part, too.
@@ -366,7 +375,7 @@
 			continue // The crashes were recorded elsewhere.
 		}
 		others := slices.DeleteFunc(slices.Clone(quarantined), func(other suspect) bool {
-			return other.record == r || !other.record.quarantined() || len(unexplained(other.record, []suspect{s})) == 0
+			return other.record == r || !other.record.quarantined() || !other.asLikelyAs(s) || len(unexplained(other.record, []suspect{s})) == 0
 		})
 		if len(unexplained(r, others)) > 0 {
 			continue
