A verdict on a part applies also if an older daemon passed it on first

Daemons of an older version drop what they do not know of a verdict. A daemon that heard it from one of them first kept it without the part, and never refused the part. TestVerdictPassedOnByOlderVersion failed before.

--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -273,6 +273,9 @@
 // whose answers had progressed count more. It is low for a sound part that many prompts share: if it were the cause, the
 // first of its prompts would have crashed the target.
 func (r *record) crashRate() float64 {
+	if len(r.crashes) == 0 {
+		return 0
+	}
 	weight := 0
 	for _, e := range r.crashes {
 		weight += len(e.requests) + progressedWeight*e.progressed
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -132,6 +132,24 @@
 	}
 }
 
+// TestVerdictPassedOnByOlderVersion checks that a verdict on a part applies although a daemon of a version that does not
+// know parts has passed it on first.
+func TestVerdictPassedOnByOlderVersion(t *testing.T) {
+	tracker, table := NewTable(), NewTable()
+	var verdicts []Verdict
+	for i := range 3 {
+		verdicts = tracker.recordAndJudge(partCrash("/a", i, fmt.Sprint("t", i), "p"), at(time.Duration(i)*time.Second))
+	}
+	now := at(2 * time.Second)
+	passedOn := verdicts[0]
+	passedOn.Part = nil
+	table.Merge(passedOn, now)
+	table.Merge(verdicts[0], now)
+	if !table.partQuarantined("/a", "p", now.Add(ObjectionWindow)) {
+		t.Error("part is not quarantined")
+	}
+}
+
 // TestPartTrials checks that a quarantined part is tried once after a delay: a crash begins the next quarantine at once,
 // an answer that began since lifts it.
 func TestPartTrials(t *testing.T) {
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -294,6 +294,9 @@
 		return Verdict{}, false
 	}
 	if known := t.records[v.Request]; known != nil && !v.supersedes(known) {
+		if known.part == nil && v.Count == known.count {
+			known.part = v.Part.aged(0) // A daemon of an older version has passed the verdict on without it.
+		}
 		if v.Count == known.count && last.After(known.lastUsed) {
 			known.lastUsed = last
 		}
