--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -57,7 +57,7 @@
 	Target  string `json:"target,omitempty"`
 	Attempt string `json:"attempt,omitempty"`
 	// CallKey identifies what was asked for. It stays the same when a caller sends the call
-	// again under another request ID.
+	// again under another request ID. Where a part of the prompt is quarantined it identifies that part.
 	CallKey string `json:"call,omitempty"`
 	// SharedParts are the ids of the prompt's parts that other prompts may contain too.
 	SharedParts []string `json:"shared_parts,omitempty"`
--- a/node/blackboard/poison.go
+++ b/node/blackboard/poison.go
@@ -145,6 +145,8 @@
 type Quarantine struct {
 	// Keys are those that are quarantined.
 	Keys []poison.Key
+	// Suspected reports that a target has crashed under the request itself.
+	Suspected bool
 	// RetryAfter is the time until a trial may be due, and TrialDue reports that it is due for all keys.
 	RetryAfter time.Duration
 	TrialDue   bool
@@ -155,8 +157,9 @@
 func (t *PoisonTable) Quarantined(request poison.Key, parts []poison.Key, account string, at time.Time) Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q := Quarantine{TrialDue: true}
-	q.add(request, t.table.Check(request, at))
+	status := t.table.Check(request, at)
+	q := Quarantine{TrialDue: true, Suspected: status.Suspected}
+	q.add(request, status)
 	for _, k := range parts {
 		q.add(k, t.table.CheckPart(k, account, at))
 	}
--- a/node/cluster/partcrashes.go
+++ b/node/cluster/partcrashes.go
@@ -52,7 +52,7 @@
 			if v.Lifted {
 				msg = "the quarantine of a prompt part is lifted"
 			}
-			c.Recorder.Log.Warn(msg, "part", v.Part.ID, "account", v.Part.Account, "key", v.Request.String(), "count", v.Count,
+			c.Recorder.Log.Warn(msg, "part", v.Part.ID, "account", v.Part.Account, "call", v.Request.String(), "count", v.Count,
 				"since_s", v.Part.Since.Seconds(), "explained", v.Part.Explained)
 		}
 		if len(verdicts) > 0 {
--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -216,14 +216,7 @@
 	}
 	if b.service == engineService {
 		contentType, body = "text/event-stream", ""
-		first := 1
-		if after := c.LastEventID(); after != "" {
-			if _, err := fmt.Sscan(after, &first); err != nil {
-				panic(http.ErrAbortHandler) // The daemon sent a last event that is not a number.
-			}
-			first++
-		}
-		for i := first; i <= eventCount(c.ID); i++ {
+		for i := firstEvent(c); i <= eventCount(c.ID); i++ {
 			body += standin.EventText(i, eventText(c.ID, i))
 		}
 		if ending == standin.EndReset && rand.IntN(2) == 0 {
@@ -236,16 +229,23 @@
 	standin.Unframed(contentType, body, ending)(w, r, c)
 }
 
+// firstEvent returns the number of the first event that a call asks for.
+func firstEvent(c standin.Call) int {
+	after := c.LastEventID()
+	if after == "" {
+		return 1
+	}
+	last := 0
+	if _, err := fmt.Sscan(after, &last); err != nil {
+		panic(http.ErrAbortHandler) // The daemon sent a last event that is not a number.
+	}
+	return last + 1
+}
+
 // stream answers with a stream of events. A resumed call gets the events after the one that its
 // Last-Event-ID header names.
 func (b *backend) stream(w http.ResponseWriter, r *http.Request, c standin.Call, truncate bool) {
-	s := standin.EventStream{From: 1, To: eventCount(c.ID), Interval: eventInterval, Text: func(i int) string { return eventText(c.ID, i) }}
-	if after := c.LastEventID(); after != "" {
-		if _, err := fmt.Sscan(after, &s.From); err != nil {
-			panic(http.ErrAbortHandler) // The daemon sent a last event that is not a number.
-		}
-		s.From++
-	}
+	s := standin.EventStream{From: firstEvent(c), To: eventCount(c.ID), Interval: eventInterval, Text: func(i int) string { return eventText(c.ID, i) }}
 	if truncate && s.From < s.To {
 		s.To, s.Truncated = s.From+rand.IntN(s.To-s.From), true
 	}
--- a/node/requestcontrol/poison.go
+++ b/node/requestcontrol/poison.go
@@ -13,9 +13,9 @@
 )
 
 // A request that crashes several targets is quarantined: no daemon sends it to another target,
-// whichever caller it comes from (see core/poison). So are all prompts with a part that crashes targets. Director checks the quarantine before each
-// send and records how each send ended. Log messages and decision records say "call" for the request;
-// the log field call holds its poison key.
+// whichever caller it comes from (see core/poison). So are all prompts with a part that crashes targets. Director
+// checks the quarantine before each send and records how each send ended. Log messages and decision records say "call"
+// for the request; the log field call holds its poison key, or that of the part.
 
 // CrashReporter informs the other daemons of requests that crash their targets.
 type CrashReporter interface {
@@ -40,9 +40,8 @@
 	if d.Board.Poison.Empty() {
 		return false, nil
 	}
-	status := d.Board.Poison.Check(r.poisonKey(), time.Now())
-	r.suspected = status.Suspected
 	found := d.Board.Poison.Quarantined(r.poisonKey(), r.partKeys(), r.Account.Path, time.Now())
+	r.suspected = found.Suspected
 	if len(found.Keys) == 0 {
 		return false, nil
 	}
--- a/node/requestcontrol/promptparts.go
+++ b/node/requestcontrol/promptparts.go
@@ -54,7 +54,7 @@
 	for _, v := range lifted {
 		d.Recorder.CountVerdict(&v)
 		d.Recorder.Log.Warn("the quarantine of a prompt part is lifted", "request", r.ID, "part", v.Part.ID,
-			"pool", r.Route.Pool.Name, "key", v.Request.String(), "count", v.Count)
+			"pool", r.Route.Pool.Name, "call", v.Request.String(), "count", v.Count)
 		if d.CrashReporter != nil {
 			d.CrashReporter.NotifyPartLifted(v)
 		}
@@ -94,7 +94,7 @@
 	for _, v := range d.Board.Poison.RecordOwnCrash(&crash, time.Now()) {
 		d.Recorder.CountVerdict(&v)
 		d.Recorder.Log.Warn("a trial of a quarantined prompt part crashed its target", "request", r.ID, "part", v.Part.ID, "account", v.Part.Account,
-			"pool", crash.Pool, "target", id, "key", v.Request.String(), "count", v.Count)
+			"pool", crash.Pool, "target", id, "call", v.Request.String(), "count", v.Count)
 		if d.CrashReporter != nil {
 			d.CrashReporter.BroadcastVerdict(v)
 		}
