A wrongly quarantined part is tried after 4 s; the soak judges a quiet herd

Change: parts are tried after 4, 40 and 400 s in place of 15, 90 and 540; a herd in the quiet time after the plan.

--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -16,6 +16,11 @@
 	// ObjectionWindow is the time from a verdict that quarantines a part until it applies. A daemon that knows of an
 	// answer to a prompt with the part objects within it; the verdict and the objection have to cross the fleet.
 	ObjectionWindow = 300 * time.Millisecond
+	// firstPartTrialDelay and partTrialBackoffFactor are firstTrialDelay and trialBackoffFactor for parts. The first trial
+	// comes early, since a part that is wrongly quarantined may be one that all prompts share; the later ones are far
+	// apart, since only few prompts with a crashing part may be sent at all.
+	firstPartTrialDelay    = 4 * time.Second
+	partTrialBackoffFactor = 10
 	// maxAnsweredParts bounds the number of parts whose latest answer is remembered.
 	maxAnsweredParts = 16384
 )
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -158,7 +158,7 @@
 		table.recordAndJudge(partCrash("/a", i, fmt.Sprint("t", i), "p"), at(time.Duration(i)*time.Second))
 	}
 	k := PartKey(testPool, "p")
-	due := at(2*time.Second + firstTrialDelay)
+	due := at(2*time.Second + firstPartTrialDelay)
 	if table.StartTrial(k, due.Add(-time.Millisecond)) || !table.StartTrial(k, due) || table.StartTrial(k, due) {
 		t.Fatal("want one trial, after the delay")
 	}
@@ -166,7 +166,7 @@
 	if len(verdicts) != 1 || verdicts[0].Count != 2 || !table.partQuarantined("/a", "p", due.Add(time.Second)) {
 		t.Fatalf("crash in the trial: %+v, want the second quarantine, without a pause", verdicts)
 	}
-	second := due.Add(time.Second + trialBackoffFactor*firstTrialDelay)
+	second := due.Add(time.Second + partTrialBackoffFactor*firstPartTrialDelay)
 	if !table.StartTrial(k, second) {
 		t.Fatal("second trial is not due")
 	}
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -195,9 +195,12 @@
 
 // untilNextTrial returns the time until the next trial; zero or less if one is due.
 func (r *record) untilNextTrial(now time.Time) time.Duration {
-	wait := firstTrialDelay
+	wait, factor := firstTrialDelay, time.Duration(trialBackoffFactor)
+	if r.part != nil {
+		wait, factor = firstPartTrialDelay, partTrialBackoffFactor
+	}
 	for n := uint32(1); n < r.count && wait < retention; n++ {
-		wait *= trialBackoffFactor
+		wait *= factor
 	}
 	return r.quarantinedAt.Add(wait).Sub(now)
 }
@@ -262,7 +265,11 @@
 	}
 	r.lastUsed = now
 	left := r.untilNextTrial(now)
-	return Status{Suspected: true, Quarantined: true, RetryAfter: max(firstTrialDelay, left), TrialDue: left <= 0}
+	least := firstTrialDelay
+	if r.part != nil {
+		least = firstPartTrialDelay
+	}
+	return Status{Suspected: true, Quarantined: true, RetryAfter: max(least, left), TrialDue: left <= 0}
 }
 
 // StartTrial reports whether a quarantined request may be sent once as a trial, and records that
--- a/node/internal/soak/floods.go
+++ b/node/internal/soak/floods.go
@@ -172,5 +172,10 @@
 			}
 		}
 	}
-	return fmt.Sprintf("flood served %v, %d calls in flight elsewhere at a drain, %d refused and %d held and served at a start, %d rounds; steps by the plan's end, by daemon: %v", served, waited, refused, held, len(r.Rounds), r.PlanSteps.Steps)
+	herd := 0
+	for i := range r.Herds {
+		n, _ := r.herdCalls(&r.Herds[i])
+		herd += n
+	}
+	return fmt.Sprintf("%d calls of herds judged, flood served %v, %d calls in flight elsewhere at a drain, %d refused and %d held and served at a start, %d rounds; steps by the plan's end, by daemon: %v", herd, served, waited, refused, held, len(r.Rounds), r.PlanSteps.Steps)
 }
--- a/node/internal/soak/parts.go
+++ b/node/internal/soak/parts.go
@@ -108,13 +108,14 @@
 	}
 }
 
-// playPartCrashes makes calls while prompts with a bad part are sent and nothing else disturbs daemons.
-func (tb *testbed) playPartCrashes(ctx context.Context, seed uint64) {
+// playQuietly makes calls while nothing disturbs daemons but a herd and, after it, prompts with a bad part.
+func (tb *testbed) playQuietly(ctx context.Context, seed uint64) {
 	callCtx, stop := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for range callerCount {
 		callers.Go(func() { tb.runCaller(callCtx) })
 	}
+	tb.apply(ctx, Event{Duration: herdTime, Kind: ConnectionHerd, Selector: int(seed % 1000)})
 	tb.apply(ctx, Event{Duration: quietPartCrashes, Kind: PartCrashes, Selector: int(seed % 1000)})
 	stop()
 	callers.Wait()
@@ -214,26 +215,31 @@
 	return ""
 }
 
-// checkHerds checks that the daemon of a herd serves its callers.
-func checkHerds(r *Record) []Violation {
-	var list []Violation
-	for _, h := range r.Herds {
-		n, served := 0, 0
-		from := h.From.Add(undisturbedBefore)
-		if !r.undisturbed(h.Daemon, h.From.Add(-undisturbedBefore), h.To.Add(undisturbedBefore), func(k Kind) bool { return isFault(k) || losesState(k) }) {
+// herdCalls counts the calls by which the daemon of a herd is judged, and those of them that it served. There are none
+// if something else disturbed the daemon.
+func (r *Record) herdCalls(h *Herd) (n, served int) {
+	if !r.undisturbed(h.Daemon, h.From, h.To, func(k Kind) bool { return isFault(k) || losesState(k) }) {
+		return 0, 0
+	}
+	for i := range r.Calls {
+		c := &r.Calls[i]
+		if c.Daemon != h.Daemon || c.Sent.Before(h.From.Add(undisturbedBefore)) || c.Sent.After(h.To) || c.Disconnected || c.TemporaryRoute != 0 || c.BadPart != "" {
 			continue
 		}
-		for i := range r.Calls {
-			c := &r.Calls[i]
-			if c.Daemon != h.Daemon || c.Sent.Before(from) || c.Sent.After(h.To) || c.Disconnected || c.TemporaryRoute != 0 || c.BadPart != "" {
-				continue
-			}
-			n++
-			if c.Status == 200 && c.Complete {
-				served++
-			}
+		n++
+		if c.Status == 200 && c.Complete {
+			served++
 		}
-		if n >= minCallsJudged && float64(served) < minHerdShare*float64(n) {
+	}
+	return n, served
+}
+
+// checkHerds checks that the daemon of a herd serves its callers.
+func checkHerds(r *Record) []Violation {
+	var list []Violation
+	for i := range r.Herds {
+		h := &r.Herds[i]
+		if n, served := r.herdCalls(h); n >= minCallsJudged && float64(served) < minHerdShare*float64(n) {
 			list = append(list, Violation{"RECOVER", fmt.Sprint("daemon ", h.Daemon), fmt.Sprintf("served %d of %d calls while most callers opened their connections to it", served, n)})
 		}
 	}
--- a/node/internal/soak/soak.go
+++ b/node/internal/soak/soak.go
@@ -58,7 +58,7 @@
 	unrecovered := tb.checkRecovery(ctx)
 	tb.planSteps.Steps = map[string]map[string][]float64{}
 	_ = tb.addSteps(ctx, &tb.planSteps, 1) // They are printed only.
-	tb.playPartCrashes(ctx, o.Seed)
+	tb.playQuietly(ctx, o.Seed)
 	tb.flood(ctx)
 	tb.startFleet(ctx, o.Seed)
 	unrecovered = append(unrecovered, tb.checkRecovery(ctx)...)
