--- a/node/onplatform/crashing_parts_test.go
+++ b/node/onplatform/crashing_parts_test.go
@@ -171,3 +171,22 @@
 	}
 	return all
 }
+
+// TestWronglyQuarantinedPartIsServedSoon covers engines that all crash for a while under any prompt: the part that all
+// prompts share is quarantined, and nothing is left that could clear it. Once the engines have recovered, prompts must be
+// served within the users' bound. In a soak test all daemons refused them for longer.
+func TestWronglyQuarantinedPartIsServedSoon(t *testing.T) {
+	t.Parallel()
+	const recoveryLimit = 12 * time.Second // The users' requirement.
+	crashes := &partCrashes{answer: standin.CloseConnection}
+	f := newEngineFleet(t, 3, 10, crashes)
+	f.eventually("all daemons to refuse prompts with the part", func() bool { return f.partRefusedByAll("aa") })
+	f.scriptAll(standin.AnswerStream(1, 3, false))
+	began := time.Now()
+	for _, d := range f.daemons {
+		f.eventually("a prompt with the part to be served by "+d.boot.Name, func() bool { return f.do(f.newPromptTo(d, "aa")).Status == 200 })
+	}
+	if took := time.Since(began); took > recoveryLimit {
+		t.Errorf("prompts are served %v after the engines recovered, want %v at most", took, recoveryLimit)
+	}
+}
