--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -9,7 +9,7 @@
 
 const (
 	// answeredPartThreshold is the number of crashes that quarantine a part which was answered within successValidity.
-	// It is higher than quarantineThreshold, since such a part is most likely only beside the one that crashes targets.
+	// It is higher than quarantineThreshold, since such a part most likely only occurs together with the cause.
 	answeredPartThreshold = 5
 	// minObservation is the time from the first of these crashes to the quarantine. An answer that began after the
 	// first crash becomes known within it, and clears the part.
@@ -133,7 +133,7 @@
 	})
 }
 
-// betterThan returns the blamed parts but for those whose crashes the suspect explains all, and further ones besides.
+// betterThan returns the blamed parts except those that are worse explanations than the suspect (see explains).
 func betterThan(s suspect, blamed []suspect) []suspect {
 	return slices.DeleteFunc(slices.Clone(blamed), func(b suspect) bool { return explains(s, b) })
 }
@@ -203,8 +203,8 @@
 	return verdicts
 }
 
-// liftExplained lifts the quarantines of parts whose crashes other quarantined parts explain, which were at further
-// crashing targets besides.
+// liftExplained lifts the quarantines of parts whose crashes are explained by other quarantined parts that crashed
+// further targets.
 func (t *Table) liftExplained(quarantined []suspect, now time.Time) []Verdict {
 	var verdicts []Verdict
 	for _, s := range quarantined {
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -58,7 +58,7 @@
 // key returns the key of a part of the prompt.
 func (c *PartCrash) key(i int) Key { return PartKey(c.Pool, c.Parts[i]) }
 
-// PartVerdict is what a Verdict says of a part besides.
+// PartVerdict holds the fields of a Verdict on a part.
 type PartVerdict struct {
 	// ID is the part's id, and Account whose prompts the verdict applies to; all accounts' if it is empty.
 	ID      string `cbor:"1,keyasint"`
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -176,7 +176,7 @@
 	}
 }
 
-// storm is a fleet in virtual time: prompts arrive, run at targets with others beside them, and crash them.
+// storm simulates a fleet in virtual time: prompts arrive, run at targets concurrently with others, and crash them.
 type storm struct {
 	t       *testing.T
 	rng     *rand.Rand
@@ -459,7 +459,7 @@
 }
 
 // TestTwoUnansweredCrashingPartsUnderLoad is TestCrashingPartsUnderLoad with two bad parts while nothing has been
-// answered lately, so that no answer tells sound parts from bad ones.
+// answered lately, so that no answer clears the sound parts.
 func TestTwoUnansweredCrashingPartsUnderLoad(t *testing.T) {
 	c := stormCase{daemons: 6, accounts: 1, bad: []string{"bad", "worse"}}
 	for seed := range uint64(100) {
@@ -490,7 +490,7 @@
 }
 
 // TestCrashesWithManyPartsKeepTheSuspect checks that targets which crash with ever new parts beside a bad one do not
-// drive it from the table, and that the table stays bounded.
+// evict it from the table, and that the table stays bounded.
 func TestCrashesWithManyPartsKeepTheSuspect(t *testing.T) {
 	table := NewTable()
 	quarantined := false
--- a/node/cluster/partcrashes.go
+++ b/node/cluster/partcrashes.go
@@ -10,9 +10,9 @@
 	"doorstack.dev/node/peer"
 )
 
-// The crashes of a pool's targets are reported to the same trackers, with the shared parts of each prompt that a target
-// had: only who sees all prompts of a crashed target can tell the part that crashed it from those beside it. A crash
-// costs a frame for each prompt and tracker, however many parts the prompt has.
+// All crashes of a pool's targets are reported to the same trackers, with the shared parts of each prompt that a target
+// was running: to determine which part crashed it, a daemon needs all of these prompts. A crash costs one frame for each
+// prompt and tracker, regardless of the number of parts.
 
 // NotifyPartCrash implements requestcontrol.CrashReporter. It reports a crash to the pool's trackers.
 func (c *Cluster) NotifyPartCrash(crash *poison.PartCrash) {
--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -207,8 +207,8 @@
 // truncatedShare is the share of unframed answers that are truncated.
 const truncatedShare = 0.3
 
-// serveUnframed answers without a length and without chunks; some answers are truncated. The end of a plain answer can
-// be told from a truncation only by a reset.
+// serveUnframed answers without a length and without chunks; some answers are truncated. A truncated plain answer ends
+// with a reset, since a daemon cannot detect any other truncation of it.
 func (b *backend) serveUnframed(w http.ResponseWriter, r *http.Request, c standin.Call) {
 	contentType, body, ending := "text/plain", safePath.Answer(c.ID), standin.EndWhole
 	if rand.Float64() < truncatedShare {
--- a/node/internal/soak/parts.go
+++ b/node/internal/soak/parts.go
@@ -22,7 +22,7 @@
 	badPartPrefix = "bad-"
 	// partCrashInterval is the pause between two prompts with such a part.
 	partCrashInterval = 120 * time.Millisecond
-	// longPartCrashes is how long they are sent in a long run, so that sound prompts are judged beside them, and longRun
+	// longPartCrashes is how long they are sent in a long run, so that sound prompts are judged meanwhile, and longRun
 	// the duration of such a run.
 	longPartCrashes = 9 * time.Second
 	longRun         = 20 * time.Second
@@ -77,7 +77,7 @@
 	return fmt.Sprintf("system:40,topic-%d:400,%s:1000", rand.IntN(4), id)
 }
 
-// sendCrashingParts sends prompts with a bad part beside the parts of the sound ones, every partCrashInterval to a random
+// sendCrashingParts sends prompts with a bad part and the parts that sound prompts share, every partCrashInterval to a random
 // daemon for the event's duration, and later finalRounds times to each daemon.
 func (tb *testbed) sendCrashingParts(ctx context.Context, e Event) {
 	bad := fmt.Sprint(badPartPrefix, e.Start.Milliseconds(), "-", e.Selector)
--- a/node/onplatform/crashing_parts_test.go
+++ b/node/onplatform/crashing_parts_test.go
@@ -28,7 +28,7 @@
 	return a
 }
 
-// TestFailedAttemptNamesPartsAndEvents checks that the log tells which prompts an engine had when it crashed:
+// TestFailedAttemptNamesPartsAndEvents checks that the log identifies the prompts that an engine had when it crashed:
 // by the ids of their shared parts, and how far their answers had come.
 func TestFailedAttemptNamesPartsAndEvents(t *testing.T) {
 	f := newFleet(t, 1, 0)
@@ -112,7 +112,7 @@
 func TestCrashingPromptPartIsQuarantined(t *testing.T) {
 	for name, c := range map[string]struct {
 		parts   []string // of the prompts that crash engines
-		sound   []string // of the sound prompts beside them
+		sound   []string // of the sound prompts sent at the same time
 		events  int
 		history bool // prompts with all these parts have been answered before
 	}{
--- a/node/requestcontrol/poison.go
+++ b/node/requestcontrol/poison.go
@@ -23,7 +23,7 @@
 	NotifyCrash(c poison.Crash)
 	// NotifyPartCrash reports that a target crashed while it had a prompt with shared parts.
 	NotifyPartCrash(c *poison.PartCrash)
-	// NotifyPartLifted tells that an answer has lifted the quarantine of a part.
+	// NotifyPartLifted reports that an answer has lifted the quarantine of a part.
 	NotifyPartLifted(v poison.Verdict)
 	// BroadcastVerdict sends all daemons a verdict that this daemon reached.
 	BroadcastVerdict(v poison.Verdict)
--- a/node/requestcontrol/promptparts.go
+++ b/node/requestcontrol/promptparts.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// recordPartEnd records what the end of an attempt says of the shared parts of its prompt. An answer without a length of
+// recordPartEnd records an answer or a crash for the shared parts of a prompt at the end of an attempt. An answer without a length of
 // its own may have ended with the target's process.
 func (d *Director) recordPartEnd(r *Request, end *attemptEnd) {
 	switch {
@@ -73,7 +73,7 @@
 	}
 }
 
-// recordPartEnd records what the end of a call says of the shared parts of its prompt. sent is when the call was sent,
+// recordPartEnd records an answer or a crash for the shared parts of a prompt at the end of a call. sent is when the call was sent,
 // which is before its answer began, and tokens is how many tokens were received.
 func (g *generation) recordPartEnd(ctx context.Context, id string, sent time.Time, tokens int, err error) {
 	switch {
