Test: crashing parts of prompts that are read for a second

Cause: the simulated fleet never cancelled a prompt that waits at a target when a part of it is quarantined, as daemons do until the answer begins, and answered all prompts after 60 ms. So no load let several prompts with the bad part wait at one target.

Change: the simulation cancels them, and TestCrashingPartsUnderLoad has a load whose prompts take a second to read. The bounds of all loads are as before.

--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -1,8 +1,10 @@
 package poison
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -187,6 +189,7 @@
 	bad      map[string]bool
 	badSince time.Time
 	accounts int
+	readTime time.Duration // from a prompt's send until the target begins to answer
 	lastID   int
 	inFlight []stormMessage
 	// crashes are the times at which targets crashed under a bad part, and sends those at which prompts with it reached
@@ -204,6 +207,7 @@
 
 type stormPrompt struct {
 	crash  *PartCrash
+	keys   []Key // of the prompt's parts
 	daemon int
 	bad    string    // the bad part that it contains, or empty
 	began  time.Time // the target begins to answer
@@ -229,7 +233,7 @@
 )
 
 func newStorm(t *testing.T, seed uint64, daemons, targets, accounts int, bad ...string) *storm {
-	s := &storm{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: at(0), bad: map[string]bool{}, crashes: map[string][]time.Time{}, sends: map[string][]time.Time{}, accounts: accounts}
+	s := &storm{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: at(0), bad: map[string]bool{}, crashes: map[string][]time.Time{}, sends: map[string][]time.Time{}, accounts: accounts, readTime: stormReadTime}
 	for range daemons {
 		s.daemons = append(s.daemons, NewTable())
 	}
@@ -273,15 +277,19 @@
 		s.sound++
 	}
 	c := partCrash(fmt.Sprint("/a", s.rng.IntN(s.accounts)), s.lastID, "", parts...)
-	for _, part := range parts {
-		if s.daemons[daemon].partQuarantined(c.Account, part, s.now) {
-			if bad == "" {
-				s.soundRefused = append(s.soundRefused, s.now)
-			}
-			return
-		}
+	p := &stormPrompt{crash: c, keys: PartKeys(testPool, parts), daemon: daemon, bad: bad}
+	if !s.refuses(p) {
+		s.send(p)
+	} else if bad == "" {
+		s.soundRefused = append(s.soundRefused, s.now)
 	}
-	s.send(&stormPrompt{crash: c, daemon: daemon, bad: bad})
+}
+
+// refuses reports whether a prompt has a part that its daemon knows to be quarantined.
+func (s *storm) refuses(p *stormPrompt) bool {
+	return slices.ContainsFunc(p.keys, func(k Key) bool {
+		return s.daemons[p.daemon].CheckPart(k, p.crash.Account, s.now).Quarantined
+	})
 }
 
 func (s *storm) send(p *stormPrompt) {
@@ -297,7 +305,7 @@
 	if p.bad != "" {
 		s.sends[p.bad] = append(s.sends[p.bad], s.now)
 	}
-	p.began, p.ends = s.now.Add(stormReadTime), s.now.Add(stormReadTime+stormAnswer)
+	p.began, p.ends = s.now.Add(s.readTime), s.now.Add(s.readTime+stormAnswer)
 	best.prompts = append(best.prompts, p)
 }
 
@@ -349,6 +357,9 @@
 			if !p.clear && p.bad == "" && !s.now.Before(p.began.Add(survivalTime)) {
 				s.answered(p)
 			}
+			if s.now.Before(p.began) && s.refuses(p) {
+				continue // The daemon cancels the send.
+			}
 			if s.now.Before(p.ends) {
 				running = append(running, p)
 			}
@@ -395,6 +406,7 @@
 	before            time.Duration // how long sound prompts are answered before
 	turnsBad          bool          // the bad part has been answered before, too
 	badFirst          bool
+	readTime          time.Duration // if it is not stormReadTime
 }
 
 // play plays the load with a seed: 40 prompts a second, a fifth of them with a bad part.
@@ -405,7 +417,7 @@
 		length   = 20 * time.Second
 	)
 	s := newStorm(t, seed, c.daemons, 14, c.accounts, c.bad...)
-	s.badSince = at(c.before)
+	s.badSince, s.readTime = at(c.before), cmp.Or(c.readTime, stormReadTime)
 	for d := time.Duration(0); d < c.before+length; d += stormTick {
 		if d%interval < stormTick {
 			parts := []string{"system", fmt.Sprint("topic ", s.rng.IntN(4))}
@@ -447,6 +459,7 @@
 		"nothing answered before":  {daemons: 6, accounts: 1, bad: []string{"bad"}},
 		"part that turns bad":      {daemons: 6, accounts: 1, bad: []string{"bad"}, before: 5 * time.Second, turnsBad: true},
 		"ten accounts":             {daemons: 6, accounts: 10, bad: []string{"bad"}, before: 5 * time.Second},
+		"read for a second":        {daemons: 6, accounts: 1, bad: []string{"bad"}, before: 5 * time.Second, readTime: time.Second},
 		"sixty daemons":            {daemons: 60, accounts: 1, bad: []string{"bad"}, before: 5 * time.Second},
 		"sixty daemons, turns bad": {daemons: 60, accounts: 10, bad: []string{"bad"}, before: 5 * time.Second, turnsBad: true},
 	} {
