The soak's judge counts the ends of processes, not the prompts that they had

A stand-in restarts at once, so when a silent link releases the prompts that it held, one target crashes under seven of them within milliseconds, and the judge took these for seven crashes. A process would have had all seven when it ended, and the daemons count them as one (reports about one target within a second). They knew of three crashes, too few with several prompts a crash, when the plan's last prompts came, six within 0.4 s. Class: a stand-in that does more than what it stands for.

Change: prompts that crash a target within a second of its last crash count with that crash.

--- a/node/internal/soak/parts.go
+++ b/node/internal/soak/parts.go
@@ -37,11 +37,14 @@
 
 // The bounds that the users of doorstack set on crashing parts and herds.
 const (
+	// restartTime is the shortest time in which a target's process is replaced after a crash.
+	restartTime = time.Second
 	// crashesUntilKnown is the number of crashes after which daemons have undisturbedBefore to learn of a part, and
 	// maxLatePartSends how many more of its prompts may reach engines later.
 	crashesUntilKnown = 5
 	maxLatePartSends  = 3
-	// soundAfter is the time from the crashesUntilKnown'th crash on after which sound prompts must be served.
+	// soundAfter is the time from the crashesUntilKnown'th crash on, or from the last if there are fewer, after which sound
+	// prompts must be served.
 	soundAfter = 2 * undisturbedBefore
 	// minSoundShare is the share of sound prompts that must not be refused because of a crashing part, and
 	// minHerdShare the share of calls that the daemon of a herd must serve, from undisturbedBefore on.
@@ -162,39 +165,56 @@
 	}
 	var list []Violation
 	for part, calls := range byPart {
-		var crashes []time.Time
+		var crashes []Execution
 		last := calls[0].Sent
 		for _, c := range calls {
 			for _, execution := range r.Executions[c.ID] {
 				if execution.Crashed {
-					crashes = append(crashes, execution.Started)
+					crashes = append(crashes, execution)
 				}
 			}
 			if c.Sent.After(last) {
 				last = c.Sent
 			}
 		}
-		if len(crashes) < crashesUntilKnown {
+		ends := processEnds(crashes)
+		if len(ends) == 0 {
 			continue
 		}
-		slices.SortFunc(crashes, time.Time.Compare)
-		fifth := crashes[crashesUntilKnown-1]
+		known := ends[min(len(ends), crashesUntilKnown)-1]
 		late := 0
 		for _, c := range calls {
-			if c.Sent.After(fifth.Add(undisturbedBefore)) && len(r.executionsOf(c.ID)) > 0 && r.undisturbed(c.Daemon, c.Sent.Add(-undisturbedBefore), c.Done, losesState) {
+			if c.Sent.After(known.Add(undisturbedBefore)) && len(r.executionsOf(c.ID)) > 0 && r.undisturbed(c.Daemon, c.Sent.Add(-undisturbedBefore), c.Done, losesState) {
 				late++
 			}
 		}
-		if late > maxLatePartSends {
-			list = append(list, Violation{"BUDGET", part, fmt.Sprintf("%d prompts with this part were executed later than %v after its fifth crash; %d crashes in all", late, undisturbedBefore, len(crashes))})
+		if late > maxLatePartSends && len(ends) >= crashesUntilKnown {
+			list = append(list, Violation{"BUDGET", part, fmt.Sprintf("%d prompts with this part were executed later than %v after its fifth crash; %d crashes in all", late, undisturbedBefore, len(ends))})
 		}
-		if problem := r.refusedForPart(fifth.Add(soundAfter), last); problem != "" {
+		if problem := r.refusedForPart(known.Add(soundAfter), last); problem != "" {
 			list = append(list, Violation{"LOST", part, problem})
 		}
 	}
 	return list
 }
 
+// processEnds returns when targets' processes ended, in ascending order, given the executions that crashed them. A
+// stand-in restarts at once, so it also executes prompts that a process would still have had when it ended; they count
+// with the same crash.
+func processEnds(crashes []Execution) []time.Time {
+	slices.SortFunc(crashes, func(a, b Execution) int { return a.Started.Compare(b.Started) })
+	var ends []time.Time
+	last := map[string]time.Time{}
+	for _, e := range crashes {
+		if at, crashed := last[e.Target]; crashed && e.Started.Sub(at) < restartTime {
+			continue
+		}
+		last[e.Target] = e.Started
+		ends = append(ends, e.Started)
+	}
+	return ends
+}
+
 // refusedForPart checks how many sound prompts were refused because of a crashing part between two times. It returns what
 // is wrong, or nothing.
 func (r *Record) refusedForPart(from, to time.Time) string {
--- a/node/internal/soak/parts_test.go
+++ b/node/internal/soak/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -19,6 +20,7 @@
 		"never known":         {15, 100, nil, "BUDGET"},
 		"known after a kill":  {15, 100, []Disturbance{{timeAt(0), timeAt(20), Kill, allDaemons, ""}}, ""},
 		"sound ones refused":  {2, 5, nil, "LOST"},
+		"refused after three": {0.3, 5, nil, "LOST"},
 		"refused for a while": {2, 14.5, nil, ""},
 	} {
 		r := &Record{Executions: map[string][]Execution{}, Disturbances: c.disturbances}
@@ -26,7 +28,7 @@
 			at := float64(i) / 10
 			bad := Call{ID: fmt.Sprint("bad", i), Path: streamPath, BadPart: "bad-1", Sent: timeAt(at), Done: timeAt(at).Add(time.Millisecond), Status: 503}
 			if at < c.executedUntil {
-				r.Executions[bad.ID] = []Execution{{ID: bad.ID, Started: bad.Sent, Crashed: true}}
+				r.Executions[bad.ID] = []Execution{{ID: bad.ID, Target: fmt.Sprint("t", i%20), Started: bad.Sent, Crashed: true}}
 			}
 			sound := Call{ID: fmt.Sprint("sound", i), Path: streamPath, Sent: timeAt(at), Done: timeAt(at).Add(time.Millisecond), Status: 200, Complete: true}
 			if at >= c.refusedFrom {
@@ -44,6 +46,30 @@
 	}
 }
 
+// TestJudgeCountsCrashesByProcess checks that prompts which a target has when its process ends count as one crash.
+func TestJudgeCountsCrashesByProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		targets []string
+		times   []float64
+		want    int
+	}{
+		"five targets at one moment":     {[]string{"t1", "t2", "t3", "t4", "t5"}, []float64{0, 0, 0, 0, 0}, 5},
+		"held prompts reach one target":  {[]string{"t1", "t1", "t1", "t2", "t1"}, []float64{0, 0.01, 0.02, 0.02, 0.6}, 2},
+		"a target crashes again":         {[]string{"t1", "t1", "t1"}, []float64{0, 1, 2.5}, 3},
+		"in the order of their arrival":  {[]string{"t1", "t1", "t2"}, []float64{1.5, 0, 0.5}, 3},
+		"a held prompt after the second": {[]string{"t1", "t1", "t1"}, []float64{0, 1.2, 1.9}, 2},
+	} {
+		var crashes []Execution
+		for i, target := range c.targets {
+			crashes = append(crashes, Execution{Target: target, Started: timeAt(c.times[i]), Crashed: true})
+		}
+		ends := processEnds(crashes)
+		if len(ends) != c.want || !slices.IsSortedFunc(ends, time.Time.Compare) {
+			t.Errorf("%s: process ends at %v, want %d in ascending order", name, ends, c.want)
+		}
+	}
+}
+
 // TestJudgeChecksHerds checks that a daemon which serves too few of its callers during a herd violates a rule.
 func TestJudgeChecksHerds(t *testing.T) {
 	for name, c := range map[string]struct {
