A new owner of an account waits for the leases of the one that ended

A daemon that had asked all others for their leases at its own start took those of every account for known from then on, also of accounts that it took over later from an owner that ended. The first holder to renew could be granted what another one still held: more than the limit for up to 2 s. docs/design/limits.md says that the new owner waits.

Accounts owned before are not affected.

Measured: TestNewOwnerWaitsForLeasesOfEndedOwner fails without the record of the end (a holder without a lease is granted a part, one of 0.4 a larger one), passes with it.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -100,22 +100,29 @@
 
 // Owner leases out the limits of one account.
 type Owner struct {
-	// unknownSince is when other owners may last have granted leases that this one does not know of; zero if none did.
-	unknownSince time.Time
-	sequence     uint64
-	holders      map[string]*holderState
+	// previousUntil is when the account's previous owner may last have granted a lease, and unknownSince when leases that
+	// this owner does not know of may last have been granted for another reason. Both are zero if there are none.
+	previousUntil, unknownSince time.Time
+	sequence uint64
+	holders  map[string]*holderState
 }
 
 // NewOwner returns the owner of an account. Sequence numbers start at the current time, so that
-// grants of previous owners count as older. See SetUnknownSince.
-func NewOwner(unknownSince, now time.Time) *Owner {
-	return &Owner{unknownSince: unknownSince, sequence: uint64(now.UnixNano()), holders: map[string]*holderState{}}
+// grants of previous owners count as older. previousUntil is when a previous owner, which has ended since, may last have
+// granted a lease; zero if there is none. The owner raises no fraction until such a lease has expired.
+func NewOwner(previousUntil, now time.Time) *Owner {
+	return &Owner{previousUntil: previousUntil, sequence: uint64(now.UnixNano()), holders: map[string]*holderState{}}
 }
 
-// SetUnknownSince tells the owner when other owners may last have granted leases that are not passed to Adopt. The owner
-// raises no fraction until these leases have expired. With the zero time the caller guarantees that there are none.
+// SetUnknownSince tells the owner when leases that are not passed to Adopt may last have been granted. The owner raises no
+// fraction until these leases have expired. With the zero time the caller guarantees that there are none.
 func (o *Owner) SetUnknownSince(at time.Time) { o.unknownSince = at }
 
+// settled reports whether all leases that this owner does not know of have expired.
+func (o *Owner) settled(now time.Time) bool {
+	return now.Sub(o.previousUntil) >= LeaseTTL && now.Sub(o.unknownSince) >= LeaseTTL
+}
+
 // Adopt records a lease that a previous owner granted to a holder.
 func (o *Owner) Adopt(name string, fraction float64, now time.Time) {
 	h := o.holders[name]
@@ -151,8 +158,7 @@
 // that its demand is of all holders' demands, but not much more than its demand. While leases of a
 // previous owner may be in use, it is the fraction that the holder has.
 func (o *Owner) desiredFraction(r Renewal, h *holderState, alive, published int, now time.Time) float64 {
-	if now.Sub(o.unknownSince) < LeaseTTL {
-		// Leases of a previous owner may still be in use.
+	if !o.settled(now) {
 		return r.Fraction
 	}
 	sum := 0.0
@@ -188,7 +194,7 @@
 			return false
 		}
 	}
-	return now.Sub(o.unknownSince) > LeaseTTL
+	return o.settled(now)
 }
 
 // Holder is a daemon's lease on the limits of one account. The zero value holds no lease.
--- a/node/blackboard/shares.go
+++ b/node/blackboard/shares.go
@@ -24,6 +24,8 @@
 	collected    bool
 	unreported   map[string]time.Time
 	unknownSince time.Time
+	// ownerEndedAt is when a daemon was last found to have ended, and with it an owner of accounts.
+	ownerEndedAt time.Time
 }
 
 // adoptedLease is a lease that a previous owner granted.
@@ -102,7 +104,8 @@
 	defer t.mu.Unlock()
 	o := t.owners[account]
 	if o == nil {
-		o = share.NewOwner(t.leasesUnknownSince(at), at)
+		o = share.NewOwner(t.ownerEndedAt, at)
+		o.SetUnknownSince(t.leasesUnknownSince(at))
 		if at.Before(t.adoptUntil) {
 			for _, a := range t.adoptedLeases[account] {
 				o.Adopt(a.holder, a.fraction, at)
@@ -172,6 +175,14 @@
 	t.updateOwners(at)
 }
 
+// OwnerEnded records that a daemon has ended. The leases that it granted stay in use until they expire, so the next owner
+// of its accounts waits that long before it raises a fraction.
+func (t *ShareTable) OwnerEnded(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ownerEndedAt = at
+}
+
 // leasesUnknownSince returns when other owners may last have granted leases that are not known here; zero if there are
 // none. The lock is held.
 func (t *ShareTable) leasesUnknownSince(at time.Time) time.Time {
--- a/node/blackboard/shares_test.go
+++ b/node/blackboard/shares_test.go
@@ -47,6 +47,36 @@
 	}
 }
 
+// TestNewOwnerWaitsForLeasesOfEndedOwner checks that a daemon which takes over an account from an owner that has ended
+// leaves each holder what it has until the ended owner's leases have expired, while the accounts that it owned before are
+// not affected, nor those that it takes over later.
+func TestNewOwnerWaitsForLeasesOfEndedOwner(t *testing.T) {
+	start := time.Unix(1000, 0)
+	table := newShareTable()
+	table.SetCollected(start)
+	renew := func(account string, fraction float64, at time.Duration) float64 {
+		return table.Renew(account, share.Renewal{Holder: fmt.Sprint("holder ", fraction), Demand: 1, Fraction: fraction}, 3, 3, start.Add(at)).Fraction
+	}
+	if renew("owned", 0, 0) <= 0 {
+		t.Error("nothing is granted before an owner has ended")
+	}
+	table.OwnerEnded(start.Add(time.Second))
+	if got := renew("taken over", 0, 2*time.Second); got != 0 {
+		t.Errorf("a holder without a lease is granted %v of an account that was taken over, want nothing yet", got)
+	}
+	if got := renew("taken over", 0.4, 3*time.Second); got != 0.4 {
+		t.Errorf("a holder of 0.4 is granted %v, want what it has", got)
+	}
+	if renew("owned", 0, 3*time.Second) <= 0 {
+		t.Error("nothing is granted of an account that was owned before")
+	}
+	for _, account := range []string{"taken over", "taken over later"} {
+		if renew(account, 0, time.Second+share.LeaseTTL) <= 0 {
+			t.Errorf("nothing is granted of the account %s once the leases have expired", account)
+		}
+	}
+}
+
 // TestReportedLeasesAreNotGrantedAgain checks that what a daemon reports after the owner has begun to grant leases is
 // not granted to another.
 func TestReportedLeasesAreNotGrantedAgain(t *testing.T) {
--- a/node/cluster/gossip.go
+++ b/node/cluster/gossip.go
@@ -65,8 +65,12 @@
 	c.logRumors(rumors)
 	c.Placer.links.membersChanged()
 	for _, r := range rumors {
-		if r.State == membership.Alive && !c.DisableLeases {
+		switch {
+		case c.DisableLeases:
+		case r.State == membership.Alive:
 			go c.requireHoldings(ctx, r.Name)
+		default:
+			c.Board.Shares.OwnerEnded(time.Now())
 		}
 	}
 	pause, mustSend := c.rumorBatch.add(rumors, from, time.Now())
