The declared prompt belongs to the key of a call

Cause: calls were told apart by account, method, host name, path and body. Prompts of which only the declared parts differ were one call, so engines that crashed under three of them quarantined all prompts of the account.

Change: the key has the declared prompt. The soak's repeated crashing call repeats its prompt too, as a repetition does.

Measured: TestPromptsWithOneBodyAreDifferentCalls fails before (the fifth prompt is refused), passes after.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -30,6 +30,8 @@
 	// SharedParts are the ids of the prompt's parts that other prompts may contain too, in their
 	// order; the last part of a prompt is its own.
 	SharedParts []string
+	// DeclaredPrompt identifies the content of the prompt, as the caller states it; empty if the call has none.
+	DeclaredPrompt string
 }
 
 // SendParams is what the daemon adds to a call when it sends it to a target.
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -230,7 +230,7 @@
 		MaxTokens:   c.OutputTokens,
 		Path:        c.path,
 		LastEventID: c.LastEventID,
-		SharedParts: c.SharedParts,
+		SharedParts: c.SharedParts, DeclaredPrompt: c.DeclaredPrompt,
 		Forward: &forward.Message{
 			ID: c.ID, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
 			Header: endToEndHeaders(c.r.Header), Body: body, CallerDisconnected: callerDisconnected(c.r),
--- a/node/internal/soak/caller.go
+++ b/node/internal/soak/caller.go
@@ -48,12 +48,7 @@
 // call sends a daemon one valid request and records the outcome. The request is for the path's
 // own route or, with a temporaryRoute above 0, for the temporary route of that number.
 func (tb *testbed) call(ctx context.Context, client *http.Client, daemon int, path *Path, temporaryRoute int) Call {
-	return tb.callWithBody(ctx, client, daemon, path, temporaryRoute, "a body")
-}
-
-// callWithBody is call with a given request body.
-func (tb *testbed) callWithBody(ctx context.Context, client *http.Client, daemon int, path *Path, temporaryRoute int, body string) Call {
-	return tb.send(ctx, client, Call{Daemon: daemon, Path: path, TemporaryRoute: temporaryRoute, RequestBody: body})
+	return tb.send(ctx, client, Call{Daemon: daemon, Path: path, TemporaryRoute: temporaryRoute, RequestBody: "a body"})
 }
 
 // send sends the request of a call, which has the fields that describe it, and records the outcome.
--- a/node/internal/soak/notices.go
+++ b/node/internal/soak/notices.go
@@ -58,13 +58,18 @@
 // sendCrashingCalls sends a call that crashes its targets: every crashInterval to a random
 // daemon for the event's duration, and later finalRounds times to each daemon.
 func (tb *testbed) sendCrashingCalls(ctx context.Context, e Event) {
-	path, body := paths[e.Selector%3], crashBodyPrefix+fmt.Sprint(e.Start, " ", e.Selector)
+	call := Call{Path: paths[e.Selector%3], RequestBody: crashBodyPrefix + fmt.Sprint(e.Start, " ", e.Selector)}
+	if call.Path.Streaming {
+		call.PromptParts = soundParts(fmt.Sprint("crash-", e.Selector))
+	}
 	client := newClient()
 	defer client.CloseIdleConnections()
 	send := func(daemon int) {
-		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), path.Timeout+giveUpAfter)
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Path.Timeout+giveUpAfter)
 		defer cancel()
-		tb.callWithBody(callCtx, client, daemon, path, 0, body)
+		repeat := call
+		repeat.Daemon = daemon
+		tb.send(callCtx, client, repeat)
 	}
 	var sends sync.WaitGroup
 	for end := time.Now().Add(e.Duration); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, crashInterval) {
--- a/node/onplatform/crashing_parts_test.go
+++ b/node/onplatform/crashing_parts_test.go
@@ -172,6 +172,23 @@
 	return all
 }
 
+// TestPromptsWithOneBodyAreDifferentCalls checks that crashes under different prompts with the same body, which share no
+// part, quarantine none of them.
+func TestPromptsWithOneBodyAreDifferentCalls(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	for i := range 8 {
+		f.addTarget(fmt.Sprint("e", i+1), engineService, 8).Script(standin.CloseConnection)
+	}
+	f.waitReady(f.daemons[0])
+	for range 6 {
+		a := f.newPromptTo(f.daemons[0])
+		a.Body = "go on"
+		if got := f.do(a); strings.Contains(got.Body, "crashes_targets") {
+			t.Fatalf("a new prompt was refused because targets crashed under others: status %d, %s", got.Status, got.Body)
+		}
+	}
+}
+
 // TestWronglyQuarantinedPartIsServedSoon covers engines that all crash for a while under any prompt: the part that all
 // prompts share is quarantined, and nothing is left that could clear it. Once the engines have recovered, prompts must be
 // served within the users' bound. In a soak test all daemons refused them for longer.
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -40,6 +40,8 @@
 	LastEventID string
 	// SharedParts are the ids of the prompt's parts that other prompts may contain too.
 	SharedParts []string
+	// DeclaredPrompt identifies the prompt of a forwarded call, whose body may be the same for different prompts.
+	DeclaredPrompt string
 
 	promptTokens    int64
 	prefixes        []uint64
@@ -79,7 +81,7 @@
 	switch {
 	case r.Forward != nil:
 		m := r.Forward
-		return poison.KeyOf(account, []byte(m.Method), []byte(m.Host), []byte(m.URI), m.Body)
+		return poison.KeyOf(account, []byte(m.Method), []byte(m.Host), []byte(m.URI), []byte(r.DeclaredPrompt), m.Body)
 	case r.ServiceCall != nil:
 		return poison.KeyOf(account, []byte(r.Route.Name), []byte(r.ServiceCall.Method), []byte(r.ServiceCall.Path), r.ServiceCall.Body)
 	default:
