--- a/core/share/share.go
+++ b/core/share/share.go
@@ -103,8 +103,8 @@
 	// previousUntil is when the account's previous owner may last have granted a lease, and unknownSince when leases that
 	// this owner does not know of may last have been granted for another reason. Both are zero if there are none.
 	previousUntil, unknownSince time.Time
-	sequence uint64
-	holders  map[string]*holderState
+	sequence                    uint64
+	holders                     map[string]*holderState
 }
 
 // NewOwner returns the owner of an account. Sequence numbers start at the current time, so that
