Shares: drop a method that only a test used

The state of a daemon that has joined without reporting its leases is set by LeasesUnreported, as in the product; TestDuplicatesAtAllDaemonsRunOnce uses it.

--- a/node/blackboard/shares.go
+++ b/node/blackboard/shares.go
@@ -206,14 +206,6 @@
 	}
 }
 
-// DaemonJoined records that daemons have joined whose leases are not known.
-func (t *ShareTable) DaemonJoined(at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.unknownSince = at
-	t.updateOwners(at)
-}
-
 // Invalidate ends the leases that this daemon holds, after a pause of the process. As an
 // owner, the daemon raises no fraction until the leases that others may have granted
 // meanwhile have expired.
