--- a/core/share/share.go
+++ b/core/share/share.go
@@ -100,27 +100,21 @@
 
 // Owner leases out the limits of one account.
 type Owner struct {
-	// previousUntil is when the account's previous owner may last have granted a lease, and unknownSince when leases that
-	// this owner does not know of may last have been granted for another reason. Both are zero if there are none.
-	previousUntil, unknownSince time.Time
-	sequence                    uint64
-	holders                     map[string]*holderState
+	waitFrom time.Time // leases of other owners may be in use until LeaseTTL after it
+	sequence uint64
+	holders  map[string]*holderState
 }
 
 // NewOwner returns the owner of an account. Sequence numbers start at the current time, so that
-// grants of previous owners count as older. previousUntil is when a previous owner, which has ended since, may last have
-// granted a lease; zero if there is none. The owner raises no fraction until such a lease has expired.
-func NewOwner(previousUntil, now time.Time) *Owner {
-	return &Owner{previousUntil: previousUntil, sequence: uint64(now.UnixNano()), holders: map[string]*holderState{}}
-}
-
-// SetUnknownSince tells the owner when leases that are not passed to Adopt may last have been granted. The owner raises no
-// fraction until these leases have expired. With the zero time the caller guarantees that there are none.
-func (o *Owner) SetUnknownSince(at time.Time) { o.unknownSince = at }
-
-// settled reports whether all leases that this owner does not know of have expired.
-func (o *Owner) settled(now time.Time) bool {
-	return now.Sub(o.previousUntil) >= LeaseTTL && now.Sub(o.unknownSince) >= LeaseTTL
+// grants of previous owners count as older. With settled true, the caller guarantees that no
+// lease of a previous owner is in use except those that it passes to Adopt; otherwise the owner
+// waits until such leases have expired.
+func NewOwner(settled bool, now time.Time) *Owner {
+	o := &Owner{waitFrom: now, sequence: uint64(now.UnixNano()), holders: map[string]*holderState{}}
+	if settled {
+		o.waitFrom = now.Add(-LeaseTTL)
+	}
+	return o
 }
 
 // Adopt records a lease that a previous owner granted to a holder.
@@ -133,6 +127,11 @@
 	h.grants = append(h.grants, outstandingGrant{o.sequence, fraction, now.Add(LeaseTTL)})
 }
 
+// DaemonJoined tells the owner that a daemon has started, or is reachable again after a network
+// partition. The daemon may hold a lease of another owner, so the owner raises no fraction until
+// such a lease has expired.
+func (o *Owner) DaemonJoined(now time.Time) { o.waitFrom = now }
+
 // Renew answers a renewal with a grant. alive is the number of daemons that this one believes
 // alive, and published the number in the platform's host list.
 func (o *Owner) Renew(r Renewal, alive, published int, now time.Time) Grant {
@@ -158,7 +157,8 @@
 // that its demand is of all holders' demands, but not much more than its demand. While leases of a
 // previous owner may be in use, it is the fraction that the holder has.
 func (o *Owner) desiredFraction(r Renewal, h *holderState, alive, published int, now time.Time) float64 {
-	if !o.settled(now) {
+	if now.Sub(o.waitFrom) < LeaseTTL {
+		// Leases of a previous owner may still be in use.
 		return r.Fraction
 	}
 	sum := 0.0
@@ -194,7 +194,7 @@
 			return false
 		}
 	}
-	return o.settled(now)
+	return now.Sub(o.waitFrom) > LeaseTTL
 }
 
 // Holder is a daemon's lease on the limits of one account. The zero value holds no lease.
--- a/node/blackboard/shares.go
+++ b/node/blackboard/shares.go
@@ -16,16 +16,10 @@
 	mu            Mutex
 	holders       map[string]*share.Holder
 	owners        map[string]*share.Owner
+	leasesKnown   bool
 	adoptedLeases map[string][]adoptedLease // by account; reported for accounts not yet in owners
 	listedDaemons int
 	adoptUntil    time.Time // when the last adopted lease expires
-	// collected is true once all listed daemons were asked for their leases. unreported holds those that have not
-	// answered, with the time of the question, and unknownSince is when the leases of all daemons were last unknown.
-	collected    bool
-	unreported   map[string]time.Time
-	unknownSince time.Time
-	// ownerEndedAt is when a daemon was last found to have ended, and with it an owner of accounts.
-	ownerEndedAt time.Time
 }
 
 // adoptedLease is a lease that a previous owner granted.
@@ -37,7 +31,7 @@
 func newShareTable() *ShareTable {
 	return &ShareTable{
 		mu: NewMutex(RankShares), holders: map[string]*share.Holder{}, owners: map[string]*share.Owner{},
-		adoptedLeases: map[string][]adoptedLease{}, listedDaemons: 1, unreported: map[string]time.Time{},
+		adoptedLeases: map[string][]adoptedLease{}, listedDaemons: 1,
 	}
 }
 
@@ -104,8 +98,7 @@
 	defer t.mu.Unlock()
 	o := t.owners[account]
 	if o == nil {
-		o = share.NewOwner(t.ownerEndedAt, at)
-		o.SetUnknownSince(t.leasesUnknownSince(at))
+		o = share.NewOwner(t.leasesKnown, at)
 		if at.Before(t.adoptUntil) {
 			for _, a := range t.adoptedLeases[account] {
 				o.Adopt(a.holder, a.fraction, at)
@@ -135,12 +128,10 @@
 	return list
 }
 
-// Adopt counts the leases that a daemon reports that it holds from previous owners.
+// Adopt counts the leases that a daemon holds from previous owners.
 func (t *ShareTable) Adopt(holder string, holdings []Holding, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.unreported, holder)
-	defer t.updateOwners(at)
 	t.adoptUntil = at.Add(share.LeaseTTL)
 	for _, h := range holdings {
 		if o := t.owners[h.Account]; o != nil {
@@ -151,58 +142,21 @@
 	}
 }
 
-// LeasesUnreported records that a daemon did not report its leases. Until it does, or the leases have expired, owners
-// raise no fraction.
-func (t *ShareTable) LeasesUnreported(name string, at time.Time) {
+// SetLeasesKnown records that all listed daemons have reported their leases, so that new
+// owners can grant leases without waiting.
+func (t *ShareTable) SetLeasesKnown() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.unreported[name] = at
-	t.updateOwners(at)
+	t.leasesKnown = true
 }
 
-// Unreported returns the daemons that have not reported their leases.
-func (t *ShareTable) Unreported() []string {
+// DaemonJoined records that daemons have joined whose leases are not known.
+func (t *ShareTable) DaemonJoined(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.Sorted(maps.Keys(t.unreported))
-}
-
-// SetCollected records that all listed daemons were asked for their leases.
-func (t *ShareTable) SetCollected(at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.collected = true
-	t.updateOwners(at)
-}
-
-// OwnerEnded records that a daemon has ended. The leases that it granted stay in use until they expire, so the next owner
-// of its accounts waits that long before it raises a fraction.
-func (t *ShareTable) OwnerEnded(at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.ownerEndedAt = at
-}
-
-// leasesUnknownSince returns when other owners may last have granted leases that are not known here; zero if there are
-// none. The lock is held.
-func (t *ShareTable) leasesUnknownSince(at time.Time) time.Time {
-	if !t.collected {
-		return at
-	}
-	latest := t.unknownSince
-	for _, asked := range t.unreported {
-		if asked.After(latest) {
-			latest = asked
-		}
-	}
-	return latest
-}
-
-// updateOwners tells all owners since when leases are unknown; the lock is held.
-func (t *ShareTable) updateOwners(at time.Time) {
-	since := t.leasesUnknownSince(at)
+	t.leasesKnown = false
 	for _, o := range t.owners {
-		o.SetUnknownSince(since)
+		o.DaemonJoined(at)
 	}
 }
 
@@ -212,11 +166,13 @@
 func (t *ShareTable) Invalidate(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.leasesKnown = false
 	for _, h := range t.holders {
 		h.Invalidate()
 	}
-	t.unknownSince = at
-	t.updateOwners(at)
+	for _, o := range t.owners {
+		o.DaemonJoined(at)
+	}
 }
 
 // RemoveExpired removes idle accounts and expired leases.
@@ -225,7 +181,6 @@
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.owners, func(_ string, o *share.Owner) bool { return o.Idle(at) })
 	maps.DeleteFunc(t.holders, func(_ string, h *share.Holder) bool { return at.Sub(h.Expires()) > share.LeaseTTL })
-	maps.DeleteFunc(t.unreported, func(_ string, asked time.Time) bool { return at.Sub(asked) > share.LeaseTTL })
 	if at.After(t.adoptUntil) {
 		clear(t.adoptedLeases)
 	}
--- a/node/cluster/gossip.go
+++ b/node/cluster/gossip.go
@@ -65,12 +65,8 @@
 	c.logRumors(rumors)
 	c.Placer.links.membersChanged()
 	for _, r := range rumors {
-		switch {
-		case c.DisableLeases:
-		case r.State == membership.Alive:
-			go c.requireHoldings(ctx, r.Name)
-		default:
-			c.Board.Shares.OwnerEnded(time.Now())
+		if r.State == membership.Alive && !c.DisableLeases {
+			go c.daemonJoined(ctx, r.Name)
 		}
 	}
 	pause, mustSend := c.rumorBatch.add(rumors, from, time.Now())
