The soak's herd judge leaves out calls that targets limit

Its herd stands beside targets of the plain service that limit their rate, and all daemons have to refuse most of these calls. The judge counted them against the herd's daemon. restartTime stood among the users' bounds, where it does not belong, and had no origin.

Change: calls of a service whose targets announce a rate limit during the herd are not judged; all others keep the absolute bound. A comparison with other daemons was tried first and did not help: in this plan three of four are restarted, so too few calls are left. restartTime stands beside the function that uses it.

--- a/node/internal/soak/parts.go
+++ b/node/internal/soak/parts.go
@@ -37,8 +37,6 @@
 
 // The bounds that the users of doorstack set on crashing parts and herds.
 const (
-	// restartTime is the shortest time in which a target's process is replaced after a crash.
-	restartTime = time.Second
 	// crashesUntilKnown is the number of crashes after which daemons have undisturbedBefore to learn of a part, and
 	// maxLatePartSends how many more of its prompts may reach engines later.
 	crashesUntilKnown = 5
@@ -188,7 +186,7 @@
 				late++
 			}
 		}
-		if late > maxLatePartSends && len(ends) >= crashesUntilKnown {
+		if len(ends) >= crashesUntilKnown && late > maxLatePartSends {
 			list = append(list, Violation{"BUDGET", part, fmt.Sprintf("%d prompts with this part were executed later than %v after its fifth crash; %d crashes in all", late, undisturbedBefore, len(ends))})
 		}
 		if problem := r.refusedForPart(known.Add(soundAfter), last); problem != "" {
@@ -198,6 +196,10 @@
 	return list
 }
 
+// restartTime is the shortest time from the end of a target's process to the end of the next one. Daemons count reports
+// of crashes that are less apart as one crash.
+const restartTime = time.Second
+
 // processEnds returns when targets' processes ended, in ascending order, given the executions that crashed them. A
 // stand-in restarts at once, so it also executes prompts that a process would still have had when it ended; they count
 // with the same crash.
@@ -236,14 +238,16 @@
 }
 
 // herdCalls counts the calls by which the daemon of a herd is judged, and those of them that it served. There are none
-// if something else disturbed the daemon.
+// if something else disturbed the daemon. Calls of a service whose targets limit their rate are left out: daemons have to
+// refuse them.
 func (r *Record) herdCalls(h *Herd) (n, served int) {
 	if !r.undisturbed(h.Daemon, h.From, h.To, func(k Kind) bool { return isFault(k) || losesState(k) }) {
 		return 0, 0
 	}
+	limited := r.limitedServices(h.From, h.To)
 	for i := range r.Calls {
 		c := &r.Calls[i]
-		if c.Daemon != h.Daemon || c.Sent.Before(h.From.Add(undisturbedBefore)) || c.Sent.After(h.To) || c.Disconnected || c.TemporaryRoute != 0 || c.BadPart != "" {
+		if c.Daemon != h.Daemon || c.Sent.Before(h.From.Add(undisturbedBefore)) || c.Sent.After(h.To) || c.Disconnected || c.TemporaryRoute != 0 || c.BadPart != "" || limited[c.Path.Service] {
 			continue
 		}
 		n++
@@ -254,6 +258,19 @@
 	return n, served
 }
 
+// limitedServices returns the services of which a target announced a rate limit between two times.
+func (r *Record) limitedServices(from, to time.Time) map[string]bool {
+	limited := map[string]bool{}
+	for _, executions := range r.Executions {
+		for _, e := range executions {
+			if e.RateLimit != nil && e.Started.After(from) && e.Started.Before(to) {
+				limited[e.Service] = true
+			}
+		}
+	}
+	return limited
+}
+
 // checkHerds checks that the daemon of a herd serves its callers.
 func checkHerds(r *Record) []Violation {
 	var list []Violation
