Test: prompts with one body are refused for nothing that engines did

Cause: TestPromptsWithOneBodyAreDifferentCalls would pass if no prompt reached an engine. Change: it fails unless more engines crashed than quarantine a call.

--- a/node/onplatform/crashing_parts_test.go
+++ b/node/onplatform/crashing_parts_test.go
@@ -180,12 +180,17 @@
 		f.addTarget(fmt.Sprint("e", i+1), engineService, 8).Script(standin.CloseConnection)
 	}
 	f.waitReady(f.daemons[0])
+	crashes := 0
 	for range 6 {
 		a := f.newPromptTo(f.daemons[0])
 		a.Body = "go on"
 		if got := f.do(a); strings.Contains(got.Body, "crashes_targets") {
 			t.Fatalf("a new prompt was refused because targets crashed under others: status %d, %s", got.Status, got.Body)
 		}
+		crashes += len(f.callsWithID(a.ID))
+	}
+	if crashes <= crashCountBeforeBound {
+		t.Errorf("%d targets crashed, want more than %d: the test covers nothing", crashes, crashCountBeforeBound)
 	}
 }
 
