Comments: usual terms in coordination, placement and limits

Cause: comments still said that daemons hear each other, that cold targets bear requests and that calls are placed for nobody. Change: reachable, can take, without a caller; comments only, in nine files. Measured: builds; no code differs.

--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -203,7 +203,7 @@
 func callKeyOf(it *Item) callKey { return callKey{it.Account, it.Long, it.Tokens} }
 
 const (
-	// minRepeatTokens is the length from which prompts are told apart by it. Calls of plain services
+	// minRepeatTokens is the length from which prompts are distinguished by it. Calls of plain services
 	// have no prompt.
 	minRepeatTokens = 100
 	// maxReturns bounds the refused calls of a level that are remembered, about ten seconds of refusals
--- a/core/coordination/call.go
+++ b/core/coordination/call.go
@@ -70,7 +70,7 @@
 	// from 1.
 	Peer Candidate
 	Rank int
-	// Insist tells the peer to place the call although it hears a daemon ranked before it.
+	// Insist asks the peer to place the call although a daemon ranked before it is reachable from there.
 	Insist bool
 	// Timeout is that of the request.
 	Timeout time.Duration
--- a/core/coordination/peers.go
+++ b/core/coordination/peers.go
@@ -3,7 +3,7 @@
 // One daemon of the fleet coordinates each pool: the first in the pool's ranking. While daemons ask different ones,
 // several of them place the pool's calls without knowing each other's, and targets get too many calls. So a call
 // waits for a link that is being opened, within a share of the time that its caller grants; the timeout of a request
-// follows the round-trip time to the peer; and a daemon that is asked although it hears one ranked before it
+// follows the round-trip time to the peer; and a daemon that is asked although it can reach one ranked before it
 // names that one (a redirect). A call is redirected at most once: all further requests for it insist.
 //
 // No rule of correctness depends on whom a daemon asks.
@@ -103,7 +103,7 @@
 	// answered is true once the peer has answered a placement request.
 	answered bool
 	// While the peer is late: heard is true if something has arrived from it since, and probing if one call asks it.
-	// While it is late or failed: redirected is true if another daemon that hears the peer has named it.
+	// While it is late or failed: redirected is true if another daemon that can reach the peer has named it.
 	heard, probing, redirected bool
 	// refusedSince is when the peer's first refusal since its last answer was received.
 	refusedSince time.Time
--- a/core/coordination/redirect.go
+++ b/core/coordination/redirect.go
@@ -12,7 +12,7 @@
 }
 
 // Redirect returns the daemon that should have been asked in place of this one: the first that this daemon's own
-// ranking has before it and that it hears. heardAt returns when something was last received from a daemon over
+// ranking has before it and that is reachable from it. heardAt returns when something was last received from a daemon over
 // an open link, the zero time if there is none.
 func Redirect(self string, r Request, ranking []Candidate, heardAt func(name string) time.Time, now time.Time) (Candidate, bool) {
 	if r.Rank == 0 || r.Insist {
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -43,7 +43,7 @@
 	shortPrompts shortPromptRate
 	// timing is the cost model of the engines; nil if it is not known.
 	timing *engine.Timing
-	// coldRate is how many requests a second a cold target bears, and coldStart how long a target is
+	// coldRate is how many requests a second a cold target can take, and coldStart how long a target is
 	// cold after its start. Zero means that the targets are never cold.
 	coldRate  float64
 	coldStart time.Duration
--- a/node/cluster/endedcalls.go
+++ b/node/cluster/endedcalls.go
@@ -10,7 +10,7 @@
 
 // A placement request is handled in a goroutine of its own and may wait there for a ping, while messages on calls are
 // handled in the order of their arrival. So the end of a call may be handled before a request for it, which would then
-// be placed for nobody and count until the call's deadline. A daemon numbers its requests, and its message that a call
+// be placed without a caller and count until the call's deadline. A daemon numbers its requests, and its message that a call
 // has ended says which requests were sent before.
 
 const (
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -53,7 +53,7 @@
 	// countedAt are the coordinators that count each of this daemon's calls, by attempt: the one that placed it, and
 	// those that were told of it.
 	countedAt map[string][]string
-	// elsewhere are the calls that the first coordinator of their pool is still to be told of, by attempt.
+	// elsewhere are the calls that have yet to be reported to the first coordinator of their pool, by attempt.
 	elsewhere map[string]elsewhereCall
 	// pending are this daemon's requests that wait at a coordinator, by attempt.
 	pending map[string]chan placeAnswer
--- a/node/cluster/placewire.go
+++ b/node/cluster/placewire.go
@@ -39,7 +39,7 @@
 	// Rank is the asked daemon's position in the requesting daemon's ranking, counted from 1; 0 in a request of a
 	// version that knows no redirects.
 	Rank int `cbor:"19,keyasint,omitempty"`
-	// Insist asks for a placement although the asked daemon hears one that is ranked before it.
+	// Insist asks for a placement although the asked daemon can reach one that is ranked before it.
 	Insist bool `cbor:"20,keyasint,omitempty"`
 	// Number counts the requesting daemon's placement requests, from 1; 0 from a version that does not number them.
 	Number uint64 `cbor:"21,keyasint,omitempty"`
--- a/node/requestcontrol/attemptend.go
+++ b/node/requestcontrol/attemptend.go
@@ -34,7 +34,7 @@
 // attemptEnd is the end of an attempt.
 type attemptEnd struct {
 	attempt string
-	// chosen is the target that the call was sent to, and target the one that the end speaks of: chosen, or a helper.
+	// chosen is the target that the call was sent to, and target the one that the end is about: chosen, or a helper.
 	chosen, target string
 	// relay is the daemon that the call went through, or empty.
 	relay string
