Review case 1: the stand-in runner serves each channel that it takes

The runner had taken a channel from its queue and did not serve it while the queue was kept full; a daemon sent the request on that channel, and none went through another daemon.

Added: channels are taken and served until the queue is empty, and only then is it kept full. A stream that does not go through another daemon is followed by a further one.

--- a/review/stand/cutoff.go
+++ b/review/stand/cutoff.go
@@ -17,7 +17,8 @@
 // end of its channel for the end of the answer.
 
 const (
-	rounds = 3
+	// A round counts if the stream goes through another daemon; on a busy machine a daemon may have a spare channel.
+	maxRounds, wantedRounds = 9, 3
 	// slowPieceEvery is the time between two pieces of a stream, and killAfter when the daemon between is killed.
 	slowPieceEvery = 200 * time.Millisecond
 	killAfter      = 5*slowPieceEvery + slowPieceEvery/2
@@ -47,10 +48,11 @@
 	go r.serve()
 	go r.heartbeat(s)
 	daemons := startDaemons(s, dir, 6)
-	wrong, relayed := 0, 0
-	for n := range rounds {
+	wrong, relayed, rounds := 0, 0, 0
+	for ; rounds < maxRounds && relayed < wantedRounds; rounds++ {
+		n := rounds
 		time.Sleep(roundPause)
-		first := daemons[n]
+		first := daemons[n%len(daemons)]
 		id := fmt.Sprintf("%016x", n)
 		gate.fill()
 		finished := make(chan answer, 1)
@@ -109,7 +111,7 @@
 // gate is a listener whose queue of new channels holds one. While it is full, the kernel drops opening
 // packets; they are sent again a second later.
 type gate struct {
-	net.Listener
+	*net.TCPListener
 	filled   chan struct{}
 	accepted chan net.Conn
 }
@@ -133,7 +135,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	g := &gate{Listener: l, filled: make(chan struct{}), accepted: make(chan net.Conn)}
+	g := &gate{TCPListener: l.(*net.TCPListener), filled: make(chan struct{}), accepted: make(chan net.Conn)}
 	go g.run()
 	return g
 }
@@ -149,45 +151,34 @@
 
 // run takes channels from the queue, except while it is to be full.
 func (g *gate) run() {
-	taken, next := make(chan net.Conn), make(chan struct{}, 1)
-	go func() {
-		for range next {
-			conn, err := g.Listener.Accept()
-			if err != nil {
-				return
-			}
-			taken <- conn
-		}
-	}()
-	next <- struct{}{}
 	for {
-		select {
-		case conn := <-taken:
+		_ = g.SetDeadline(time.Now().Add(time.Millisecond))
+		if conn, err := g.TCPListener.Accept(); err == nil {
 			g.accepted <- conn
-			next <- struct{}{}
+			continue
+		}
+		select { // The queue is empty.
 		case <-g.filled:
-			// The first of these channels ends the Accept that waits, the second fills the queue.
-			var own []net.Conn
-			for range 2 {
-				conn, err := (&net.Dialer{Timeout: 100 * time.Millisecond}).Dial("tcp4", g.Addr().String())
-				if err != nil {
-					break // A daemon's own channel is in the queue.
-				}
-				own = append(own, conn)
-			}
-			log.add("the runner's queue of new channels is full")
-			g.filled <- struct{}{}
-			for end := time.Now().Add(2 * time.Second); !g.openingDropped() && time.Now().Before(end); {
-				time.Sleep(500 * time.Microsecond)
-			}
-			log.add("the runner takes new channels again")
-			for _, conn := range own {
-				_ = conn.Close()
-			}
+			g.holdFull()
+		default:
 		}
 	}
 }
 
+// holdFull keeps the queue full with a channel of its own until an opening packet has been dropped.
+func (g *gate) holdFull() {
+	own, err := (&net.Dialer{Timeout: 100 * time.Millisecond}).Dial("tcp4", g.Addr().String())
+	if err == nil {
+		defer func() { _ = own.Close() }()
+	}
+	log.add("the runner's queue of new channels is full")
+	g.filled <- struct{}{}
+	for end := time.Now().Add(2 * time.Second); !g.openingDropped() && time.Now().Before(end); {
+		time.Sleep(500 * time.Microsecond)
+	}
+	log.add("the runner takes new channels again")
+}
+
 // openingDropped reports whether a channel to the runner waits for the answer to its opening packet.
 func (g *gate) openingDropped() bool {
 	port := fmt.Sprintf(":%04X", g.Addr().(*net.TCPAddr).Port)
