--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -175,14 +175,14 @@
 	return false
 }
 
-// residentMB returns the memory that the process has in use, in MB; zero if it has ended.
+// residentMB returns the memory that the process has allocated, without the pages of its program, in MB; zero if it has ended.
 func (d *daemon) residentMB() int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(data)) {
-		if text, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if text, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			var kb int
 			_, _ = fmt.Sscan(text, &kb)
 			return kb / 1024
