--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -66,6 +66,11 @@
 	// EventsReceived is the number of events that the target sent in a failed attempt.
 	EventsReceived int `json:"events_received,omitempty"`
 
+	// Status and Framing are those of the latest target answer of a forwarded call: its HTTP status, and what marks
+	// its end.
+	Status  int    `json:"status,omitempty"`
+	Framing string `json:"framing,omitempty"`
+
 	// The inputs, by kind of decision.
 	Routing  *routing.Decision        `json:"routing,omitempty"`
 	Limit    *admission.Verdict       `json:"limit,omitempty"`
--- a/node/cmd/doorstack/explain.go
+++ b/node/cmd/doorstack/explain.go
@@ -77,6 +77,9 @@
 	if r.Reason != "" {
 		words = append(words, "("+r.Reason+")")
 	}
+	if r.Status != 0 {
+		words = append(words, fmt.Sprintf("status %d, ended by its %s", r.Status, r.Framing))
+	}
 	if r.Limit != nil && r.Limit.Limit != "" {
 		words = append(words, "limit "+string(r.Limit.Limit))
 	}
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -52,8 +52,11 @@
 	// lastTarget is the latest target, for the log. failedHelper is the address of the helper
 	// (see forward.Helper) that made the latest attempt fail, if any.
 	lastTarget, failedHelper string
-	// lastRelay is the daemon that the latest attempt went through, or empty.
-	lastRelay string
+	// lastRelay is the daemon that the latest attempt went through, or empty; lastStatus and lastFraming are those of
+	// its answer.
+	lastRelay   string
+	lastStatus  int
+	lastFraming target.Framing
 	// prefilledAttempt is the latest attempt whose target has prefilled the prompt.
 	prefilledAttempt string
 	// silenceWatch watches the current attempt.
@@ -225,7 +228,8 @@
 		Target: p.Decision.Chosen, Account: r.Account.Path, Timeout: time.Until(r.Deadline), LastEventID: f.lastEventID,
 		Helpers: forwardHelpers(p),
 	})
-	f.failedHelper, f.lastRelay, f.attemptAnswer = "", "", answerProgress{}
+	f.failedHelper, f.attemptAnswer = "", answerProgress{}
+	f.lastRelay, f.lastStatus, f.lastFraming = "", 0, ""
 	reservations, err := d.reserveMemory(ctx, r, p)
 	if err != nil {
 		f.failedHelper = reservations.refusedBy
@@ -248,8 +252,8 @@
 		}
 		return watch.stop(attemptCtx, err)
 	}
-	f.lastRelay = reply.Relay
-	f.attemptAnswer.selfDelimited = reply.SelfDelimited()
+	f.lastRelay, f.lastStatus, f.lastFraming = reply.Relay, reply.Status, reply.Framing()
+	f.attemptAnswer.selfDelimited = f.lastFraming != target.FramedByConnection
 	f.recordNotice(p.Decision.Chosen, reply)
 	err = watch.stop(attemptCtx, f.handleReply(attemptCtx, reply, p))
 	d.Exchanger.Close(reply)
@@ -318,6 +322,7 @@
 	r := f.request
 	rec := decision.Record{
 		Kind: decision.KindAnswer, Outcome: decision.OutcomeComplete, Target: f.lastTarget,
+		Status: f.lastStatus, Framing: string(f.lastFraming),
 		Stream: &decision.StreamTiming{Events: f.eventCount, FirstEvent: f.timeToFirstEvent, LongestGap: f.longestGap, Total: time.Since(r.Arrived), FirstEventGoal: r.firstEventGoal(), LongestGapGoal: r.gapGoal()},
 	}
 	if err == nil {
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -84,9 +84,29 @@
 	stopDeadline func() bool
 }
 
-// SelfDelimited reports whether the answer's length or encoding marks its end. The end of any other answer is that of the
-// connection, which the target's process may have caused by ending.
-func (r *Reply) SelfDelimited() bool { return r.Length >= 0 || len(r.resp.TransferEncoding) > 0 }
+// Framing is what marks the end of an answer.
+type Framing string
+
+// The framings of answers.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByConnection means that the answer ends with its connection, which the target's process may have caused by
+	// ending.
+	FramedByConnection Framing = "connection"
+)
+
+// Framing returns what marks the end of the answer.
+func (r *Reply) Framing() Framing {
+	switch {
+	case r.Length >= 0:
+		return FramedByLength
+	case len(r.resp.TransferEncoding) > 0:
+		return FramedByChunks
+	default:
+		return FramedByConnection
+	}
+}
 
 // answerBody records whether an answer was read to its end.
 type answerBody struct {
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -267,6 +267,9 @@
 	if d.Revision != 0 {
 		list = append(list, slog.Int64("revision", d.Revision))
 	}
+	if d.Status != 0 {
+		list = append(list, slog.Int("status", d.Status), slog.String("framing", d.Framing))
+	}
 	if len(d.SharedParts) > 0 {
 		list = append(list, slog.Any("shared_parts", d.SharedParts), slog.Int("events_received", d.EventsReceived))
 	}
