Relay: say in a frame that the target has ended the connection

Callers saw a stream with 5 of 12 events end as a complete success when the daemon that relayed it was killed. Cause: a relayed connection carried the target's bytes as they were. The kernel ends the connections of a process that ends in order, and the daemon took that for the target's end, which is the end of an answer without a length. Change: a relay writes frames and says the target's end in a frame of its own. The protocol is agreed on in the upgrade; through a relay that does not frame, the end of the connection does not end an answer. A connection that the relay ended counts as a failure of the path until the target has been tried. The tests TestAnswerOfEndedRelayDoesNotLookWhole and TestServiceAnswerOfEndedRelayDoesNotLookWhole failed before ("the answer looks whole").

--- a/node/relay/client.go
+++ b/node/relay/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -80,33 +82,33 @@
 }
 
 // Open implements target.Relays.
-func (c *Client) Open(ctx context.Context, relay, address string) (target.Socket, *bufio.Reader, error) {
+func (c *Client) Open(ctx context.Context, relay, address string) (target.Socket, error) {
 	to := peer.Address{Name: relay, Address: c.Board.Members.Address(relay)}
 	var answer openAnswer
 	if err := c.Hub.Call(ctx, to, peer.KindRelay, openRequest{Address: address}, &answer); err != nil {
-		return nil, nil, errors.Wrap(err, "ask "+relay+" to relay")
+		return nil, errors.Wrap(err, "ask "+relay+" to relay")
 	}
 	switch answer.Outcome {
 	case connected:
 	case unreachable:
-		return nil, nil, errors.Wrap(target.ErrUnreachableFromRelay, relay)
+		return nil, errors.Wrap(target.ErrUnreachableFromRelay, relay)
 	default:
-		return nil, nil, errors.New(relay + " does not relay: " + string(answer.Outcome))
+		return nil, errors.New(relay + " does not relay: " + string(answer.Outcome))
 	}
 	conn, err := c.Dial(ctx, to.Address)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "connect to the relay "+relay)
+		return nil, errors.Wrap(err, "connect to the relay "+relay)
 	}
-	reader, err := upgrade(ctx, conn, to.Address, answer.Ticket)
+	relayed, err := upgrade(ctx, conn, to.Address, answer.Ticket)
 	if err != nil {
 		_ = conn.Close()
-		return nil, nil, errors.Wrap(err, "use the ticket of the relay "+relay)
+		return nil, errors.Wrap(err, "use the ticket of the relay "+relay)
 	}
-	return conn, reader, nil
+	return relayed, nil
 }
 
-// upgrade exchanges a ticket for the relayed connection. The reader holds what was read beyond the answer.
-func upgrade(ctx context.Context, conn target.Socket, host, ticket string) (*bufio.Reader, error) {
+// upgrade exchanges a ticket for the relayed connection.
+func upgrade(ctx context.Context, conn target.Socket, host, ticket string) (target.Socket, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	req, err := http.NewRequest(http.MethodGet, "http://"+host+path+ticket, http.NoBody)
@@ -114,7 +116,7 @@
 		return nil, err
 	}
 	req.Header.Set("Connection", "Upgrade")
-	req.Header.Set("Upgrade", protocol)
+	req.Header.Set("Upgrade", offeredProtocols)
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
@@ -129,5 +131,13 @@
 	if !stop() {
 		return nil, ctx.Err()
 	}
-	return reader, nil
+	buffered, err := reader.Peek(reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	in := io.MultiReader(bytes.NewReader(buffered), conn)
+	if resp.Header.Get("Upgrade") == framedProtocol {
+		return &framedSocket{Socket: conn, in: in}, nil
+	}
+	return &plainSocket{Socket: conn, in: in}, nil
 }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -4,18 +4,27 @@
 // through a further relay, and answers with a ticket. The daemon then opens a TCP connection to the peer's address and
 // names the ticket in an HTTP upgrade; from there on the peer copies bytes between the two connections and knows
 // nothing of the calls they carry. The calls stay the daemon's own: it has them placed, counts their attempts, and
-// cancels them by closing the connection. A connection that the target resets is reset towards the daemon too, so
-// that a truncated answer looks truncated.
+// cancels them by closing the connection.
+//
+// The end of a target's connection may be the end of an answer, so that of the relay's must not be taken for it. The
+// peer says in frames (see frameWriter) that the target has ended the connection; if its process ends, they break off. A
+// connection that the target resets is reset towards the daemon too.
 package relay
 
 import "doorstack.dev/core/reach"
 
-// path is the HTTP path under which a relay accepts tickets, and protocol the name of the upgrade.
+// path is the HTTP path under which a relay accepts tickets.
+const path = "/relay/"
+
+// The protocols of the upgrade. Daemons of earlier versions know the plain one only.
 const (
-	path     = "/relay/"
-	protocol = "doorstack-relay"
+	framedProtocol = "doorstack-relay-framed"
+	plainProtocol  = "doorstack-relay"
 )
 
+// offeredProtocols is the Upgrade header of a request, which names the preferred protocol first.
+const offeredProtocols = framedProtocol + ", " + plainProtocol
+
 // outcome says whether a relay has connected to a target.
 type outcome string
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +36,34 @@
 	client    *Client
 	server    *Server
 	address   string // of the target
+	accepted  *connTracker
+	older     atomic.Bool // the relay is of a version that knows no frames
+}
+
+// connTracker is a listener that keeps the connections it has accepted.
+type connTracker struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *connTracker) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns = append(l.conns, conn)
+	}
+	return conn, err
+}
+
+// endRelay closes the relay's connections to other daemons, as the kernel does when its process ends.
+func (p *pair) endRelay() {
+	p.accepted.mu.Lock()
+	defer p.accepted.mu.Unlock()
+	for _, conn := range p.accepted.conns {
+		_ = conn.Close()
+	}
 }
 
 func newBoard(name string) *blackboard.Blackboard {
@@ -58,7 +88,16 @@
 	relayHub := peer.NewHub("relay", []string{"key"}, telemetry.NewMetrics())
 	recorder := &telemetry.Recorder{Board: relayBoard, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()}
 	p.server = NewServer(relayBoard, target.NewConnector(), recorder, relayHub)
-	listener := httptest.NewServer(p.server.Handler(relayHub.Handler()))
+	handler := p.server.Handler(relayHub.Handler())
+	listener := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.older.Load() && strings.HasPrefix(r.URL.Path, path) {
+			r.Header.Del("Upgrade")
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	p.accepted = &connTracker{Listener: listener.Listener}
+	listener.Listener = p.accepted
+	listener.Start()
 	hub := peer.NewHub("daemon", []string{"key"}, telemetry.NewMetrics())
 	t.Cleanup(func() {
 		hub.Close()
@@ -74,10 +113,13 @@
 	return p
 }
 
+func testMessage(body string) *forward.Message {
+	return &forward.Message{ID: "1", Method: "POST", Host: "h", URI: "/", Header: http.Header{"X-Request-Id": {"1"}}, Body: []byte(body)}
+}
+
 // send sends a call and returns its answer's body.
 func (p *pair) send(ctx context.Context, body string) (string, error) {
-	message := forward.Message{ID: "1", Method: "POST", Host: "h", URI: "/", Header: http.Header{"X-Request-Id": {"1"}}, Body: []byte(body)}
-	reply, err := p.exchanger.Send(ctx, p.address, &message)
+	reply, err := p.exchanger.Send(ctx, p.address, testMessage(body))
 	if err != nil {
 		return "", err
 	}
@@ -171,8 +213,7 @@
 		_ = conn.SetLinger(0)
 	})
 	p := newPair(t, address)
-	message := forward.Message{ID: "1", Method: "POST", Host: "h", URI: "/", Header: http.Header{}, Body: []byte("x")}
-	reply, err := p.exchanger.Send(t.Context(), p.address, &message)
+	reply, err := p.exchanger.Send(t.Context(), p.address, testMessage("x"))
 	if err != nil {
 		return // The reset overtook the head of the answer.
 	}
@@ -182,6 +223,78 @@
 	}
 }
 
+// An answer without a length must not look complete when the relay's process ends in the middle of it.
+func TestAnswerOfEndedRelayDoesNotLookWhole(t *testing.T) {
+	address := startTarget(t, func(conn *net.TCPConn, in *bufio.Reader) {
+		answer(conn, "", "truncated")
+		_, _ = in.ReadByte()
+	})
+	p := newPair(t, address)
+	reply, err := p.exchanger.Send(t.Context(), p.address, testMessage(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.exchanger.Close(reply)
+	if _, err := io.ReadFull(reply.Body, make([]byte, len("truncated"))); err != nil {
+		t.Fatal(err)
+	}
+	p.endRelay()
+	if rest, err := io.ReadAll(reply.Body); err == nil {
+		t.Fatalf("the answer looks whole, with %q after the relay has ended", rest)
+	}
+}
+
+// The same with the client of the project's own protocol.
+func TestServiceAnswerOfEndedRelayDoesNotLookWhole(t *testing.T) {
+	sent := make(chan struct{})
+	address := startTarget(t, func(conn *net.TCPConn, in *bufio.Reader) {
+		answer(conn, "", "truncated")
+		close(sent)
+		_, _ = in.ReadByte()
+	})
+	p := newPair(t, address)
+	client := target.NewClient()
+	client.UseConnector(p.exchanger.Connect)
+	go func() {
+		<-sent
+		p.endRelay()
+	}()
+	if got, err := client.CallService(t.Context(), address, &target.ServiceCall{Method: http.MethodGet, Path: "/"}); err == nil {
+		t.Fatalf("the answer %q looks whole", got.Body)
+	}
+}
+
+// A relay of an earlier version does not say who has ended the connection: answers with a length are delivered, others
+// do not look whole.
+func TestEndThroughOlderRelayIsNotBelieved(t *testing.T) {
+	p := newPair(t, startTarget(t, func(conn *net.TCPConn, _ *bufio.Reader) { answer(conn, "Content-Length: 5\r\n", "whole") }))
+	p.older.Store(true)
+	if got, err := p.send(t.Context(), ""); err != nil || got != "whole" {
+		t.Errorf("answer with a length: %q, %v", got, err)
+	}
+	p = newPair(t, startTarget(t, func(conn *net.TCPConn, _ *bufio.Reader) { answer(conn, "", "whole") }))
+	p.older.Store(true)
+	if got, err := p.send(t.Context(), ""); !errors.Is(err, target.ErrRelayEnded) {
+		t.Errorf("answer without a length: %q, %v; want ErrRelayEnded", got, err)
+	}
+}
+
+// A daemon of an earlier version gets the target's bytes without frames.
+func TestOlderDaemonIsRelayedWithoutFrames(t *testing.T) {
+	p := newPair(t, startTarget(t, func(conn *net.TCPConn, _ *bufio.Reader) { _, _ = io.WriteString(conn, "answer") }))
+	opened := p.server.connect(t.Context(), "daemon", p.address)
+	conn, err := net.Dial("tcp4", p.accepted.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "GET %s%s HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\ncall\r\n\r\n", path, opened.Ticket, plainProtocol)
+	got, err := io.ReadAll(conn)
+	if want := "Upgrade: " + plainProtocol + "\r\n\r\nanswer"; err != nil || !strings.HasSuffix(string(got), want) {
+		t.Fatalf("%q, %v; want it to end with %q", got, err, want)
+	}
+}
+
 func TestCancelledCallClosesTheTargetsConnection(t *testing.T) {
 	received, closed := make(chan struct{}), make(chan struct{})
 	address := startTarget(t, func(_ *net.TCPConn, in *bufio.Reader) {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -129,11 +129,21 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		s.serveTicket(w, ticket)
+		s.serveTicket(w, ticket, chooseProtocol(r.Header.Get("Upgrade")))
 	})
 }
 
-func (s *Server) serveTicket(w http.ResponseWriter, ticket string) {
+// chooseProtocol returns the protocol for a request with this Upgrade header.
+func chooseProtocol(offered string) string {
+	for name := range strings.SplitSeq(offered, ",") {
+		if strings.TrimSpace(name) == framedProtocol {
+			return framedProtocol
+		}
+	}
+	return plainProtocol
+}
+
+func (s *Server) serveTicket(w http.ResponseWriter, ticket, protocol string) {
 	conn := s.takeTicket(ticket)
 	if conn == nil {
 		http.Error(w, "unknown ticket", http.StatusNotFound)
@@ -150,11 +160,22 @@
 	if _, err := io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err != nil {
 		return
 	}
-	s.relay(caller, buffered.Reader, conn)
+	out := downstream{to: caller, writeEnd: func() error { return nil }}
+	if protocol == framedProtocol {
+		frames := &frameWriter{to: caller}
+		out = downstream{to: frames, writeEnd: frames.writeEnd}
+	}
+	s.relay(caller, buffered.Reader, out, conn)
+}
+
+// downstream is where the bytes of the target go. writeEnd writes that the target has ended the connection in order.
+type downstream struct {
+	to       io.Writer
+	writeEnd func() error
 }
 
 // relay copies bytes in both directions until one side ends.
-func (s *Server) relay(caller net.Conn, in io.Reader, conn *target.RelayedConn) {
+func (s *Server) relay(caller net.Conn, in io.Reader, out downstream, conn *target.RelayedConn) {
 	upstream := make(chan struct{})
 	go func() {
 		defer close(upstream)
@@ -166,7 +187,8 @@
 		// bytes would reset it, and the end of the answer could be lost.
 		_, _ = io.Copy(io.Discard, in)
 	}()
-	if ended, err := copyBytes(caller, conn); ended && err == nil {
+	ended, err := copyBytes(out.to, conn)
+	if ended && err == nil && out.writeEnd() == nil {
 		closeWrite(caller)
 		_ = caller.SetReadDeadline(time.Now().Add(discardTimeout))
 	} else {
--- a/node/target/client.go
+++ b/node/target/client.go
@@ -59,12 +59,13 @@
 }
 
 // ConnectionClosed reports whether a call that may have run failed because the target's end of
-// the connection was closed or reset, as it is when the target's process ends.
+// the connection was closed or reset, as it is when the target's process ends. PathFailed tells that from a failure of
+// the path.
 func ConnectionClosed(err error) bool {
 	if ExecutionOf(err) == fault.NotRun {
 		return false
 	}
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, ErrRelayEnded) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // Client calls targets over HTTP. It is safe for concurrent use.
--- a/node/target/connect.go
+++ b/node/target/connect.go
@@ -29,6 +29,8 @@
 var (
 	// ErrUnreachableFromRelay means that a relay could not connect to the target either.
 	ErrUnreachableFromRelay = errors.New("the relay cannot connect to the target")
+	// ErrRelayEnded means that a relayed connection ended without the relay's word that the target had ended it.
+	ErrRelayEnded = errors.New("the relay ended the connection")
 	// ErrNoPath means that this host has lost its path to the target and that no other daemon relays for it.
 	ErrNoPath = errors.New("this host has no path to the target, and no other host relays for it")
 )
@@ -37,9 +39,9 @@
 type Relays interface {
 	// Candidates returns this daemon and the daemons that may serve as relays.
 	Candidates() (self reach.Relay, relays []reach.Relay)
-	// Open connects to a target through a relay. The reader holds what has been read from the connection. The error
-	// is ErrUnreachableFromRelay if the target is at fault.
-	Open(ctx context.Context, relay, address string) (Socket, *bufio.Reader, error)
+	// Open connects to a target through a relay. The error is ErrUnreachableFromRelay if the target is at fault. Reads
+	// from the connection return io.EOF only if the target has ended it, and ErrRelayEnded if that is not known.
+	Open(ctx context.Context, relay, address string) (Socket, error)
 	// Usable reports whether connections through a relay may carry further calls.
 	Usable(relay string) bool
 	// Targets returns the addresses of all known targets.
@@ -259,9 +261,9 @@
 }
 
 // MayBePathFailure reports whether a call may have failed because of the path to its target: no byte arrived for too long, or
-// the connection was reset. A connection that ends in order was ended by the target.
+// the connection was reset or ended by a relay. Any other connection that ends in order was ended by the target.
 func MayBePathFailure(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, ErrNoPath)
+	return errors.Is(err, ErrRelayEnded) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, ErrNoPath)
 }
 
 // probeCheckInterval is how often it is checked whether a probe of a lost path is due, and forgetInterval how often
--- a/node/target/race.go
+++ b/node/target/race.go
@@ -151,7 +151,7 @@
 func (r *race) connectThrough(ctx context.Context, relay string) {
 	c := r.connector
 	began := time.Now()
-	conn, reader, err := c.Relays.Open(ctx, relay, r.address)
+	conn, err := c.Relays.Open(ctx, relay, r.address)
 	if err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.update(relay, false, func(p *reach.Paths, now time.Time) {
@@ -173,7 +173,7 @@
 	if newlyLost {
 		c.verifyReference(r.address)
 	}
-	pc := newPersistConn(r.address, relay, conn, reader)
+	pc := newPersistConn(r.address, relay, conn, bufio.NewReaderSize(conn, readBufferSize))
 	if !r.deliver(raceResult{relay: relay, conn: pc}) {
 		pc.close()
 	}
