Continue a stream only with events of the same stream

Callers saw the text of a target's 404 appended to a stream that had been resumed there, as a complete success. Cause: the disposition of an answer was decided by its head as if it were the first; only answers of 500 and above had a check for a stream that had started. Change: after the start only a signed 200 of the same media type goes on, and anything else is a failed attempt. The writer refuses a second head.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -98,6 +98,8 @@
 	// Encoded is true if the answer has a content encoding, so that its bytes are not
 	// those that the target produced.
 	Encoded bool
+	// MediaType is the media type of the answer's body without parameters, in lower case; empty if it has none.
+	MediaType string
 	// FailedHelper is the address of the helper that made the call fail, if any.
 	FailedHelper string
 	// Notice is what the answering target says of its own state.
@@ -133,8 +135,12 @@
 	Unusable
 )
 
-// statusMisdirected is the HTTP status of a target that received a message meant for another one.
-const statusMisdirected = 421
+// The HTTP statuses with a meaning of their own: of a stream, and of a target that received a message meant for another
+// one.
+const (
+	statusOK          = 200
+	statusMisdirected = 421
+)
 
 // Classify returns the disposition of the answer with this head.
 func (h *Head) Classify() Disposition {
@@ -158,6 +164,16 @@
 	}
 }
 
+// ClassifyContinuation returns the disposition of an answer that is to continue a stream whose head the caller already
+// has. Only a stream of the same media type can: any other bytes would be appended to the events.
+func (h *Head) ClassifyContinuation(mediaType string) Disposition {
+	d := h.Classify()
+	if d == Rejected || d == Deliver && h.Status == statusOK && h.MediaType == mediaType {
+		return d
+	}
+	return Unusable
+}
+
 // impliesNotExecuted reports whether callers take an HTTP status to mean that the call did not run.
 func impliesNotExecuted(status int) bool {
 	return status == 408 || status == 421 || status == 429 || status == 503
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -63,3 +63,30 @@
 		}
 	})
 }
+
+// TestOnlyAStreamIsAContinuation guards against other bytes being appended to a stream that broke off.
+func TestOnlyAStreamIsAContinuation(t *testing.T) {
+	const stream, text = "text/event-stream", "application/json"
+	for _, c := range []struct {
+		head Head
+		want Disposition
+	}{
+		{Head{Status: 200, Signed: true, MediaType: stream}, Deliver},
+		{Head{Status: 200, Signed: true, MediaType: text}, Unusable},
+		{Head{Status: 200, Signed: true}, Unusable},
+		{Head{Status: 200, MediaType: stream}, Unusable},
+		{Head{Status: 200, Signed: true, Encoded: true, MediaType: stream}, Unusable},
+		{Head{Status: 204, Signed: true, MediaType: stream}, Unusable},
+		{Head{Status: 206, Signed: true, MediaType: stream}, Unusable},
+		{Head{Status: 301, Signed: true, MediaType: stream}, Unusable},
+		{Head{Status: 404, Signed: true, MediaType: stream}, Unusable},
+		{Head{Status: 500, Signed: true, MediaType: stream}, Unusable},
+		{Head{Status: 503, Signed: true}, Unusable},
+		{Head{Status: 503, NotExecuted: true}, Rejected},
+		{Head{Status: 421}, Rejected},
+	} {
+		if got := c.head.ClassifyContinuation(stream); got != c.want {
+			t.Errorf("%+v = %v, want %v", c.head, got, c.want)
+		}
+	}
+}
--- a/node/api/answerwriter.go
+++ b/node/api/answerwriter.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"doorstack.dev/core/fault"
 	"doorstack.dev/node/callmemory"
 	"github.com/go-faster/errors"
 )
@@ -58,7 +59,10 @@
 }
 
 // WriteHead implements requestcontrol.AnswerWriter.
-func (a *answerWriter) WriteHead(status int, h http.Header, length int64) {
+func (a *answerWriter) WriteHead(status int, h http.Header, length int64) error {
+	if a.headWritten {
+		return fault.New(fault.Internal, "the call has been answered already", "report this as a defect").WithExecution(fault.Ran)
+	}
 	a.headWritten, a.buffered = true, length >= 0
 	header := a.w.Header()
 	for name, values := range endToEndHeaders(h) {
@@ -70,6 +74,7 @@
 	}
 	a.closeIfDraining()
 	a.w.WriteHeader(status)
+	return nil
 }
 
 // Write implements requestcontrol.AnswerWriter.
--- a/node/api/answerwriter_test.go
+++ b/node/api/answerwriter_test.go
@@ -81,10 +81,20 @@
 		ctx: ctx, cancel: cancel, progressed: make(chan struct{}, 1), draining: func() bool { return false },
 		notReading: func(int64) { *ended++ },
 	}
-	a.WriteHead(http.StatusOK, http.Header{}, -1)
+	if err := a.WriteHead(http.StatusOK, http.Header{}, -1); err != nil {
+		t.Fatal(err)
+	}
 	return a, ended
 }
 
+// TestSecondHeadIsRefused guards against the body of a second answer being appended to the first.
+func TestSecondHeadIsRefused(t *testing.T) {
+	a, _ := newTestWriter(t, newSlowCaller(func() time.Duration { return 0 }), nil)
+	if err := a.WriteHead(http.StatusNotFound, http.Header{}, 3); err == nil {
+		t.Error("WriteHead of a second answer = nil, want an error")
+	}
+}
+
 // TestSlowCallerDoesNotDelayItsTarget checks that the parts of a stream are taken at once while the caller
 // reads one a second, and reach it in order.
 func TestSlowCallerDoesNotDelayItsTarget(t *testing.T) {
--- a/node/requestcontrol/bufferedanswer.go
+++ b/node/requestcontrol/bufferedanswer.go
@@ -83,7 +83,9 @@
 
 func (f *forwarding) writeBuffered(a *bufferedAnswer) error {
 	f.progress.AnswerStarted = true
-	f.out.WriteHead(a.status, a.header, int64(len(a.body)))
+	if err := f.out.WriteHead(a.status, a.header, int64(len(a.body))); err != nil {
+		return err
+	}
 	if len(a.body) == 0 {
 		return nil
 	}
--- a/node/requestcontrol/caller_disconnect_test.go
+++ b/node/requestcontrol/caller_disconnect_test.go
@@ -44,7 +44,10 @@
 // rejectingAnswerWriter fails the test if an answer is written.
 type rejectingAnswerWriter struct{ t *testing.T }
 
-func (a rejectingAnswerWriter) WriteHead(int, http.Header, int64) { a.t.Error("WriteHead was called") }
+func (a rejectingAnswerWriter) WriteHead(int, http.Header, int64) error {
+	a.t.Error("WriteHead was called")
+	return nil
+}
 
 func (a rejectingAnswerWriter) Flush(context.Context) error { return nil }
 
--- a/node/requestcontrol/disconnect_paths_test.go
+++ b/node/requestcontrol/disconnect_paths_test.go
@@ -51,9 +51,9 @@
 // discardingAnswerWriter discards the answer.
 type discardingAnswerWriter struct{}
 
-func (discardingAnswerWriter) WriteHead(int, http.Header, int64) {}
-func (discardingAnswerWriter) Write([]byte) error                { return nil }
-func (discardingAnswerWriter) Flush(context.Context) error       { return nil }
+func (discardingAnswerWriter) WriteHead(int, http.Header, int64) error { return nil }
+func (discardingAnswerWriter) Write([]byte) error                      { return nil }
+func (discardingAnswerWriter) Flush(context.Context) error             { return nil }
 
 // addTarget adds a target with one slot to the pool of newStreamRequest.
 func addTarget(board *blackboard.Blackboard) {
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -18,8 +18,9 @@
 
 // AnswerWriter writes a forwarded answer to its caller.
 type AnswerWriter interface {
-	// WriteHead sends the status and header; length is -1 if it is unknown.
-	WriteHead(status int, h http.Header, length int64)
+	// WriteHead sends the status and header; length is -1 if it is unknown. An answer has one head: a second one is
+	// refused with a *fault.Error, since its body would be appended to that of the first.
+	WriteHead(status int, h http.Header, length int64) error
 	// Write sends a part of the body. It may return before the caller has received the part; it waits
 	// if the caller has much unread.
 	Write(p []byte) error
@@ -37,6 +38,8 @@
 	// lastEventID is the id of the last event delivered to the caller.
 	lastEventID string
 	eventCount  int
+	// mediaType is that of the answer whose head the caller has received.
+	mediaType string
 	// attemptAnswer is the progress of the answer in the current attempt. partSendEnded ends the cancellation of the
 	// attempt's send by the quarantine of a part.
 	attemptAnswer answerProgress
@@ -291,8 +294,8 @@
 // depending on its status and header.
 func (f *forwarding) handleReply(ctx context.Context, reply *target.Reply, p *blackboard.Placement) error {
 	verdict := reply.Classify()
-	if f.progress.AnswerStarted && verdict == forward.TargetError {
-		verdict = forward.Unusable // The caller already has the head of an earlier answer.
+	if f.progress.AnswerStarted {
+		verdict = reply.ClassifyContinuation(f.mediaType)
 	}
 	switch verdict {
 	case forward.Rejected:
@@ -302,7 +305,8 @@
 		}
 		return errors.Wrap(errRejected, fmt.Sprintf("status %d, failed helper %q", reply.Status, reply.FailedHelper))
 	case forward.Unusable:
-		return errors.Wrap(errUnusable, fmt.Sprintf("status %d, signed by the target: %v", reply.Status, reply.Signed))
+		return errors.Wrap(errUnusable, fmt.Sprintf("status %d, media type %q, signed by the target: %v, after the answer had started: %v",
+			reply.Status, reply.MediaType, reply.Signed, f.progress.AnswerStarted))
 	case forward.TargetError:
 		return f.keepErrorAnswer(ctx, reply)
 	case forward.Deliver:
--- a/node/requestcontrol/relay.go
+++ b/node/requestcontrol/relay.go
@@ -38,18 +38,17 @@
 		if splitter.Partial() {
 			return truncatedError(errors.Wrap(io.ErrUnexpectedEOF, "in the middle of an event"))
 		}
-		f.startAnswer(reply) // A stream without events also has a head.
-		return nil
+		return f.startAnswer(reply) // A stream without events also has a head.
 	}
 }
 
 // startAnswer sends the answer's head to the caller, unless an earlier attempt has sent one.
-func (f *forwarding) startAnswer(reply *target.Reply) {
+func (f *forwarding) startAnswer(reply *target.Reply) error {
 	if f.progress.AnswerStarted {
-		return
+		return nil
 	}
-	f.progress.AnswerStarted = true
-	f.out.WriteHead(reply.Status, reply.Header, -1)
+	f.progress.AnswerStarted, f.mediaType = true, reply.MediaType
+	return f.out.WriteHead(reply.Status, reply.Header, -1)
 }
 
 func (f *forwarding) deliverEvent(e eventstream.Event, reply *target.Reply, p *blackboard.Placement) error {
@@ -58,7 +57,9 @@
 	defer f.silenceWatch.eventReceived() // A caller that reads slowly does not make its target silent.
 	f.recordEventTime(time.Now())
 	f.recordPrefillDone(p)
-	f.startAnswer(reply)
+	if err := f.startAnswer(reply); err != nil {
+		return err
+	}
 	if err := f.out.Write(e.Raw); err != nil {
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -192,6 +193,7 @@
 			return nil, errors.Wrap(err, "read the answer")
 		}
 		head := e.Dialect.ReadHead(resp.StatusCode, resp.Header)
+		head.MediaType = mediaType(resp.Header)
 		if c.ID == "" || head.RequestID == c.ID {
 			return &Reply{Head: head, Header: resp.Header, Body: &answerBody{Reader: resp.Body}, Length: resp.ContentLength, Relay: pc.relay, conn: pc, resp: resp}, nil
 		}
@@ -203,6 +205,12 @@
 	return nil, errors.New("the target's answers have the ids of other calls")
 }
 
+// mediaType returns the media type in a Content-Type header without its parameters, in lower case.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // Close ends the exchange. The connection is reused if the answer was read to its end.
 func (e *Exchanger) Close(r *Reply) {
 	stopped := r.stopDeadline()
