Bound the head of a target's answer

Callers of sound targets lost their answers when another target sent bytes that are no answer: the daemon exceeded its memory and was killed. Cause: http.ReadResponse reads the status line and the header lines of a bare connection without a limit, and informational answers were skipped without one. Change: what is read for the head of an answer is bounded to 32 KiB and 256 lines, the informational answers before it included.

--- a/node/relay/client.go
+++ b/node/relay/client.go
@@ -107,6 +107,9 @@
 	return relayed, nil
 }
 
+// maxUpgradeSize bounds the answer to an upgrade, in bytes.
+const maxUpgradeSize = 4 << 10
+
 // upgrade exchanges a ticket for the relayed connection.
 func upgrade(ctx context.Context, conn target.Socket, host, ticket string) (target.Socket, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
@@ -120,7 +123,7 @@
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(io.LimitReader(conn, maxUpgradeSize))
 	resp, err := http.ReadResponse(reader, req) //nolint:bodyclose // The connection's bytes follow; there is no body.
 	if err != nil {
 		return nil, err
--- a/node/target/client.go
+++ b/node/target/client.go
@@ -86,6 +86,8 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadSize,
 	}
 	return &Client{http: &http.Client{Transport: transport}, transport: transport}
 }
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -21,7 +21,8 @@
 	address     string
 	relay       string // the daemon that relays the connection, or empty
 	conn        Socket
-	reader      *bufio.Reader
+	head        *headLimit
+	reader      *bufio.Reader // reads through head
 	idleSince   time.Time
 	idleTimeout time.Duration
 	// kept reports that the connection was idle before the current call.
@@ -38,8 +39,12 @@
 	unacked time.Duration
 }
 
-func newPersistConn(address, relay string, conn Socket, reader *bufio.Reader) *persistConn {
-	return &persistConn{address: address, relay: relay, conn: conn, reader: reader, idleTimeout: defaultIdleTimeout, unacked: unackedTimeout}
+func newPersistConn(address, relay string, conn Socket) *persistConn {
+	head := &headLimit{conn: conn}
+	return &persistConn{
+		address: address, relay: relay, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize),
+		idleTimeout: defaultIdleTimeout, unacked: unackedTimeout,
+	}
 }
 
 // maxInlineWrite is the largest body, in bytes, that is written before the answer is read.
@@ -83,6 +88,8 @@
 
 // readFinalResponse reads the head of the next final response and skips informational ones (1xx).
 func (pc *persistConn) readFinalResponse(req *http.Request) (*http.Response, error) {
+	pc.head.begin()
+	defer pc.head.end()
 	for {
 		resp, err := http.ReadResponse(pc.reader, req)
 		if err != nil {
--- a/node/target/connect.go
+++ b/node/target/connect.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -155,7 +154,7 @@
 		}
 		return false
 	}
-	c.spare(newPersistConn(reference, "", conn, bufio.NewReaderSize(conn, readBufferSize)))
+	c.spare(newPersistConn(reference, "", conn))
 	return true
 }
 
@@ -300,7 +299,7 @@
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	if conn, err := c.ConnectDirect(ctx, address); err == nil {
-		c.spare(newPersistConn(address, "", conn, bufio.NewReaderSize(conn, readBufferSize)))
+		c.spare(newPersistConn(address, "", conn))
 	}
 }
 
--- /dev/null
+++ b/node/target/endless_answers_test.go
@@ -0,0 +1,101 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"doorstack.dev/core/fault"
+)
+
+// maxEndlessBytes bounds what a test's server sends without end, and maxBytesTaken what may have left it by the time
+// the daemon closes the connection: a few heads, and the buffers of both kernels.
+const (
+	maxEndlessBytes = 64 << 20
+	maxBytesTaken   = 16 << 20
+)
+
+// repeatUntilClosed writes text again and again until the connection fails, and returns the bytes written.
+func repeatUntilClosed(conn net.Conn, text string) int64 {
+	part := strings.Repeat(text, 1+(32<<10)/len(text))
+	sent := int64(0)
+	for sent < maxEndlessBytes {
+		n, err := io.WriteString(conn, part)
+		sent += int64(n)
+		if err != nil {
+			break
+		}
+	}
+	return sent
+}
+
+// TestHeadWithoutEndIsGivenUp guards against a target that exhausts the daemon's memory, or its time, with bytes without
+// end before or in the head of an answer.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ first, endless string }{
+		"status line":            {"", "\x00"},
+		"header lines":           {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+		"header value":           {"HTTP/1.1 200 OK\r\nValue: ", "x"},
+		"folded header":          {"HTTP/1.1 200 OK\r\nValue: x\r\n", " x\r\n"},
+		"informational answers":  {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		"after another answer":   {answerText("other", "body"), "\x00"},
+		"answers to other calls": {"", answerText("other", "body")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int64, 1)
+			address, _ := startScriptedServer(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
+				drainBody(r)
+				_, _ = io.WriteString(conn, c.first)
+				sent <- repeatUntilClosed(conn, c.endless)
+				return false
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			e := NewExchanger(testDialect{}, NewConnector())
+			_, err := e.Send(ctx, address, testMessage("x", ""))
+			if err == nil || ctx.Err() != nil || ExecutionOf(err) != fault.Unknown {
+				t.Errorf("Send = %v, with context %v; want an error of unknown execution before the deadline", err, ctx.Err())
+			}
+			if n := <-sent; n > maxBytesTaken {
+				t.Errorf("the target could send %d bytes, want at most %d", n, int64(maxBytesTaken))
+			}
+		})
+	}
+}
+
+// TestClientGivesUpHeadWithoutEnd is the same for the client of the project's own protocol.
+func TestClientGivesUpHeadWithoutEnd(t *testing.T) {
+	sent := make(chan int64, 1)
+	address, _ := startScriptedServer(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
+		drainBody(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nValue: ")
+		sent <- repeatUntilClosed(conn, "x")
+		return false
+	})
+	if _, err := NewClient().CallService(t.Context(), address, &ServiceCall{Method: http.MethodGet, Path: "/"}); ExecutionOf(err) != fault.Unknown {
+		t.Errorf("CallService = %v, want an error of unknown execution", err)
+	}
+	if n := <-sent; n > maxBytesTaken {
+		t.Errorf("the target could send %d bytes, want at most %d", n, int64(maxBytesTaken))
+	}
+}
+
+// TestSoundHeadsStayWithinTheBounds covers a head that is large but sound, after an informational answer.
+func TestSoundHeadsStayWithinTheBounds(t *testing.T) {
+	header := strings.Repeat("X-Header: "+strings.Repeat("v", 100)+"\r\n", 100)
+	address, _ := startScriptedServer(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
+		drainBody(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: x\r\n"+header+"Content-Length: 4\r\n\r\nbody")
+		return true
+	})
+	e := NewExchanger(testDialect{}, NewConnector())
+	for range 3 { // The bounds begin anew with each call on a connection.
+		if got, err := sendAndRead(t, e, address, testMessage("x", "")); err != nil || got != "body" {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+}
--- a/node/target/race.go
+++ b/node/target/race.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bufio"
 	"context"
 	"sync"
 	"time"
@@ -142,7 +141,7 @@
 		r.results <- raceResult{err: err}
 		return
 	}
-	pc := newPersistConn(r.address, "", conn, bufio.NewReaderSize(conn, readBufferSize))
+	pc := newPersistConn(r.address, "", conn)
 	if !r.deliver(raceResult{conn: pc}) {
 		c.spare(pc)
 	}
@@ -173,7 +172,7 @@
 	if newlyLost {
 		c.verifyReference(r.address)
 	}
-	pc := newPersistConn(r.address, relay, conn, bufio.NewReaderSize(conn, readBufferSize))
+	pc := newPersistConn(r.address, relay, conn)
 	if !r.deliver(raceResult{relay: relay, conn: pc}) {
 		pc.close()
 	}
