Bound what targets' answers take together while they are read

Callers of sound targets can lose their answers when many targets' answers have no end: the daemon exceeds the memory of its host, or half-read answers wait for each other's memory. Cause: bodies of rejections (8 MiB each) and unfinished events (1 MiB each) were not counted in the memory for calls, and answers that were being read held what others waited for. Change: a body that is not needed is discarded up to 64 KiB, unfinished events are counted, a declared length over the limit is refused at once, and while answers that are being read hold over half of the exhausted memory the largest gives way (callmemory.Hold).

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -68,6 +68,9 @@
 	return nil
 }
 
+// Pending returns the number of bytes held of an incomplete event.
+func (s *Splitter) Pending() int { return len(s.pending) }
+
 // Partial reports whether the bytes so far end in the middle of an event.
 func (s *Splitter) Partial() bool { return len(s.pending) > 0 }
 
--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -210,6 +210,28 @@
 	return a.Do(ctx, f.client)
 }
 
+// allowRepeats sends sound calls to the first daemon: a new process may repeat a share of its calls only.
+func (f *fleet) allowRepeats() {
+	f.scriptAll(standin.Succeed("ok"))
+	for range 40 {
+		f.do(f.newRequest(safePath))
+	}
+}
+
+// metrics returns the metrics of a daemon as text.
+func (f *fleet) metrics(d *testDaemon) string {
+	resp, err := f.client.Get("http://" + d.Config.Admin + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return string(text)
+}
+
 // callsWithID returns the calls with a request id that reached any target.
 func (f *fleet) callsWithID(id string) []standin.Call {
 	var list []standin.Call
--- a/node/onplatform/resumed_streams_test.go
+++ b/node/onplatform/resumed_streams_test.go
@@ -58,10 +58,7 @@
 	}
 	f.store.PutConfig(next)
 	f.eventually("the new attempts", func() bool { return f.settingsRevision(f.daemons[0]) > 1 })
-	f.scriptAll(standin.AnswerStream(1, 8, false))
-	for range 40 { // A new process may repeat a share of its calls only.
-		f.do(f.newRequest(streamPath))
-	}
+	f.allowRepeats()
 	answerRest := func(w http.ResponseWriter, r *http.Request, c standin.Call) {
 		from := 0
 		_, _ = fmt.Sscan(c.LastEventID(), &from)
--- a/node/requestcontrol/bufferedanswer.go
+++ b/node/requestcontrol/bufferedanswer.go
@@ -15,6 +15,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// held is what the answer takes of the director's memory, in bytes.
+	held int64
 }
 
 // keepErrorAnswer keeps a target's own error answer, which the caller receives unless
@@ -24,61 +26,61 @@
 	if err != nil {
 		return truncatedError(err)
 	}
+	f.releaseErrorAnswer()
 	f.errorAnswer = answer
 	return errors.Wrap(errTargetError, fmt.Sprintf("status %d", reply.Status))
 }
 
+// releaseErrorAnswer drops the kept error answer, if there is one.
+func (f *forwarding) releaseErrorAnswer() {
+	if f.errorAnswer != nil {
+		f.director.Memory.Release(f.errorAnswer.held)
+		f.errorAnswer = nil
+	}
+}
+
 // maxBufferedAnswer bounds, in bytes, an answer that is buffered before delivery, so that a
 // caller never receives half of one and a repeatable call can go to another target.
 const maxBufferedAnswer = 8 << 20
 
-// unaccountedAnswer is the part of a buffered answer, in bytes, that each call may hold whatever the others
-// hold, so that each goes on.
+// unaccountedAnswer is the part of a buffered answer or of an event, in bytes, that each call may hold whatever the
+// others hold, so that each goes on.
 const unaccountedAnswer = 16 << 10
 
+var errAnswerTooLarge = errors.New("the answer exceeds the size limit")
+
 // holdAnswer reads an answer to its end within the memory for calls. While that is exhausted, the target has
 // to wait.
 func (f *forwarding) holdAnswer(ctx context.Context, reply *target.Reply) (*bufferedAnswer, error) {
-	read := int64(0)
-	return readAnswer(reply, func(n int) error {
-		read += int64(n)
-		if read <= unaccountedAnswer {
-			return nil
-		}
-		if err := f.director.Memory.Reserve(ctx, int64(n)); err != nil {
-			return err
-		}
-		f.heldBytes += int64(n)
-		return nil
-	})
-}
-
-// bufferAnswer reads a short answer, such as a rejection, to its end.
-func bufferAnswer(reply *target.Reply) (*bufferedAnswer, error) {
-	return readAnswer(reply, func(int) error { return nil })
-}
-
-// readAnswer reads an answer to its end. It calls hold with the length of each part that it has read.
-func readAnswer(reply *target.Reply, hold func(n int) error) (*bufferedAnswer, error) {
+	if reply.Length > maxBufferedAnswer {
+		return nil, errAnswerTooLarge
+	}
 	var body []byte
 	chunk := make([]byte, relayBufferSize)
 	for {
 		n, err := reply.Body.Read(chunk)
-		if holdErr := hold(n); holdErr != nil {
-			return nil, holdErr
+		if growErr := f.growHold(ctx, len(body)+n); growErr != nil {
+			return nil, growErr
 		}
 		body = append(body, chunk[:n]...)
-		if errors.Is(err, io.EOF) || len(body) > maxBufferedAnswer {
-			break
+		if len(body) > maxBufferedAnswer {
+			return nil, errAnswerTooLarge
+		}
+		if errors.Is(err, io.EOF) {
+			return &bufferedAnswer{status: reply.Status, header: reply.Header, body: body, held: f.hold.Keep()}, nil
 		}
 		if err != nil {
 			return nil, err
 		}
 	}
-	if len(body) > maxBufferedAnswer {
-		return nil, errors.New("the answer exceeds the size limit")
+}
+
+// growHold reserves memory for size bytes of the answer that is being read, but for the part that is not accounted.
+func (f *forwarding) growHold(ctx context.Context, size int) error {
+	if more := int64(size) - unaccountedAnswer - f.hold.Size(); more > 0 {
+		return f.hold.Grow(ctx, more)
 	}
-	return &bufferedAnswer{status: reply.Status, header: reply.Header, body: body}, nil
+	return nil
 }
 
 func (f *forwarding) writeBuffered(a *bufferedAnswer) error {
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -12,6 +12,7 @@
 	"doorstack.dev/core/forward"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/callmemory"
 	"doorstack.dev/node/target"
 	"github.com/go-faster/errors"
 )
@@ -64,8 +65,8 @@
 	prefilledAttempt string
 	// silenceWatch watches the current attempt.
 	silenceWatch *silenceWatch
-	// heldBytes is what buffered answers take of the director's memory.
-	heldBytes int64
+	// hold is the memory of the answer that the current attempt reads.
+	hold *callmemory.Hold
 	// counted reports that the call is counted in the fleet's repeat budget, and repeatReserved that a repeat is reserved
 	// there for the next send.
 	counted        bool
@@ -80,7 +81,7 @@
 	f := &forwarding{director: d, request: r, out: out, lastEventID: r.LastEventID, progress: forward.Progress{
 		Rules: forward.Rules{Repeatable: r.Route.Repeatable, MaxAttempts: r.Path.MaxAttempts},
 	}}
-	defer func() { d.Memory.Release(f.heldBytes) }()
+	defer f.releaseErrorAnswer()
 	defer f.returnRepeat()
 	err := f.run(ctx)
 	if flushErr := out.Flush(ctx); err == nil && flushErr != nil {
@@ -128,7 +129,7 @@
 // one, and otherwise with the error for the caller.
 func (f *forwarding) finishFailed(ctx context.Context, err error) error {
 	if f.errorAnswer != nil && !f.progress.AnswerStarted && ctx.Err() == nil {
-		return f.writeBuffered(f.errorAnswer)
+		return f.writeBuffered(f.errorAnswer) // Forward releases it.
 	}
 	execution := f.progress.Execution()
 	var typed *fault.Error
@@ -245,6 +246,8 @@
 	f.partSendEnded = d.cancelOnPartQuarantine(r, watch.cancel)
 	defer f.partSendEnded()
 	f.silenceWatch = watch
+	f.hold = d.Memory.NewHold(func() { watch.cancel(callmemory.ErrGaveWay) })
+	defer f.hold.Release()
 	reply, err := d.Exchanger.Send(attemptCtx, p.Address, &call)
 	if err != nil {
 		f.lastRelay = target.RelayOf(err)
@@ -300,7 +303,7 @@
 	switch verdict {
 	case forward.Rejected:
 		f.failedHelper = reply.FailedHelper
-		if _, err := bufferAnswer(reply); err != nil {
+		if err := reply.Discard(); err != nil {
 			return errors.Wrap(errRejected, err.Error())
 		}
 		return errors.Wrap(errRejected, fmt.Sprintf("status %d, failed helper %q", reply.Status, reply.FailedHelper))
@@ -312,13 +315,14 @@
 	case forward.Deliver:
 	}
 	if f.request.Path.Kind == settings.CallStreaming && reply.Status == http.StatusOK {
-		return f.relay(reply, p)
+		return f.relay(ctx, reply, p)
 	}
 	f.attemptAnswer.began = time.Now()
 	answer, err := f.holdAnswer(ctx, reply)
 	if err != nil {
 		return truncatedError(err)
 	}
+	defer func() { f.director.Memory.Release(answer.held) }()
 	return f.writeBuffered(answer)
 }
 
--- a/node/requestcontrol/relay.go
+++ b/node/requestcontrol/relay.go
@@ -1,6 +1,7 @@
 package requestcontrol
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -19,7 +20,7 @@
 
 // relay delivers a stream's events to the caller as they arrive, complete ones only.
 // It returns nil at the end of the stream.
-func (f *forwarding) relay(reply *target.Reply, p *blackboard.Placement) error {
+func (f *forwarding) relay(ctx context.Context, reply *target.Reply, p *blackboard.Placement) error {
 	splitter := eventstream.Splitter{MaxEvent: maxEventSize}
 	splitter.ResumeAfter(f.lastEventID)
 	deliver := func(e eventstream.Event) error { return f.deliverEvent(e, reply, p) }
@@ -29,6 +30,9 @@
 		if pushErr := splitter.Push(buffer[:n], deliver); pushErr != nil {
 			return pushErr
 		}
+		if holdErr := f.holdPending(ctx, splitter.Pending()); holdErr != nil {
+			return truncatedError(holdErr)
+		}
 		if err == nil {
 			continue
 		}
@@ -42,6 +46,15 @@
 	}
 }
 
+// holdPending accounts for the size of an incomplete event.
+func (f *forwarding) holdPending(ctx context.Context, size int) error {
+	if unused := f.hold.Size() - max(0, int64(size)-unaccountedAnswer); unused > 0 {
+		f.hold.Shrink(unused)
+		return nil
+	}
+	return f.growHold(ctx, size)
+}
+
 // startAnswer sends the answer's head to the caller, unless an earlier attempt has sent one.
 func (f *forwarding) startAnswer(reply *target.Reply) error {
 	if f.progress.AnswerStarted {
--- a/node/requestcontrol/reservations.go
+++ b/node/requestcontrol/reservations.go
@@ -186,7 +186,7 @@
 		return err
 	}
 	h.director.Recorder.RecordNotice(h.request.Route.Pool.Name, r.target, reply.TargetNotice(), reply.Sent)
-	_, err = bufferAnswer(reply)
+	err = reply.Discard()
 	exchanger.Close(reply)
 	if err != nil {
 		return err
--- a/node/requestcontrol/silence.go
+++ b/node/requestcontrol/silence.go
@@ -8,6 +8,7 @@
 
 	"doorstack.dev/core/forward"
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/callmemory"
 	"github.com/go-faster/errors"
 )
 
@@ -145,6 +146,8 @@
 	case err == nil:
 	case errors.Is(cause, errQuarantined):
 		err = errors.Wrap(errQuarantined, err.Error())
+	case errors.Is(cause, callmemory.ErrGaveWay):
+		err = errors.Wrap(callmemory.ErrGaveWay, err.Error())
 	case errors.Is(cause, errSilent):
 		err = errors.Wrap(errSilent, fmt.Sprintf("%v; timeouts %v to the first event, %v between events", err, s.timeouts.FirstEvent, s.timeouts.BetweenEvents))
 	}
--- a/node/target/endless_answers_test.go
+++ b/node/target/endless_answers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"doorstack.dev/core/fault"
+	"github.com/go-faster/errors"
 )
 
 // maxEndlessBytes bounds what a test's server sends without end, and maxBytesTaken what may have left it by the time
@@ -99,3 +100,27 @@
 		}
 	}
 }
+
+// TestDiscardedBodyWithoutEndIsGivenUp guards against a target that exhausts the daemon's memory with the body of an answer
+// whose head says all that is needed.
+func TestDiscardedBodyWithoutEndIsGivenUp(t *testing.T) {
+	sent := make(chan int64, 1)
+	address, _ := startScriptedServer(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
+		drainBody(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nId: x\r\n\r\n")
+		sent <- repeatUntilClosed(conn, "x")
+		return false
+	})
+	e := NewExchanger(testDialect{}, NewConnector())
+	reply, err := e.Send(t.Context(), address, testMessage("x", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := reply.Discard(); !errors.Is(err, errBodyTooLong) {
+		t.Errorf("Discard = %v, want errBodyTooLong", err)
+	}
+	e.Close(reply)
+	if n := <-sent; n > maxBytesTaken {
+		t.Errorf("the target could send %d bytes, want at most %d", n, int64(maxBytesTaken))
+	}
+}
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// errBodyTooLong means that a body that is only discarded is longer than maxDrainSize.
+var errBodyTooLong = errors.New("the body of the target's answer exceeds the size limit")
+
+// Discard reads a body that is not needed to its end, so that the connection can be reused. It gives up after
+// maxDrainSize.
+func (r *Reply) Discard() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainSize))
+	if err == nil && n == maxDrainSize {
+		return errBodyTooLong
+	}
+	return err
+}
+
 // answerBody records whether an answer was read to its end.
 type answerBody struct {
 	io.Reader
