--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -28,6 +28,7 @@
 	client  *http.Client
 	config  standin.Config
 	lastID  int
+	peerKey string // the common key of the daemons
 }
 
 // testDaemon is a running daemon of a fleet.
@@ -88,7 +89,7 @@
 // engines are added with addTarget.
 func newFleet(t *testing.T, daemons, plainTargets int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}, config: testConfig(1)}
+	f := &fleet{t: t, store: standin.NewStore(), targets: map[string]*standin.Target{}, config: testConfig(1), peerKey: "the key of the fleet under test"}
 	f.client = newCallerClient(t)
 	for i := range plainTargets {
 		f.addTarget(fmt.Sprint("t", i+1), plainService, 6)
@@ -141,7 +142,7 @@
 	// configFileOf derives the fleet's key from the store's address, which differs between daemons
 	// here: they need a common key.
 	file := configFileOf(boot, metrics)
-	file.PeerKeys = []string{"the key of the fleet under test"}
+	file.PeerKeys = []string{f.peerKey}
 	log := slog.New(slog.NewJSONHandler(d.log, nil))
 	if d.Daemon, err = daemon.NewWithAdapter(&file, newAdapter(boot, log), log); err != nil {
 		f.t.Fatal(err)
