Let a call go back to its target after its relay has ended

Callers of a pool with one target waited four seconds and got a broken stream when the relay of their call ended, although the target was sound. Cause: each failed attempt excludes its target for the rest of the call, also where the connection was ended by a relay. Change: such an attempt excludes nothing. Result measured: TestCallOfKilledRelayMayReturnToItsTarget failed before (unexpected EOF after 4.27 s) and passes 4 of 4 with -race.

--- a/node/onplatform/killed_relay_test.go
+++ b/node/onplatform/killed_relay_test.go
@@ -64,47 +64,71 @@
 	return eventTexts(last+1, 8)
 }
 
-// TestAnswerThroughKilledRelayIsNotWhole guards against the end of a relay's process being taken for the end of an answer
-// that has no length: the call is sent again or resumed if it may be, and looks broken otherwise.
-func TestAnswerThroughKilledRelayIsNotWhole(t *testing.T) {
+// buildDaemon builds doorstackd and returns the path of the program.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "doorstackd")
 	if out, err := exec.Command("go", "build", "-o", program, "doorstack.dev/node/cmd/doorstackd").CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v: %s", err, out)
 	}
-	const stream = "text/event-stream"
+	return program
+}
+
+// doThroughKilledRelay sends a call through a relay, a process that is killed after the target has sent the beginning of its
+// answer. Later calls of targets get the answer of rest, which is passed the Last-Event-Id. The daemon's own path works
+// again by then.
+func doThroughKilledRelay(t *testing.T, program, path string, targets int, contentType, begin string, rest func(after string) string) standin.CallerResponse {
+	f := newFleet(t, 0, targets)
+	endpoint := f.store.OpenEndpoint()
+	t.Cleanup(endpoint.Close)
+	f.peerKey = "fleet of the store at " + endpoint.Address()
+	f.waitReady(f.addDaemon(0))
+	relay := f.startProcess(program, endpoint)
+	sent := make(chan struct{})
+	f.scriptFirstCall(unframedThenHang(contentType, begin, func() { close(sent) }), func(w http.ResponseWriter, r *http.Request, call standin.Call) {
+		answerTyped(http.StatusOK, contentType, rest(call.LastEventID()))(w, r, call)
+	})
+	f.daemons[0].path.set(pathRefused)
+	answer := make(chan standin.CallerResponse, 1)
+	request := f.newRequest(path)
+	go func() { answer <- f.do(request) }()
+	<-sent
+	f.daemons[0].path.set(pathWorks)
+	if err := relay.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	return <-answer
+}
+
+const eventStreamType = "text/event-stream"
+
+// TestAnswerThroughKilledRelayIsNotWhole guards against the end of a relay's process being taken for the end of an answer
+// that has no length: the call is sent again or resumed if it may be, and looks broken otherwise.
+func TestAnswerThroughKilledRelayIsNotWhole(t *testing.T) {
+	program := buildDaemon(t)
 	for path, c := range map[string]struct {
 		contentType, begin, want string
 		rest                     func(after string) string
 	}{
 		safePath:         {"text/plain", "begin", "whole", func(string) string { return "whole" }},
 		unsafePath:       {"text/plain", "begin", "", func(string) string { return "whole" }},
-		streamPath:       {stream, eventTexts(1, 5), eventTexts(1, 8), eventsAfter},
-		nonResumablePath: {stream, eventTexts(1, 5), "", eventsAfter},
+		streamPath:       {eventStreamType, eventTexts(1, 5), eventTexts(1, 8), eventsAfter},
+		nonResumablePath: {eventStreamType, eventTexts(1, 5), "", eventsAfter},
 	} {
 		t.Run(path, func(t *testing.T) {
-			f := newFleet(t, 0, 2)
-			endpoint := f.store.OpenEndpoint()
-			t.Cleanup(endpoint.Close)
-			f.peerKey = "fleet of the store at " + endpoint.Address()
-			f.waitReady(f.addDaemon(0))
-			relay := f.startProcess(program, endpoint)
-			sent := make(chan struct{})
-			f.scriptFirstCall(unframedThenHang(c.contentType, c.begin, func() { close(sent) }), func(w http.ResponseWriter, r *http.Request, call standin.Call) {
-				answerTyped(http.StatusOK, c.contentType, c.rest(call.LastEventID()))(w, r, call)
-			})
-			f.daemons[0].path.set(pathRefused)
-			answer := make(chan standin.CallerResponse, 1)
-			request := f.newRequest(path)
-			go func() { answer <- f.do(request) }()
-			<-sent
-			f.daemons[0].path.set(pathWorks)
-			if err := relay.Process.Kill(); err != nil {
-				t.Fatal(err)
-			}
-			got := <-answer
+			got := doThroughKilledRelay(t, program, path, 2, c.contentType, c.begin, c.rest)
 			if whole := got.Err == nil && got.Status == http.StatusOK; whole != (c.want != "") || whole && got.Body != c.want {
 				t.Errorf("answer = %d %q %v, want %q", got.Status, got.Body, got.Err, c.want)
 			}
 		})
 	}
 }
+
+// TestCallOfKilledRelayMayReturnToItsTarget guards against a sound target being avoided because a relay ended: the only
+// target of the pool goes on with the stream.
+func TestCallOfKilledRelayMayReturnToItsTarget(t *testing.T) {
+	got := doThroughKilledRelay(t, buildDaemon(t), streamPath, 1, eventStreamType, eventTexts(1, 5), eventsAfter)
+	if got.Err != nil || got.Status != http.StatusOK || got.Body != eventTexts(1, 8) {
+		t.Errorf("answer = %d %q %v, want the whole stream", got.Status, got.Body, got.Err)
+	}
+}
--- a/node/requestcontrol/attemptend.go
+++ b/node/requestcontrol/attemptend.go
@@ -18,7 +18,9 @@
 		f.director.recordEnd(f.request, end)
 		return
 	}
-	f.excluded = append(f.excluded, end.target)
+	if !errors.Is(err, target.ErrRelayEnded) { // The end of a relay says nothing of the target.
+		f.excluded = append(f.excluded, end.target)
+	}
 	if end.cancelled || !target.MayBePathFailure(err) && !errors.Is(err, errSilent) {
 		f.director.recordEnd(f.request, end)
 		return
