Close the connection where no answer was written

A caller that sent a whole request and closed its sending side got 200 with an empty body and no signature, for an unsafe call too, which no target had run. Cause: a call whose caller counts as gone gets no answer, and net/http writes a 200 for a handler that returns without one. Change: api.RequireAnswer, in front of the callers' listener, closes the connection instead. Result measured: TestHalfClosedCallerGetsNoSuccessOfTheDaemon failed before with a 200 for all six kinds of routes, chunked bodies that end early, a draining and a starting daemon; passes with -race.

--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -33,7 +33,7 @@
 	if d.adapter != nil {
 		handler = callers.PathHandler(d.adapter.Dialect)
 	}
-	if d.callerServer, err = newServer("listen", &d.Config.Listen, handler); err != nil {
+	if d.callerServer, err = newServer("listen", &d.Config.Listen, api.RequireAnswer(handler)); err != nil {
 		return err
 	}
 	adminServer, err := newServer("admin", &d.Config.Admin, operators.Handler())
--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -122,8 +122,25 @@
 
 // addDaemon starts daemon i with all earlier daemons as seeds. It does not wait until it is ready.
 func (f *fleet) addDaemon(i int) *testDaemon {
+	f.t.Helper()
+	return f.addDaemonAt(i, f.store.OpenEndpoint())
+}
+
+// addDaemonWithoutStore starts a daemon that stays in its start, since the store refuses it and it knows no other daemon.
+func (f *fleet) addDaemonWithoutStore() *testDaemon {
 	f.t.Helper()
 	endpoint := f.store.OpenEndpoint()
+	endpoint.Refuse(true)
+	others := f.daemons
+	f.daemons = nil
+	d := f.addDaemonAt(len(others), endpoint)
+	f.daemons = append(others, d)
+	return d
+}
+
+// addDaemonAt starts daemon i, which reaches the store at an endpoint.
+func (f *fleet) addDaemonAt(i int, endpoint *standin.Endpoint) *testDaemon {
+	f.t.Helper()
 	f.t.Cleanup(endpoint.Close)
 	ip, metrics, err := net.SplitHostPort(testaddr.Free(f.t))
 	if err != nil {
