Match routes on the path that is sent

Callers got 502 for a path that begins with two slashes, and /a%2Fb/c was run by the service of /a/b/. Cause: routes were matched on the decoded path, while the path was sent as it came, through a url.URL that writes some paths differently. Change: one value, the bytes of the request line, is matched and sent; the request line is written by writeCall. Not done: the 400 for a path with an invalid escape comes from the HTTP server and does not say what is wrong.

--- a/core/settings/paths.go
+++ b/core/settings/paths.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -123,7 +124,8 @@
 
 // MatchPath returns the route of a host name and path with the longest matching prefix, or nil.
 // Prefixes end with a slash, so it does one lookup for each slash of the path, regardless of
-// the number of routes. A port in host is ignored.
+// the number of routes. A port in host is ignored. The path is the one that is forwarded: escapes in it
+// are not decoded, and dot segments are names like any other.
 func (t *Tree) MatchPath(host, path string) *ResolvedPath {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -154,11 +156,23 @@
 			p = t.resolvePath(name, r)
 		}
 		t.pathsByName[name] = p
-		key := pathKey{p.Host, p.Prefix}
-		if other := t.pathsByPrefix[key]; other == nil || name < other.Name {
-			t.pathsByPrefix[key] = p
-		}
+		t.indexPath(pathKey{p.Host, p.Prefix}, p)
+		t.indexPath(pathKey{p.Host, escapedPath(p.Prefix)}, p) // Callers escape what the settings may spell out.
+	}
+}
+
+func (t *Tree) indexPath(key pathKey, p *ResolvedPath) {
+	if other := t.pathsByPrefix[key]; other == nil || p.Name < other.Name {
+		t.pathsByPrefix[key] = p
+	}
+}
+
+// escapedPath returns a path as it is written in a request. A path that has escapes already is returned as it is.
+func escapedPath(path string) string {
+	if strings.Contains(path, "%") {
+		return path
 	}
+	return (&url.URL{Path: path}).EscapedPath()
 }
 
 func (t *Tree) resolvePath(name string, r *PathRoute) *ResolvedPath {
--- a/node/api/hold.go
+++ b/node/api/hold.go
@@ -179,7 +179,7 @@
 		Age: s.board.Age(), CallerTimeout: c.Timeout, Waited: time.Since(c.arrivedAt), FirstEventTimeout: forward.CallerStreamTimeout(0, 0),
 	}
 	if view := s.board.Settings.Current(); view != nil {
-		if path := view.Tree.MatchPath(c.r.Host, c.r.URL.Path); path != nil {
+		if path := view.Tree.MatchPath(c.r.Host, c.uri.path()); path != nil {
 			state.FirstEventTimeout = 0
 			if path.Kind == settings.CallStreaming {
 				state.FirstEventTimeout = forward.CallerStreamTimeout(path.Goal, path.GapGoal)
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -38,6 +38,7 @@
 	w         http.ResponseWriter
 	r         *http.Request
 	arrivedAt time.Time
+	uri       requestURI
 	view      *blackboard.SettingsView
 	account   *settings.ClientAccount
 	path      *settings.ResolvedPath
@@ -48,7 +49,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *pathServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &pathCall{Call: s.dialect.ReadCall(r.Header), w: w, r: r, arrivedAt: time.Now()}
+	c := &pathCall{Call: s.dialect.ReadCall(r.Header), w: w, r: r, arrivedAt: time.Now(), uri: requestURIOf(r)}
 	c.answer = s.newAnswerWriter(c)
 	err := s.run(c)
 	outcome := "whole"
@@ -194,7 +195,7 @@
 // resolve sets the path and the account of a call. On an open path, a call without a valid API
 // key is served for the anonymous account.
 func (s *pathServer) resolve(c *pathCall) error {
-	c.path = c.view.Tree.MatchPath(c.r.Host, c.r.URL.Path)
+	c.path = c.view.Tree.MatchPath(c.r.Host, c.uri.path())
 	if c.path == nil {
 		return fault.New(fault.NoRoute, "no configured path matches this host name and path", "use a path of the settings")
 	}
@@ -232,7 +233,7 @@
 		LastEventID: c.LastEventID,
 		SharedParts: c.SharedParts, DeclaredPrompt: c.DeclaredPrompt,
 		Forward: &forward.Message{
-			ID: c.ID, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
+			ID: c.ID, Method: c.r.Method, URI: string(c.uri), Host: c.r.Host,
 			Header: endToEndHeaders(c.r.Header), Body: body, CallerDisconnected: callerDisconnected(c.r),
 		},
 	}
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -2,8 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"doorstack.dev/core/forward"
 	"doorstack.dev/node/sock"
 	"golang.org/x/sys/unix"
 )
@@ -53,30 +53,41 @@
 const maxInlineWrite = 16 << 10
 
 // startWrite writes a call, in the background where its body exceeds maxInlineWrite.
-func (pc *persistConn) startWrite(req *http.Request, body []byte) {
-	if len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-	}
-	if req.Header.Get("User-Agent") == "" {
-		req.Header["User-Agent"] = []string{""} // Keeps net/http from adding its own.
-	}
+func (pc *persistConn) startWrite(c *forward.Message) {
 	pc.writeDone = make(chan struct{})
 	pc.writeOK = false
 	write := func() {
 		defer close(pc.writeDone)
-		out := bufio.NewWriterSize(countingWriter{pc}, min(maxInlineWrite, len(body)+readBufferSize))
-		if err := req.Write(out); err != nil {
+		out := bufio.NewWriterSize(countingWriter{pc}, min(maxInlineWrite, len(c.Body)+readBufferSize))
+		if err := writeCall(out, c); err != nil {
 			return // Reading the answer fails too; bytesSent then decides whether the call may have run.
 		}
 		pc.writeOK = out.Flush() == nil
 	}
-	if len(body) > maxInlineWrite {
+	if len(c.Body) > maxInlineWrite {
 		go write()
 		return
 	}
 	write()
 }
 
+// framingHeaders are the headers that writeCall sets itself.
+var framingHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+
+// writeCall writes a call. http.Request.Write would change the path of some, such as one that begins with two slashes.
+func writeCall(out *bufio.Writer, c *forward.Message) error {
+	_, _ = fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.URI, c.Host)
+	if len(c.Body) > 0 || c.Method == http.MethodPost || c.Method == http.MethodPut || c.Method == http.MethodPatch {
+		_, _ = fmt.Fprintf(out, "Content-Length: %d\r\n", len(c.Body))
+	}
+	if err := http.Header(c.Header).WriteSubset(out, framingHeaders); err != nil {
+		return err
+	}
+	_, _ = out.WriteString("\r\n") // The writer keeps its first error.
+	_, err := out.Write(c.Body)
+	return err
+}
+
 // countingWriter writes to the connection and counts the bytes written.
 type countingWriter struct{ pc *persistConn }
 
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -193,13 +192,8 @@
 
 // exchange writes a call and reads the head of its answer, skipping answers to earlier calls.
 func (e *Exchanger) exchange(pc *persistConn, c *forward.Message) (*Reply, error) {
-	req := &http.Request{
-		Method: c.Method, Host: c.Host, Header: c.Header,
-		URL:           &url.URL{Opaque: c.URI},
-		ContentLength: int64(len(c.Body)),
-		Body:          http.NoBody,
-	}
-	pc.startWrite(req, c.Body)
+	pc.startWrite(c)
+	req := &http.Request{Method: c.Method} // What the form of an answer depends on.
 	for range maxSkippedAnswers + 1 {
 		resp, err := pc.readFinalResponse(req) //nolint:bodyclose // The body ends with the connection, which Close or Send closes.
 		if err != nil {
