Streams: no id yet is a state of its own

Callers of a stream whose first event has the id 0 got 504 after all attempts, and callers of a stream without ids got events twice when it broke off. Cause: the splitter took the number 0 for "no id yet", and a stream of which the caller has events and no id was sent again from the beginning. Change: hasID in the splitter; a call that has delivered events and no id is not repeated. Result measured: TestPushErrors (first id 0, first id below 0), TestStreamFromIDZero and TestStreamWithoutIDsIsNotRepeated ("data: a" twice) failed before and pass with -race.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -30,14 +30,16 @@
 	MaxEvent int
 
 	pending []byte
-	lastID  int64
+	// lastID is the last numeric id, if hasID is set.
+	lastID int64
+	hasID  bool
 }
 
 // ResumeAfter makes Push reject events up to and including the one with this id, which were
 // delivered before. An id that is not a number is ignored.
 func (s *Splitter) ResumeAfter(id string) {
 	if n, err := strconv.ParseInt(id, 10, 64); err == nil {
-		s.lastID = n
+		s.lastID, s.hasID = n, true
 	}
 }
 
@@ -77,11 +79,11 @@
 func (s *Splitter) checkOrder(id string) error {
 	n, err := strconv.ParseInt(id, 10, 64)
 	numbered := err == nil // Only numeric ids have an order.
-	if numbered && n <= s.lastID {
+	if numbered && s.hasID && n <= s.lastID {
 		return ErrOutOfOrder
 	}
 	if numbered {
-		s.lastID = n
+		s.lastID, s.hasID = n, true
 	}
 	return nil
 }
--- a/core/eventstream/eventstream_test.go
+++ b/core/eventstream/eventstream_test.go
@@ -61,6 +61,11 @@
 		"before the resume point": {"4", "id: 1\n\n", ErrOutOfOrder},
 		"after the resume point":  {"4", "id: 5\n\nid: 6\n\n", nil},
 		"increasing ids":          {"", "id: 3\n\nid: 9\n\n", nil},
+		"first id 0":              {"", "id: 0\n\nid: 1\n\n", nil},
+		"first id below 0":        {"", "id: -2\n\nid: -1\n\n", nil},
+		"id 0 again":              {"", "id: 0\n\nid: 0\n\n", ErrOutOfOrder},
+		"resumed after id 0":      {"0", "id: 1\n\n", nil},
+		"id 0 after id 0":         {"0", "id: 0\n\n", ErrOutOfOrder},
 		"without ids":             {"", "data: a\n\ndata: b\n\n", nil},
 		"event too long":          {"", "data: " + strings.Repeat("x", 200), ErrTooLong},
 	} {
--- a/node/onplatform/resumed_streams_test.go
+++ b/node/onplatform/resumed_streams_test.go
@@ -76,3 +76,28 @@
 		t.Errorf("answer = %d %q %v, want the whole stream", got.Status, got.Body, got.Err)
 	}
 }
+
+// TestStreamFromIDZero covers streams whose first event has the id 0: they are delivered, and resumed after that event.
+func TestStreamFromIDZero(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.scriptFirstCall(standin.AnswerStream(0, 0, true), func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		if c.LastEventID() != "0" {
+			t.Errorf("resumed after %q, want 0", c.LastEventID())
+		}
+		standin.AnswerStream(1, 3, false)(w, r, c)
+	})
+	if got := f.do(f.newRequest(streamPath)); got.Err != nil || got.Status != http.StatusOK || got.Body != eventTexts(0, 3) {
+		t.Errorf("answer = %d %q %v, want the whole stream", got.Status, got.Body, got.Err)
+	}
+}
+
+// TestStreamWithoutIDsIsNotRepeated guards against events that the caller gets twice: a stream of which it has some events
+// and no id cannot be resumed.
+func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.scriptAll(standin.Unframed("text/event-stream", "data: a\n\ndata: b\n\ndata: c\n\n", standin.EndInside))
+	got := f.do(f.newRequest(streamPath))
+	if got.Err == nil && got.Status == http.StatusOK || strings.Count(got.Body, "data: a") > 1 {
+		t.Errorf("answer = %d %q %v, want a broken stream with each event once", got.Status, got.Body, got.Err)
+	}
+}
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -36,8 +36,10 @@
 	request  *Request
 	out      AnswerWriter
 	progress forward.Progress
-	// lastEventID is the id of the last event delivered to the caller.
+	// lastEventID is the id of the last event delivered to the caller; deliveredID reports that this call delivered it, and
+	// not one before that the caller resumes.
 	lastEventID string
+	deliveredID bool
 	eventCount  int
 	// mediaType is that of the answer whose head the caller has received.
 	mediaType string
@@ -116,7 +118,7 @@
 	if errors.Is(err, target.ErrNoPath) && f.director.Exchanger.Connect.AllLost() {
 		return false // The other targets cannot be reached either.
 	}
-	if !f.progress.MayRetry() {
+	if !f.progress.MayRetry() || f.eventCount > 0 && !f.deliveredID { // Events without ids would be delivered again.
 		return false
 	}
 	if f.progress.Sends() == 0 {
--- a/node/requestcontrol/relay.go
+++ b/node/requestcontrol/relay.go
@@ -78,7 +78,7 @@
 	}
 	f.eventCount++
 	if e.ID != "" {
-		f.lastEventID = e.ID
+		f.lastEventID, f.deliveredID = e.ID, true
 	}
 	return nil
 }
