Serve a configuration without tenants, and warn of paths that nobody can reach

Callers got 401 on each route without no_auth under a configuration without tenants, and no line of the log said so. Cause: a key was asked for whether or not the configuration has any. The platform asks for keys only if the configuration contains tenants. Change: without the field tenants no keys are used, and all paths are open; an empty list still takes all keys away, and the paths that nobody can reach are then logged, once.

--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -26,6 +26,8 @@
 	Callers CallerLimits `yaml:"callers"`
 	// Tree is the root node of the account tree.
 	Tree *Node `yaml:"tree"`
+	// KeysUnused means that callers have no API keys, so that all paths are open. The settings file cannot set it.
+	KeysUnused bool `yaml:"-"`
 }
 
 // CallerLimits limit the connections of callers of path routes.
--- a/core/settings/paths.go
+++ b/core/settings/paths.go
@@ -161,6 +161,24 @@
 	}
 }
 
+// NeedsKey reports whether calls of a path need an API key.
+func (t *Tree) NeedsKey(p *ResolvedPath) bool { return !p.Open && !t.document.KeysUnused }
+
+// UnreachablePaths returns the names of the paths that need an API key while no account has one, sorted.
+func (t *Tree) UnreachablePaths() []string {
+	if len(t.accountsByKey) > 0 {
+		return nil
+	}
+	var names []string
+	for name, p := range t.pathsByName {
+		if t.NeedsKey(p) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (t *Tree) indexPath(key pathKey, p *ResolvedPath) {
 	if other := t.pathsByPrefix[key]; other == nil || p.Name < other.Name {
 		t.pathsByPrefix[key] = p
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -199,7 +199,7 @@
 	if c.path == nil {
 		return fault.New(fault.NoRoute, "no configured path matches this host name and path", "use a path of the settings")
 	}
-	if c.path.Open {
+	if !c.view.Tree.NeedsKey(c.path) {
 		c.account = c.view.Tree.Anonymous()
 		if account, err := c.view.Tree.Authenticate(c.APIKey); err == nil {
 			c.account = account
--- a/node/controller/settings.go
+++ b/node/controller/settings.go
@@ -8,6 +8,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"doorstack.dev/core/decision"
@@ -39,6 +41,10 @@
 	ShouldWatch func() bool
 	// OnAdopt is called after a revision has come into force.
 	OnAdopt func(*blackboard.SettingsView)
+
+	mu sync.Mutex
+	// unreachable are the paths of the last warning.
+	unreachable []string
 }
 
 const (
@@ -172,10 +178,22 @@
 	c.Recorder.MarkStage(blackboard.StageSettings)
 	c.Recorder.Record(decision.Record{Kind: decision.KindSettings, Outcome: "adopted", Revision: next.Revision,
 		Reason: fmt.Sprintf("from %s, %d parts, %d accounts, checked in %v", from, len(next.Parts), len(tree.Accounts()), time.Since(start).Round(time.Millisecond))})
+	c.warnOfUnreachablePaths(tree)
 	c.OnAdopt(view)
 	return nil
 }
 
+// warnOfUnreachablePaths logs which paths no caller can reach, once until they change.
+func (c *Settings) warnOfUnreachablePaths(tree *settings.Tree) {
+	paths := tree.UnreachablePaths()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(paths) > 0 && !slices.Equal(paths, c.unreachable) {
+		c.Recorder.Log.Warn("no caller can reach some paths: they need an API key, and no account has one", "paths", paths, "remedy", "add accounts with keys, or open the paths")
+	}
+	c.unreachable = paths
+}
+
 // reject records why a revision was not put in force, once for each revision.
 func (c *Settings) reject(revision int64, from string, err error) {
 	if c.Board.Settings.Rejected().Revision == revision {
