Drop log lines after the output is closed

A handler that logs while the process ends could panic. Cause: Output.Write sends on a channel that Close has closed. Change: writers share a lock with Close; after it a line is dropped and counted.

--- a/node/telemetry/output.go
+++ b/node/telemetry/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,10 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
+
+	// mu guards closed: no line is queued once lines is closed. Writers share it.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // outputQueueSize bounds the lines that wait: some seconds of a busy daemon's log, about 1 MB.
@@ -34,9 +39,16 @@
 	return o
 }
 
-// Write implements io.Writer. It queues or drops the line and never returns an error.
+// Write implements io.Writer. It queues or drops the line and never returns an error. After Close it drops the line: calls
+// may still log while the process ends.
 func (o *Output) Write(p []byte) (int, error) {
 	line := append([]byte(nil), p...)
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	if o.closed {
+		o.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case o.lines <- line:
 	default:
@@ -48,9 +60,12 @@
 // Dropped returns the number of lines that were dropped or could not be written.
 func (o *Output) Dropped() int64 { return o.dropped.Load() }
 
-// Close writes the queued lines and stops. Write must not be called afterwards.
+// Close writes the queued lines and stops.
 func (o *Output) Close() {
+	o.mu.Lock()
+	o.closed = true
 	close(o.lines)
+	o.mu.Unlock()
 	<-o.done
 }
 
--- a/node/telemetry/output_test.go
+++ b/node/telemetry/output_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,3 +46,24 @@
 		t.Errorf("logged %d failures and %d complete answers, want all failures and a bounded number of answers", failed, complete)
 	}
 }
+
+// TestWriteAfterCloseDropsTheLine guards against a panic of handlers that still log while the process ends.
+func TestWriteAfterCloseDropsTheLine(t *testing.T) {
+	var text bytes.Buffer
+	o := NewOutput(&text)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 1000 {
+				if n, err := o.Write([]byte("x")); n != 1 || err != nil {
+					t.Errorf("Write = %d, %v", n, err)
+				}
+			}
+		})
+	}
+	o.Close()
+	writers.Wait()
+	if written := int64(text.Len()) + o.Dropped(); written != 8000 {
+		t.Errorf("%d lines written or counted as dropped, want 8000", written)
+	}
+}
