Soak: cut daemons off from their targets and end relays; answers without end

Change: events in which a daemon loses its path to all targets while another one is killed or stopped; failing targets answer without end, or with 404 to a resumed stream; the judge bounds the memory of each process.

--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -182,8 +184,12 @@
 		standin.Answer(http.StatusInternalServerError, "broken")(w, r, c)
 	case outcome < 0.5:
 		standin.CloseConnection(w, r, c)
-	case outcome < 0.6:
+	case outcome < 0.55:
 		<-r.Context().Done() // The target hangs.
+	case outcome < 0.6:
+		b.answerWithoutEnd(w, r, c, execution)
+	case outcome < 0.8 && c.LastEventID() != "":
+		standin.Answer(http.StatusNotFound, "no such model")(w, r, c) // What a stream must not be continued with.
 	case b.answersUnframed():
 		b.serveUnframed(w, r, c)
 	case b.service == engineService:
@@ -198,6 +204,15 @@
 	}
 }
 
+// answerWithoutEnd answers with bytes of some kind until the daemon closes the connection.
+func (b *backend) answerWithoutEnd(w http.ResponseWriter, r *http.Request, c standin.Call, execution *Execution) {
+	kinds := standin.EndlessAnswers()
+	names := slices.Sorted(maps.Keys(kinds))
+	endless := kinds[names[rand.IntN(len(names))]]
+	b.executions.update(func() { execution.Rejected = endless.Rejects() })
+	endless.Serve(w, r, c)
+}
+
 func (b *backend) answersUnframed() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/node/internal/soak/disturb.go
+++ b/node/internal/soak/disturb.go
@@ -71,6 +71,8 @@
 	case UnframedAnswers:
 		defer tb.beginDisturbance(e.Kind, allDaemons)()
 		tb.answerUnframed(ctx, e)
+	case PathCut:
+		tb.cutPath(ctx, e)
 	case ConnectionHerd:
 		tb.herdConnections(ctx, e)
 	case TargetRateLimit:
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -105,6 +105,8 @@
 	// for calls after the last one, by the daemon's index.
 	Rounds           []Round
 	UnreleasedMemory map[int]float64
+	// PeakMemoryMB is the largest memory of each daemon's processes in megabytes, by the daemon's index.
+	PeakMemoryMB map[int]int
 	// ProcessStarts are the start times of each daemon's processes, by the daemon's index.
 	ProcessStarts map[int][]time.Time
 	// UnreleasedReservations are reservations that were neither released nor expired, with their
@@ -150,7 +152,7 @@
 			}
 		}
 	}
-	list = slices.Concat(list, checkConfigOrder(r), checkRepeats(r), checkNotices(r), checkCrashingCalls(r), checkCrashingParts(r), checkHerds(r), checkRateLimits(r), checkEvacuations(r), checkColdTargets(r), checkFloods(r), checkCoordinators(r), checkMemory(r))
+	list = slices.Concat(list, checkConfigOrder(r), checkRepeats(r), checkNotices(r), checkCrashingCalls(r), checkCrashingParts(r), checkHerds(r), checkRateLimits(r), checkEvacuations(r), checkColdTargets(r), checkFloods(r), checkCoordinators(r), checkMemory(r), checkPeakMemory(r))
 	for _, id := range r.UnreleasedReservations {
 		list = append(list, Violation{"LEAK", id, "reservation was neither released nor expired"})
 	}
--- a/node/internal/soak/link.go
+++ b/node/internal/soak/link.go
@@ -42,6 +42,8 @@
 	delay   time.Duration
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// passes reports whether a client's connection is forwarded; nil forwards all.
+	passes func(client net.Conn) bool
 }
 
 // NewLink listens on an address and forwards connections to a server.
@@ -77,6 +79,25 @@
 	l.delay = d
 }
 
+// SetFilter forwards only the connections of clients for which passes returns true, and resets the others, open ones too. Nil
+// forwards all.
+func (l *Link) SetFilter(passes func(client net.Conn) bool) {
+	l.mu.Lock()
+	l.passes = passes
+	var clients []net.Conn
+	for c := range l.conns {
+		if c.LocalAddr().String() == l.Address() {
+			clients = append(clients, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range clients {
+		if passes != nil && !passes(c) {
+			closeWithReset(c)
+		}
+	}
+}
+
 // Reset resets each open connection with the probability of share.
 func (l *Link) Reset(share float64) {
 	l.mu.Lock()
@@ -111,6 +132,13 @@
 	if !l.track(client) {
 		return
 	}
+	l.mu.Lock()
+	passes := l.passes
+	l.mu.Unlock()
+	if passes != nil && !passes(client) {
+		closeWithReset(client)
+		return
+	}
 	server, err := net.Dial("tcp4", l.server)
 	if err != nil {
 		closeWithReset(client) // As if the server's port had no listener.
--- a/node/internal/soak/plan.go
+++ b/node/internal/soak/plan.go
@@ -18,7 +18,7 @@
 // Kind is a kind of fault or of planned operation.
 type Kind string
 
-// The kinds of events that NewPlan draws itself; restarts.go, notices.go, limits.go, evacuations.go, cold.go, peerlinks.go and parts.go add more.
+// The kinds of events that NewPlan draws itself; restarts.go, notices.go, limits.go, evacuations.go, cold.go, peerlinks.go, parts.go and cuts.go add more.
 // The first group are planned operations, during which no call may be lost.
 const (
 	Term        Kind = "term"   // a daemon gets SIGTERM and is started again
@@ -118,7 +118,7 @@
 	}
 	plan = addNoticeEvents(addRestartEvents(plan, seed, duration), seed, duration)
 	plan = addColdEvents(addEvacuationEvent(addRateLimitEvent(plan, seed, duration), seed, duration), seed, duration)
-	return addPartEvents(addPeerLinkEvents(plan, seed, duration), seed, duration)
+	return addPathCutEvents(addPartEvents(addPeerLinkEvents(plan, seed, duration), seed, duration), seed, duration)
 }
 
 // randomDuration returns a random duration below a bound.
--- a/node/internal/soak/testbed.go
+++ b/node/internal/soak/testbed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
@@ -48,6 +49,7 @@
 	planSteps      Round // the steps that the processes which outlived the plan had counted then
 	rounds         []Round
 	heldMemory     map[int]float64 // bytes that daemons hold for calls after the last one
+	peakMemory     map[int]int     // the largest memory of each daemon's processes, in MB
 	inRotation     []bool          // by daemon: callers may choose it
 }
 
@@ -63,7 +65,7 @@
 func newTestbed(ctx context.Context, dir, program string, size Size) (*testbed, error) {
 	tb := &testbed{
 		dir: dir, store: standin.NewStore(), executions: &executionLog{byCall: map[string][]*Execution{}}, calls: &callLog{},
-		inRotation: make([]bool, size.Daemons),
+		inRotation: make([]bool, size.Daemons), peakMemory: map[int]int{},
 	}
 	tb.storeEndpoint = tb.store.OpenEndpoint()
 	address, err := testaddr.Find()
@@ -203,6 +205,7 @@
 func (tb *testbed) pollReadiness(ctx context.Context) {
 	misses := make([]int, len(tb.daemons))
 	for ctx.Err() == nil {
+		tb.recordPeakMemory()
 		for i, p := range tb.daemons {
 			if p.ready(ctx) {
 				misses[i] = 0
@@ -224,7 +227,7 @@
 	r := &Record{
 		Calls: tb.calls.list(), Executions: tb.executions.list(), Disturbances: slices.Clone(tb.disturbances),
 		Published: slices.Clone(tb.published), ProcessStarts: map[int][]time.Time{}, UnreleasedReservations: tb.unreleasedReservations(),
-		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), Floods: slices.Clone(tb.floods), Drains: slices.Clone(tb.drains), Herds: slices.Clone(tb.herds), PlanSteps: tb.planSteps, Rounds: tb.rounds, UnreleasedMemory: tb.heldMemory, TargetCentres: map[string]string{},
+		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), Floods: slices.Clone(tb.floods), Drains: slices.Clone(tb.drains), Herds: slices.Clone(tb.herds), PlanSteps: tb.planSteps, Rounds: tb.rounds, UnreleasedMemory: tb.heldMemory, PeakMemoryMB: maps.Clone(tb.peakMemory), TargetCentres: map[string]string{},
 	}
 	for number := 1; number <= tb.targetsCreated; number++ {
 		r.TargetCentres[fmt.Sprint("t", number)] = dataCentreOfTarget(number)
