Soak: callers that half-close, odd paths, streams from id 0

Cause: nothing in the soak sent a request with a closed sending side, a path that decoding changes, or a stream whose first id is 0, and its judge did not look at signatures. Change: callers do so, targets report the path that they got, and the judge counts a success without a target's signature and a changed path.

--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -56,6 +56,9 @@
 // the call's ID, so that targets and judge expect the same number.
 func eventCount(id string) int { return 4 + int(rendezvous.Score("events", id)%12) }
 
+// firstEventID returns the id of the first event of the streamed answer to a call: 0 or 1.
+func firstEventID(id string) int { return int(rendezvous.Score("first", id) % 2) }
+
 // eventText returns the text of event i of the answer to a call.
 func eventText(id string, i int) string { return fmt.Sprint(id, " piece ", i) }
 
@@ -65,7 +68,7 @@
 		return "answer to " + id
 	}
 	text := ""
-	for i := 1; i <= eventCount(id); i++ {
+	for i := firstEventID(id); i <= eventCount(id); i++ {
 		text += standin.EventText(i, eventText(id, i))
 	}
 	return text
@@ -161,7 +164,7 @@
 // target. With injected failures serve may reject the call, return an error, close the
 // connection, hang or truncate a stream instead.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request, c standin.Call) {
-	execution := b.executions.add(Execution{ID: c.ID, Target: b.target.ID, Service: b.service, Account: c.Account(), APIKey: c.APIKey(), Started: time.Now(), LastEvent: c.LastEventID()})
+	execution := b.executions.add(Execution{ID: c.ID, Target: b.target.ID, Service: b.service, Account: c.Account(), APIKey: c.APIKey(), Started: time.Now(), LastEvent: c.LastEventID(), URI: c.URI})
 	defer b.executions.update(func() { execution.Ended = time.Now() })
 	if strings.HasPrefix(c.Body, crashBodyPrefix) || strings.Contains(c.Header.Get("X-Prompt-Prefix"), badPartPrefix) {
 		b.executions.update(func() { execution.Crashed = true })
@@ -248,7 +251,7 @@
 func firstEvent(c standin.Call) int {
 	after := c.LastEventID()
 	if after == "" {
-		return 1
+		return firstEventID(c.ID)
 	}
 	last := 0
 	if _, err := fmt.Sscan(after, &last); err != nil {
--- a/node/internal/soak/caller.go
+++ b/node/internal/soak/caller.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -45,10 +48,9 @@
 	return &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}}
 }
 
-// call sends a daemon one valid request and records the outcome. The request is for the path's
-// own route or, with a temporaryRoute above 0, for the temporary route of that number.
-func (tb *testbed) call(ctx context.Context, client *http.Client, daemon int, path *Path, temporaryRoute int) Call {
-	return tb.send(ctx, client, Call{Daemon: daemon, Path: path, TemporaryRoute: temporaryRoute, RequestBody: "a body"})
+// call sends a daemon one valid request for the path's own route and records the outcome.
+func (tb *testbed) call(ctx context.Context, client *http.Client, daemon int, path *Path) Call {
+	return tb.send(ctx, client, Call{Daemon: daemon, Path: path, RequestBody: "a body"})
 }
 
 // send sends the request of a call, which has the fields that describe it, and records the outcome.
@@ -64,20 +66,57 @@
 	if c.TemporaryRoute > 0 {
 		request.Path = temporaryPrefix(c.TemporaryRoute) + "x"
 	}
+	request.Path += pathRests[rand.IntN(len(pathRests))]
+	c.URI = request.Path
 	c.Sent = time.Now()
-	response := request.Do(ctx, client)
+	var response standin.CallerResponse
+	if c.HalfClosed {
+		response = halfClose(ctx, request)
+	} else {
+		response = request.Do(ctx, client)
+	}
 	c.Done = time.Now()
-	c.Disconnected = ctx.Err() != nil
+	c.Disconnected = ctx.Err() != nil || c.HalfClosed
+	c.Unsigned = !response.Signed()
 	c.Status, c.Body, c.Complete, c.HasRetryAfter = response.Status, response.Body, response.Err == nil, response.RetryAfter() != ""
 	tb.calls.add(c)
 	return c
 }
 
+// pathRests are ends of paths that are matched and sent byte by byte.
+var pathRests = []string{"", "", "", "//y", "/a%2Fb", "/../y", "/%2e%2e/y", "?q=1&r=%zz"}
+
+// halfClose sends a request over a connection of its own, closes the sending side, and reads the answer, if there is one. The
+// call counts as one whose caller has left.
+func halfClose(ctx context.Context, request *standin.CallerRequest) standin.CallerResponse {
+	failed := func(err error) standin.CallerResponse { return standin.CallerResponse{Header: http.Header{}, Err: err} }
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", request.Daemon)
+	if err != nil {
+		return failed(err)
+	}
+	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
+	if err := request.HTTPRequest(ctx).Write(conn); err != nil {
+		return failed(err)
+	}
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		return failed(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return failed(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return standin.CallerResponse{Status: resp.StatusCode, Header: resp.Header, Body: string(text), Err: err}
+}
+
 // The behaviour of callers: some disconnect early; each stays with a daemon for up to maxStay
 // and then gets another one in rotation.
 const (
 	callerCount         = 24
 	disconnectShare     = 0.05
+	halfCloseShare      = 0.02
 	disconnectAfter     = 60 * time.Millisecond
 	maxStay             = 2 * time.Second
 	maxThinkTime        = 40 * time.Millisecond
@@ -102,7 +141,7 @@
 			if rand.Float64() < disconnectShare {
 				callCtx, cancel = context.WithTimeout(context.WithoutCancel(ctx), disconnectAfter)
 			}
-			tb.call(callCtx, client, daemon, path, temporaryRoute)
+			tb.send(callCtx, client, Call{Daemon: daemon, Path: path, TemporaryRoute: temporaryRoute, RequestBody: "a body", HalfClosed: rand.Float64() < halfCloseShare})
 			cancel()
 			sleep(ctx, rand.N(maxThinkTime))
 		}
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -21,10 +21,16 @@
 	Timeout time.Duration
 	// Disconnected means that the caller disconnected before the answer was complete, at Done.
 	Disconnected bool
-	Status       int
-	Body         string
+	// HalfClosed means that the caller closed its sending side after the request.
+	HalfClosed bool
+	Status     int
+	Body       string
 	// Complete means that the answer was not truncated.
 	Complete bool
+	// URI is the path and query that the caller sent.
+	URI string
+	// Unsigned means that the answer had no target's signature.
+	Unsigned bool
 	// HasRetryAfter means that the answer had a Retry-After header.
 	HasRetryAfter bool
 	// RequestBody is the body of the request; Body is that of the answer.
@@ -49,6 +55,8 @@
 	Started, Ended                       time.Time
 	// Rejected means that the target answered that it did not execute the call.
 	Rejected bool
+	// URI is the path and query as the target got them.
+	URI string
 	// LastEvent is the event after which the stream was to be resumed; empty for a whole stream.
 	LastEvent string
 	// Draining and Backoff are the notices in the target's answer: that it drains, and the time
@@ -190,8 +198,11 @@
 	return ""
 }
 
-// checkAnswer checks that a successful answer is the complete answer to this call.
+// checkAnswer checks that a success is a target's, and that a successful answer is the complete answer to this call.
 func checkAnswer(_ *Record, c *Call) string {
+	if c.Status >= 200 && c.Status < 300 && c.Unsigned {
+		return fmt.Sprintf("MIXED: status %d without a target's signature", c.Status)
+	}
 	if c.Status != 200 || !c.Complete {
 		return ""
 	}
@@ -208,6 +219,8 @@
 		switch {
 		case execution.Service != c.Path.Service:
 			return "ROUTE: executed at a target of service " + execution.Service
+		case execution.URI != c.URI:
+			return fmt.Sprintf("UNASKED: sent as %s, not as %s", execution.URI, c.URI)
 		case execution.Account != c.account() || execution.APIKey != "":
 			return fmt.Sprintf("UNASKED: executed for account %q with API key %q", execution.Account, execution.APIKey)
 		}
--- a/node/internal/soak/judge_test.go
+++ b/node/internal/soak/judge_test.go
@@ -52,6 +52,18 @@
 			_, c.Body, _ = strings.Cut(c.Body, "\n\n")
 			return []Execution{*r}
 		}, "MIXED"},
+		"success that no target gave": {unsafePath, func(_ *Record, c *Call, _ *Execution) []Execution {
+			c.Status, c.Body, c.Unsigned, c.Disconnected, c.HalfClosed = 204, "", true, true, true
+			return nil
+		}, "MIXED"},
+		"failure that no target gave": {unsafePath, func(_ *Record, c *Call, r *Execution) []Execution {
+			c.Status, c.Unsigned = 502, true
+			return []Execution{*r}
+		}, ""},
+		"sent under another path": {safePath, func(_ *Record, c *Call, r *Execution) []Execution {
+			c.URI, r.URI = "/safe/%2e%2e/x", "/x"
+			return []Execution{*r}
+		}, "UNASKED"},
 		"executed by another service": {safePath, func(_ *Record, _ *Call, r *Execution) []Execution {
 			r.Service = engineService
 			return []Execution{*r}
--- a/node/internal/soak/peerlinks.go
+++ b/node/internal/soak/peerlinks.go
@@ -98,8 +98,8 @@
 	defer client.CloseIdleConnections()
 	for range callsPerRound {
 		for _, p := range tb.daemons {
-			tb.call(ctx, client, p.index, safePath, 0)
-			tb.call(ctx, client, p.index, streamPath, 0)
+			tb.call(ctx, client, p.index, safePath)
+			tb.call(ctx, client, p.index, streamPath)
 		}
 	}
 	return round, tb.addSteps(ctx, &round, 1)
--- a/node/internal/soak/soak.go
+++ b/node/internal/soak/soak.go
@@ -133,7 +133,7 @@
 	client := newClient()
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		if c := tb.call(ctx, client, p.index, path, 0); c.Status == 200 && c.Complete && p.ready(ctx) {
+		if c := tb.call(ctx, client, p.index, path); c.Status == 200 && c.Complete && p.ready(ctx) {
 			return true
 		}
 		sleep(ctx, retryInterval)
--- a/node/internal/soak/starts.go
+++ b/node/internal/soak/starts.go
@@ -54,7 +54,7 @@
 			for n := i; callCtx.Err() == nil; n++ {
 				path := paths[n%3]
 				withTimeout, cancel := context.WithTimeout(context.WithoutCancel(ctx), path.Timeout+giveUpAfter)
-				tb.call(withTimeout, client, i%len(tb.daemons), path, 0)
+				tb.call(withTimeout, client, i%len(tb.daemons), path)
 				cancel()
 				sleep(callCtx, startPause)
 			}
