--- a/node/internal/soak/caller.go
+++ b/node/internal/soak/caller.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,7 +67,9 @@
 	if c.TemporaryRoute > 0 {
 		request.Path = temporaryPrefix(c.TemporaryRoute) + "x"
 	}
-	request.Path += pathRests[rand.IntN(len(pathRests))]
+	if !strings.HasPrefix(c.RequestBody, crashBodyPrefix) { // Those are copies of one call, its path included.
+		request.Path += pathRests[rand.IntN(len(pathRests))]
+	}
 	c.URI = request.Path
 	c.Sent = time.Now()
 	var response standin.CallerResponse
