An answer to HEAD has no body to hold

Change: the length of such an answer is 0. Result measured: TestAnswerToHeadHasNoBody passes; without the change the length is 10^12.

--- a/node/target/endless_answers_test.go
+++ b/node/target/endless_answers_test.go
@@ -124,3 +124,22 @@
 		t.Errorf("the target could send %d bytes, want at most %d", n, int64(maxBytesTaken))
 	}
 }
+
+// TestAnswerToHeadHasNoBody covers an answer to HEAD, whose declared length must not count as that of a body to be held.
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	address, _ := startScriptedServer(t, func(conn net.Conn, _ *http.Request, _, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 1000000000000\r\n\r\n")
+		return true
+	})
+	m := testMessage("x", "")
+	m.Method = http.MethodHead
+	e := NewExchanger(testDialect{}, NewConnector())
+	reply, err := e.Send(t.Context(), address, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close(reply)
+	if body, err := io.ReadAll(reply.Body); reply.Length != 0 || len(body) != 0 || err != nil {
+		t.Errorf("length %d, body %q, %v; want none", reply.Length, body, err)
+	}
+}
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -202,7 +202,7 @@
 		head := e.Dialect.ReadHead(resp.StatusCode, resp.Header)
 		head.MediaType = mediaType(resp.Header)
 		if c.ID == "" || head.RequestID == c.ID {
-			return &Reply{Head: head, Header: resp.Header, Body: &answerBody{Reader: resp.Body}, Length: resp.ContentLength, Relay: pc.relay, conn: pc, resp: resp}, nil
+			return &Reply{Head: head, Header: resp.Header, Body: &answerBody{Reader: resp.Body}, Length: bodyLength(c, resp), Relay: pc.relay, conn: pc, resp: resp}, nil
 		}
 		// A late answer to an earlier call; the answer to this call may follow.
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainSize)); err != nil {
@@ -212,6 +212,15 @@
 	return nil, errors.New("the target's answers have the ids of other calls")
 }
 
+// bodyLength returns the length of an answer's body, or -1 where it is not known. The answer to HEAD declares the length of a
+// body that it does not have.
+func bodyLength(c *forward.Message, resp *http.Response) int64 {
+	if c.Method == http.MethodHead {
+		return 0
+	}
+	return resp.ContentLength
+}
+
 // mediaType returns the media type in a Content-Type header without its parameters, in lower case.
 func mediaType(h http.Header) string {
 	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
