A call counts at one target

A call that was counted a second time under its attempt, at another target, stayed counted at the first for ever: a slot that is never given back. Cause: TargetTable.begin replaced the call in the table and left it with its first target. Change: the earlier count ends when a call begins again.

--- a/node/blackboard/restart_test.go
+++ b/node/blackboard/restart_test.go
@@ -142,3 +142,38 @@
 		}
 	}
 }
+
+// TestCallCountsAtOneTarget guards against a slot that is never given back: a call that is counted a second time, as by a
+// daemon that decides alone after an answer of its coordinator has come late, no longer counts at the first target.
+func TestCallCountsAtOneTarget(t *testing.T) {
+	tree, err := settings.Parse([]byte("engine_kinds: {rest: {protocol: service, max_concurrent: 2}}\npools: {svc: {kind: rest}}\ntree: {}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	table := newTargetTable()
+	var hosts []hostlist.Host
+	for _, id := range []string{"a", "b"} {
+		hosts = append(hosts, hostlist.Host{ID: id, Role: hostlist.RoleTarget, Address: "10.0.0.1:" + id, Pool: "svc", State: hostlist.Live})
+	}
+	table.Sync(hosts, tree, now)
+	counted := func() (calls, requests int) {
+		for _, s := range table.Status(now) {
+			calls += s.OwnCalls
+		}
+		for _, v := range table.Views("svc", now) {
+			requests += v.Load.Requests
+		}
+		return calls, requests
+	}
+	for _, id := range []string{"a", "b"} {
+		table.BeginPart(id, "x", routing.Load{Requests: 1}, now)
+		if calls, requests := counted(); calls != 1 || requests != 1 {
+			t.Errorf("begun at %s: %d calls and %d requests are counted, want one", id, calls, requests)
+		}
+	}
+	table.Finish("x", CallSucceeded, now)
+	if calls, requests := counted(); calls != 0 || requests != 0 {
+		t.Errorf("after the end: %d calls and %d requests are counted, want none", calls, requests)
+	}
+}
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -105,6 +105,9 @@
 
 // begin counts a call at a target; the lock is held.
 func (t *TargetTable) begin(s *targetState, attempt string, load routing.Load, at time.Time) <-chan struct{} {
+	if earlier := t.calls[attempt]; earlier != nil { // A call counts at one target.
+		t.end(earlier, CallCancelled, at)
+	}
 	c := &activeCall{id: attempt, state: s, load: load, sent: at, gone: make(chan struct{})}
 	t.calls[attempt] = c
 	s.calls[attempt] = c
@@ -182,15 +185,18 @@
 func (t *TargetTable) Finish(attempt string, result CallResult, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.calls[attempt]
-	if c == nil {
-		return
+	if c := t.calls[attempt]; c != nil {
+		t.end(c, result, at)
 	}
-	delete(t.calls, attempt)
+}
+
+// end removes a call; the lock is held.
+func (t *TargetTable) end(c *activeCall, result CallResult, at time.Time) {
+	delete(t.calls, c.id)
 	c.endPrefill(at)
 	c.releaseParts(at)
 	s := c.state
-	delete(s.calls, attempt)
+	delete(s.calls, c.id)
 	if c.sent.After(s.reportAt) {
 		s.loadSinceReport = s.loadSinceReport.Sub(c.remainingLoad())
 	} else {
