Soak: look a cut's connections up by their addresses

Cause: not the daemons. While a daemon is cut off from its targets, the soak looks the owner of each new connection up in /proc/net/tcp, which lists all sockets of the machine, also those that other tests have left in TIME_WAIT. The links hand a connection on only after that. Change: the kernel is asked for the socket with these addresses (sock_diag).

--- a/node/internal/soak/cuts.go
+++ b/node/internal/soak/cuts.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -9,7 +8,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -70,43 +68,16 @@
 	if err != nil {
 		return false // The connection has ended.
 	}
+	held := fmt.Sprintf("socket:[%d]", inode)
 	proc, _ := p.running()
 	descriptors, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", proc.Pid))
 	if err != nil {
 		return false
 	}
 	for _, name := range descriptors {
-		if link, err := os.Readlink(name); err == nil && link == "socket:["+inode+"]" {
+		if link, err := os.Readlink(name); err == nil && link == held {
 			return true
 		}
 	}
 	return false
 }
-
-// socketInode returns the inode of the IPv4 socket with these addresses.
-func socketInode(local, remote net.Addr) (string, error) {
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return "", err
-	}
-	_, row, found := bytes.Cut(table, []byte(tableAddress(local)+" "+tableAddress(remote)))
-	if !found {
-		return "", os.ErrNotExist
-	}
-	line, _, _ := strings.Cut(string(row), "\n")
-	fields := strings.Fields(line) // state, queues, timer, retransmits, user, timeout, inode
-	if len(fields) < 7 {
-		return "", os.ErrNotExist
-	}
-	return fields[6], nil
-}
-
-// tableAddress formats an IPv4 address as /proc/net/tcp does on a little-endian machine.
-func tableAddress(a net.Addr) string {
-	tcp, ok := a.(*net.TCPAddr)
-	if !ok {
-		return "-"
-	}
-	ip := tcp.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
-}
--- a/node/internal/soak/cuts_test.go
+++ b/node/internal/soak/cuts_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,3 +81,35 @@
 		t.Errorf("over the bound: %v, want one violation", list)
 	}
 }
+
+// TestSocketInodeOfOpenConnection checks that a socket is found by its addresses, also beside closed connections, and that one
+// which does not exist is not. The time that this takes must not depend on other sockets of the machine: a cut looks each new
+// connection up.
+func TestSocketInodeOfOpenConnection(t *testing.T) {
+	server, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp4", server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want syscall.Stat_t
+	var statErr error
+	if err := raw.Control(func(fd uintptr) { statErr = syscall.Fstat(int(fd), &want) }); err != nil || statErr != nil {
+		t.Fatal(err, statErr)
+	}
+	inode, err := socketInode(conn.LocalAddr(), conn.RemoteAddr())
+	if err != nil || uint64(inode) != want.Ino {
+		t.Errorf("inode %d, error %v, want %d", inode, err, want.Ino)
+	}
+	if inode, err := socketInode(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}, conn.RemoteAddr()); err == nil {
+		t.Errorf("inode %d for a socket that does not exist", inode)
+	}
+}
