Tell callers why a request cannot be parsed

Cause: net/http answers a request that it cannot parse, such as one with an invalid escape in its path, with "400 Bad Request" alone, and calls no handler. Change: connections of callers recognize that answer and add what to check. The status and the end of the connection are as before; other answers differ from it and pass unchanged. Result measured: TestPathIsMatchedAsItIsSent failed before for all four requests ("400 Bad Request"), and passes with -race; tests of node/api, and of half-closed callers, pass.

--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -33,7 +33,7 @@
 	if d.adapter != nil {
 		handler = callers.PathHandler(d.adapter.Dialect)
 	}
-	if d.callerServer, err = newServer("listen", &d.Config.Listen, api.RequireAnswer(handler)); err != nil {
+	if d.callerServer, err = newServer("listen", &d.Config.Listen, api.RequireAnswer(handler), api.ExplainBadRequests); err != nil {
 		return err
 	}
 	adminServer, err := newServer("admin", &d.Config.Admin, operators.Handler())
@@ -72,14 +72,17 @@
 }
 
 // newServer opens a listener for the config key and stores the actual address in *address, as its
-// port may be 0. The request timeout of Kratos, one second, is disabled, as requests have their
+// port may be 0. Connections are accepted by the wrapped listener. The request timeout of Kratos, one second, is disabled, as requests have their
 // own deadlines.
-func newServer(key string, address *string, handler http.Handler) (*khttp.Server, error) {
+func newServer(key string, address *string, handler http.Handler, wrap ...func(net.Listener) net.Listener) (*khttp.Server, error) {
 	listener, err := net.Listen("tcp", *address)
 	if err != nil {
 		return nil, errors.Wrap(err, fmt.Sprintf("open the address of %q; free the port or change the file", key))
 	}
 	*address = listener.Addr().String()
+	for _, w := range wrap {
+		listener = w(listener)
+	}
 	server := khttp.NewServer(
 		khttp.Listener(listener),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
--- a/node/onplatform/request_paths_test.go
+++ b/node/onplatform/request_paths_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,14 +75,15 @@
 		}
 	}
 	for _, uri := range []string{"/a/%zz", "/a/%2", "?q=1", "a/x"} {
-		if status := statusOf(t, d, "GET "+uri+" HTTP/1.1\r\nHost: paths.example\r\nX-Credential: "+apiKey+"\r\n\r\n"); status != http.StatusBadRequest {
-			t.Errorf("%s: status %d, want 400", uri, status)
+		status, body := answerTo(t, d, "GET "+uri+" HTTP/1.1\r\nHost: paths.example\r\nX-Credential: "+apiKey+"\r\n\r\n")
+		if status != http.StatusBadRequest || !strings.Contains(body, "cannot be parsed") || !strings.Contains(body, "hexadecimal digits") {
+			t.Errorf("%s: status %d, %q, want 400 with what to check", uri, status, body)
 		}
 	}
 }
 
-// sendRaw sends the bytes of a request to a daemon, calls afterwards with the connection, and returns the answer's head, or nil if
-// the connection was closed without one.
+// sendRaw sends the bytes of a request to a daemon, calls afterwards with the connection, and returns the answer, whose body has been
+// read into memory, or nil if the connection was closed without one.
 func sendRaw(t *testing.T, d *testDaemon, request string, afterwards func(*net.TCPConn) error) *http.Response {
 	t.Helper()
 	conn, err := net.Dial("tcp4", d.boot.CallerAddress)
@@ -99,15 +102,32 @@
 	if err != nil {
 		return nil
 	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Logf("the answer is truncated: %v", err)
+	}
 	_ = resp.Body.Close()
+	resp.Body = io.NopCloser(bytes.NewReader(body))
 	return resp
 }
 
+// answerTo sends the bytes of a request and returns status and body of the answer; the status is 0 if there is none.
+func answerTo(t *testing.T, d *testDaemon, request string) (status int, body string) {
+	t.Helper()
+	resp := sendRaw(t, d, request, func(*net.TCPConn) error { return nil })
+	if resp == nil {
+		return 0, ""
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(text)
+}
+
 // statusOf sends the bytes of a request and returns the status of the answer, or 0 if there is none.
 func statusOf(t *testing.T, d *testDaemon, request string) int {
 	t.Helper()
-	if resp := sendRaw(t, d, request, func(*net.TCPConn) error { return nil }); resp != nil {
-		return resp.StatusCode
-	}
-	return 0
+	status, _ := answerTo(t, d, request)
+	return status
 }
