Measure the silence of peers by the monotonic clock

Cause: the time at which data last came over a link was kept as a time of day. After a step of the clock ahead all peers appeared silent until their next frame; after a step back links that had died stayed. Class: a duration measured with a clock that can step.

--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -235,11 +235,10 @@
 // CloseIdle closes the links over which no call was made for linkIdleTimeout, except links to peers for
 // which wanted returns true.
 func (h *Hub) CloseIdle(wanted func(name string) bool) {
-	limit := time.Now().Add(-linkIdleTimeout).Unix()
 	h.mu.Lock()
 	var idle []*link
 	for name, l := range h.links {
-		if !wanted(name) && l.lastCallAt.Load() < limit {
+		if !wanted(name) && time.Since(l.opened)-time.Duration(l.lastCall.Load()) > linkIdleTimeout {
 			idle = append(idle, l)
 		}
 	}
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -15,15 +15,16 @@
 
 // link is an open connection to a peer. Both ends may send requests over it.
 type link struct {
-	peer       string
-	hub        *Hub
-	conn       *websocket.Conn
-	sendQueue  chan queuedFrame
-	closed     chan struct{}
-	closeOnce  sync.Once
-	opened     time.Time
-	lastCallAt atomic.Int64 // when a call was last made over the link by either side, in Unix seconds
-	lastReadAt atomic.Int64 // when data last arrived over the link, in Unix nanoseconds
+	peer      string
+	hub       *Hub
+	conn      *websocket.Conn
+	sendQueue chan queuedFrame
+	closed    chan struct{}
+	closeOnce sync.Once
+	opened    time.Time
+	// lastCall and lastRead are the durations from opened until a call was last made over the link by
+	// either side and until data last arrived, in nanoseconds. The time of day may step.
+	lastCall, lastRead atomic.Int64
 
 	mu      sync.Mutex
 	lastID  uint64
@@ -78,7 +79,7 @@
 	return l
 }
 
-func (l *link) recordCall() { l.lastCallAt.Store(time.Now().Unix()) }
+func (l *link) recordCall() { l.lastCall.Store(int64(time.Since(l.opened))) }
 
 // run sends queued frames and handles received ones until the connection fails or the link is
 // closed.
@@ -106,19 +107,19 @@
 	}
 }
 
-// readMessage reads a message and updates lastReadAt as its parts arrive.
+// readMessage reads a message and updates lastRead as its parts arrive.
 func (l *link) readMessage(ctx context.Context) ([]byte, error) {
 	_, message, err := l.conn.Reader(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(&timestampReader{message, &l.lastReadAt})
+	return io.ReadAll(&timestampReader{message, l})
 }
 
-// timestampReader is a reader that records the time of each read in lastReadAt.
+// timestampReader is a reader that records the time of each read in the link's lastRead.
 type timestampReader struct {
-	source     io.Reader
-	lastReadAt *atomic.Int64
+	source io.Reader
+	link   *link
 }
 
 // maxReadSize bounds the bytes of a read, since the library returns only when all requested bytes
@@ -127,7 +128,7 @@
 
 func (r *timestampReader) Read(p []byte) (int, error) {
 	n, err := r.source.Read(p[:min(len(p), maxReadSize)])
-	r.lastReadAt.Store(time.Now().UnixNano())
+	r.link.lastRead.Store(int64(time.Since(r.link.opened)))
 	return n, err
 }
 
@@ -294,10 +295,12 @@
 // idleChecks is the number of checks for received data within an idle timeout.
 const idleChecks = 8
 
-// sinceLastRead returns the time since data last arrived over the link. Parts of a message count.
-func (l *link) sinceLastRead(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, l.lastReadAt.Load()))
-}
+// lastReadAt returns when data last arrived over the link, or when the link was opened. Parts of a
+// message count.
+func (l *link) lastReadAt() time.Time { return l.opened.Add(time.Duration(l.lastRead.Load())) }
+
+// sinceLastRead returns the time since lastReadAt.
+func (l *link) sinceLastRead(now time.Time) time.Duration { return now.Sub(l.lastReadAt()) }
 
 // closeIfSilent closes the link if calls wait for an answer and the peer has sent nothing for
 // silenceTimeout, so that the next call uses a new link. A link over which a large answer is
--- a/node/peer/observe.go
+++ b/node/peer/observe.go
@@ -45,8 +45,5 @@
 	if l == nil {
 		return time.Time{}
 	}
-	if at := l.lastReadAt.Load(); at != 0 {
-		return time.Unix(0, at)
-	}
-	return l.opened
+	return l.lastReadAt()
 }
