Judge two crashing parts together

Cause: prompts with either bad part shared a sound one, which was at the crashes of both and was blamed first, at 2.08 s. When the first bad part was found, at 3.23 s, the sound one still counted as the explanation of the second part's earlier crashes, so three new ones were awaited, until 5.38 s. A part had to explain all crashes of a blamed one alone to be judged without regard to it. Change: it may explain them together with the other blamed parts, if it crashed further targets and is about as likely the cause. The sound part is then lifted as before.

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -133,9 +133,10 @@
 	})
 }
 
-// betterThan returns the blamed parts except those that are worse explanations than the suspect (see explains).
+// betterThan returns the blamed parts except those that are worse explanations than the suspect: it explains all of their
+// crashes, alone or together with the other blamed parts.
 func betterThan(s suspect, blamed []suspect) []suspect {
-	return slices.DeleteFunc(slices.Clone(blamed), func(b suspect) bool { return explains(s, b) })
+	return slices.DeleteFunc(slices.Clone(blamed), func(b suspect) bool { return explains(s, b) || explainsWith(s, b, blamed) })
 }
 
 // explains reports whether a part was at all targets that crashed under another one, and at further ones, and is not
@@ -144,6 +145,14 @@
 	return s.asLikelyAs(other) && len(s.record.crashes) > len(other.record.crashes) && len(unexplained(other.record, []suspect{s})) == 0
 }
 
+// explainsWith reports whether the targets that crashed under a blamed part all had a suspect or another blamed part, while
+// others crashed under the suspect alone, and the suspect is not much less likely the cause by its crash rate. Two crashing
+// parts together can have another one blamed that prompts with either of them share.
+func explainsWith(s, other suspect, blamed []suspect) bool {
+	rest := slices.DeleteFunc(slices.Clone(blamed), func(b suspect) bool { return b.record == other.record })
+	return len(rest) > 0 && s.asLikelyAs(other) && len(unexplained(other.record, append(rest, s))) == 0 && len(unexplained(s.record, blamed)) > 0
+}
+
 // asLikelyAs reports whether a part is about as likely the cause of its crashes as another one, by their crash rates.
 func (s suspect) asLikelyAs(other suspect) bool {
 	return s.record.crashRate() >= ambiguousRate*other.record.crashRate()
