An owner grants leases once all daemons have reported theirs

What callers saw: for 8 s all calls of an account with a small limit were refused at all daemons after a daemon had started late (429). Cause: a daemon that does not answer the question for its leases, because it starts at the same time or its link breaks, was not asked again. The daemon that asked took the leases of every account for unknown for 8 s from the account's first use, until its own restart. With a limit of 12 at three daemons, a daemon without a lease may run 0.2 requests. Class: one lost answer at a start kept for good.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -100,23 +100,22 @@
 
 // Owner leases out the limits of one account.
 type Owner struct {
-	waitFrom time.Time // leases of other owners may be in use until LeaseTTL after it
-	sequence uint64
-	holders  map[string]*holderState
+	// unknownSince is when other owners may last have granted leases that this one does not know of; zero if none did.
+	unknownSince time.Time
+	sequence     uint64
+	holders      map[string]*holderState
 }
 
 // NewOwner returns the owner of an account. Sequence numbers start at the current time, so that
-// grants of previous owners count as older. With settled true, the caller guarantees that no
-// lease of a previous owner is in use except those that it passes to Adopt; otherwise the owner
-// waits until such leases have expired.
-func NewOwner(settled bool, now time.Time) *Owner {
-	o := &Owner{waitFrom: now, sequence: uint64(now.UnixNano()), holders: map[string]*holderState{}}
-	if settled {
-		o.waitFrom = now.Add(-LeaseTTL)
-	}
-	return o
+// grants of previous owners count as older. See SetUnknownSince.
+func NewOwner(unknownSince, now time.Time) *Owner {
+	return &Owner{unknownSince: unknownSince, sequence: uint64(now.UnixNano()), holders: map[string]*holderState{}}
 }
 
+// SetUnknownSince tells the owner when other owners may last have granted leases that are not passed to Adopt. The owner
+// raises no fraction until these leases have expired. With the zero time the caller guarantees that there are none.
+func (o *Owner) SetUnknownSince(at time.Time) { o.unknownSince = at }
+
 // Adopt records a lease that a previous owner granted to a holder.
 func (o *Owner) Adopt(name string, fraction float64, now time.Time) {
 	h := o.holders[name]
@@ -127,11 +126,6 @@
 	h.grants = append(h.grants, outstandingGrant{o.sequence, fraction, now.Add(LeaseTTL)})
 }
 
-// DaemonJoined tells the owner that a daemon has started, or is reachable again after a network
-// partition. The daemon may hold a lease of another owner, so the owner raises no fraction until
-// such a lease has expired.
-func (o *Owner) DaemonJoined(now time.Time) { o.waitFrom = now }
-
 // Renew answers a renewal with a grant. alive is the number of daemons that this one believes
 // alive, and published the number in the platform's host list.
 func (o *Owner) Renew(r Renewal, alive, published int, now time.Time) Grant {
@@ -157,7 +151,7 @@
 // that its demand is of all holders' demands, but not much more than its demand. While leases of a
 // previous owner may be in use, it is the fraction that the holder has.
 func (o *Owner) desiredFraction(r Renewal, h *holderState, alive, published int, now time.Time) float64 {
-	if now.Sub(o.waitFrom) < LeaseTTL {
+	if now.Sub(o.unknownSince) < LeaseTTL {
 		// Leases of a previous owner may still be in use.
 		return r.Fraction
 	}
@@ -194,7 +188,7 @@
 			return false
 		}
 	}
-	return now.Sub(o.waitFrom) > LeaseTTL
+	return now.Sub(o.unknownSince) > LeaseTTL
 }
 
 // Holder is a daemon's lease on the limits of one account. The zero value holds no lease.
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -50,7 +50,7 @@
 	id, alive := m.owner(m.side[i])
 	o := m.owners[id]
 	if o == nil {
-		o = NewOwner(false, m.now)
+		o = NewOwner(m.now, m.now)
 		m.owners[id] = o
 	}
 	g := o.Renew(m.holders[i].NewRenewal(fmt.Sprint(i), m.demand[i], m.now), alive, daemonCount, m.now)
@@ -84,7 +84,7 @@
 				m.side[i] ^= 1
 				m.dropStaleOwners()
 				if id, _ := m.owner(m.side[i]); m.owners[id] != nil {
-					m.owners[id].DaemonJoined(m.now)
+					m.owners[id].SetUnknownSince(m.now)
 				}
 			},
 			"restart": func(t *rapid.T) {
--- a/node/blackboard/shares.go
+++ b/node/blackboard/shares.go
@@ -16,10 +16,14 @@
 	mu            Mutex
 	holders       map[string]*share.Holder
 	owners        map[string]*share.Owner
-	leasesKnown   bool
 	adoptedLeases map[string][]adoptedLease // by account; reported for accounts not yet in owners
 	listedDaemons int
 	adoptUntil    time.Time // when the last adopted lease expires
+	// collected is true once all listed daemons were asked for their leases. unreported holds those that have not
+	// answered, with the time of the question, and unknownSince is when the leases of all daemons were last unknown.
+	collected    bool
+	unreported   map[string]time.Time
+	unknownSince time.Time
 }
 
 // adoptedLease is a lease that a previous owner granted.
@@ -31,7 +35,7 @@
 func newShareTable() *ShareTable {
 	return &ShareTable{
 		mu: NewMutex(RankShares), holders: map[string]*share.Holder{}, owners: map[string]*share.Owner{},
-		adoptedLeases: map[string][]adoptedLease{}, listedDaemons: 1,
+		adoptedLeases: map[string][]adoptedLease{}, listedDaemons: 1, unreported: map[string]time.Time{},
 	}
 }
 
@@ -98,7 +102,7 @@
 	defer t.mu.Unlock()
 	o := t.owners[account]
 	if o == nil {
-		o = share.NewOwner(t.leasesKnown, at)
+		o = share.NewOwner(t.leasesUnknownSince(at), at)
 		if at.Before(t.adoptUntil) {
 			for _, a := range t.adoptedLeases[account] {
 				o.Adopt(a.holder, a.fraction, at)
@@ -128,10 +132,12 @@
 	return list
 }
 
-// Adopt counts the leases that a daemon holds from previous owners.
+// Adopt counts the leases that a daemon reports that it holds from previous owners.
 func (t *ShareTable) Adopt(holder string, holdings []Holding, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.unreported, holder)
+	defer t.updateOwners(at)
 	t.adoptUntil = at.Add(share.LeaseTTL)
 	for _, h := range holdings {
 		if o := t.owners[h.Account]; o != nil {
@@ -142,21 +148,50 @@
 	}
 }
 
-// SetLeasesKnown records that all listed daemons have reported their leases, so that new
-// owners can grant leases without waiting.
-func (t *ShareTable) SetLeasesKnown() {
+// LeasesUnreported records that a daemon did not report its leases. Until it does, or the leases have expired, owners
+// raise no fraction.
+func (t *ShareTable) LeasesUnreported(name string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.leasesKnown = true
+	t.unreported[name] = at
+	t.updateOwners(at)
 }
 
-// DaemonJoined records that daemons have joined whose leases are not known.
-func (t *ShareTable) DaemonJoined(at time.Time) {
+// Unreported returns the daemons that have not reported their leases.
+func (t *ShareTable) Unreported() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.leasesKnown = false
+	return slices.Sorted(maps.Keys(t.unreported))
+}
+
+// SetCollected records that all listed daemons were asked for their leases.
+func (t *ShareTable) SetCollected(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.collected = true
+	t.updateOwners(at)
+}
+
+// leasesUnknownSince returns when other owners may last have granted leases that are not known here; zero if there are
+// none. The lock is held.
+func (t *ShareTable) leasesUnknownSince(at time.Time) time.Time {
+	if !t.collected {
+		return at
+	}
+	latest := t.unknownSince
+	for _, asked := range t.unreported {
+		if asked.After(latest) {
+			latest = asked
+		}
+	}
+	return latest
+}
+
+// updateOwners tells all owners since when leases are unknown; the lock is held.
+func (t *ShareTable) updateOwners(at time.Time) {
+	since := t.leasesUnknownSince(at)
 	for _, o := range t.owners {
-		o.DaemonJoined(at)
+		o.SetUnknownSince(since)
 	}
 }
 
@@ -166,13 +201,11 @@
 func (t *ShareTable) Invalidate(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.leasesKnown = false
 	for _, h := range t.holders {
 		h.Invalidate()
 	}
-	for _, o := range t.owners {
-		o.DaemonJoined(at)
-	}
+	t.unknownSince = at
+	t.updateOwners(at)
 }
 
 // RemoveExpired removes idle accounts and expired leases.
@@ -181,6 +214,7 @@
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.owners, func(_ string, o *share.Owner) bool { return o.Idle(at) })
 	maps.DeleteFunc(t.holders, func(_ string, h *share.Holder) bool { return at.Sub(h.Expires()) > share.LeaseTTL })
+	maps.DeleteFunc(t.unreported, func(_ string, asked time.Time) bool { return at.Sub(asked) > share.LeaseTTL })
 	if at.After(t.adoptUntil) {
 		clear(t.adoptedLeases)
 	}
--- a/node/blackboard/shares_test.go
+++ b/node/blackboard/shares_test.go
@@ -8,8 +8,60 @@
 	"doorstack.dev/core/admission"
 	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/routing"
+	"doorstack.dev/core/share"
 )
 
+// TestOwnerGrantsOnceLeasesAreKnown checks that an owner grants no lease while a daemon has not reported those that it
+// holds, grants one as soon as it has, and that accounts which are used later do not wait for it again.
+func TestOwnerGrantsOnceLeasesAreKnown(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		report  time.Duration // when the daemon reports its leases; 0 if it never does
+		renewal time.Duration // the first renewal of the account
+		want    bool
+	}{
+		"not reported":                   {0, time.Second, false},
+		"reported at once":               {time.Second, time.Second, true},
+		"reported later":                 {3 * time.Second, 2 * time.Second, false},
+		"reported before the renewal":    {3 * time.Second, 4 * time.Second, true},
+		"never reported, leases expired": {0, share.LeaseTTL, true},
+	} {
+		table := newShareTable()
+		table.LeasesUnreported("b", start)
+		table.SetCollected(start)
+		early := start.Add(time.Second / 2)
+		table.Renew("early", share.Renewal{Holder: "a", Demand: 1}, 2, 2, early)
+		at := start.Add(c.renewal)
+		if c.report > 0 && c.report <= c.renewal {
+			table.Adopt("b", nil, start.Add(c.report))
+		}
+		for _, account := range []string{"early", "new"} {
+			if g := table.Renew(account, share.Renewal{Holder: "a", Demand: 1}, 2, 2, at); g.Fraction > 0 != c.want {
+				t.Errorf("%s: account %s is granted %v, want a lease: %v", name, account, g.Fraction, c.want)
+			}
+		}
+		table.RemoveExpired(start.Add(share.LeaseTTL + time.Second))
+		if left := table.Unreported(); len(left) > 0 {
+			t.Errorf("%s: %v are still asked for leases that have expired", name, left)
+		}
+	}
+}
+
+// TestReportedLeasesAreNotGrantedAgain checks that what a daemon reports after the owner has begun to grant leases is
+// not granted to another.
+func TestReportedLeasesAreNotGrantedAgain(t *testing.T) {
+	start := time.Unix(1000, 0)
+	table := newShareTable()
+	table.LeasesUnreported("b", start)
+	table.SetCollected(start)
+	table.Renew("acme", share.Renewal{Holder: "a", Demand: 1}, 2, 2, start)
+	table.Adopt("b", []Holding{{Account: "acme", Fraction: 0.7}}, start.Add(time.Second))
+	g := table.Renew("acme", share.Renewal{Holder: "a", Demand: 1}, 2, 2, start.Add(time.Second))
+	if most := 1 - share.ReserveFraction - 0.7; g.Fraction <= 0 || g.Fraction > most+1e-9 {
+		t.Errorf("granted %v, want more than 0 and at most %v", g.Fraction, most)
+	}
+}
+
 // TestRefusedPromptIsRememberedNotCharged checks that a prompt that routing refuses is not counted as
 // dispatched, and that its repeat before the advised time goes behind another account's prompt:
 // without the report of the refusal, callers that ignore Retry-After gain by repeating.
--- a/node/cluster/gossip.go
+++ b/node/cluster/gossip.go
@@ -66,7 +66,7 @@
 	c.Placer.links.membersChanged()
 	for _, r := range rumors {
 		if r.State == membership.Alive && !c.DisableLeases {
-			go c.daemonJoined(ctx, r.Name)
+			go c.requireHoldings(ctx, r.Name)
 		}
 	}
 	pause, mustSend := c.rumorBatch.add(rumors, from, time.Now())
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -53,6 +53,7 @@
 	var work sync.WaitGroup
 	if !c.DisableLeases {
 		work.Go(func() { c.runShares(ctx) })
+		work.Go(func() { c.runMissingHoldings(ctx) })
 		work.Go(func() { c.runLeases(ctx) })
 	}
 	work.Go(func() { c.processReports(ctx) })
--- a/node/cluster/shares.go
+++ b/node/cluster/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -116,28 +117,25 @@
 	return c.Board.Shares.Holdings(time.Now()), nil
 }
 
-// collectHoldings asks all listed daemons for the leases that they hold, once at the start.
-// If all answer, this daemon need not wait before it grants leases.
+// collectHoldings asks all listed daemons for the leases that they hold, once at the start. Once all have answered, this
+// daemon need not wait before it grants leases.
 func (c *Cluster) collectHoldings(ctx context.Context) {
 	var wg sync.WaitGroup
-	var mu sync.Mutex
-	all := true
 	members := c.Board.Members.Members()
 	c.Board.Shares.SetListed(len(members))
 	for _, m := range members {
-		if m.Name == c.Board.Self.Name {
-			continue
-		}
-		wg.Go(func() {
-			ok := c.adoptHoldings(ctx, m.Name)
-			mu.Lock()
-			defer mu.Unlock()
-			all = all && ok
-		})
+		wg.Go(func() { c.requireHoldings(ctx, m.Name) })
 	}
 	wg.Wait()
-	if all {
-		c.Board.Shares.SetLeasesKnown()
+	c.Board.Shares.SetCollected(time.Now())
+}
+
+// requireHoldings takes over the leases that a daemon reports. If it does not answer, no grant is raised until it does or
+// its leases have expired.
+func (c *Cluster) requireHoldings(ctx context.Context, name string) {
+	asked := time.Now()
+	if name != c.Board.Self.Name && !c.adoptHoldings(ctx, name) {
+		c.Board.Shares.LeasesUnreported(name, asked)
 	}
 }
 
@@ -151,10 +149,21 @@
 	return true
 }
 
-// daemonJoined takes over the leases of a daemon that became alive. If that daemon does not
-// report them, no grant is raised until they have expired.
-func (c *Cluster) daemonJoined(ctx context.Context, name string) {
-	if name != c.Board.Self.Name && !c.adoptHoldings(ctx, name) {
-		c.Board.Shares.DaemonJoined(time.Now())
+// runMissingHoldings asks the living daemons that have not reported their leases again, until ctx ends.
+func (c *Cluster) runMissingHoldings(ctx context.Context) {
+	for ctx.Err() == nil {
+		controller.Sleep(ctx, minShareRequestInterval)
+		missing := c.Board.Shares.Unreported()
+		if len(missing) == 0 {
+			continue
+		}
+		living, _ := c.Board.Members.AliveNames()
+		var wg sync.WaitGroup
+		for _, name := range missing {
+			if slices.Contains(living, name) {
+				wg.Go(func() { c.adoptHoldings(ctx, name) })
+			}
+		}
+		wg.Wait()
 	}
 }
--- a/node/internal/fleet/once_test.go
+++ b/node/internal/fleet/once_test.go
@@ -28,7 +28,7 @@
 }
 
 // TestDuplicatesAtAllDaemonsRunOnce checks that duplicates sent to all daemons run once and all
-// get the same answer. It runs in the state right after a daemon has joined: for 8 s no daemon's
+// get the same answer. It runs in the state after a daemon has joined that does not report its leases: for 8 s no daemon's
 // share of an account's limit is raised, so that of the 100 calls that the account may run at
 // the same time, each daemon may run one.
 func TestDuplicatesAtAllDaemonsRunOnce(t *testing.T) {
@@ -36,7 +36,7 @@
 	f := startFleet(t, claraOptions(5, 1))
 	awaitWitnessAge(t, f)
 	for _, d := range f.Daemons {
-		d.Board.Shares.DaemonJoined(time.Now())
+		d.Board.Shares.LeasesUnreported("joined", time.Now())
 	}
 	key := newKey()
 	replies := make([]reply, 20)
