Do not wait for the body of a rejection

What callers saw: a target that rejects a call and does not send the body that it has declared held unsafe calls, and streams, until their time limit: 504, and no second target. Cause: the body was read to its end before the call went on, only to keep the connection; for a call that may not be repeated no silence of a target ends the attempt. Change: the body is awaited no longer than its head took, and the connection is closed if it does not come. The attempt counts as rejected either way, which promises that the call has not run. Result measured: TestRejectionIsNotHeldUpByItsBody failed before for unsafe calls and streams (504 after 1 s, one target), passes with -race; TestConnectionOfRejectionIsReused, 20 times; node/target and node/requestcontrol pass.

--- a/node/onplatform/answers_test.go
+++ b/node/onplatform/answers_test.go
@@ -100,6 +100,29 @@
 	}
 }
 
+// TestRejectionIsNotHeldUpByItsBody guards against calls that wait for the body of a rejection, whose head says that another
+// target may run them.
+func TestRejectionIsNotHeldUpByItsBody(t *testing.T) {
+	for path, answer := range map[string]func(http.ResponseWriter, *http.Request, standin.Call){
+		unsafePath: standin.Succeed("ok"), safePath: standin.Succeed("ok"), streamPath: standin.AnswerStream(1, 3, false),
+	} {
+		t.Run(path, func(t *testing.T) {
+			f := newFleet(t, 1, 2)
+			f.scriptFirstCall(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+				w.Header().Set("Content-Length", "100")
+				standin.Reject(w, r, c)
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			}, answer)
+			a := f.newRequest(path)
+			a.DeadlineMS = 1000 // Less than the time after which a silent target is left.
+			if got := f.do(a); got.Status != 200 || len(f.callsWithID(a.ID)) != 2 {
+				t.Errorf("%+v after %d calls to targets, want the second target's answer", got, len(f.callsWithID(a.ID)))
+			}
+		})
+	}
+}
+
 // TestTargetConnectionsAreReused checks that consecutive calls to a target share one connection.
 func TestTargetConnectionsAreReused(t *testing.T) {
 	f := newFleet(t, 1, 1)
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -305,7 +305,7 @@
 	switch verdict {
 	case forward.Rejected:
 		f.failedHelper = reply.FailedHelper
-		if err := reply.Discard(); err != nil {
+		if err := reply.DiscardArriving(); err != nil { // The head says all that is needed.
 			return errors.Wrap(errRejected, err.Error())
 		}
 		return errors.Wrap(errRejected, fmt.Sprintf("status %d, failed helper %q", reply.Status, reply.FailedHelper))
--- a/node/target/endless_answers_test.go
+++ b/node/target/endless_answers_test.go
@@ -160,3 +160,35 @@
 		t.Errorf("length %d, body %q, %v; want none", reply.Length, body, err)
 	}
 }
+
+// TestConnectionOfRejectionIsReused checks that the connection is reused where the body of a rejection comes with its head, and
+// closed where it does not come.
+func TestConnectionOfRejectionIsReused(t *testing.T) {
+	for _, body := range []string{"full", ""} {
+		var connections atomic.Int64
+		address, _ := startScriptedServer(t, func(conn net.Conn, r *http.Request, connection, _ int) bool {
+			drainBody(r)
+			connections.Store(int64(connection))
+			_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nId: x\r\nContent-Length: 4\r\n\r\n"+body)
+			return err == nil
+		})
+		e := NewExchanger(testDialect{}, NewConnector())
+		before := int64(0)
+		for i := range 2 {
+			reply, err := e.Send(t.Context(), address, testMessage("x", ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := reply.DiscardArriving(); (err == nil) != (body != "") {
+				t.Errorf("body %q: DiscardArriving = %v", body, err)
+			}
+			e.Close(reply)
+			if i == 0 {
+				before = connections.Load()
+			}
+		}
+		if reused := connections.Load() == before; reused != (body != "") {
+			t.Errorf("body %q: connection reused: %v", body, reused)
+		}
+	}
+}
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -73,8 +73,10 @@
 	Body *answerBody
 	// Length is the length of the body in bytes, or -1 where it is not known.
 	Length int64
-	// Sent is the time just before the call's first byte was written.
-	Sent time.Time
+	// Sent is the time just before the call's first byte was written, and headTook the time from then until the head had
+	// been read.
+	Sent     time.Time
+	headTook time.Duration
 
 	// Relay is the daemon that the call went through; it is empty if this host's own path was used.
 	Relay string
@@ -121,6 +123,17 @@
 	return err
 }
 
+// DiscardArriving is Discard for a body that follows its head soon: it waits no longer than the head took.
+func (r *Reply) DiscardArriving() error {
+	if err := r.conn.conn.SetReadDeadline(time.Now().Add(r.headTook)); err != nil {
+		return err
+	}
+	if err := r.Discard(); err != nil {
+		return err // Close does not reuse the connection.
+	}
+	return r.conn.conn.SetReadDeadline(time.Time{})
+}
+
 // answerBody records whether an answer was read to its end.
 type answerBody struct {
 	io.Reader
@@ -186,7 +199,7 @@
 		}
 		return nil, &CallError{Execution: execution, Relay: pc.relay, Err: err}
 	}
-	reply.stopDeadline, reply.Sent = stop, sent
+	reply.stopDeadline, reply.Sent, reply.headTook = stop, sent, time.Since(sent)
 	return reply, nil
 }
 
