--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -145,9 +145,9 @@
 	return s.asLikelyAs(other) && len(s.record.crashes) > len(other.record.crashes) && len(unexplained(other.record, []suspect{s})) == 0
 }
 
-// explainsWith reports whether the targets that crashed under a blamed part all had a suspect or another blamed part, while
-// others crashed under the suspect alone, and the suspect is not much less likely the cause by its crash rate. Two crashing
-// parts together can have another one blamed that prompts with either of them share.
+// explainsWith is explains for a suspect together with the other blamed parts: each target that crashed under the blamed part
+// also had the suspect or one of them, and the suspect crashed targets that no blamed part explains. Without it, a sound part
+// that prompts with either of two crashing parts share stays blamed and hides the second of them.
 func explainsWith(s, other suspect, blamed []suspect) bool {
 	rest := slices.DeleteFunc(slices.Clone(blamed), func(b suspect) bool { return b.record == other.record })
 	return len(rest) > 0 && s.asLikelyAs(other) && len(unexplained(other.record, append(rest, s))) == 0 && len(unexplained(s.record, blamed)) > 0
--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -72,8 +72,8 @@
 }
 
 // newServer opens a listener for the config key and stores the actual address in *address, as its
-// port may be 0. Connections are accepted by the wrapped listener. The request timeout of Kratos, one second, is disabled, as requests have their
-// own deadlines.
+// port may be 0. The server accepts connections through the listeners that wrap returns. The request
+// timeout of Kratos, one second, is disabled, as requests have their own deadlines.
 func newServer(key string, address *string, handler http.Handler, wrap ...func(net.Listener) net.Listener) (*khttp.Server, error) {
 	listener, err := net.Listen("tcp", *address)
 	if err != nil {
