Log over how many sends a stream was made and which events they left out

A resumed run whose ids leave some out was joined without a word. Change: fields sends and skipped of the answer line, and a counter of skipped events, for streams whose ids had gone up by one. No decision changes. Result: TestSkippedEventsAreReported (the fields and the counter did not exist before).

--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -83,8 +83,11 @@
 
 // StreamTiming is the timing of a forwarded answer.
 type StreamTiming struct {
-	// Events is the number of events sent to the caller.
-	Events int `json:"events"`
+	// Events is the number of events sent to the caller, Sends the number of sends that produced them, and Skipped the
+	// number of event ids that later ones left out.
+	Events  int   `json:"events"`
+	Sends   int   `json:"sends"`
+	Skipped int64 `json:"skipped,omitempty"`
 	// FirstEvent is the time to the first event, LongestGap the longest pause between two, and
 	// Total the time of the whole answer. FirstEventGoal and LongestGapGoal are the route's
 	// goals for the first two.
--- a/node/onplatform/resumed_streams_test.go
+++ b/node/onplatform/resumed_streams_test.go
@@ -101,3 +101,14 @@
 		t.Errorf("answer = %d %q %v, want a broken stream with each event once", got.Status, got.Body, got.Err)
 	}
 }
+
+// TestSkippedEventsAreReported guards against a resumed stream that leaves events out without any sign of it.
+func TestSkippedEventsAreReported(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.scriptFirstCall(standin.AnswerStream(1, 5, true), standin.AnswerStream(7, 8, false))
+	f.do(f.newRequest(streamPath))
+	f.eventually("the log line and the metric", func() bool {
+		return strings.Contains(f.daemons[0].log.String(), `"sends":2`) && strings.Contains(f.daemons[0].log.String(), `"skipped":1`) &&
+			strings.Contains(f.metrics(f.daemons[0]), `doorstack_skipped_events_total{pool="svc"} 1`)
+	})
+}
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"doorstack.dev/core/decision"
+	"doorstack.dev/core/eventstream"
 	"doorstack.dev/core/fault"
 	"doorstack.dev/core/forward"
 	"doorstack.dev/core/settings"
@@ -41,6 +42,9 @@
 	lastEventID string
 	deliveredID bool
 	eventCount  int
+	// sequence follows the ids of the events; skipped is how many the targets that resumed the stream have left out.
+	sequence eventstream.Sequence
+	skipped  int64
 	// mediaType is that of the answer whose head the caller has received.
 	mediaType string
 	// attemptAnswer is the progress of the answer in the current attempt. partSendEnded ends the cancellation of the
@@ -330,10 +334,14 @@
 
 func (f *forwarding) recordAnswer(err error) {
 	r := f.request
+	completed := 0 // progress counts the failed sends.
+	if err == nil {
+		completed = 1
+	}
 	rec := decision.Record{
 		Kind: decision.KindAnswer, Outcome: decision.OutcomeComplete, Target: f.lastTarget,
 		Status: f.lastStatus, Framing: string(f.lastFraming),
-		Stream: &decision.StreamTiming{Events: f.eventCount, FirstEvent: f.timeToFirstEvent, LongestGap: f.longestGap, Total: time.Since(r.Arrived), FirstEventGoal: r.firstEventGoal(), LongestGapGoal: r.gapGoal()},
+		Stream: &decision.StreamTiming{Events: f.eventCount, Sends: f.progress.Sends() + completed, Skipped: f.skipped, FirstEvent: f.timeToFirstEvent, LongestGap: f.longestGap, Total: time.Since(r.Arrived), FirstEventGoal: r.firstEventGoal(), LongestGapGoal: r.gapGoal()},
 	}
 	if err == nil {
 		f.director.Recorder.MarkStage(blackboard.StageAnswered)
--- a/node/requestcontrol/relay.go
+++ b/node/requestcontrol/relay.go
@@ -77,12 +77,21 @@
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
 	f.eventCount++
+	f.recordSkipped(e.ID)
 	if e.ID != "" {
 		f.lastEventID, f.deliveredID = e.ID, true
 	}
 	return nil
 }
 
+// recordSkipped counts the events that the target has left out if it resumes the stream with this event.
+func (f *forwarding) recordSkipped(id string) {
+	if skipped := f.sequence.Skipped(id, f.attemptAnswer.events == 1); skipped > 0 {
+		f.skipped += skipped
+		f.director.Recorder.Metrics.SkippedEvents.WithLabelValues(f.request.Route.Pool.Name).Add(float64(skipped))
+	}
+}
+
 // recordEventTime updates the time to the first event or the longest gap.
 func (f *forwarding) recordEventTime(now time.Time) {
 	if f.eventCount == 0 {
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -19,12 +19,14 @@
 
 // Metrics are the metrics of a daemon. docs/OPERATIONS.md lists them.
 type Metrics struct {
-	Registry       *prometheus.Registry
-	Requests       *prometheus.CounterVec
-	FirstToken     *prometheus.HistogramVec
-	Tokens         prometheus.Counter
-	Retries        *prometheus.CounterVec
-	SilentTargets  *prometheus.CounterVec
+	Registry      *prometheus.Registry
+	Requests      *prometheus.CounterVec
+	FirstToken    *prometheus.HistogramVec
+	Tokens        prometheus.Counter
+	Retries       *prometheus.CounterVec
+	SilentTargets *prometheus.CounterVec
+	// SkippedEvents counts the events that targets left out when they went on with a stream.
+	SkippedEvents  *prometheus.CounterVec
 	Decisions      *prometheus.CounterVec
 	QueuedRequests *prometheus.GaugeVec
 	// WaitingByKind and DispatchedByKind are the requests that wait in, and were dispatched from, the
@@ -127,6 +129,7 @@
 		Tokens:               prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "relayed_tokens_total", Help: "Tokens relayed to callers."}),
 		Retries:              counter("retries_total", "Attempts after the first, by pool.", "pool"),
 		SilentTargets:        counter("silent_targets_total", "Attempts ended because the target fell silent, by pool.", "pool"),
+		SkippedEvents:        counter("skipped_events_total", "Event ids that targets left out when they resumed a stream, by pool.", "pool"),
 		Decisions:            counter("decisions_total", "Decisions, by kind and outcome.", "kind", "outcome"),
 		QueuedRequests:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_requests", Help: "Requests that wait, by pool."}, []string{"pool"}),
 		WaitingByKind:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_waiting", Help: "Requests that wait, by pool and kind of prompt."}, []string{"pool", labelKind}),
@@ -163,7 +166,7 @@
 		StoreRestores:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_returns_total", Help: "Returns of the platform's store from an older copy that this daemon saw."}),
 		LogLinesOmitted:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.SkippedEvents, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
 		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.TargetConnects, m.UnreachedTargets, m.LostPaths, m.RelayRequests, m.Introductions, m.CoordinationSteps, m.Quarantines, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.StartHolds, m.StartRefusals, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
@@ -291,8 +294,11 @@
 		}
 	}
 	if st := d.Stream; st != nil {
-		list = append(list, slog.Int("events", st.Events), slog.Int64("first_ms", st.FirstEvent.Milliseconds()), slog.Int64("gap_ms", st.LongestGap.Milliseconds()),
+		list = append(list, slog.Int("events", st.Events), slog.Int("sends", st.Sends), slog.Int64("first_ms", st.FirstEvent.Milliseconds()), slog.Int64("gap_ms", st.LongestGap.Milliseconds()),
 			slog.Int64("took_ms", st.Total.Milliseconds()), slog.Int64("goal_ms", st.FirstEventGoal.Milliseconds()), slog.Int64("gap_goal_ms", st.LongestGapGoal.Milliseconds()))
+		if st.Skipped > 0 {
+			list = append(list, slog.Int64("skipped", st.Skipped))
+		}
 	}
 	if v := d.Repeat; v != nil {
 		list = append(list, slog.Int("calls", v.Calls), slog.Int("repeats", v.Repeats), slog.Float64("span_s", v.Span.Seconds()),
