Deliver an answer without a length only if its target's process has outlived it

Cause: such an answer ends with its connection, which the kernel ends in order for a process that ends. The end of the connection stood for the end of the answer. Change: while such an answer is read, another connection to the process is open, the witness. Once the answer has ended, the target is asked for its report over it: only the process that accepted that connection can answer, and it was alive after the end then. Answers that end together share a question. Where no witness was open in time, the health check has to name the target. Otherwise the answer counts as truncated: it is repeated or resumed where the route allows it, and looks broken to the caller elsewhere. The latest framing of a target is remembered, so that its next answer finds a witness. A metric has the time and outcome of each check. Targets' health paths are read from the settings. A target that is alive: TestUnframedAnswers*.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -75,6 +75,9 @@
 	// Header has no hop-by-hop fields.
 	Header map[string][]string
 	Body   []byte
+	// Target is the id of the target that the message is meant for, and HealthPath the path of that target's health check;
+	// both are empty where they are not known.
+	Target, HealthPath string
 	// ProbeConnection turns on TCP probes while the daemon waits for the answer, so that the
 	// death of the target's host is detected before an answer is due.
 	ProbeConnection bool
@@ -90,6 +93,8 @@
 	Status int
 	// RequestID is the id of the call that is answered.
 	RequestID string
+	// Instance is the id of the target that answers, where the answer names it.
+	Instance string
 	// NotExecuted is true if the target states that it has not run the call and will not.
 	NotExecuted bool
 	// Signed is true if the answer carries the target's signature. A success without a
@@ -109,10 +114,13 @@
 	UnknownHeaders []string
 }
 
+// Misdirected reports whether a different target answered than the message was meant for.
+func (h *Head) Misdirected() bool { return h.Status == statusMisdirected }
+
 // TargetNotice returns the notice of the target that the message was sent to: the zero Notice if
 // a different target answered.
 func (h *Head) TargetNotice() Notice {
-	if h.Status == statusMisdirected {
+	if h.Misdirected() {
 		return Notice{}
 	}
 	return h.Notice
@@ -145,7 +153,7 @@
 // Classify returns the disposition of the answer with this head.
 func (h *Head) Classify() Disposition {
 	switch {
-	case h.NotExecuted || h.Status == statusMisdirected:
+	case h.NotExecuted || h.Misdirected():
 		return Rejected
 	case h.Encoded:
 		return Unusable
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -70,6 +70,8 @@
 	// may send it ColdRequestsPerSecond, and it crashes well above that; zero means no limit.
 	ColdStart             strictyaml.Duration `yaml:"cold_start"`
 	ColdRequestsPerSecond float64             `yaml:"cold_requests_per_second"`
+	// HealthPath is the path of the health check of targets that take forwarded calls; empty if they have none.
+	HealthPath string `yaml:"health_path"`
 	// Timing is the cost model of an engine; nil if unknown.
 	Timing *EngineTiming `yaml:"timing"`
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -196,6 +196,7 @@
 	d.director.Placer = d.cluster.Placer
 	d.cluster.DisableLeases = true
 	d.director.Exchanger = target.NewExchanger(d.adapter.Dialect, d.connector)
+	d.director.Exchanger.OnEndCheck = d.recorder.RecordEndCheck
 	slowdowns := &controller.SlowdownPoller{Board: d.Board, Exchanger: d.director.Exchanger, Recorder: d.recorder, Coordinates: d.cluster.Placer.Coordinates}
 	lag := &controller.LagMonitor{Board: d.Board, Recorder: d.recorder}
 	d.loops = append(d.loops, lag.Run, directory.Run, d.director.Exchanger.Run, slowdowns.Run)
--- a/node/internal/soak/testbed.go
+++ b/node/internal/soak/testbed.go
@@ -139,8 +139,8 @@
 	c := standin.Config{
 		Version: tb.version,
 		Services: []standin.Service{
-			{Name: plainService, ColdStartS: coldStart.Seconds(), ColdPerS: coldPerSecond},
-			{Name: engineService, ColdStartS: coldStart.Seconds(), ColdPerS: coldPerSecond, Engine: standin.Engine(100_000)},
+			{Name: plainService, HealthPath: standin.HealthPath, ColdStartS: coldStart.Seconds(), ColdPerS: coldPerSecond},
+			{Name: engineService, HealthPath: standin.HealthPath, ColdStartS: coldStart.Seconds(), ColdPerS: coldPerSecond, Engine: standin.Engine(100_000)},
 		},
 	}
 	for _, account := range append([]string{floodAccount}, otherAccounts...) {
--- a/node/onplatform/ended_targets_test.go
+++ b/node/onplatform/ended_targets_test.go
@@ -47,7 +47,7 @@
 	all := map[string]endedAnswer{}
 	for _, path := range []string{safePath, unsafePath, streamPath, nonResumablePath} {
 		for _, framing := range []string{standin.ByLength, standin.ByChunks, standin.ByConnection} {
-			for _, end := range []string{standin.Killed, standin.Exits, standin.Resets} {
+			for _, end := range []string{standin.Killed, standin.Exits, standin.Restarts, standin.Resets} {
 				for place, at := range map[string]endedAnswer{"begin": {}, "between": {after: 5}, "inside": {after: 5, inside: true}} {
 					at.path, at.framing, at.end = path, framing, end
 					all[strings.Join([]string{strings.Trim(path, "/"), framing, end, place}, " ")] = at
--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -76,7 +76,7 @@
 			route(streamPath, "streaming", plainService, 2), route(nonResumablePath, "streaming", plainService, 2),
 			route(promptPath, "streaming", engineService, 2), route(noAuthPath, "safe", plainService, 2),
 		},
-		Services: []standin.Service{{Name: plainService}, {Name: engineService, Engine: standin.Engine(100_000)}},
+		Services: []standin.Service{{Name: plainService, HealthPath: standin.HealthPath}, {Name: engineService, HealthPath: standin.HealthPath, Engine: standin.Engine(100_000)}},
 		Tenants:  []standin.Tenant{{Name: "a", APIKeys: []string{apiKey}}},
 	}
 	c.Routes[2].Resumable, c.Routes[2].GapGoalMS = true, 100
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -114,7 +114,7 @@
 }
 
 func testMessage(body string) *forward.Message {
-	return &forward.Message{ID: "1", Method: "POST", Host: "h", URI: "/", Header: http.Header{"X-Request-Id": {"1"}}, Body: []byte(body)}
+	return &forward.Message{ID: "1", Method: "POST", Host: "h", URI: "/", Header: http.Header{"X-Request-Id": {"1"}}, Body: []byte(body), Target: targetID, HealthPath: healthPath}
 }
 
 // send sends a call and returns its answer's body.
@@ -131,7 +131,14 @@
 	return string(answer), err
 }
 
-// startTarget starts a target that runs script for each connection, after it has read the head of a call.
+// The id of the target that startTarget starts, and the path of its health check.
+const (
+	targetID   = "t"
+	healthPath = "/health"
+)
+
+// startTarget starts a target that runs script for each connection, after it has read the head of a call. It answers health
+// checks itself.
 func startTarget(t *testing.T, script func(conn *net.TCPConn, in *bufio.Reader)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -148,14 +155,16 @@
 			go func() {
 				defer func() { _ = conn.Close() }()
 				in := bufio.NewReader(conn)
-				for {
-					line, err := in.ReadString('\n')
-					if err != nil {
-						return
-					}
-					if line == "\r\n" {
-						break
-					}
+				first, err := in.ReadString('\n')
+				for line := ""; err == nil && line != "\r\n"; {
+					line, err = in.ReadString('\n')
+				}
+				if err != nil {
+					return
+				}
+				if strings.HasPrefix(first, "GET "+healthPath+" ") {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", targetID)
+					return
 				}
 				script(conn.(*net.TCPConn), in)
 			}()
--- /dev/null
+++ b/node/target/answerend_test.go
@@ -0,0 +1,99 @@
+package target
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"doorstack.dev/core/forward"
+	"github.com/go-faster/errors"
+)
+
+const (
+	testTargetID = "t"
+	healthPath   = "/health"
+)
+
+// startUnframedTarget starts a target that answers calls with answer and is alive.
+func startUnframedTarget(t *testing.T, answer func(conn net.Conn, r *http.Request) (keep bool)) string {
+	t.Helper()
+	address, _ := startScriptedServer(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
+		switch {
+		case r.URL.Path == healthPath:
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nInstance: %s\r\nContent-Length: 0\r\n\r\n", testTargetID)
+			return true
+		case r.Method == http.MethodGet: // The question of a witness.
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return true
+		default:
+			return answer(conn, r)
+		}
+	})
+	return address
+}
+
+func unframedHead(id string) string { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\n" }
+
+// checkedMessage is a call whose answer's end is checked.
+func checkedMessage(id, body string) *forward.Message {
+	m := testMessage(id, body)
+	m.Target, m.HealthPath = testTargetID, healthPath
+	return m
+}
+
+// TestUnframedAnswersOfLiveTargetAreWhole covers a first answer, for which no witness was open, and later ones.
+func TestUnframedAnswersOfLiveTargetAreWhole(t *testing.T) {
+	address := startUnframedTarget(t, func(conn net.Conn, r *http.Request) bool {
+		drainBody(r)
+		_, _ = io.WriteString(conn, unframedHead(r.Header.Get("Id"))+"whole")
+		return false
+	})
+	e := NewExchanger(testDialect{}, NewConnector())
+	for range 20 {
+		m := checkedMessage("1", "body")
+		m.Header["Id"] = []string{"1"}
+		if got, err := sendAndRead(t, e, address, m); err != nil || got != "whole" {
+			t.Fatalf("answer = %q, %v", got, err)
+		}
+	}
+}
+
+// TestSuccessorAtTheAddressIsNotTheTarget guards against another process at the target's address, which the witness or
+// the health check reaches, being taken for the one that answered.
+func TestSuccessorAtTheAddressIsNotTheTarget(t *testing.T) {
+	address, _ := startScriptedServer(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nInstance: successor\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		drainBody(r)
+		_, _ = io.WriteString(conn, unframedHead("1")+"truncated")
+		return false
+	})
+	e := NewExchanger(testDialect{}, NewConnector())
+	for range 3 {
+		if got, err := sendAndRead(t, e, address, checkedMessage("1", "")); !errors.Is(err, ErrProcessEnded) {
+			t.Errorf("answer = %q, %v, want ErrProcessEnded", got, err)
+		}
+	}
+}
+
+// TestRejectionWithoutLengthNeedsNoWitness guards against connections and questions for answers that are only discarded.
+func TestRejectionWithoutLengthNeedsNoWitness(t *testing.T) {
+	address := startUnframedTarget(t, func(conn net.Conn, r *http.Request) bool {
+		drainBody(r)
+		_, _ = io.WriteString(conn, unframedHead("1")+"full")
+		return false
+	})
+	e := NewExchanger(testDialect{}, NewConnector())
+	reply, err := e.Send(t.Context(), address, checkedMessage("1", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := reply.Discard(); err != nil || reply.witness != nil {
+		t.Errorf("Discard = %v, with a witness: %v", err, reply.witness != nil)
+	}
+	e.Close(reply)
+}
--- a/node/target/client.go
+++ b/node/target/client.go
@@ -65,7 +65,7 @@
 	if ExecutionOf(err) == fault.NotRun {
 		return false
 	}
-	return errors.Is(err, ErrRelayEnded) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, ErrRelayEnded) || errors.Is(err, ErrProcessEnded) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // Client calls targets over HTTP. It is safe for concurrent use.
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -23,16 +23,17 @@
 	conn        Socket
 	head        *headLimit
 	reader      *bufio.Reader // reads through head
+	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
 	// kept reports that the connection was idle before the current call.
 	kept bool
 	// bytesSent counts the bytes of the current call that the kernel accepted.
 	bytesSent atomic.Int64
-	// writeDone is closed when the write of the call has ended, also where it failed; writeOK
-	// reports whether the whole call was written.
+	// writeDone is closed when the write of the call has ended, also where it failed; writeErr
+	// is nil if the whole call was written.
 	writeDone chan struct{}
-	writeOK   bool
+	writeErr  error
 	// probes reports whether the kernel sends TCP keep-alive probes; unacked is how long sent bytes may
 	// stay unacknowledged.
 	probes  bool
@@ -42,7 +43,7 @@
 func newPersistConn(address, relay string, conn Socket) *persistConn {
 	head := &headLimit{conn: conn}
 	return &persistConn{
-		address: address, relay: relay, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize),
+		address: address, relay: relay, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), openedAt: time.Now(),
 		idleTimeout: defaultIdleTimeout, unacked: unackedTimeout,
 	}
 }
@@ -55,14 +56,13 @@
 // startWrite writes a call, in the background where its body exceeds maxInlineWrite.
 func (pc *persistConn) startWrite(c *forward.Message) {
 	pc.writeDone = make(chan struct{})
-	pc.writeOK = false
 	write := func() {
 		defer close(pc.writeDone)
 		out := bufio.NewWriterSize(countingWriter{pc}, min(maxInlineWrite, len(c.Body)+readBufferSize))
-		if err := writeCall(out, c); err != nil {
-			return // Reading the answer fails too; bytesSent then decides whether the call may have run.
+		// After an error, bytesSent decides whether the call may have run.
+		if pc.writeErr = writeCall(out, c); pc.writeErr == nil {
+			pc.writeErr = out.Flush()
 		}
-		pc.writeOK = out.Flush() == nil
 	}
 	if len(c.Body) > maxInlineWrite {
 		go write()
@@ -125,12 +125,18 @@
 func (pc *persistConn) reusable() bool {
 	select {
 	case <-pc.writeDone:
-		return pc.writeOK && pc.reader.Buffered() == 0
+		return pc.writeErr == nil && pc.reader.Buffered() == 0
 	default:
 		return false
 	}
 }
 
+// reuse prepares an idle connection for another call.
+func (pc *persistConn) reuse() {
+	pc.bytesSent.Store(0)
+	pc.writeDone, pc.kept = nil, true
+}
+
 func (pc *persistConn) expired(now time.Time) bool { return now.Sub(pc.idleSince) >= pc.idleTimeout }
 
 // usable reports whether an idle connection is neither expired, nor closed by the
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -26,10 +26,12 @@
 	// hold; sent again, it renews the reservation. ReleaseMessage returns the message that ends it.
 	ReserveMessage(target, id string, tokens int64, hold time.Duration) forward.Message
 	ReleaseMessage(target, id string) forward.Message
-	// ReportMessage returns the request for a target's report, and ReadReport decodes the
-	// body of the answer.
+	// ReportMessage returns the request for a target's report, which a target of any kind answers at once in some way, and
+	// ReadReport decodes the body of an engine's answer.
 	ReportMessage(target string) forward.Message
 	ReadReport(body []byte) (forward.Report, error)
+	// HealthMessage returns the health check of a target. The answer names the target.
+	HealthMessage(target, path string) forward.Message
 	// WriteFailure sets the headers of an error answer of the daemon itself: the request's id
 	// and, where retry is set, the time after which to retry.
 	WriteFailure(h http.Header, requestID string, retry bool, after time.Duration)
@@ -42,6 +44,11 @@
 	Dialect Dialect
 	// Connect opens the connections to targets.
 	Connect *Connector
+	// OnEndCheck is called after each check whether a target has outlived an answer that ends with its connection; nil
+	// means no call.
+	OnEndCheck func(outcome EndCheck, took time.Duration)
+
+	witnesses *witnesses
 
 	mu   sync.Mutex
 	idle map[string][]*persistConn // by address, most recently used last
@@ -62,6 +69,7 @@
 func NewExchanger(d Dialect, c *Connector) *Exchanger {
 	e := &Exchanger{Dialect: d, Connect: c, idle: map[string][]*persistConn{}}
 	c.spare = e.putIdle
+	e.witnesses = newWitnesses(e)
 	return e
 }
 
@@ -84,6 +92,8 @@
 	conn         *persistConn
 	resp         *http.Response
 	stopDeadline func() bool
+	// witness is nil where the end of the answer does not need one.
+	witness *witness
 }
 
 // Framing is what marks the end of an answer.
@@ -116,7 +126,7 @@
 // Discard reads a body that is not needed to its end, so that the connection can be reused. It gives up after
 // maxDrainSize.
 func (r *Reply) Discard() error {
-	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainSize))
+	n, err := io.Copy(io.Discard, io.LimitReader(readerFunc(r.Body.readUnchecked), maxDrainSize))
 	if err == nil && n == maxDrainSize {
 		return errBodyTooLong
 	}
@@ -134,14 +144,41 @@
 	return r.conn.conn.SetReadDeadline(time.Time{})
 }
 
+// readerFunc is an io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // answerBody records whether an answer was read to its end.
 type answerBody struct {
 	io.Reader
 	atEOF bool
+	// begin is called before the first read and checkEnd at the end of the answer, unless they are nil. The end is an error
+	// if checkEnd returns one.
+	begin    func()
+	checkEnd func() error
 }
 
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
+	if b.begin != nil {
+		b.begin()
+		b.begin = nil
+	}
+	n, err := b.readUnchecked(p)
+	if n > 0 || !errors.Is(err, io.EOF) || b.checkEnd == nil {
+		return n, err
+	}
+	if err := b.checkEnd(); err != nil {
+		return 0, err
+	}
+	b.checkEnd = nil
+	return 0, io.EOF
+}
+
+// readUnchecked reads without the check of the end.
+func (b *answerBody) readUnchecked(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	b.atEOF = b.atEOF || errors.Is(err, io.EOF)
 	return n, err
@@ -160,6 +197,10 @@
 // host that is short of CPU: three hosts that took over the load of 76 hosts forwarded 29, 59 and
 // 36 calls more than half a second after their callers had disconnected.
 func (e *Exchanger) Send(ctx context.Context, address string, c *forward.Message) (*Reply, error) {
+	called := process{address, c.Target}
+	if c.ID != "" && e.witnesses.expectsUnframed(called) {
+		defer e.witnesses.watch(called).release()
+	}
 	for {
 		pc, err := e.acquire(ctx, address)
 		if err != nil {
@@ -169,6 +210,9 @@
 		if err != nil && ctx.Err() == nil && !errors.Is(err, ErrCallerDisconnected) && pc.kept && pc.unsent() {
 			continue // The kept connection was broken, so the call has not been sent yet.
 		}
+		if err == nil && c.ID != "" {
+			e.checkEndOf(ctx, reply, called, c.HealthPath)
+		}
 		return reply, err
 	}
 }
@@ -242,15 +286,26 @@
 
 // Close ends the exchange. The connection is reused if the answer was read to its end.
 func (e *Exchanger) Close(r *Reply) {
-	stopped := r.stopDeadline()
-	if !r.Body.atEOF || !stopped || r.resp.Close || !r.conn.reusable() {
+	if r.witness != nil {
+		r.witness.release()
+	}
+	if !r.finish() {
 		r.conn.close()
 		return
 	}
-	r.conn.idleTimeout = idleTimeoutFrom(r.Header)
 	e.putIdle(r.conn)
 }
 
+// finish ends the use of the connection for the answer and reports whether it can carry another call.
+func (r *Reply) finish() bool {
+	stopped := r.stopDeadline()
+	if !r.Body.atEOF || !stopped || r.resp.Close || !r.conn.reusable() {
+		return false
+	}
+	r.conn.idleTimeout = idleTimeoutFrom(r.Header)
+	return true
+}
+
 // acquire returns an idle connection that is still usable, or a new one.
 func (e *Exchanger) acquire(ctx context.Context, address string) (*persistConn, error) {
 	for {
@@ -259,8 +314,7 @@
 			return e.Connect.open(ctx, address)
 		}
 		if pc.usable(time.Now()) && e.Connect.preferred(pc) {
-			pc.bytesSent.Store(0)
-			pc.writeDone, pc.kept = nil, true
+			pc.reuse()
 			return pc, nil
 		}
 		pc.close()
--- a/node/target/exchange_test.go
+++ b/node/target/exchange_test.go
@@ -23,12 +23,17 @@
 func (testDialect) ReadCall(http.Header) forward.Call                { return forward.Call{} }
 func (testDialect) WriteSendParams(http.Header, *forward.SendParams) {}
 func (testDialect) ReleaseMessage(string, string) forward.Message    { return forward.Message{} }
-func (testDialect) ReportMessage(string) forward.Message             { return forward.Message{} }
 
+func (testDialect) ReportMessage(string) forward.Message {
+	return forward.Message{Method: http.MethodGet, URI: "/report"}
+}
+func (testDialect) HealthMessage(_, path string) forward.Message {
+	return forward.Message{Method: http.MethodGet, URI: path}
+}
 func (testDialect) ReadReport([]byte) (forward.Report, error) { return forward.Report{}, nil }
 
 func (testDialect) ReadHead(s int, h http.Header) forward.Head {
-	return forward.Head{Status: s, RequestID: h.Get("Id")}
+	return forward.Head{Status: s, RequestID: h.Get("Id"), Instance: h.Get("Instance")}
 }
 func (testDialect) ReserveMessage(string, string, int64, time.Duration) forward.Message {
 	return forward.Message{}
--- /dev/null
+++ b/node/target/witness.go
@@ -0,0 +1,295 @@
+package target
+
+import (
+	"context"
+	"io"
+	"maps"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// An answer without a length ends with its connection, which the kernel of the target ends too if the target's process is
+// killed or exits. Such an answer is whole only if the process has outlived it. That is asked over a witness: another
+// connection to the process, opened before the answer ended. Whatever comes back over it after the answer's end was sent
+// by the same process.
+
+var (
+	// ErrProcessEnded means that the target's process ended with the connection of an answer without a length.
+	ErrProcessEnded = errors.New("the target's process ended with the connection that its answer ends with")
+	// ErrEndUnconfirmed means that it is not known whether the target's process outlived an answer without a length.
+	ErrEndUnconfirmed = errors.New("the answer ends with its connection, and the target did not confirm that it is alive")
+)
+
+// errNoWitnessWasOpen is ErrEndUnconfirmed for an answer that ended before the witness was open.
+var errNoWitnessWasOpen = errors.Wrap(ErrEndUnconfirmed, "no other connection to the target was open when the answer ended")
+
+// EndCheck is the outcome of a check whether a target has outlived its answer, as a metric's label.
+type EndCheck string
+
+// The outcomes of a check.
+const (
+	EndConfirmed   EndCheck = "confirmed"
+	EndOfProcess   EndCheck = "process_ended"
+	EndUnconfirmed EndCheck = "unconfirmed"
+)
+
+// endCheckOf returns the outcome that an error of a check stands for.
+func endCheckOf(err error) EndCheck {
+	switch {
+	case err == nil:
+		return EndConfirmed
+	case errors.Is(err, ErrProcessEnded):
+		return EndOfProcess
+	default:
+		return EndUnconfirmed
+	}
+}
+
+// process identifies a target's process.
+type process struct{ address, id string }
+
+// asker sends the questions of witnesses.
+type asker interface {
+	// openWitness returns an idle connection to an address, or a new one.
+	openWitness(ctx context.Context, address string) (*persistConn, error)
+	// ask asks a target over a connection whether it is alive. If it is, reusable reports whether the connection can carry
+	// another question. If not, the connection is closed.
+	ask(ctx context.Context, pc *persistConn, target string) (reusable bool, err error)
+	// keepWitness takes a connection that is no longer needed.
+	keepWitness(pc *persistConn)
+}
+
+// witnesses are the witnesses of a daemon, one for each process with an answer that may end with its connection.
+type witnesses struct {
+	asker asker
+
+	mu   sync.Mutex
+	open map[process]*witness
+	// unframed is when the processes whose latest answer had no length began it; entries older than defaultIdleTimeout are
+	// removed. Their witnesses are opened before the next call is sent.
+	unframed map[process]time.Time
+	// forgotAt is when unframed was last cleared of old entries.
+	forgotAt time.Time
+}
+
+func newWitnesses(a asker) *witnesses {
+	return &witnesses{asker: a, open: map[process]*witness{}, unframed: map[process]time.Time{}}
+}
+
+// witness is a connection to a process beside those of its answers. A goroutine of its own, run, uses it.
+type witness struct {
+	all     *witnesses
+	process process
+
+	// The following are guarded by all.mu.
+
+	users   int
+	running bool
+	// wanted reports that a connection is to be opened, next is the question to be asked, and renewal the time at which
+	// an idle connection is asked, so that it is not closed.
+	wanted  bool
+	next    *question
+	renewal *time.Timer
+	// conn is nil while there is no connection; lost is the reason.
+	conn *persistConn
+	lost error
+}
+
+// question is one question over a witness. All answers that ended before it is sent wait for the same one.
+type question struct {
+	timeout time.Duration
+	done    chan struct{}
+	// openedAt is when the connection was opened, and err is nil if the target is alive. Both are set before done is
+	// closed.
+	openedAt time.Time
+	err      error
+}
+
+// expectsUnframed reports whether the latest answer of a process had no length.
+func (w *witnesses) expectsUnframed(p process) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, found := w.unframed[p]
+	return found
+}
+
+// recordFraming records whether the latest answer of a process had no length.
+func (w *witnesses) recordFraming(p process, framing Framing) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if framing != FramedByConnection {
+		delete(w.unframed, p)
+		return
+	}
+	now := time.Now()
+	if now.Sub(w.forgotAt) >= defaultIdleTimeout {
+		maps.DeleteFunc(w.unframed, func(_ process, at time.Time) bool { return now.Sub(at) >= defaultIdleTimeout })
+		w.forgotAt = now
+	}
+	w.unframed[p] = now
+}
+
+// watch returns the witness of a process, which is opened in the background if there is none. The caller must release it.
+func (w *witnesses) watch(p process) *witness {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	found := w.open[p]
+	if found == nil {
+		found = &witness{all: w, process: p}
+		w.open[p] = found
+	}
+	found.users++
+	if found.conn == nil {
+		found.wanted = true
+		found.start()
+	}
+	return found
+}
+
+// release ends the use of the witness. The last user's release gives the connection back.
+func (w *witness) release() {
+	w.all.mu.Lock()
+	w.users--
+	var unused *persistConn
+	if w.users == 0 {
+		delete(w.all.open, w.process)
+		if w.renewal != nil {
+			w.renewal.Stop()
+		}
+		if !w.running {
+			unused, w.conn = w.conn, nil
+		}
+	}
+	w.all.mu.Unlock()
+	if unused != nil {
+		w.all.asker.keepWitness(unused)
+	}
+}
+
+// start lets run go on. The caller holds all.mu.
+func (w *witness) start() {
+	if !w.running {
+		w.running = true
+		go w.run()
+	}
+}
+
+// join returns the question that is sent next, with at least this timeout.
+func (w *witness) join(timeout time.Duration) *question {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	if w.next == nil {
+		w.next = &question{done: make(chan struct{})}
+	}
+	w.next.timeout = max(w.next.timeout, timeout)
+	w.start()
+	return w.next
+}
+
+// confirm returns nil if the target's process was alive after the call of confirm, as its answer over the witness
+// shows. It waits for that no longer than timeout.
+func (w *witness) confirm(ctx context.Context, timeout time.Duration) error {
+	ended := time.Now()
+	q := w.join(timeout)
+	select {
+	case <-q.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if q.err == nil && q.openedAt.After(ended) {
+		return errNoWitnessWasOpen
+	}
+	return q.err
+}
+
+// run opens the connection and asks the questions, until there is nothing to do.
+func (w *witness) run() {
+	for {
+		w.all.mu.Lock()
+		q, opens := w.next, w.wanted && w.users > 0
+		w.next, w.wanted = nil, false
+		if q == nil && !opens {
+			w.running = false
+			var unused *persistConn
+			if w.users == 0 {
+				unused, w.conn = w.conn, nil
+			} else if w.conn != nil {
+				w.renewal = time.AfterFunc(w.conn.idleTimeout, func() { w.join(0) })
+			}
+			w.all.mu.Unlock()
+			if unused != nil {
+				w.all.asker.keepWitness(unused)
+			}
+			return
+		}
+		if w.renewal != nil {
+			w.renewal.Stop()
+		}
+		conn := w.conn
+		w.all.mu.Unlock()
+		if opens && conn == nil {
+			conn = w.connect()
+		}
+		if q != nil {
+			w.answer(q, conn)
+		}
+	}
+}
+
+// connect opens the connection. It returns nil if that fails.
+func (w *witness) connect() *persistConn {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	conn, err := w.all.asker.openWitness(ctx, w.process.address)
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	w.conn, w.lost = conn, err
+	return conn
+}
+
+// answer asks a question over the connection and ends the question.
+func (w *witness) answer(q *question, conn *persistConn) {
+	defer close(q.done)
+	if conn == nil {
+		w.all.mu.Lock()
+		defer w.all.mu.Unlock()
+		q.err = unconfirmed(w.lost)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(q.timeout, unackedTimeout))
+	defer cancel()
+	q.openedAt = conn.openedAt
+	reusable, err := w.all.asker.ask(ctx, conn, w.process.id)
+	q.err = err
+	if reusable {
+		return
+	}
+	conn.close()
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	w.conn, w.lost, w.wanted = nil, err, true // Answers in progress need another connection.
+}
+
+// unconfirmed returns the error for an answer whose end cannot be checked because the witness was lost.
+func unconfirmed(lost error) error {
+	switch {
+	case lost == nil:
+		return ErrEndUnconfirmed
+	case errors.Is(lost, ErrProcessEnded):
+		return lost
+	default:
+		return errors.Wrap(ErrEndUnconfirmed, lost.Error())
+	}
+}
+
+// askError returns the error for a question that failed with err. A connection that the target's side has ended tells of
+// the end of the process.
+func askError(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return errors.Wrap(ErrProcessEnded, err.Error())
+	}
+	return errors.Wrap(ErrEndUnconfirmed, err.Error())
+}
--- /dev/null
+++ b/node/target/witness_test.go
@@ -0,0 +1,223 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// fakeAsker simulates a target: connections take connectTime to open, questions take askTime to be answered.
+type fakeAsker struct {
+	connectTime, askTime time.Duration
+
+	mu       sync.Mutex
+	connErr  error
+	askErr   error
+	consumes bool // an answer ends its connection
+	opened   int
+	asked    int
+	kept     int
+}
+
+func (f *fakeAsker) openWitness(context.Context, string) (*persistConn, error) {
+	<-time.After(f.connectTime)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.connErr != nil {
+		return nil, f.connErr
+	}
+	f.opened++
+	near, far := net.Pipe()
+	_ = far.Close()
+	return newPersistConn("a", "", pipeSocket{Conn: near}), nil
+}
+
+func (f *fakeAsker) ask(ctx context.Context, _ *persistConn, _ string) (bool, error) {
+	f.mu.Lock()
+	f.asked++
+	f.mu.Unlock()
+	select {
+	case <-time.After(f.askTime):
+	case <-ctx.Done():
+		return false, errors.Wrap(ErrEndUnconfirmed, "no answer")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.askErr == nil && !f.consumes, f.askErr
+}
+
+// counts returns how many connections were opened and kept, and how many questions were asked.
+func (f *fakeAsker) counts() (opened, kept, asked int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.opened, f.kept, f.asked
+}
+
+func (f *fakeAsker) keepWitness(pc *persistConn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kept++
+	pc.close()
+}
+
+// pipeSocket is a Socket without a kernel connection behind it.
+type pipeSocket struct {
+	net.Conn
+	Socket
+}
+
+func (s pipeSocket) Close() error                      { return s.Conn.Close() }
+func (s pipeSocket) Read(p []byte) (int, error)        { return s.Conn.Read(p) }
+func (s pipeSocket) Write(p []byte) (int, error)       { return s.Conn.Write(p) }
+func (s pipeSocket) LocalAddr() net.Addr               { return s.Conn.LocalAddr() }
+func (s pipeSocket) RemoteAddr() net.Addr              { return s.Conn.RemoteAddr() }
+func (s pipeSocket) SetDeadline(t time.Time) error     { return s.Conn.SetDeadline(t) }
+func (s pipeSocket) SetReadDeadline(t time.Time) error { return s.Conn.SetReadDeadline(t) }
+func (s pipeSocket) SetWriteDeadline(t time.Time) error {
+	return s.Conn.SetWriteDeadline(t)
+}
+
+const askTime = 2 * time.Millisecond
+
+// releaseAndSettle releases a witness and waits until nothing that uses it is in progress.
+func releaseAndSettle(w *witness) {
+	w.release()
+	<-time.After(time.Minute)
+}
+
+// TestWitnessTellsLiveFromEndedProcess covers the outcomes of a check after an answer that took a second.
+func TestWitnessTellsLiveFromEndedProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		asker *fakeAsker
+		want  error
+	}{
+		"alive":          {&fakeAsker{askTime: askTime}, nil},
+		"ended":          {&fakeAsker{askTime: askTime, askErr: ErrProcessEnded}, ErrProcessEnded},
+		"silent":         {&fakeAsker{askTime: time.Hour}, ErrEndUnconfirmed},
+		"never reached":  {&fakeAsker{connErr: errors.New("refused")}, ErrEndUnconfirmed},
+		"reached late":   {&fakeAsker{askTime: askTime, connectTime: 2 * time.Second}, ErrEndUnconfirmed},
+		"last to answer": {&fakeAsker{askTime: askTime, consumes: true}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWitnesses(c.asker).watch(process{"a", "id"})
+				defer releaseAndSettle(w)
+				<-time.After(time.Second)
+				if err := w.confirm(t.Context(), time.Second); !errors.Is(err, c.want) || c.want == nil && err != nil {
+					t.Errorf("confirm = %v, want %v", err, c.want)
+				}
+			})
+		})
+	}
+}
+
+// TestAnswersThatEndTogetherShareAQuestion guards against a question for each of many answers, and against a question that was
+// sent before an answer ended.
+func TestAnswersThatEndTogetherShareAQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asker := &fakeAsker{askTime: askTime}
+		all := newWitnesses(asker)
+		var ended sync.WaitGroup
+		for i := range 100 {
+			ended.Go(func() {
+				w := all.watch(process{"a", "id"})
+				defer w.release()
+				<-time.After(time.Second + time.Duration(i)*askTime/100)
+				began := time.Now()
+				if err := w.confirm(t.Context(), time.Second); err != nil {
+					t.Error(err)
+				}
+				if took := time.Since(began); took < askTime {
+					t.Errorf("confirmed after %v, by a question that was sent before the answer ended", took)
+				}
+			})
+		}
+		ended.Wait()
+		synctest.Wait()
+		if opened, kept, asked := asker.counts(); opened != 1 || kept != 1 || asked > 3 {
+			t.Errorf("%d connections, %d kept, %d questions, want 1, 1 and at most 3", opened, kept, asked)
+		}
+	})
+}
+
+// TestCallerWhoLeavesDoesNotEndTheQuestion guards against one caller's end making other answers unconfirmed.
+func TestCallerWhoLeavesDoesNotEndTheQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := newWitnesses(&fakeAsker{askTime: askTime})
+		one, other := all.watch(process{"a", "id"}), all.watch(process{"a", "id"})
+		<-time.After(time.Second)
+		ctx, leave := context.WithCancel(t.Context())
+		result := make(chan error, 1)
+		go func() { result <- one.confirm(ctx, time.Second) }()
+		synctest.Wait()
+		go leave()
+		if err := other.confirm(t.Context(), time.Second); err != nil {
+			t.Error(err)
+		}
+		if err := <-result; !errors.Is(err, context.Canceled) {
+			t.Errorf("confirm of the caller who left = %v, want its cancellation", err)
+		}
+		one.release()
+		other.release()
+	})
+}
+
+// TestWitnessOfLongAnswerStaysOpen guards against the target closing an idle witness while a long answer is in progress.
+func TestWitnessOfLongAnswerStaysOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asker := &fakeAsker{askTime: askTime}
+		w := newWitnesses(asker).watch(process{"a", "id"})
+		<-time.After(time.Minute)
+		w.release()
+		synctest.Wait()
+		want := int(time.Minute / (defaultIdleTimeout + askTime))
+		if _, kept, asked := asker.counts(); asked != want || kept != 1 {
+			t.Errorf("%d questions in a minute, %d kept, want %d and 1", asked, kept, want)
+		}
+	})
+}
+
+// TestLostWitnessIsReplaced covers a target that answers each question over a connection of its own.
+func TestLostWitnessIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asker := &fakeAsker{askTime: askTime, connectTime: askTime, consumes: true}
+		w := newWitnesses(asker).watch(process{"a", "id"})
+		for range 3 {
+			<-time.After(time.Second)
+			if err := w.confirm(t.Context(), time.Second); err != nil {
+				t.Error(err)
+			}
+		}
+		releaseAndSettle(w)
+		if opened, _, _ := asker.counts(); opened < 3 {
+			t.Errorf("%d connections, want one for each question", opened)
+		}
+	})
+}
+
+// TestUnframedProcessesAreForgotten guards against an entry for each process that ever answered.
+func TestUnframedProcessesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := newWitnesses(&fakeAsker{})
+		for i := range 1000 {
+			all.recordFraming(process{"a", fmt.Sprint(i)}, FramedByConnection)
+			<-time.After(time.Second)
+		}
+		if n := len(all.unframed); n > int(2*defaultIdleTimeout/time.Second) {
+			t.Errorf("%d processes are remembered", n)
+		}
+		last := process{"a", "999"}
+		if !all.expectsUnframed(last) {
+			t.Error("the latest answer is forgotten")
+		}
+		if all.recordFraming(last, FramedByLength); all.expectsUnframed(last) {
+			t.Error("an answer with a length is expected to have none")
+		}
+	})
+}
--- a/node/telemetry/paths.go
+++ b/node/telemetry/paths.go
@@ -1,7 +1,10 @@
 package telemetry
 
 import (
+	"time"
+
 	"doorstack.dev/core/reach"
+	"doorstack.dev/node/target"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -61,3 +64,8 @@
 		Namespace: namespace, Name: "relayed_connections", Help: "Connections to targets that this daemon relays for other daemons.",
 	}, func() float64 { return float64(relaying()) }))
 }
+
+// RecordEndCheck records the outcome of a check whether a target has outlived an answer that ends with its connection.
+func (r *Recorder) RecordEndCheck(outcome target.EndCheck, took time.Duration) {
+	r.Metrics.AnswerEndChecks.WithLabelValues(string(outcome)).Observe(took.Seconds())
+}
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -25,6 +25,9 @@
 	Tokens        prometheus.Counter
 	Retries       *prometheus.CounterVec
 	SilentTargets *prometheus.CounterVec
+	// AnswerEndChecks is the time, in seconds, of the checks whether a target has outlived an answer that ends with its
+	// connection, by outcome.
+	AnswerEndChecks *prometheus.HistogramVec
 	// SkippedEvents counts the events that targets left out when they went on with a stream.
 	SkippedEvents  *prometheus.CounterVec
 	Decisions      *prometheus.CounterVec
@@ -129,6 +132,7 @@
 		Tokens:               prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "relayed_tokens_total", Help: "Tokens relayed to callers."}),
 		Retries:              counter("retries_total", "Attempts after the first, by pool.", "pool"),
 		SilentTargets:        counter("silent_targets_total", "Attempts ended because the target fell silent, by pool.", "pool"),
+		AnswerEndChecks:      histogram("answer_end_check_seconds", "Time to check whether a target has outlived an answer that ends with its connection, by outcome.", "outcome", prometheus.ExponentialBuckets(0.0005, 2, 12)),
 		SkippedEvents:        counter("skipped_events_total", "Event ids that targets left out when they resumed a stream, by pool.", "pool"),
 		Decisions:            counter("decisions_total", "Decisions, by kind and outcome.", "kind", "outcome"),
 		QueuedRequests:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_requests", Help: "Requests that wait, by pool."}, []string{"pool"}),
@@ -166,7 +170,7 @@
 		StoreRestores:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "store_returns_total", Help: "Returns of the platform's store from an older copy that this daemon saw."}),
 		LogLinesOmitted:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.SkippedEvents, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.SkippedEvents, m.AnswerEndChecks, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
 		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
 		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.TargetConnects, m.UnreachedTargets, m.LostPaths, m.RelayRequests, m.Introductions, m.CoordinationSteps, m.Quarantines, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.StartHolds, m.StartRefusals, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
