A reset that the write of a call has met is not the end of its answer

What callers saw: an answer without a length that its target reset before it had read a long call could look complete. Cause: the kernel reports a reset once, to whichever call meets it first. The write of a long body takes it, and the reader sees an end of file. Change: at the end of an answer without a length the write of its call must have ended without an error.

--- a/node/target/answerend.go
+++ b/node/target/answerend.go
@@ -30,6 +30,9 @@
 // confirmEnd returns nil if a target's process has outlived its answer. It waits no longer than the target took for the
 // head of the answer, or a dead host takes to be noticed.
 func (e *Exchanger) confirmEnd(ctx context.Context, r *Reply, p process, healthPath string) error {
+	if err := r.conn.awaitWrite(ctx); err != nil {
+		return err
+	}
 	timeout := max(r.headTook, unackedTimeout)
 	err := r.witness.confirm(ctx, timeout)
 	if !errors.Is(err, ErrEndUnconfirmed) || healthPath == "" || ctx.Err() != nil {
@@ -40,6 +43,17 @@
 	return e.confirmByHealth(ctx, p, healthPath)
 }
 
+// awaitWrite waits until the call has been written and returns the error of the write. The kernel reports a reset once, so
+// the reset that a write has met is an end of file for the reader.
+func (pc *persistConn) awaitWrite(ctx context.Context) error {
+	select {
+	case <-pc.writeDone:
+		return pc.writeErr
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // confirmByHealth returns nil if the target's health check names the target. It takes any connection, so it is of use where
 // no witness was open. A process that starts again under the id of the one before it is not told apart.
 func (e *Exchanger) confirmByHealth(ctx context.Context, p process, path string) error {
--- a/node/target/answerend_test.go
+++ b/node/target/answerend_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"doorstack.dev/core/forward"
@@ -60,6 +61,27 @@
 	}
 }
 
+// TestResetMetByWriteIsNotTheEndOfAnAnswer guards against a reset that the write of a long body has met, and that the kernel
+// therefore does not report to the reader, being taken for the end of an answer without a length.
+func TestResetMetByWriteIsNotTheEndOfAnAnswer(t *testing.T) {
+	address := startUnframedTarget(t, func(conn net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(conn, unframedHead(r.Header.Get("Id"))+"truncated")
+		return false // The kernel resets the connection, as most of the body is unread.
+	})
+	e := NewExchanger(testDialect{}, NewConnector())
+	m := checkedMessage("1", strings.Repeat("x", 16<<20))
+	m.Header["Id"] = []string{"1"}
+	reply, err := e.Send(t.Context(), address, m)
+	if err != nil {
+		return // The reset overtook the head of the answer.
+	}
+	defer e.Close(reply)
+	<-reply.conn.writeDone
+	if got, err := io.ReadAll(reply.Body); err == nil {
+		t.Errorf("the answer looks whole: %q", got)
+	}
+}
+
 // TestSuccessorAtTheAddressIsNotTheTarget guards against another process at the target's address, which the witness or
 // the health check reaches, being taken for the one that answered.
 func TestSuccessorAtTheAddressIsNotTheTarget(t *testing.T) {
