A relay does not pass on a reset as the target's orderly end

Cause: the relay writes the call and reads the answer in two goroutines. The write took the reset, the reader saw an end of file and told the daemon that the target had ended the connection in order. Change: the end of file of a relayed connection is an error once a write to the target has failed; the check waits for a write in progress. The messages between daemons are unchanged.

--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -379,3 +379,17 @@
 		t.Fatalf("%d connections relayed, want none", n)
 	}
 }
+
+// TestResetMetByRelaysWriteIsNotTheTargetsEnd guards against a reset that the relay met while it passed on a long body, and
+// that the kernel therefore does not report to its reader, being passed on as the orderly end of the answer.
+func TestResetMetByRelaysWriteIsNotTheTargetsEnd(t *testing.T) {
+	for range 20 {
+		address := startTarget(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+			answer(conn, "", "truncated") // The kernel resets the connection, as most of the body is unread.
+		})
+		p := newPair(t, address)
+		if got, err := p.send(t.Context(), strings.Repeat("x", 4<<20)); err == nil {
+			t.Fatalf("the answer %q looks whole", got)
+		}
+	}
+}
--- a/node/target/relayed.go
+++ b/node/target/relayed.go
@@ -1,7 +1,11 @@
 package target
 
 import (
+	"io"
+	"sync"
 	"sync/atomic"
+
+	"github.com/go-faster/errors"
 )
 
 // RelayedConn is a connection to a target that this daemon opened for another one. The kernel probes it while it is
@@ -10,6 +14,8 @@
 	*persistConn
 	// unanswered counts the bytes sent since the target last sent any.
 	unanswered atomic.Int64
+
+	writing sync.Mutex // held during a write; guards writeErr
 }
 
 // NewRelayedConn prepares a connection for relaying.
@@ -21,12 +27,20 @@
 	return c, nil
 }
 
-// Read reads from the target.
+// Read reads from the target. It returns io.EOF only if the target has ended the connection in order: the kernel reports a
+// reset once, so the reset that a write has met is an end of file here.
 func (c *RelayedConn) Read(b []byte) (int, error) {
 	n, err := c.conn.Read(b)
 	if n > 0 {
 		c.unanswered.Store(0)
 	}
+	if errors.Is(err, io.EOF) {
+		c.writing.Lock()
+		defer c.writing.Unlock()
+		if c.writeErr != nil {
+			return n, c.writeErr
+		}
+	}
 	return n, err
 }
 
@@ -36,7 +50,13 @@
 	if err := c.prepare(size <= maxInlineWrite, int(size)); err != nil {
 		return 0, err
 	}
-	return c.conn.Write(b)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.conn.Write(b)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
 }
 
 // Close closes the connection.
