Check the end of unframed answers in the project's own protocol

What callers saw: an answer of a plain service without a length was taken for whole when the service's process ended with it. Cause: as for forwarded calls; the client of the project's own protocol reads such answers to the end of file. Change: the same witness, which asks for the load report. Where none was open in time a later connection has to do, so a process that is back at once under the same address is not told apart there.

--- a/node/target/client.go
+++ b/node/target/client.go
@@ -72,6 +72,7 @@
 type Client struct {
 	http         *http.Client
 	transport    *http.Transport
+	witnesses    *witnesses
 	disconnected atomic.Bool
 }
 
@@ -89,7 +90,9 @@
 
 		MaxResponseHeaderBytes: maxHeadSize,
 	}
-	return &Client{http: &http.Client{Transport: transport}, transport: transport}
+	c := &Client{http: &http.Client{Transport: transport}, transport: transport}
+	c.witnesses = newWitnesses(loadAsker{c})
+	return c
 }
 
 // UseConnector opens all connections with a connector, which may open them through relays. It must be called before
@@ -352,11 +355,14 @@
 
 // CallService calls a plain service once and returns its whole answer.
 func (c *Client) CallService(ctx context.Context, address string, s *ServiceCall) (*ServiceAnswer, error) {
+	ctx, end := c.beginEndCheck(ctx, address)
+	defer end.release()
 	resp, err := c.send(ctx, s.Method, "http://"+address+s.Path, s.Header, s.Body)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	end.recordHead(resp)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceAnswerSize+1))
 	if err != nil {
 		return nil, &CallError{Execution: fault.Unknown, Err: errors.Wrap(err, "read the service's answer")}
@@ -364,6 +370,9 @@
 	if len(body) > maxServiceAnswerSize {
 		return nil, &CallError{Execution: fault.Ran, Err: errors.New("the service's answer exceeds 8 MB")}
 	}
+	if err := end.confirm(ctx); err != nil {
+		return nil, &CallError{Execution: fault.Unknown, Err: errors.Wrap(err, "read the service's answer")}
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
 		if err := serviceRefusalError(body); err != nil {
 			return nil, err
--- /dev/null
+++ b/node/target/serviceend.go
@@ -0,0 +1,117 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"doorstack.dev/core/forward"
+	"github.com/go-faster/errors"
+)
+
+// loadMessage is the question of a witness in the project's own protocol, which every target answers at once.
+var loadMessage = forward.Message{Method: http.MethodGet, URI: "/v1/load", Header: http.Header{}}
+
+// loadAsker asks targets of the project's own protocol for their load report.
+type loadAsker struct{ client *Client }
+
+// openWitness implements asker.
+func (a loadAsker) openWitness(ctx context.Context, address string) (*persistConn, error) {
+	conn, err := a.client.transport.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	socket, ok := conn.(Socket)
+	if !ok {
+		_ = conn.Close()
+		return nil, errors.Errorf("a connection of type %T cannot be a witness", conn)
+	}
+	return newPersistConn(address, "", socket), nil
+}
+
+// ask implements asker.
+func (a loadAsker) ask(ctx context.Context, pc *persistConn, _ string) (reusable bool, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	pc.reuse()
+	message := loadMessage
+	message.Host = pc.address
+	pc.startWrite(&message)
+	resp, err := pc.readFinalResponse(&http.Request{Method: message.Method})
+	if err != nil {
+		return false, askError(err)
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportSize))
+	return err == nil && !resp.Close && pc.reusable() && stop(), nil
+}
+
+// keepWitness implements asker.
+func (a loadAsker) keepWitness(pc *persistConn) { pc.close() }
+
+// endCheck checks the end of the answer to one call of a plain service.
+type endCheck struct {
+	witnesses *witnesses
+	process   process
+	witness   *witness
+	framing   Framing
+	sent      time.Time
+	headTook  time.Duration
+	// writeErr is the error of the write of the call, if it has ended with one.
+	writeErr atomic.Pointer[error]
+}
+
+// beginEndCheck prepares the check of an answer. The context is that of the call; release must be called.
+func (c *Client) beginEndCheck(ctx context.Context, address string) (context.Context, *endCheck) {
+	e := &endCheck{witnesses: c.witnesses, process: process{address: address}, sent: time.Now()}
+	if c.witnesses.expectsUnframed(e.process) {
+		e.witness = c.witnesses.watch(e.process)
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err != nil {
+			e.writeErr.Store(&info.Err)
+		}
+	}}), e
+}
+
+// recordHead records how the answer ends.
+func (e *endCheck) recordHead(resp *http.Response) {
+	e.headTook = time.Since(e.sent)
+	switch {
+	case resp.ContentLength >= 0:
+		e.framing = FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		e.framing = FramedByChunks
+	default:
+		e.framing = FramedByConnection
+		if e.witness == nil {
+			e.witness = e.witnesses.watch(e.process)
+		}
+	}
+	e.witnesses.recordFraming(e.process, e.framing)
+}
+
+// confirm returns nil if the answer, which has been read to its end, is whole. Where no witness was open, any later
+// connection has to do: a process that starts again at once at the same address is not told apart.
+func (e *endCheck) confirm(ctx context.Context) error {
+	if e.framing != FramedByConnection {
+		return nil
+	}
+	if err := e.writeErr.Load(); err != nil {
+		return *err
+	}
+	timeout := max(e.headTook, unackedTimeout)
+	err := e.witness.confirm(ctx, timeout)
+	if errors.Is(err, errNoWitnessWasOpen) {
+		return e.witness.confirm(ctx, timeout)
+	}
+	return err
+}
+
+func (e *endCheck) release() {
+	if e.witness != nil {
+		e.witness.release()
+	}
+}
--- /dev/null
+++ b/node/target/serviceend_test.go
@@ -0,0 +1,95 @@
+package target
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+)
+
+// processTarget is a target of the project's own protocol whose connections all end together.
+type processTarget struct {
+	listener net.Listener
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// startProcessTarget starts a target that answers the load report, and calls with body, without a length. Call number endsAt
+// ends the process together with its answer.
+func startProcessTarget(t *testing.T, body string, endsAt int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &processTarget{listener: listener}
+	t.Cleanup(p.end)
+	go func() {
+		calls := 0
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns = append(p.conns, conn)
+			p.mu.Unlock()
+			go p.serve(conn, func() bool {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				calls++
+				return calls == endsAt
+			}, body)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (p *processTarget) serve(conn net.Conn, ends func() bool, body string) {
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		drainBody(r)
+		if r.URL.Path == loadMessage.URI {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			continue
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+body)
+		if ends() {
+			p.end()
+		}
+		_ = conn.Close()
+		return
+	}
+}
+
+// end closes the listener and all connections in order, as the kernel does when a process ends.
+func (p *processTarget) end() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+}
+
+// TestServiceAnswerOfEndedTargetIsNotWhole guards against the end of a service's process being taken for the end of its
+// answer without a length, the first or a later one.
+func TestServiceAnswerOfEndedTargetIsNotWhole(t *testing.T) {
+	for _, endsAt := range []int{1, 2, 5} {
+		address := startProcessTarget(t, "an answer", endsAt)
+		client := NewClient()
+		for call := 1; call <= endsAt; call++ {
+			answer, err := client.CallService(t.Context(), address, &ServiceCall{Method: http.MethodPost, Path: "/"})
+			if whole := err == nil; whole != (call < endsAt) {
+				t.Errorf("call %d = %v, %v; the process ends with call %d", call, answer, err, endsAt)
+			}
+		}
+	}
+}
