A complete answer without a length clears the parts of its prompt

Cause: an answer without a length was no evidence for a part until it had gone on for 1 s and 8 events, since it was not known whether its target had ended with it. Shorter streams never cleared a part that all prompts share. There is no second way to judge an end. An answer that its target's process has ended with counts as a crash, as one in chunks does.

--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -266,7 +266,6 @@
 		return watch.stop(attemptCtx, err)
 	}
 	f.lastRelay, f.lastStatus, f.lastFraming = reply.Relay, reply.Status, reply.Framing()
-	f.attemptAnswer.selfDelimited = f.lastFraming != target.FramedByConnection
 	f.recordNotice(p.Decision.Chosen, reply)
 	err = watch.stop(attemptCtx, f.handleReply(attemptCtx, reply, p))
 	d.Exchanger.Close(reply)
--- a/node/requestcontrol/promptparts.go
+++ b/node/requestcontrol/promptparts.go
@@ -24,8 +24,6 @@
 	// stream.
 	events int
 	began  time.Time
-	// selfDelimited reports that the answer's own length or encoding marks its end.
-	selfDelimited bool
 	// survived reports that the answer has gone on for so long that its prompt does not crash the target.
 	survived bool
 }
@@ -61,12 +59,12 @@
 	}
 }
 
-// recordPartEnd records an answer or a crash for the shared parts of a prompt at the end of an attempt. An answer without a length of
-// its own may have ended with the target's process.
+// recordPartEnd records an answer or a crash for the shared parts of a prompt at the end of an attempt. The target has outlived a
+// complete answer (see target.Reply).
 func (d *Director) recordPartEnd(r *Request, end *attemptEnd) {
 	switch {
 	case len(r.SharedParts) == 0 || end.answer.survived:
-	case end.err == nil && end.answer.selfDelimited:
+	case end.err == nil:
 		d.recordPartAnswer(r, end.answer.began)
 	case end.err != nil && !end.callerGone && !end.pathFailed && target.ConnectionClosed(end.err):
 		d.recordPartCrash(r, end.chosen, end.answer.events)
