Tell a target's successor under the same id by its start

What callers saw: nothing yet; found by going through the ways in which a process can end and return. Where no witness was open when an answer without a length ended (the first such answer of a target to a daemon), the health check named a process that had started again at once under the same id. Cause: an id does not identify a process where targets keep it over a restart. Change: where the start of the process is known from the store, the report at its address has to name the same one; the health check is asked where the report does not. Result: TestIdentityWithoutWitness (a later start under the same id was taken for the target before: the start was not asked for).

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -75,9 +75,8 @@
 	// Header has no hop-by-hop fields.
 	Header map[string][]string
 	Body   []byte
-	// Target is the id of the target that the message is meant for, and HealthPath the path of that target's health check;
-	// both are empty where they are not known.
-	Target, HealthPath string
+	// To is the target that the message is meant for.
+	To Recipient
 	// ProbeConnection turns on TCP probes while the daemon waits for the answer, so that the
 	// death of the target's host is detected before an answer is due.
 	ProbeConnection bool
@@ -88,6 +87,15 @@
 	BeforeSend func()
 }
 
+// Recipient is the target that a message is meant for. Fields that are not known are zero.
+type Recipient struct {
+	ID string
+	// HealthPath is the path of its health check.
+	HealthPath string
+	// Started is when its process started, in Unix milliseconds.
+	Started int64
+}
+
 // Head is the decoded head (status and headers) of a target's answer.
 type Head struct {
 	Status int
--- a/node/blackboard/target_restart.go
+++ b/node/blackboard/target_restart.go
@@ -16,6 +16,16 @@
 	return s.incarnation > 0 && incarnation > s.incarnation
 }
 
+// Incarnation returns the start time of a target's process in Unix milliseconds, or zero if it is not known.
+func (t *TargetTable) Incarnation(id string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.byID[id]; s != nil {
+		return s.incarnation
+	}
+	return 0
+}
+
 // endCallsSentBefore notifies the calls that wait for an answer of the old process: a host that lost
 // power may leave their connections open. Calls sent after the restart belong to the new process. The
 // two times come from different hosts' clocks; a call notified by mistake is retried only if it may be.
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -114,7 +114,7 @@
 }
 
 func testMessage(body string) *forward.Message {
-	return &forward.Message{ID: "1", Method: "POST", Host: "h", URI: "/", Header: http.Header{"X-Request-Id": {"1"}}, Body: []byte(body), Target: targetID, HealthPath: healthPath}
+	return &forward.Message{ID: "1", Method: "POST", Host: "h", URI: "/", Header: http.Header{"X-Request-Id": {"1"}}, Body: []byte(body), To: forward.Recipient{ID: targetID, HealthPath: healthPath}}
 }
 
 // send sends a call and returns its answer's body.
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -232,7 +232,7 @@
 	call := *r.Forward
 	header := http.Header(r.Forward.Header).Clone()
 	call.Header = header
-	call.Target, call.HealthPath = p.Decision.Chosen, r.Route.Pool.Kind.HealthPath
+	call.To = forward.Recipient{ID: p.Decision.Chosen, HealthPath: r.Route.Pool.Kind.HealthPath, Started: d.Board.Targets.Incarnation(p.Decision.Chosen)}
 	call.ProbeConnection = probesConnection(p)
 	call.BeforeSend = f.countRepeat
 	d.Exchanger.Dialect.WriteSendParams(header, &forward.SendParams{
--- a/node/target/answerend_test.go
+++ b/node/target/answerend_test.go
@@ -40,7 +40,7 @@
 // checkedMessage is a call whose answer's end is checked.
 func checkedMessage(id, body string) *forward.Message {
 	m := testMessage(id, body)
-	m.Target, m.HealthPath = testTargetID, healthPath
+	m.To = forward.Recipient{ID: testTargetID, HealthPath: healthPath}
 	return m
 }
 
@@ -102,6 +102,38 @@
 	}
 }
 
+// TestIdentityWithoutWitness covers the questions to a process that may have taken over the target's address.
+func TestIdentityWithoutWitness(t *testing.T) {
+	for name, c := range map[string]struct {
+		to               forward.Recipient
+		started          string
+		instance, status string
+		want             error
+	}{
+		"the same":                              {forward.Recipient{ID: testTargetID, HealthPath: healthPath}, "", testTargetID, "200 OK", nil},
+		"the same, draining":                    {forward.Recipient{ID: testTargetID, HealthPath: healthPath}, "", testTargetID, "503 Service Unavailable", nil},
+		"another":                               {forward.Recipient{ID: testTargetID, HealthPath: healthPath}, "", "successor", "421 Misdirected Request", ErrProcessEnded},
+		"unknown":                               {forward.Recipient{ID: testTargetID, HealthPath: healthPath}, "", "", "503 Service Unavailable", ErrEndUnconfirmed},
+		"no health check":                       {forward.Recipient{ID: testTargetID}, "", testTargetID, "200 OK", ErrEndUnconfirmed},
+		"the same start":                        {forward.Recipient{ID: testTargetID, Started: 1000}, "1000", "", "200 OK", nil},
+		"a later start under the same id":       {forward.Recipient{ID: testTargetID, HealthPath: healthPath, Started: 1000}, "2000", testTargetID, "200 OK", ErrProcessEnded},
+		"a report that does not name the start": {forward.Recipient{ID: testTargetID, HealthPath: healthPath, Started: 1000}, "", testTargetID, "200 OK", nil},
+	} {
+		address, _ := startScriptedServer(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
+			status, body := c.status, ""
+			if r.URL.Path != healthPath {
+				status, body = "200 OK", c.started
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nInstance: %s\r\nContent-Length: %d\r\n\r\n%s", status, c.instance, len(body), body)
+			return true
+		})
+		e := NewExchanger(testDialect{}, NewConnector())
+		if err := e.confirmIdentity(t.Context(), address, c.to, ErrEndUnconfirmed); !errors.Is(err, c.want) || c.want == nil && err != nil {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
+
 // TestRejectionWithoutLengthNeedsNoWitness guards against connections and questions for answers that are only discarded.
 func TestRejectionWithoutLengthNeedsNoWitness(t *testing.T) {
 	address := startUnframedTarget(t, func(conn net.Conn, r *http.Request) bool {
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -197,7 +197,7 @@
 // host that is short of CPU: three hosts that took over the load of 76 hosts forwarded 29, 59 and
 // 36 calls more than half a second after their callers had disconnected.
 func (e *Exchanger) Send(ctx context.Context, address string, c *forward.Message) (*Reply, error) {
-	called := process{address, c.Target}
+	called := process{address, c.To.ID}
 	if c.ID != "" && e.witnesses.expectsUnframed(called) {
 		defer e.witnesses.watch(called).release()
 	}
@@ -211,7 +211,7 @@
 			continue // The kept connection was broken, so the call has not been sent yet.
 		}
 		if err == nil && c.ID != "" {
-			e.checkEndOf(ctx, reply, called, c.HealthPath)
+			e.checkEndOf(ctx, reply, called, c.To)
 		}
 		return reply, err
 	}
--- a/node/target/exchange_test.go
+++ b/node/target/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -30,7 +31,15 @@
 func (testDialect) HealthMessage(_, path string) forward.Message {
 	return forward.Message{Method: http.MethodGet, URI: path}
 }
-func (testDialect) ReadReport([]byte) (forward.Report, error) { return forward.Report{}, nil }
+
+// ReadReport reads the start of the target's process; a report without it is valid.
+func (testDialect) ReadReport(body []byte) (forward.Report, error) {
+	started, err := strconv.ParseInt(string(body), 10, 64)
+	if err != nil {
+		return forward.Report{}, nil //nolint:nilerr // As documented.
+	}
+	return forward.Report{Started: started}, nil
+}
 
 func (testDialect) ReadHead(s int, h http.Header) forward.Head {
 	return forward.Head{Status: s, RequestID: h.Get("Id"), Instance: h.Get("Instance")}
--- a/node/target/serviceend_test.go
+++ b/node/target/serviceend_test.go
@@ -15,6 +15,7 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
+	ended bool
 }
 
 // startProcessTarget starts a target that answers the load report, and calls with body, without a length. Call number endsAt
@@ -57,7 +58,7 @@
 		}
 		drainBody(r)
 		if r.URL.Path == loadMessage.URI {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			p.report(conn)
 			continue
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+body)
@@ -69,11 +70,21 @@
 	}
 }
 
+// report answers the load report. A process that has ended does nothing more.
+func (p *processTarget) report(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	}
+}
+
 // end closes the listener and all connections in order, as the kernel does when a process ends.
 func (p *processTarget) end() {
 	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ended = true
 	for _, conn := range p.conns {
 		_ = conn.Close()
 	}
