A witness counts only if it was open together with the answer's connection

What callers saw: a stream with 1 of its events looked whole. Cause: the time at which the daemon reads an end was taken for the time of the end. Change: when a witness opens, and when an answer begins to use it, the kernel is asked whether the answer's connection is still open; a call that is sent while it is open needs no such look. Where neither holds, and over a relay, which may be late with an end, the identity of the process is asked for.

--- a/node/internal/soak/backend.go
+++ b/node/internal/soak/backend.go
@@ -194,7 +194,7 @@
 	case outcome < 0.8 && c.LastEventID() != "":
 		standin.Answer(http.StatusNotFound, "no such model")(w, r, c) // What a stream must not be continued with.
 	case b.answersUnframed():
-		b.serveUnframed(w, r, c)
+		b.serveUnframed(w, c)
 	case b.service == engineService:
 		b.stream(w, r, c, outcome < 0.8)
 	default:
@@ -222,31 +222,6 @@
 	return b.unframed
 }
 
-// truncatedShare is the share of unframed answers that are truncated.
-const truncatedShare = 0.3
-
-// serveUnframed answers without a length and without chunks; some answers are truncated. A truncated plain answer ends
-// with a reset, since a daemon cannot detect any other truncation of it.
-func (b *backend) serveUnframed(w http.ResponseWriter, r *http.Request, c standin.Call) {
-	contentType, body, ending := "text/plain", safePath.Answer(c.ID), standin.EndWhole
-	if rand.Float64() < truncatedShare {
-		ending = standin.EndReset
-	}
-	if b.service == engineService {
-		contentType, body = "text/event-stream", ""
-		for i := firstEvent(c); i <= eventCount(c.ID); i++ {
-			body += standin.EventText(i, eventText(c.ID, i))
-		}
-		if ending == standin.EndReset && rand.IntN(2) == 0 {
-			ending = standin.EndInside
-		}
-	}
-	if body == "" {
-		ending = standin.EndWhole
-	}
-	standin.Unframed(contentType, body, ending)(w, r, c)
-}
-
 // firstEvent returns the number of the first event that a call asks for.
 func firstEvent(c standin.Call) int {
 	after := c.LastEventID()
--- a/node/internal/soak/parts.go
+++ b/node/internal/soak/parts.go
@@ -122,18 +122,6 @@
 	callers.Wait()
 }
 
-// answerUnframed lets every second target answer without a length and without chunks for the event's duration.
-func (tb *testbed) answerUnframed(ctx context.Context, e Event) {
-	half := tb.everySecondTarget(e.Selector)
-	for _, b := range half {
-		b.updateNotices(func() { b.unframed = true })
-	}
-	sleep(ctx, e.Duration)
-	for _, b := range half {
-		b.updateNotices(func() { b.unframed = false })
-	}
-}
-
 // Herd is the time in which most callers opened their connections to one daemon.
 type Herd struct {
 	From, To time.Time
--- a/node/internal/soak/restarts.go
+++ b/node/internal/soak/restarts.go
@@ -48,6 +48,11 @@
 		sleep(ctx, e.Duration)
 		b.link.Set(NoFault)
 	}
+	tb.restartProcess(b)
+}
+
+// restartProcess ends a target's process and starts another one under its ID.
+func (tb *testbed) restartProcess(b *backend) {
 	b.target.Restart(time.Now())
 	tb.mu.Lock()
 	listed := slices.Contains(tb.backends, b)
--- a/node/sock/sock.go
+++ b/node/sock/sock.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection's receiving side, as the kernel reports it.
@@ -58,3 +60,21 @@
 		return Closed
 	}
 }
+
+// tcpEstablished is the kernel's TCP_ESTABLISHED, the state in which neither side has ended a connection.
+const tcpEstablished = 1
+
+// Established reports whether neither side has ended a TCP connection, whatever is still to be read from it. It is false if that is
+// not known.
+func Established(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	established := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		established = infoErr == nil && info.State == tcpEstablished
+	})
+	return err == nil && established
+}
--- a/node/sock/sock_test.go
+++ b/node/sock/sock_test.go
@@ -91,3 +91,36 @@
 		t.Errorf("Peek() of a closed connection = %d, want %d", got, Closed)
 	}
 }
+
+// TestEstablished: a connection is not established any more once the peer has ended it, though bytes are unread.
+func TestEstablished(t *testing.T) {
+	near, far := tcpPair(t)
+	if !Established(near) {
+		t.Error("an open connection is not established")
+	}
+	if _, err := io.WriteString(far, "ab"); err != nil {
+		t.Fatal(err)
+	}
+	if err := far.Close(); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.After(10 * time.Second)
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for Established(near) {
+		select {
+		case <-deadline:
+			t.Fatal("a connection that the peer has ended is established")
+		case <-tick.C:
+		}
+	}
+	if got := Peek(near); got != Readable {
+		t.Errorf("Peek() = %d, want %d", got, Readable)
+	}
+	if err := near.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if Established(near) {
+		t.Error("a closed connection is established")
+	}
+}
--- a/node/target/answerend.go
+++ b/node/target/answerend.go
@@ -18,7 +18,11 @@
 	if framing != FramedByConnection {
 		return
 	}
-	r.Body.begin = func() { r.witness = e.witnesses.watch(p) }
+	r.Body.begin = func() {
+		if r.watch == nil {
+			r.watch = e.witnesses.watch(p, r.conn.connected(), false)
+		}
+	}
 	r.Body.checkEnd = func() error {
 		began := time.Now()
 		err := e.confirmEnd(ctx, r, p, to)
@@ -36,7 +40,7 @@
 		return err
 	}
 	timeout := max(r.headTook, unackedTimeout)
-	err := r.witness.confirm(ctx, timeout)
+	err := r.watch.confirm(ctx, timeout)
 	if !errors.Is(err, ErrEndUnconfirmed) || ctx.Err() != nil {
 		return err
 	}
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -23,7 +23,6 @@
 	conn        Socket
 	head        *headLimit
 	reader      *bufio.Reader // reads through head
-	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
 	// kept reports that the connection was idle before the current call.
@@ -43,7 +42,7 @@
 func newPersistConn(address, relay string, conn Socket) *persistConn {
 	head := &headLimit{conn: conn}
 	return &persistConn{
-		address: address, relay: relay, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), openedAt: time.Now(),
+		address: address, relay: relay, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize),
 		idleTimeout: defaultIdleTimeout, unacked: unackedTimeout,
 	}
 }
@@ -131,6 +130,15 @@
 	}
 }
 
+// connected returns a function that reports whether the target has not ended the connection, nil for a relayed one: a relay may
+// be late with the end.
+func (pc *persistConn) connected() func() bool {
+	if pc.relay != "" {
+		return nil
+	}
+	return func() bool { return sock.Established(pc.conn) }
+}
+
 // reuse prepares an idle connection for another call.
 func (pc *persistConn) reuse() {
 	pc.bytesSent.Store(0)
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -92,8 +92,8 @@
 	conn         *persistConn
 	resp         *http.Response
 	stopDeadline func() bool
-	// witness is nil where the end of the answer does not need one.
-	witness *witness
+	// watch is nil where the end of the answer does not need one.
+	watch *watch
 }
 
 // Framing is what marks the end of an answer.
@@ -198,19 +198,24 @@
 // 36 calls more than half a second after their callers had disconnected.
 func (e *Exchanger) Send(ctx context.Context, address string, c *forward.Message) (*Reply, error) {
 	called := process{address, c.To.ID}
-	if c.ID != "" && e.witnesses.expectsUnframed(called) {
-		defer e.witnesses.watch(called).release()
-	}
 	for {
 		pc, err := e.acquire(ctx, address)
 		if err != nil {
 			return nil, &CallError{Execution: fault.NotRun, Err: errors.Wrap(err, "connect to the target")}
 		}
+		var early *watch
+		if c.ID != "" && e.witnesses.expectsUnframed(called) {
+			early = e.witnesses.watch(called, pc.connected(), true)
+		}
 		reply, err := e.sendOver(ctx, pc, c)
+		if err != nil && early != nil {
+			early.release()
+		}
 		if err != nil && ctx.Err() == nil && !errors.Is(err, ErrCallerDisconnected) && pc.kept && pc.unsent() {
 			continue // The kept connection was broken, so the call has not been sent yet.
 		}
 		if err == nil && c.ID != "" {
+			reply.watch = early
 			e.checkEndOf(ctx, reply, called, c.To)
 		}
 		return reply, err
@@ -286,8 +291,8 @@
 
 // Close ends the exchange. The connection is reused if the answer was read to its end.
 func (e *Exchanger) Close(r *Reply) {
-	if r.witness != nil {
-		r.witness.release()
+	if r.watch != nil {
+		r.watch.release()
 	}
 	if !r.finish() {
 		r.conn.close()
--- a/node/target/serviceend.go
+++ b/node/target/serviceend.go
@@ -55,7 +55,7 @@
 type endCheck struct {
 	witnesses *witnesses
 	process   process
-	witness   *witness
+	watch     *watch
 	framing   Framing
 	sent      time.Time
 	headTook  time.Duration
@@ -67,7 +67,7 @@
 func (c *Client) beginEndCheck(ctx context.Context, address string) (context.Context, *endCheck) {
 	e := &endCheck{witnesses: c.witnesses, process: process{address: address}, sent: time.Now()}
 	if c.witnesses.expectsUnframed(e.process) {
-		e.witness = c.witnesses.watch(e.process)
+		e.watch = c.witnesses.watch(e.process, nil, true)
 	}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
 		if info.Err != nil {
@@ -86,15 +86,15 @@
 		e.framing = FramedByChunks
 	default:
 		e.framing = FramedByConnection
-		if e.witness == nil {
-			e.witness = e.witnesses.watch(e.process)
+		if e.watch == nil {
+			e.watch = e.witnesses.watch(e.process, nil, false)
 		}
 	}
 	e.witnesses.recordFraming(e.process, e.framing)
 }
 
-// confirm returns nil if the answer, which has been read to its end, is whole. Where no witness was open, any later
-// connection has to do: a process that starts again at once at the same address is not told apart.
+// confirm returns nil if the answer, which has been read to its end, is whole. A connection that was opened after the end has to
+// do: a process that starts again at once at the same address is not told apart.
 func (e *endCheck) confirm(ctx context.Context) error {
 	if e.framing != FramedByConnection {
 		return nil
@@ -103,15 +103,15 @@
 		return *err
 	}
 	timeout := max(e.headTook, unackedTimeout)
-	err := e.witness.confirm(ctx, timeout)
-	if errors.Is(err, errNoWitnessWasOpen) {
-		return e.witness.confirm(ctx, timeout)
+	err := e.watch.confirm(ctx, timeout)
+	if errors.Is(err, errNotWitnessed) {
+		return nil
 	}
 	return err
 }
 
 func (e *endCheck) release() {
-	if e.witness != nil {
-		e.witness.release()
+	if e.watch != nil {
+		e.watch.release()
 	}
 }
--- a/node/target/witness.go
+++ b/node/target/witness.go
@@ -13,8 +13,8 @@
 
 // An answer without a length ends with its connection, which the kernel of the target ends too if the target's process is
 // killed or exits. Such an answer is whole only if the process has outlived it. That is asked over a witness: another
-// connection to the process, opened before the answer ended. Whatever comes back over it after the answer's end was sent
-// by the same process.
+// connection to the process, which was open at some time together with the answer's. Whatever comes back over it after
+// the answer's end was sent by the same process.
 
 var (
 	// ErrProcessEnded means that the target's process ended with the connection of an answer without a length.
@@ -23,8 +23,8 @@
 	ErrEndUnconfirmed = errors.New("the answer ends with its connection, and the target did not confirm that it is alive")
 )
 
-// errNoWitnessWasOpen is ErrEndUnconfirmed for an answer that ended before the witness was open.
-var errNoWitnessWasOpen = errors.Wrap(ErrEndUnconfirmed, "no other connection to the target was open when the answer ended")
+// errNotWitnessed is ErrEndUnconfirmed for an answer whose connection may have ended before the witness was open.
+var errNotWitnessed = errors.Wrap(ErrEndUnconfirmed, "no other connection to the target was open together with the answer's")
 
 // EndCheck is the outcome of a check whether a target has outlived its answer, as a metric's label.
 type EndCheck string
@@ -86,7 +86,7 @@
 
 	// The following are guarded by all.mu.
 
-	users   int
+	users   map[*watch]bool
 	running bool
 	// next is the question to be asked, and renewal asks one while the connection is idle, so that it is not closed.
 	next    *question
@@ -102,10 +102,8 @@
 type question struct {
 	timeout time.Duration
 	done    chan struct{}
-	// openedAt is when the connection was opened, and err is nil if the target is alive. Both are set before done is
-	// closed.
-	openedAt time.Time
-	err      error
+	// err is nil if the target is alive. It is set before done is closed.
+	err error
 }
 
 // expectsUnframed reports whether the latest answer of a process had no length.
@@ -132,18 +130,35 @@
 	w.unframed[p] = now
 }
 
-// watch returns the witness of a process, which is opened in the background if there is none. The caller must release it.
-func (w *witnesses) watch(p process) *witness {
+// watch is the use of a witness by one answer.
+type watch struct {
+	witness *witness
+	// connected reports whether the answer's connection is open; nil if that is not known.
+	connected func() bool
+	// witnessed reports that both connections were open at some time, so that they lead to the same process. What the daemon
+	// has read does not show that: after a pause of the daemon, the answer's end may be waiting in the kernel. It is guarded
+	// by all.mu.
+	witnessed bool
+}
+
+// watch uses the witness of a process, which is opened in the background if there is none, for an answer.
+// connected, which may be nil, reports whether the answer's connection is open. beforeSend reports that the call has not been
+// sent yet, so that only this or a later process can answer it. The caller must release the watch.
+func (w *witnesses) watch(p process, connected func() bool, beforeSend bool) *watch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	found := w.open[p]
 	if found == nil {
-		found = &witness{all: w, process: p}
+		found = &witness{all: w, process: p, users: map[*watch]bool{}}
 		w.open[p] = found
 		found.start()
 	}
-	found.users++
-	return found
+	user := &watch{witness: found, connected: connected}
+	if found.conn != nil {
+		user.witnessed = beforeSend || connected != nil && connected()
+	}
+	found.users[user] = true
+	return user
 }
 
 // retire makes later answers open another witness. The caller holds all.mu.
@@ -154,11 +169,12 @@
 }
 
 // release ends the use of the witness. The last user's release gives the connection back.
-func (w *witness) release() {
+func (u *watch) release() {
+	w := u.witness
 	w.all.mu.Lock()
-	w.users--
+	delete(w.users, u)
 	var unused *persistConn
-	if w.users == 0 {
+	if len(w.users) == 0 {
 		w.retire()
 		if w.renewal != nil {
 			w.renewal.Stop()
@@ -194,17 +210,18 @@
 }
 
 // confirm returns nil if the target's process was alive after the call of confirm, as its answer over the witness
-// shows. It waits for that no longer than timeout.
-func (w *witness) confirm(ctx context.Context, timeout time.Duration) error {
-	ended := time.Now()
-	q := w.join(timeout)
+// shows. It waits no longer than timeout. Where the witness may lead to another process, the error is errNotWitnessed.
+func (u *watch) confirm(ctx context.Context, timeout time.Duration) error {
+	q := u.witness.join(timeout)
 	select {
 	case <-q.done:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	if q.err == nil && q.openedAt.After(ended) {
-		return errNoWitnessWasOpen
+	u.witness.all.mu.Lock()
+	defer u.witness.all.mu.Unlock()
+	if q.err == nil && !u.witnessed {
+		return errNotWitnessed
 	}
 	return q.err
 }
@@ -243,7 +260,7 @@
 	w.running = false
 	switch {
 	case w.conn == nil:
-	case w.users > 0:
+	case len(w.users) > 0:
 		w.renewal = time.AfterFunc(w.conn.idleTimeout, func() { w.join(0) })
 	default:
 		unused := w.conn
@@ -263,6 +280,10 @@
 	w.conn, w.lost = conn, err
 	if err != nil {
 		w.retire()
+		return
+	}
+	for user := range w.users {
+		user.witnessed = user.connected != nil && user.connected()
 	}
 }
 
@@ -277,7 +298,6 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(q.timeout, unackedTimeout))
 	defer cancel()
-	q.openedAt = conn.openedAt
 	reusable, err := w.all.asker.ask(ctx, conn, w.process.id)
 	q.err = err
 	if reusable {
