A broken stream looks broken to a caller with HTTP/1.0

What callers saw: a stream that breaks off ends as complete for a caller with HTTP/1.0, whose answer has no chunks. Cause: net/http closes the connection of an aborted answer, which is the end of an answer without chunks. Change: the connection is reset. A daemon that is killed still cannot do that; open.

--- a/node/api/disconnect.go
+++ b/node/api/disconnect.go
@@ -28,3 +28,13 @@
 	}
 	return func() bool { return sock.Peek(conn) == sock.Closed }
 }
+
+// abortAnswer ends an answer that has begun so that its caller sees that it is truncated. An answer in HTTP/1.0 has no chunks and
+// ends with its connection, which must not end in order.
+func abortAnswer(r *http.Request) {
+	conn, ok := r.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error })
+	if ok && !r.ProtoAtLeast(1, 1) {
+		_ = conn.SetLinger(0) // It fails only if the connection is closed.
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -64,7 +64,7 @@
 	}
 	s.metrics.Requests.WithLabelValues(route, outcome).Inc()
 	if err != nil && c.answer.headWritten {
-		panic(http.ErrAbortHandler) // The caller must see that the answer is truncated.
+		abortAnswer(r)
 	}
 }
 
