A daemon does not stop at SIGCHLD

What callers saw: nothing in production, where daemons have no child processes. In a test a daemon refused connections: it had stopped when the test's child process ended. Cause: Kratos handles all signals unless it is given some, so it was given SIGCHLD, which any child's end, or anyone, sends. Change: a signal that no process can receive. Tests with processes no longer stop the daemons that they judge: the tests of killed relays and of ended targets ran against a daemon that was stopping.

--- a/node/daemon/kratoslog.go
+++ b/node/daemon/kratoslog.go
@@ -5,14 +5,19 @@
 	"fmt"
 	"log/slog"
 	"sync"
-	"syscall"
 
 	klog "github.com/go-kratos/kratos/v2/log"
 )
 
-// unusedSignal is a signal that the process never receives, as a daemon starts no child process.
-// Without any signal given, Kratos would handle all of them.
-const unusedSignal = syscall.SIGCHLD
+// unusedSignal is a signal that no process can receive: package signal ignores types that it does not know. Without any signal,
+// Kratos would handle all.
+type unusedSignal struct{}
+
+// String implements os.Signal.
+func (unusedSignal) String() string { return "unused" }
+
+// Signal implements os.Signal.
+func (unusedSignal) Signal() {}
 
 // kratosLoggerOnce guards the logger of Kratos, which is global in the process.
 var kratosLoggerOnce sync.Once
--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -66,7 +66,7 @@
 		kratos.StopTimeout(stopTimeout),
 		// Kratos must not handle signals: it would stop the listeners at once,
 		// while the daemon drains before it stops them.
-		kratos.Signal(unusedSignal),
+		kratos.Signal(unusedSignal{}),
 	)
 	return nil
 }
--- a/node/onplatform/killed_relay_test.go
+++ b/node/onplatform/killed_relay_test.go
@@ -14,9 +14,15 @@
 	"doorstack.dev/platform/standin"
 )
 
+// daemonProcess is a daemon that is a process of its own; caller is its address for callers.
+type daemonProcess struct {
+	cmd    *exec.Cmd
+	caller string
+}
+
 // startProcess starts doorstackd as a process of its own, which joins the daemons of the fleet, and waits until the first
 // daemon knows it.
-func (f *fleet) startProcess(program string, store *standin.Endpoint) *exec.Cmd {
+func (f *fleet) startProcess(program string, store *standin.Endpoint) daemonProcess {
 	f.t.Helper()
 	ip, metrics, err := net.SplitHostPort(testaddr.Free(f.t))
 	if err != nil {
@@ -37,7 +43,7 @@
 	}
 	f.t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
 	f.eventually("the daemon to know the process", func() bool { return f.daemons[0].Board.Members.DaemonCount() == 2 })
-	return cmd
+	return daemonProcess{cmd, boot.CallerAddress}
 }
 
 // unframedThenHang answers with the beginning of an answer without a length, calls sent, and keeps the connection open until
@@ -94,7 +100,7 @@
 	go func() { answer <- f.do(request) }()
 	<-sent
 	f.daemons[0].path.set(pathWorks)
-	if err := relay.Process.Kill(); err != nil {
+	if err := relay.cmd.Process.Kill(); err != nil {
 		t.Fatal(err)
 	}
 	return <-answer
