A silent engine does not make a long prompt too large

What callers saw: 413 too_large, which says that the prompt never fits, while one of the engines that it needs did not answer for a while. Found while looking for the cause of a known red, TestGroupFreesMemoryAfterDisconnect: the test sends one such prompt and waits for its memory at all three engines, which never comes if the prompt was refused. Cause: whether a prompt fits at all was judged by the engines that are live at the moment. Change: engines that do not answer count, since they may be back; the prompt waits for them within its deadline.

--- a/core/group/group.go
+++ b/core/group/group.go
@@ -42,7 +42,8 @@
 // NewPlan divides a prompt over targets. Prompt is its length and output the maximum length of
 // the answer, in tokens. NewPlan leaves the fraction headroom of each target's memory free, and
 // tries home, the name of a data centre, first. It returns ErrNoRoom if the prompt fits only
-// when the targets are less full, and an error that wraps ErrTooLarge if it never fits.
+// when the targets are less full, or when those that do not answer are back, and an error that wraps ErrTooLarge if it
+// never fits.
 func NewPlan(targets []routing.Target, prompt, output int64, headroom float64, home string) ([]Part, error) {
 	usable := slices.DeleteFunc(slices.Clone(targets), func(t routing.Target) bool {
 		return t.State != routing.Live || t.Unloaded || t.MemoryTokens == 0
@@ -60,13 +61,17 @@
 	}
 	for _, region := range placeNames(usable, regionOf, "") {
 		here := slices.DeleteFunc(slices.Clone(usable), func(t routing.Target) bool { return t.Region != region })
-		fits = fits || totalCapacity(here, headroom) >= prompt+output
 		if plan := planWithin(here, prompt, output, headroom); plan != nil {
 			return plan, nil
 		}
 	}
-	if fits {
-		return nil, ErrNoRoom
+	for _, region := range placeNames(targets, regionOf, "") {
+		here := slices.DeleteFunc(slices.Clone(targets), func(t routing.Target) bool {
+			return t.Region != region || t.Unloaded || t.State != routing.Live && t.State != routing.Unavailable
+		})
+		if totalCapacity(here, headroom) >= prompt+output {
+			return nil, ErrNoRoom
+		}
 	}
 	return nil, errors.Wrap(ErrTooLarge, fmt.Sprintf("%d tokens", prompt+output))
 }
--- a/core/group/group_test.go
+++ b/core/group/group_test.go
@@ -98,3 +98,14 @@
 		t.Fatalf("NewPlan of 500,000 tokens on a target of 450,000: %v, want ErrTooLarge", err)
 	}
 }
+
+// TestUnavailableTargetDoesNotMakePromptTooLarge guards against a prompt being refused for good because a target does not answer
+// for a while; one that leaves counts no more.
+func TestUnavailableTargetDoesNotMakePromptTooLarge(t *testing.T) {
+	for state, want := range map[routing.State]error{routing.Unavailable: ErrNoRoom, routing.Draining: ErrTooLarge, routing.Evacuated: ErrTooLarge} {
+		targets := []routing.Target{{ID: "a", MemoryTokens: 450_000}, {ID: "b", MemoryTokens: 450_000}, {ID: "c", MemoryTokens: 450_000, State: state}}
+		if _, err := NewPlan(targets, 1_000_000, 20, 0.2, ""); !errors.Is(err, want) {
+			t.Errorf("state %v: NewPlan = %v, want %v", state, err, want)
+		}
+	}
+}
--- a/node/internal/fleet/group_test.go
+++ b/node/internal/fleet/group_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"doorstack.dev/core/routing"
 	"doorstack.dev/node/internal/standin"
 )
 
@@ -33,6 +34,39 @@
 	}
 }
 
+// TestGroupWaitsForSilentEngine guards against a prompt being refused for good as too large because an engine that it needs does
+// not answer for a while.
+func TestGroupWaitsForSilentEngine(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, claraOptions(1, 3))
+	f.Engines[2].SetFaults(standin.Faults{Hanging: true})
+	eventually(t, "the engine counts as unavailable", func() bool {
+		for _, v := range f.Daemons[0].Board.Targets.Views("llm", time.Now()) {
+			if v.State == routing.Unavailable {
+				return true
+			}
+		}
+		return false
+	})
+	answer := make(chan reply, 1)
+	go func() {
+		r, _ := tryCall(f.Daemons[0], call{path: "/v1/chat/completions", apiKey: triageKey, body: chatBody(groupPrompt(), 20, true)})
+		answer <- r
+	}()
+	const silence = 300 * time.Millisecond
+	select {
+	case r := <-answer:
+		t.Fatalf("refused while the engine was silent: status %d, %s", r.status, describe(r))
+	case <-time.After(silence):
+	}
+	f.Engines[2].SetFaults(standin.Faults{})
+	r := <-answer
+	r.parseEvents(t)
+	if r.err != nil || strings.Count(r.text, " w") != 20 {
+		t.Errorf("chat: error %+v, text %q; want 20 tokens", r.err, r.text)
+	}
+}
+
 // TestGroupFreesMemoryAfterDisconnect checks that a group frees its memory when the caller
 // disconnects during the prefill.
 func TestGroupFreesMemoryAfterDisconnect(t *testing.T) {
