Claim a call again whose permit expired before it was sent

What callers saw: 503 "the permit to send this call expired before it was sent; retry with the same key" with execution unknown, for a call that was never sent; every retry with the key was then told that the outcome is unknown. Found by tracing a known red, TestPartitionedDaemonsRunCallAtMostOnce (a service that executed a call 0 times, on a machine at a load of 42). Cause: a failure without a send counted as a send of unknown outcome, since only errors of the client of targets say that a call has not run. The claim was concluded with that outcome, so the witnesses kept the key as used. Change: an expired permit is no send, so the key is freed; and the daemon claims the call again itself while its caller has time. The known red under load: not run yet.

--- a/node/internal/fleet/once_test.go
+++ b/node/internal/fleet/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,6 +107,37 @@
 	checkSingleExecution(t, f, key)
 }
 
+// TestCallWithExpiredPermitIsClaimedAgain guards against a call being refused because its permit expired before it was sent, on a
+// host that was suspended or short of processor time, though the caller has time left.
+func TestCallWithExpiredPermitIsClaimedAgain(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, claraOptions(3, 1))
+	var reads atomic.Int64
+	var armed atomic.Bool
+	d, err := f.Join(f.PlatformServer.Address, func(joining *Daemon) {
+		joining.SetSuspendedTime(func() time.Duration { // The host is suspended for an hour after its first claim.
+			if !armed.Load() || reads.Add(1) == 1 {
+				return 0
+			}
+			return time.Hour
+		})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.WaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	awaitWitnessAge(t, f)
+	armed.Store(true)
+	key := newKey()
+	got := confirm(t, d, key)
+	checkSingleExecution(t, f, key, got)
+	if got.status != http.StatusOK || reads.Load() != 4 {
+		t.Errorf("got %s after %d looks at the suspended time, want status 200 after 4", describe(got), reads.Load())
+	}
+}
+
 // TestDuplicateOfStoppedDaemonsCallIsUnknown checks that another daemon answers a duplicate
 // with an unknown outcome, and does not run it, after the daemon that sent the call stopped.
 func TestDuplicateOfStoppedDaemonsCallIsUnknown(t *testing.T) {
--- a/node/requestcontrol/service.go
+++ b/node/requestcontrol/service.go
@@ -28,11 +28,22 @@
 	return answer, err
 }
 
-// claimAndCall claims the call if that is required, sends it and records the outcome of the claim.
+// claimAndCall claims the call if that is required, sends it and records the outcome of the claim. A call whose permit
+// expired before it was sent is claimed again.
 func (d *Director) claimAndCall(ctx context.Context, r *Request) (*target.ServiceAnswer, error) {
 	if r.Route.Repeatable || r.IdempotencyKey == "" {
 		return d.callWithRetries(ctx, r, nil)
 	}
+	for {
+		answer, err := d.callOnClaim(ctx, r)
+		if !errors.Is(err, errPermitExpired) || ctx.Err() != nil {
+			return answer, err
+		}
+	}
+}
+
+// callOnClaim claims the call, sends it and records the outcome of the claim.
+func (d *Director) callOnClaim(ctx context.Context, r *Request) (*target.ServiceAnswer, error) {
 	claim := Claim{
 		Key:       r.Account.Path + "|" + r.Route.Name + "|" + r.IdempotencyKey,
 		CallerKey: r.IdempotencyKey,
@@ -101,7 +112,7 @@
 		if err == nil {
 			return answer, nil
 		}
-		sent = sent || target.ExecutionOf(err) != fault.NotRun
+		sent = sent || !errors.Is(err, errPermitExpired) && target.ExecutionOf(err) != fault.NotRun
 		if !d.mayRetry(ctx, r, attempts, err) {
 			return nil, executionAfterSend(d.errorForCaller(ctx, r, err), sent)
 		}
@@ -118,6 +129,9 @@
 	return e
 }
 
+// errPermitExpired means that a claimed call was not sent within the time of its permit.
+var errPermitExpired = fault.New(fault.NoQuorum, "the permit to send this call expired before it was sent", "retry with the same key").WithRetry(0)
+
 // sendServiceCall sends the call. It checks the permit immediately before, since the process may
 // have been paused, or its host suspended, until after the permit had expired.
 func (d *Director) sendServiceCall(ctx context.Context, r *Request, permit *Permit, p blackboard.Placement) (*target.ServiceAnswer, error) {
@@ -127,9 +141,7 @@
 		call.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
 	if permit != nil && permit.expired(time.Now(), d.SuspendedTime()) {
-		return nil, fault.New(fault.NoQuorum,
-			"the permit to send this call expired before it was sent",
-			"retry with the same key").WithRetry(0)
+		return nil, errPermitExpired
 	}
 	return d.Targets.CallService(ctx, p.Address, &call)
 }
