--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -273,7 +273,9 @@
 
 // SetSuspendedTime replaces how the host's suspended time is read, so that a test can let permits expire. It must be called
 // before Run.
-func (d *Daemon) SetSuspendedTime(suspended func() time.Duration) { d.director.SuspendedTime = suspended }
+func (d *Daemon) SetSuspendedTime(suspended func() time.Duration) {
+	d.director.SuspendedTime = suspended
+}
 
 // TargetPaths returns the state of this host's own paths to targets.
 func (d *Daemon) TargetPaths() reach.Summary { return d.connector.Summary() }
--- a/node/target/serviceend.go
+++ b/node/target/serviceend.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return false, askError(err)
 	}
+	defer func() { _ = resp.Body.Close() }()
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportSize))
 	return err == nil && !resp.Close && pc.reusable() && stop(), nil
 }
