Confirm unframed answers that come over a relay or at once

Cause: over a relay a witness counted only if it was open before the call was sent, which it hardly ever was, as it was opened beside the call; that stand-in names no health check, so there was no other proof. The target was also left out of the next attempt, and there is only one. Change: a call to a target whose latest answer had no length waits for its witness, while it connects itself, for as long as a connection may take. A target that has not confirmed its end is not left out, so it can go on with the stream, which has nothing left. Where a relay has seen the end and there is no way to ask the process at the address who it is, one that is alive is enough.

--- a/node/onplatform/ended_targets_test.go
+++ b/node/onplatform/ended_targets_test.go
@@ -86,3 +86,53 @@
 		})
 	}
 }
+
+// TestUnconfirmedStreamGoesOnAtItsTarget guards against a sound stream without a length being broken off where its end cannot be
+// confirmed and there is no other target: the target has nothing left to send.
+func TestUnconfirmedStreamGoesOnAtItsTarget(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	for i := range f.config.Services {
+		f.config.Services[i].HealthPath = ""
+	}
+	f.store.PutConfig(f.config)
+	f.waitReady(f.addDaemon(0))
+	f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		standin.Unframed(eventStreamType, eventsAfter(c.LastEventID()), standin.EndWhole)(w, r, c)
+	})
+	if got := f.do(f.newRequest(streamPath)); got.Err != nil || got.Status != http.StatusOK || got.Body != eventTexts(1, 8) {
+		t.Errorf("answer = %d %q %v, want the whole stream", got.Status, got.Body, got.Err)
+	}
+}
+
+// TestUnframedStreamThroughRelayIsWhole covers streams without a length over a relay, whose end a daemon may see late, where the
+// target closes the connection after each report and no health check names it.
+func TestUnframedStreamThroughRelayIsWhole(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	for i := range f.config.Services {
+		f.config.Services[i].HealthPath = ""
+	}
+	f.store.PutConfig(f.config)
+	for i := range 2 {
+		f.addDaemon(i)
+	}
+	for _, d := range f.daemons {
+		f.waitReady(d)
+	}
+	f.awaitMembership()
+	f.scriptAll(func(w http.ResponseWriter, r *http.Request, c standin.Call) {
+		standin.Unframed(eventStreamType, eventsAfter(c.LastEventID()), standin.EndWhole)(w, r, c)
+	})
+	f.daemons[0].path.set(pathRefused)
+	for range 3 {
+		if got := f.do(f.newRequest(streamPath)); got.Err != nil || got.Status != http.StatusOK || got.Body != eventTexts(1, 8) {
+			t.Errorf("answer = %d %q %v, want the whole stream", got.Status, got.Body, got.Err)
+		}
+	}
+	if t.Failed() {
+		for l := range strings.Lines(f.daemons[0].log.String()) {
+			if strings.Contains(l, "decision") {
+				t.Log(l)
+			}
+		}
+	}
+}
--- a/node/requestcontrol/attemptend.go
+++ b/node/requestcontrol/attemptend.go
@@ -18,7 +18,8 @@
 		f.director.recordEnd(f.request, end)
 		return
 	}
-	if !errors.Is(err, target.ErrRelayEnded) { // The end of a relay says nothing of the target.
+	// The end of a relay says nothing of the target, and one that has not confirmed the end of its answer may have finished it.
+	if !errors.Is(err, target.ErrRelayEnded) && !errors.Is(err, target.ErrEndUnconfirmed) {
 		f.excluded = append(f.excluded, end.target)
 	}
 	if end.cancelled || !target.MayBePathFailure(err) && !errors.Is(err, errSilent) {
--- a/node/target/answerend.go
+++ b/node/target/answerend.go
@@ -20,7 +20,7 @@
 	}
 	r.Body.begin = func() {
 		if r.watch == nil {
-			r.watch = e.witnesses.watch(p, r.conn.connected(), false)
+			r.watch = e.witnesses.watch(p, r.conn.connected())
 		}
 	}
 	r.Body.checkEnd = func() error {
@@ -41,8 +41,11 @@
 	}
 	timeout := max(r.headTook, unackedTimeout)
 	err := r.watch.confirm(ctx, timeout)
-	if !errors.Is(err, ErrEndUnconfirmed) || ctx.Err() != nil {
+	switch {
+	case !errors.Is(err, ErrEndUnconfirmed) || ctx.Err() != nil:
 		return err
+	case errors.Is(err, errNotWitnessed) && r.Relay != "" && to.HealthPath == "" && to.Started == 0:
+		return nil // The relay has seen the end, a process at the address is alive, and there is no way to ask which.
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -199,13 +199,19 @@
 func (e *Exchanger) Send(ctx context.Context, address string, c *forward.Message) (*Reply, error) {
 	called := process{address, c.To.ID}
 	for {
+		var early *watch
+		if c.ID != "" && e.witnesses.expectsUnframed(called) {
+			early = e.witnesses.watchBeforeSend(called)
+		}
 		pc, err := e.acquire(ctx, address)
 		if err != nil {
+			if early != nil {
+				early.release()
+			}
 			return nil, &CallError{Execution: fault.NotRun, Err: errors.Wrap(err, "connect to the target")}
 		}
-		var early *watch
-		if c.ID != "" && e.witnesses.expectsUnframed(called) {
-			early = e.witnesses.watch(called, pc.connected(), true)
+		if early != nil {
+			early.awaitOpen(ctx, pc.connected())
 		}
 		reply, err := e.sendOver(ctx, pc, c)
 		if err != nil && early != nil {
--- a/node/target/serviceend.go
+++ b/node/target/serviceend.go
@@ -68,7 +68,7 @@
 func (c *Client) beginEndCheck(ctx context.Context, address string) (context.Context, *endCheck) {
 	e := &endCheck{witnesses: c.witnesses, process: process{address: address}, sent: time.Now()}
 	if c.witnesses.expectsUnframed(e.process) {
-		e.watch = c.witnesses.watch(e.process, nil, true)
+		e.watch = c.witnesses.watch(e.process, nil)
 	}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
 		if info.Err != nil {
@@ -88,7 +88,7 @@
 	default:
 		e.framing = FramedByConnection
 		if e.watch == nil {
-			e.watch = e.witnesses.watch(e.process, nil, false)
+			e.watch = e.witnesses.watch(e.process, nil)
 		}
 	}
 	e.witnesses.recordFraming(e.process, e.framing)
--- a/node/target/witness.go
+++ b/node/target/witness.go
@@ -96,6 +96,9 @@
 	opened bool
 	conn   *persistConn
 	lost   error
+
+	// tried is closed once opening the connection has been tried.
+	tried chan struct{}
 }
 
 // question is one question over a witness. All answers that ended before it is sent wait for the same one.
@@ -133,34 +136,62 @@
 // watch is the use of a witness by one answer.
 type watch struct {
 	witness *witness
-	// connected reports whether the answer's connection is open; nil if that is not known.
+	// connected reports whether the answer's connection is open; nil if that is not known. unsent reports that the call has not
+	// been sent, so that only the process at the other end of the witness, or a later one, can answer it.
 	connected func() bool
+	unsent    bool
 	// witnessed reports that both connections were open at some time, so that they lead to the same process. What the daemon
 	// has read does not show that: after a pause of the daemon, the answer's end may be waiting in the kernel. It is guarded
 	// by all.mu.
 	witnessed bool
 }
 
-// watch uses the witness of a process, which is opened in the background if there is none, for an answer.
-// connected, which may be nil, reports whether the answer's connection is open. beforeSend reports that the call has not been
-// sent yet, so that only this or a later process can answer it. The caller must release the watch.
-func (w *witnesses) watch(p process, connected func() bool, beforeSend bool) *watch {
+// watch uses the witness of a process, which is opened in the background if there is none, for an answer that has begun.
+// connected, which may be nil, reports whether the answer's connection is open. The caller must release the watch.
+func (w *witnesses) watch(p process, connected func() bool) *watch {
+	return w.add(p, &watch{connected: connected})
+}
+
+// watchBeforeSend is watch for a call that has not been sent yet. It has to be followed by awaitOpen.
+func (w *witnesses) watchBeforeSend(p process) *watch { return w.add(p, &watch{unsent: true}) }
+
+func (w *witnesses) add(p process, user *watch) *watch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	found := w.open[p]
 	if found == nil {
-		found = &witness{all: w, process: p, users: map[*watch]bool{}}
+		found = &witness{all: w, process: p, users: map[*watch]bool{}, tried: make(chan struct{})}
 		w.open[p] = found
 		found.start()
 	}
-	user := &watch{witness: found, connected: connected}
+	user.witness = found
+	found.users[user] = true
 	if found.conn != nil {
-		user.witnessed = beforeSend || connected != nil && connected()
+		user.witnessOpen()
 	}
-	found.users[user] = true
 	return user
 }
 
+// witnessOpen records that the witness is open. The caller holds all.mu.
+func (u *watch) witnessOpen() {
+	u.witnessed = u.witnessed || u.unsent || u.connected != nil && u.connected()
+}
+
+// awaitOpen waits until the witness is open or could not be opened, no longer than connectTimeout. The call may be sent then, over a
+// connection whose state connected reports.
+func (u *watch) awaitOpen(ctx context.Context, connected func() bool) {
+	timer := time.NewTimer(connectTimeout)
+	defer timer.Stop()
+	select {
+	case <-u.witness.tried:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	u.witness.all.mu.Lock()
+	defer u.witness.all.mu.Unlock()
+	u.unsent, u.connected = false, connected
+}
+
 // retire makes later answers open another witness. The caller holds all.mu.
 func (w *witness) retire() {
 	if w.all.open[w.process] == w {
@@ -275,6 +306,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
 	conn, err := w.all.asker.openWitness(ctx, w.process.address)
+	defer close(w.tried)
 	w.all.mu.Lock()
 	defer w.all.mu.Unlock()
 	w.conn, w.lost = conn, err
@@ -283,7 +315,7 @@
 		return
 	}
 	for user := range w.users {
-		user.witnessed = user.connected != nil && user.connected()
+		user.witnessOpen()
 	}
 }
 
