Open a witness after the call's own connection

Cause: the witness was opened beside the connection of the call. A target whose queue of new connections is short, here one, drops one of two that come together, and the target counted as unreachable. Change: the witness is opened once the call's connection is there; the call then waits for a round trip, where its target's latest answer had no length and no idle connection serves.

--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -199,18 +199,13 @@
 func (e *Exchanger) Send(ctx context.Context, address string, c *forward.Message) (*Reply, error) {
 	called := process{address, c.To.ID}
 	for {
-		var early *watch
-		if c.ID != "" && e.witnesses.expectsUnframed(called) {
-			early = e.witnesses.watchBeforeSend(called)
-		}
 		pc, err := e.acquire(ctx, address)
 		if err != nil {
-			if early != nil {
-				early.release()
-			}
 			return nil, &CallError{Execution: fault.NotRun, Err: errors.Wrap(err, "connect to the target")}
 		}
-		if early != nil {
+		var early *watch
+		if c.ID != "" && e.witnesses.expectsUnframed(called) { // Not while connecting: a target's queue of new connections is short.
+			early = e.witnesses.watchBeforeSend(called)
 			early.awaitOpen(ctx, pc.connected())
 		}
 		reply, err := e.sendOver(ctx, pc, c)
