A witness's report must name the start of the target's process

Cause: the soak's links, like any proxy before a target, accept a connection before they have one to the target. The witness was open together with the answer's connection as the daemon saw it, and led to the process that began when the other ended. Change: where the start of the process is known, the report over the witness has to name it. A later start is no longer taken for a crash, since the daemon may learn of a start late.

--- a/node/target/answerend.go
+++ b/node/target/answerend.go
@@ -69,7 +69,7 @@
 func (e *Exchanger) confirmIdentity(ctx context.Context, address string, to forward.Recipient, err error) error {
 	if to.Started != 0 {
 		if started, readErr := e.readStart(ctx, address, to.ID); readErr == nil && started != 0 {
-			return checkIdentity(started == to.Started, fmt.Sprintf("the process at its address started at %d, not %d", started, to.Started))
+			return checkStart(started, to.Started)
 		}
 	}
 	if to.HealthPath == "" {
@@ -81,17 +81,11 @@
 		return errors.Wrap(ErrEndUnconfirmed, err.Error())
 	case reply.Instance == "":
 		return errors.Wrap(ErrEndUnconfirmed, fmt.Sprintf("the health check answers with status %d", reply.Status))
+	case reply.Instance != to.ID:
+		return errors.Wrap(ErrProcessEnded, reply.Instance+" has its address")
 	default:
-		return checkIdentity(reply.Instance == to.ID, reply.Instance+" has its address")
-	}
-}
-
-// checkIdentity returns ErrProcessEnded for a process that is not the one that answered.
-func checkIdentity(same bool, difference string) error {
-	if same {
 		return nil
 	}
-	return errors.Wrap(ErrProcessEnded, difference)
 }
 
 // readStart returns when the process at an address says that it started, in Unix milliseconds, or zero if it does not.
@@ -123,10 +117,11 @@
 // keepWitness implements asker.
 func (e *Exchanger) keepWitness(pc *persistConn) { e.putIdle(pc) }
 
-// ask implements asker. Any answer to the request for the report shows that the process is alive.
-func (e *Exchanger) ask(ctx context.Context, pc *persistConn, target string) (reusable bool, err error) {
+// ask implements asker. Any answer to the request for the report shows that the process at the other end is alive; where the
+// start of the target's process is known, the report must not name another one, which a proxy before the target may lead to.
+func (e *Exchanger) ask(ctx context.Context, pc *persistConn, p process) (reusable bool, err error) {
 	pc.reuse()
-	message := e.Dialect.ReportMessage(target)
+	message := e.Dialect.ReportMessage(p.id)
 	reply, err := e.sendOver(ctx, pc, &message)
 	switch {
 	case err != nil:
@@ -138,6 +133,23 @@
 		reply.stopDeadline()
 		return false, errors.Wrap(ErrEndUnconfirmed, "the target sent an answer to another call")
 	}
-	_ = reply.DiscardArriving() // finish reports whether the body was read.
-	return reply.finish(), nil
+	body, readErr := io.ReadAll(io.LimitReader(reply.Body, maxDrainSize))
+	reusable = reply.finish()
+	if readErr != nil || p.started == 0 {
+		return reusable, nil
+	}
+	report, readErr := e.Dialect.ReadReport(body)
+	if readErr != nil || report.Started == 0 {
+		return reusable, nil
+	}
+	return reusable, checkStart(report.Started, p.started)
+}
+
+// checkStart returns ErrEndUnconfirmed if a process started at another time than the one that a call was sent to. It may have
+// answered the call all the same, if its start was not known by then.
+func checkStart(started, expected int64) error {
+	if started == expected {
+		return nil
+	}
+	return errors.Wrap(ErrEndUnconfirmed, fmt.Sprintf("the process at the target's address started at %d, not %d", started, expected))
 }
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -197,7 +197,7 @@
 // host that is short of CPU: three hosts that took over the load of 76 hosts forwarded 29, 59 and
 // 36 calls more than half a second after their callers had disconnected.
 func (e *Exchanger) Send(ctx context.Context, address string, c *forward.Message) (*Reply, error) {
-	called := process{address, c.To.ID}
+	called := process{address, c.To.ID, c.To.Started}
 	for {
 		pc, err := e.acquire(ctx, address)
 		if err != nil {
--- a/node/target/serviceend.go
+++ b/node/target/serviceend.go
@@ -33,7 +33,7 @@
 }
 
 // ask implements asker.
-func (a loadAsker) ask(ctx context.Context, pc *persistConn, _ string) (reusable bool, err error) {
+func (a loadAsker) ask(ctx context.Context, pc *persistConn, _ process) (reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = pc.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	pc.reuse()
--- a/node/target/witness.go
+++ b/node/target/witness.go
@@ -48,8 +48,11 @@
 	}
 }
 
-// process identifies a target's process.
-type process struct{ address, id string }
+// process identifies a target's process. started is when it started, in Unix milliseconds, or zero if that is not known.
+type process struct {
+	address, id string
+	started     int64
+}
 
 // asker sends the questions of witnesses.
 type asker interface {
@@ -57,7 +60,7 @@
 	openWitness(ctx context.Context, address string) (*persistConn, error)
 	// ask asks a target over a connection whether it is alive. If it is, reusable reports whether the connection can carry
 	// another question. If not, the connection is closed.
-	ask(ctx context.Context, pc *persistConn, target string) (reusable bool, err error)
+	ask(ctx context.Context, pc *persistConn, p process) (reusable bool, err error)
 	// keepWitness takes a connection that is no longer needed.
 	keepWitness(pc *persistConn)
 }
@@ -330,7 +333,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(q.timeout, unackedTimeout))
 	defer cancel()
-	reusable, err := w.all.asker.ask(ctx, conn, w.process.id)
+	reusable, err := w.all.asker.ask(ctx, conn, w.process)
 	q.err = err
 	if reusable {
 		return
