One reader for the start in a target's report

Change: one function reads the start of a process from a report, for witnesses and for the identity of a process; no decision changes.

--- a/node/target/answerend.go
+++ b/node/target/answerend.go
@@ -68,17 +68,26 @@
 // the same id is not told apart.
 func (e *Exchanger) confirmIdentity(ctx context.Context, address string, to forward.Recipient, err error) error {
 	if to.Started != 0 {
-		if started, readErr := e.readStart(ctx, address, to.ID); readErr == nil && started != 0 {
-			return checkStart(started, to.Started)
+		message := e.Dialect.ReportMessage(to.ID)
+		if reply, sendErr := e.Send(ctx, address, &message); sendErr == nil {
+			started := e.startIn(reply)
+			e.Close(reply)
+			if started != 0 {
+				return checkStart(started, to.Started)
+			}
 		}
 	}
 	if to.HealthPath == "" {
 		return err
 	}
-	reply, _, err := e.control(ctx, address, e.Dialect.HealthMessage(to.ID, to.HealthPath))
-	switch {
-	case err != nil:
+	message := e.Dialect.HealthMessage(to.ID, to.HealthPath)
+	reply, err := e.Send(ctx, address, &message)
+	if err != nil {
 		return errors.Wrap(ErrEndUnconfirmed, err.Error())
+	}
+	_ = reply.DiscardArriving() // The head says all that is needed.
+	e.Close(reply)
+	switch {
 	case reply.Instance == "":
 		return errors.Wrap(ErrEndUnconfirmed, fmt.Sprintf("the health check answers with status %d", reply.Status))
 	case reply.Instance != to.ID:
@@ -88,27 +97,6 @@
 	}
 }
 
-// readStart returns when the process at an address says that it started, in Unix milliseconds, or zero if it does not.
-func (e *Exchanger) readStart(ctx context.Context, address, id string) (int64, error) {
-	_, body, err := e.control(ctx, address, e.Dialect.ReportMessage(id))
-	if err != nil {
-		return 0, err
-	}
-	report, err := e.Dialect.ReadReport(body)
-	return report.Started, err
-}
-
-// control sends a control request and returns its answer and the answer's body.
-func (e *Exchanger) control(ctx context.Context, address string, m forward.Message) (*Reply, []byte, error) {
-	reply, err := e.Send(ctx, address, &m)
-	if err != nil {
-		return nil, nil, err
-	}
-	defer e.Close(reply)
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxDrainSize))
-	return reply, body, err
-}
-
 // openWitness implements asker.
 func (e *Exchanger) openWitness(ctx context.Context, address string) (*persistConn, error) {
 	return e.acquire(ctx, address)
@@ -133,16 +121,25 @@
 		reply.stopDeadline()
 		return false, errors.Wrap(ErrEndUnconfirmed, "the target sent an answer to another call")
 	}
-	body, readErr := io.ReadAll(io.LimitReader(reply.Body, maxDrainSize))
+	started := e.startIn(reply)
 	reusable = reply.finish()
-	if readErr != nil || p.started == 0 {
+	if p.started == 0 || started == 0 {
 		return reusable, nil
 	}
-	report, readErr := e.Dialect.ReadReport(body)
-	if readErr != nil || report.Started == 0 {
-		return reusable, nil
+	return reusable, checkStart(started, p.started)
+}
+
+// startIn returns when the process that sent a report says that it started, in Unix milliseconds, or zero if it does not.
+func (e *Exchanger) startIn(reply *Reply) int64 {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxDrainSize))
+	if err != nil {
+		return 0
+	}
+	report, err := e.Dialect.ReadReport(body)
+	if err != nil {
+		return 0
 	}
-	return reusable, checkStart(report.Started, p.started)
+	return report.Started
 }
 
 // checkStart returns ErrEndUnconfirmed if a process started at another time than the one that a call was sent to. It may have
