--- a/node/onplatform/restarting_targets_test.go
+++ b/node/onplatform/restarting_targets_test.go
@@ -97,6 +97,7 @@
 	}
 	close(done)
 	callers.Wait()
+	f.client.CloseIdleConnections() // A daemon that stops waits for connections that carried no call yet.
 	return outcome
 }
 
