One way to tell the framing of an answer

Cause: the last read of the change: the client of the project's own protocol had a copy of the decision of Reply.Framing, and a comment named one wait where there are two. Change: one function for both; the comment. No decision changes.

--- a/node/target/answerend.go
+++ b/node/target/answerend.go
@@ -33,8 +33,9 @@
 	}
 }
 
-// confirmEnd returns nil if a target's process has outlived its answer. It waits no longer than the target took for the
-// head of the answer, or a dead host takes to be noticed.
+// confirmEnd returns nil if a target's process has outlived its answer. It asks over the witness and then, if that proves
+// nothing, over any connection, and waits each time no longer than the target took for the head of the answer, or a dead host
+// takes to be noticed.
 func (e *Exchanger) confirmEnd(ctx context.Context, r *Reply, p process, to forward.Recipient) error {
 	if err := r.conn.awaitWrite(ctx); err != nil {
 		return err
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -109,11 +109,14 @@
 )
 
 // Framing returns what marks the end of the answer.
-func (r *Reply) Framing() Framing {
+func (r *Reply) Framing() Framing { return framingOf(r.Length, r.resp) }
+
+// framingOf returns what marks the end of an answer whose body has a length in bytes, -1 where it is not known.
+func framingOf(length int64, resp *http.Response) Framing {
 	switch {
-	case r.Length >= 0:
+	case length >= 0:
 		return FramedByLength
-	case len(r.resp.TransferEncoding) > 0:
+	case len(resp.TransferEncoding) > 0:
 		return FramedByChunks
 	default:
 		return FramedByConnection
--- a/node/target/serviceend.go
+++ b/node/target/serviceend.go
@@ -80,16 +80,9 @@
 // recordHead records how the answer ends.
 func (e *endCheck) recordHead(resp *http.Response) {
 	e.headTook = time.Since(e.sent)
-	switch {
-	case resp.ContentLength >= 0:
-		e.framing = FramedByLength
-	case len(resp.TransferEncoding) > 0:
-		e.framing = FramedByChunks
-	default:
-		e.framing = FramedByConnection
-		if e.watch == nil {
-			e.watch = e.witnesses.watch(e.process, nil)
-		}
+	e.framing = framingOf(resp.ContentLength, resp)
+	if e.framing == FramedByConnection && e.watch == nil {
+		e.watch = e.witnesses.watch(e.process, nil)
 	}
 	e.witnesses.recordFraming(e.process, e.framing)
 }
