Log which daemons were asked about a call that may run once

Cause of the need: two hypotheses (a repeat of which no holder of the claim was asked, or whose holders did not answer in time; holders that have lost the claim) could not be told apart by any line. Change: the lines about the sends of such calls name the daemons that hold the claim, those that did not answer in time and those that were not asked; a refusal of a repeat names the daemon that objected.

--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -80,8 +80,10 @@
 	Repeat   *admission.RepeatVerdict `json:"repeat,omitempty"`
 	// Stream is the timing of a forwarded answer.
 	Stream *StreamTiming `json:"stream,omitempty"`
-	// Send is how an attempt of a forwarded call that may run once was sent.
-	Send *Send `json:"send,omitempty"`
+	// Send is how an attempt of a forwarded call that may run once was sent, and SendClaim which other daemons were asked
+	// whether it may be; nil if none was.
+	Send      *Send      `json:"send,omitempty"`
+	SendClaim *SendClaim `json:"send_claim,omitempty"`
 }
 
 // Send is one send of a forwarded call that may run once.
@@ -101,6 +103,16 @@
 	Execution fault.Execution `json:"execution"`
 }
 
+// SendClaim says what other daemons know of a call that may run once, by name.
+type SendClaim struct {
+	// Holders hold the claim to the call, Silent did not answer in time, and Unasked were not expected to answer.
+	Holders []string `json:"holders,omitempty"`
+	Silent  []string `json:"silent,omitempty"`
+	Unasked []string `json:"unasked,omitempty"`
+	// RepeatedAt knows another arrival of the request; empty if none does.
+	RepeatedAt string `json:"repeated_at,omitempty"`
+}
+
 // StreamTiming is the timing of a forwarded answer.
 type StreamTiming struct {
 	// Events is the number of events sent to the caller, Sends the number of sends that produced them, and Skipped the
--- a/node/api/disconnect_start_test.go
+++ b/node/api/disconnect_start_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"doorstack.dev/core/decision"
 	"doorstack.dev/core/forward"
 	"doorstack.dev/core/once"
 	"doorstack.dev/core/settings"
@@ -31,7 +32,9 @@
 func (p *countingPlacer) BeginSend(context.Context, string, string, once.Claim) (requestcontrol.SendClaim, bool) {
 	return requestcontrol.SendClaim{}, true
 }
-func (p *countingPlacer) SentBefore(context.Context, string, once.Claim) bool    { return false }
+func (p *countingPlacer) SentBefore(context.Context, string, once.Claim) (decision.SendClaim, bool) {
+	return decision.SendClaim{}, false
+}
 func (p *countingPlacer) WithdrawSend(context.Context, requestcontrol.SendClaim) {}
 
 func (p *countingPlacer) ReportPrefillDone(string)                              {}
--- a/node/cluster/singlesends.go
+++ b/node/cluster/singlesends.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"doorstack.dev/core/decision"
 	"doorstack.dev/core/once"
 	"doorstack.dev/node/peer"
 	"doorstack.dev/node/requestcontrol"
@@ -40,18 +41,23 @@
 
 // BeginSend implements requestcontrol.Placer.
 func (p *Placer) BeginSend(ctx context.Context, pool, placedBy string, claim once.Claim) (requestcontrol.SendClaim, bool) {
-	held := requestcontrol.SendClaim{Claim: claim, Holders: p.holdersOf(pool)}
+	holders, unasked := p.holdersOf(pool)
 	// A coordinator holds the claims to the calls that it places for others.
-	asked := slices.DeleteFunc(slices.Clone(held.Holders), func(name string) bool { return name == placedBy })
-	if placedBy != "" && placedBy != p.cluster.Board.Self.Name && len(asked) == len(held.Holders) {
-		held.Holders = append(held.Holders, placedBy)
+	asked := slices.DeleteFunc(slices.Clone(holders), func(name string) bool { return name == placedBy })
+	if placedBy != "" && placedBy != p.cluster.Board.Self.Name && len(asked) == len(holders) {
+		holders = append(holders, placedBy)
 	}
-	return held, !p.askHolders(ctx, asked, beginSend, claim)
+	silent, repeatedAt := p.askHolders(ctx, asked, beginSend, claim)
+	return requestcontrol.SendClaim{Claim: claim, SendClaim: decision.SendClaim{
+		Holders: holders, Silent: silent, Unasked: unasked, RepeatedAt: repeatedAt,
+	}}, repeatedAt == ""
 }
 
 // SentBefore implements requestcontrol.Placer.
-func (p *Placer) SentBefore(ctx context.Context, pool string, claim once.Claim) bool {
-	return p.askHolders(ctx, p.holdersOf(pool), checkSend, claim)
+func (p *Placer) SentBefore(ctx context.Context, pool string, claim once.Claim) (decision.SendClaim, bool) {
+	holders, unasked := p.holdersOf(pool)
+	silent, repeatedAt := p.askHolders(ctx, holders, checkSend, claim)
+	return decision.SendClaim{Silent: silent, Unasked: unasked, RepeatedAt: repeatedAt}, repeatedAt != ""
 }
 
 // WithdrawSend implements requestcontrol.Placer.
@@ -59,39 +65,49 @@
 	p.askHolders(ctx, held.Holders, withdrawSend, held.Claim)
 }
 
-// holdersOf lists the daemons that hold the claims to a pool's calls, without this one and those that cannot be reached. Failed links
-// are opened again for later calls.
-func (p *Placer) holdersOf(pool string) []string {
+// holdersOf lists the daemons that hold the claims to a pool's calls, without this one; unasked are those that cannot be reached.
+// Failed links are opened again for later calls.
+func (p *Placer) holdersOf(pool string) (holders, unasked []string) {
 	ranking := p.rankingOf(pool)
-	var holders []string
 	for _, c := range ranking[:min(claimHolders, len(ranking))] {
 		switch {
 		case c.Name == p.cluster.Board.Self.Name:
 		case p.links.mayAnswer(c.Name):
 			holders = append(holders, c.Name)
 		default:
+			unasked = append(unasked, c.Name)
 			p.links.open(c.Name)
 		}
 	}
-	return holders
+	return holders, unasked
 }
 
-// askHolders sends a request about a claim to some daemons, waits for their answers, each for the timeout of a request to that peer,
-// and reports whether one of them has another claim to the same request.
-func (p *Placer) askHolders(ctx context.Context, holders []string, action singleSendAction, claim once.Claim) (repeated bool) {
-	answers := make(chan bool, len(holders))
+// holderAnswer is what a daemon says of a claim, if it answered.
+type holderAnswer struct {
+	name               string
+	repeated, answered bool
+}
+
+// askHolders sends a request about a claim to some daemons and waits for their answers, each for the timeout of a request to that
+// peer. It returns the daemons that did not answer, and one that has another claim to the same request, if any.
+func (p *Placer) askHolders(ctx context.Context, holders []string, action singleSendAction, claim once.Claim) (silent []string, repeatedAt string) {
+	answers := make(chan holderAnswer, len(holders))
 	for _, name := range holders {
 		go func() { answers <- p.askHolder(ctx, name, singleSendRequest{*wireClaim(&claim), action}) }()
 	}
 	for range holders {
-		repeated = <-answers || repeated
+		switch a := <-answers; {
+		case !a.answered:
+			silent = append(silent, a.name)
+		case a.repeated:
+			repeatedAt = a.name
+		}
 	}
-	return repeated
+	return silent, repeatedAt
 }
 
-// askHolder sends a request about a claim to one daemon. A daemon that does not answer knows of no other claim, as far as can be
-// told.
-func (p *Placer) askHolder(ctx context.Context, name string, request singleSendRequest) bool {
+// askHolder sends a request about a claim to one daemon.
+func (p *Placer) askHolder(ctx context.Context, name string, request singleSendRequest) holderAnswer {
 	timeout := p.links.timeout(name)
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -99,14 +115,14 @@
 	var answer singleSendAnswer
 	err := p.cluster.Hub.Call(callCtx, p.links.address(name), peer.KindSingleSend, request, &answer)
 	if err == nil {
-		return answer.Repeated
+		return holderAnswer{name, answer.Repeated, true}
 	}
 	waited := time.Since(began)
 	if ctx.Err() == nil && (waited >= timeout || !p.cluster.Hub.HasLink(name)) { // The caller has not gone.
 		p.links.unanswered(name, waited)
 	}
 	p.cluster.Recorder.Log.Debug("a daemon does not answer about a call that may run once", "peer", name, "error", err.Error())
-	return false
+	return holderAnswer{name: name}
 }
 
 // serveSingleSend handles another daemon's request about a claim.
--- a/node/cluster/singlesends_test.go
+++ b/node/cluster/singlesends_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,7 +84,7 @@
 		}
 		for at := range 3 {
 			pass(time.Duration(at) * 200 * time.Millisecond)
-			if !other.cluster.Placer.SentBefore(context.Background(), "svc", newClaim("kept", 2)) {
+			if _, sent := other.cluster.Placer.SentBefore(context.Background(), "svc", newClaim("kept", 2)); !sent {
 				t.Errorf("%d: nobody knows of the first send", at)
 			}
 			if ok, _ := other.beginSend(newClaim("kept", 2)); ok {
@@ -95,3 +96,21 @@
 		}
 	})
 }
+
+// TestSilentHolderOfClaimIsNamed guards against a log from which nobody can tell which daemons did not say whether a call was sent
+// before.
+func TestSilentHolderOfClaimIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPlaceFleet(t, longLink, func(f *placeFleet) { f.silent.Store(true) })
+		defer f.close()
+		sender, _, ranking := f.awaitSenders()
+		sender.beginSend(newClaim("opens the links", 1))
+		f.daemon(ranking[1].Name).host.Freeze()
+		for i := range 3 {
+			held, _ := sender.cluster.Placer.BeginSend(context.Background(), "svc", "", newClaim(fmt.Sprint("frozen-", i), 1))
+			if named := slices.Concat(held.Silent, held.Unasked); !slices.Equal(named, []string{ranking[1].Name}) {
+				t.Errorf("call %d: daemons that did not answer = %q, want the frozen one, %s", i, named, ranking[1].Name)
+			}
+		}
+	})
+}
--- a/node/requestcontrol/caller_disconnect_test.go
+++ b/node/requestcontrol/caller_disconnect_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"doorstack.dev/core/decision"
 	"doorstack.dev/core/fault"
 	"doorstack.dev/core/forward"
 	"doorstack.dev/core/once"
@@ -35,8 +36,10 @@
 func (p *singleTargetPlacer) BeginSend(context.Context, string, string, once.Claim) (SendClaim, bool) {
 	return SendClaim{}, true
 }
-func (p *singleTargetPlacer) SentBefore(context.Context, string, once.Claim) bool { return false }
-func (p *singleTargetPlacer) WithdrawSend(context.Context, SendClaim)             {}
+func (p *singleTargetPlacer) SentBefore(context.Context, string, once.Claim) (decision.SendClaim, bool) {
+	return decision.SendClaim{}, false
+}
+func (p *singleTargetPlacer) WithdrawSend(context.Context, SendClaim) {}
 
 func (p *singleTargetPlacer) ReportPrefillDone(string) {}
 
--- a/node/requestcontrol/collaborators.go
+++ b/node/requestcontrol/collaborators.go
@@ -85,10 +85,10 @@
 	NotRun bool
 }
 
-// SendClaim is a claim to a call that may run once, and the other daemons that hold it.
+// SendClaim is a claim to a call that may run once, and what other daemons know of the call.
 type SendClaim struct {
-	Claim   once.Claim
-	Holders []string
+	Claim once.Claim
+	decision.SendClaim
 }
 
 // Placer requests placements from a pool's coordinator, the daemon that knows the calls of
@@ -101,8 +101,8 @@
 	// BeginSend claims a call that may run once and is about to be sent at the daemons that are asked if its request comes again.
 	// It returns false if one of them knows another arrival of the request. placedBy is the daemon that placed the call.
 	BeginSend(ctx context.Context, pool, placedBy string, claim once.Claim) (SendClaim, bool)
-	// SentBefore reports whether one of these daemons knows another arrival of a request.
-	SentBefore(ctx context.Context, pool string, claim once.Claim) bool
+	// SentBefore reports whether one of these daemons knows another arrival of a request, and which.
+	SentBefore(ctx context.Context, pool string, claim once.Claim) (decision.SendClaim, bool)
 	// WithdrawSend ends the claim to a call that has not run.
 	WithdrawSend(ctx context.Context, held SendClaim)
 	// ReportPrefillDone and ReportFinished inform the coordinator of a call's progress.
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -208,7 +208,7 @@
 	}
 	if !f.beginSingleSend(ctx, &placement) {
 		d.releasePlacement(r, &placement)
-		return d.refuseRepeated(r, repeatSeenByHolder)
+		return d.refuseRepeated(r, repeatSeenByHolder, &f.sendClaim.SendClaim)
 	}
 	d.Recorder.MarkStage(blackboard.StagePlaced)
 	f.lastTarget = placement.Decision.Chosen
--- a/node/requestcontrol/singlesend.go
+++ b/node/requestcontrol/singlesend.go
@@ -35,7 +35,7 @@
 			return nil
 		}
 		if ended == nil {
-			return d.refuseRepeated(r, repeatSeenHere)
+			return d.refuseRepeated(r, repeatSeenHere, nil)
 		}
 		select {
 		case <-ended:
@@ -43,7 +43,7 @@
 			if errors.Is(ctx.Err(), context.Canceled) {
 				return fault.New(fault.Abandoned, "the caller disconnected", "nothing to do").WithExecution(fault.Unknown)
 			}
-			return d.refuseRepeated(r, repeatSeenHere)
+			return d.refuseRepeated(r, repeatSeenHere, nil)
 		}
 	}
 }
@@ -78,8 +78,11 @@
 		d.Placer.WithdrawSend(context.WithoutCancel(ctx), *f.sendClaim)
 		return err
 	}
-	if ctx.Err() == nil && fault.From(err).Kind != fault.RepeatedRequest && d.Placer.SentBefore(ctx, r.Route.Pool.Name, *r.once) {
-		return d.refuseRepeated(r, repeatSeenByHolder)
+	if ctx.Err() != nil || fault.From(err).Kind == fault.RepeatedRequest {
+		return err
+	}
+	if asked, sent := d.Placer.SentBefore(ctx, r.Route.Pool.Name, *r.once); sent {
+		return d.refuseRepeated(r, repeatSeenByHolder, &asked)
 	}
 	return err
 }
@@ -89,11 +92,12 @@
 	return max(r.CallerTimeout, r.Deadline.Sub(r.Arrived))
 }
 
-// refuseRepeated returns the error for a request that came before and may have run, and records it.
-func (d *Director) refuseRepeated(r *Request, seenBy string) error {
+// refuseRepeated returns the error for a request that came before and may have run, and records it. asked says which daemons were
+// asked about it; nil if none was.
+func (d *Director) refuseRepeated(r *Request, seenBy string, asked *decision.SendClaim) error {
 	refusal := RepeatedRequestError()
 	d.Recorder.Metrics.RepeatedRequests.WithLabelValues(r.Route.Pool.Name, seenBy).Inc()
-	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error() + "; seen by the " + seenBy + ", caller " + r.CallerAddress})
+	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error() + "; seen by the " + seenBy + ", caller " + r.CallerAddress, SendClaim: asked})
 	return refusal
 }
 
