A pause of the own process does not count as silence of other daemons

Cause: a heartbeat's silence is measured by the clock, also while this process stands still and reads nothing; the detector of pauses runs later, and only from 1 s on. Class: silence of others is taken for a fact when only the own process was silent. Change: by how much a beat is late, the period after which silent members are dead is longer. The tests of membership, cluster and fleet pass.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -314,6 +314,21 @@
 	}
 }
 
+// ExcludePause leaves a pause of this daemon's process, which has just ended, out of the silence of all members: what they sent
+// meanwhile has not been read yet.
+func (t *Table) ExcludePause(pause time.Duration, now time.Time) {
+	for _, m := range t.members {
+		last := m.expectedSince
+		if m.LastHeard.After(last) {
+			last = m.LastHeard
+		}
+		if last.IsZero() {
+			continue // No heartbeat is expected yet.
+		}
+		m.expectedSince = last.Add(min(pause, now.Sub(last)))
+	}
+}
+
 // SyncRumors returns the rumors to send on a new link: this daemon's incarnation, and all
 // members that are not alive. Listed members without a rumor are assumed to be alive.
 func (t *Table) SyncRumors() []Rumor {
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -163,6 +163,25 @@
 	})
 }
 
+// TestOwnPauseIsNoSilenceOfOthers guards against a daemon that declares others dead because it stood still itself, after one that had
+// been silent for a while.
+func TestOwnPauseIsNoSilenceOfOthers(t *testing.T) {
+	table := newTestFleet(2).tables["d0"]
+	table.RecordHeartbeat("d1", 1, 1, 0, epoch)
+	const silent, paused = DeadAfter / 2, DeadAfter
+	resumed := epoch.Add(silent + paused)
+	table.ExcludePause(paused, resumed)
+	if rumors := table.Tick(resumed); len(rumors) != 0 {
+		t.Errorf("Tick after a pause of the own process = %v, want no rumors", rumors)
+	}
+	if rumors := table.Tick(resumed.Add(DeadAfter - silent - 1)); len(rumors) != 0 {
+		t.Errorf("Tick before DeadAfter, the pause left out = %v, want no rumors", rumors)
+	}
+	if rumors := table.Tick(resumed.Add(DeadAfter - silent)); len(rumors) != 1 || rumors[0].State != Dead {
+		t.Errorf("Tick after DeadAfter, the pause left out = %v, want one dead rumor", rumors)
+	}
+}
+
 func TestResetTimeoutsAfterPauseDeclaresNoDeaths(t *testing.T) {
 	m := newTestFleet(3)
 	m.runSecond()
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -47,6 +47,7 @@
 	heartbeatSent  map[string]bool // new neighbours to which a starting daemon sent an extra heartbeat
 	unresponsive   map[string]bool // neighbours that did not answer a heartbeat
 	rumorBatch     rumorBatch
+	lastBeat       time.Time // of sendHeartbeats
 	reports        chan heartbeatReport
 	newestReported heartbeatReport // the highest revision and position that any peer has reported
 	// settingsFetcher and targetsFetcher fetch what peers report to be newer than this
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -98,7 +98,14 @@
 		go c.sendHeartbeat(ctx, name, h)
 	}
 	var rumors []membership.Rumor
-	c.Board.Members.WithLock(func(t *membership.Table) { rumors = t.Tick(now) })
+	late := now.Sub(c.lastBeat) - membership.HeartbeatInterval
+	c.Board.Members.WithLock(func(t *membership.Table) {
+		if late > 0 && !c.lastBeat.IsZero() {
+			t.ExcludePause(late, now)
+		}
+		rumors = t.Tick(now)
+	})
+	c.lastBeat = now
 	c.spreadRumors(ctx, rumors, "")
 	links := c.Board.Members.GossipPeers(now)
 	if c.openFleet() {
