Requests that may run once are remembered for five minutes at least

Cause: a claim expired after twice the caller's time from the arrival, so that the time of the first attempt bounded the time in which further ones could be told from new requests. Class: a record is kept for a time that belongs to something else. TestOnlyOneOwnerSendsRequest and TestLedgerIsBounded named the old time of expiry and name the new one; what they check is the same.

--- a/core/once/once.go
+++ b/core/once/once.go
@@ -48,17 +48,21 @@
 	Expires time.Time
 }
 
-// callerTimes is for how many of its caller's times a request is remembered: a repeat leaves within one, and may be held up for
-// as long again.
-const callerTimes = 2
+// A request is remembered for callerTimes of its caller's times, since a repeat of a long call leaves within one and may be held up
+// for as long again, and for minRetention at least: libraries with several attempts and growing pauses send the last one a minute or
+// two after the first, however short the time of each is.
+const (
+	callerTimes  = 2
+	minRetention = 5 * time.Minute
+)
 
 // NewClaim returns the claim of a request that arrived at a time and whose caller waits that long.
 func NewClaim(k Key, o Owner, arrived time.Time, callerWaits time.Duration) Claim {
-	return Claim{k, o, arrived.Add(callerTimes * callerWaits)}
+	return Claim{k, o, arrived.Add(max(callerTimes*callerWaits, minRetention))}
 }
 
-// maxClaims bounds the claims of a ledger, some 100 bytes each: a thousand requests that may run once a second, each of whose
-// callers waits for half a minute.
+// maxClaims bounds the claims of a ledger: two hundred requests that may run once a second are remembered for minRetention, a
+// thousand a second for a minute.
 const maxClaims = 1 << 16
 
 // Ledger holds the claims to requests that have been sent, or may be at any moment. It is not safe for concurrent use.
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -19,13 +20,26 @@
 	if !l.Begin(first, start) || !l.Begin(first, start.Add(time.Second)) {
 		t.Fatal("the first owner may not send, want that it may, also after its send was rejected")
 	}
-	for _, later := range []time.Duration{0, 3 * time.Second, 6*time.Second - 1} {
+	for _, later := range []time.Duration{0, 3 * time.Second, 6 * time.Second, minRetention - 1} {
 		if l.Begin(claim("id", 2, start.Add(later)), start.Add(later)) {
 			t.Errorf("a repeat %v later may be sent", later)
 		}
 	}
-	if !l.Begin(claim("id", 2, start.Add(6*time.Second)), start.Add(6*time.Second)) {
-		t.Error("the id cannot be used again after twice the caller's time")
+	if !l.Begin(claim("id", 2, start.Add(minRetention)), start.Add(minRetention)) {
+		t.Error("the id cannot be used again after minRetention")
+	}
+}
+
+// TestRequestIsRememberedForTheTimesOfItsCaller guards against a repeat that is sent although no library would have given up: callers
+// with a short time send several, those with a long one send late.
+func TestRequestIsRememberedForTheTimesOfItsCaller(t *testing.T) {
+	for _, waits := range []time.Duration{5 * time.Millisecond, time.Second, time.Minute, 10 * time.Minute} {
+		l := NewLedger()
+		l.Begin(NewClaim(KeyOf("id"), 1, start, waits), start)
+		last := max(callerTimes*waits, 2*time.Minute) - 1
+		if repeat := NewClaim(KeyOf("id"), 2, start.Add(last), waits); l.Begin(repeat, start.Add(last)) {
+			t.Errorf("a repeat %v later may be sent, whose caller waits for %v", last, waits)
+		}
 	}
 }
 
@@ -85,8 +99,25 @@
 	if n := l.Len(); n > maxClaims || len(l.order) > maxClaims {
 		t.Errorf("%d claims, want %d at most", n, maxClaims)
 	}
-	l.Begin(claim("last", 1, start.Add(time.Minute)), start.Add(time.Minute))
+	l.Begin(claim("last", 1, start.Add(minRetention)), start.Add(minRetention))
 	if n := l.Len(); n != 1 {
 		t.Errorf("%d claims after all but one have expired", n)
 	}
 }
+
+// BenchmarkFullLedger measures the memory of a full ledger.
+func BenchmarkFullLedger(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		l := NewLedger()
+		for i := range 3 * maxClaims {
+			l.Begin(claim(fmt.Sprint(i), Owner(i), start), start)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/maxClaims, "heap-bytes/claim")
+		runtime.KeepAlive(l)
+	}
+}
--- a/node/onplatform/repeated_requests_test.go
+++ b/node/onplatform/repeated_requests_test.go
@@ -83,6 +83,33 @@
 	}
 }
 
+// TestRepeatOfImpatientCallerIsNotSentAgain guards against a call that runs several times because its caller's time is short, and with
+// it the time for which the call is remembered.
+func TestRepeatOfImpatientCallerIsNotSentAgain(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	f.otherDaemon()
+	f.scriptAll(untilDisconnect)
+	a := f.newRequest(unsafePath)
+	a.DeadlineMS = 20
+	f.eventually("a target with the call", func() bool {
+		f.do(a) // It may be refused unsent while links are opened.
+		return len(f.callsWithID(a.ID)) > 0
+	})
+	for _, again := range f.daemons {
+		a.Daemon = again.boot.CallerAddress
+		for range 2 {
+			answered := time.Now()
+			f.eventually("three times the caller's time", func() bool { return time.Since(answered) > 3*time.Duration(a.DeadlineMS)*time.Millisecond })
+			if got := f.do(a); got.Status < 500 || meansNotExecuted(got.Status) {
+				t.Errorf("repeat at %s = %d (%v), want a failure that does not mean not executed", again.boot.Name, got.Status, got.Err)
+			}
+		}
+	}
+	if n := len(f.callsWithID(a.ID)); n != 1 {
+		t.Errorf("%d executions, want 1", n)
+	}
+}
+
 // TestRepeatAfterCoordinatorEndedIsNotSentAgain guards against a call that runs twice because the daemon that knew of its first send,
 // as the coordinator of the pool, has ended.
 func TestRepeatAfterCoordinatorEndedIsNotSentAgain(t *testing.T) {
