A call that may run once is sent only if a majority of the claim's holders agrees

Cause: a daemon that was asked about a claim and did not answer in time, or was not asked because it had been late, counted as one that knows of no other claim. Class: silence is taken for consent. Change: the call is claimed on its arrival at the first four daemons of the ranking; it goes on once more than half of those that run hold the claim, and no answer is due (core/once, Decide). Until then it waits, up to the caller's time; then it gets 504, execution unknown. A refused connection stands for a daemon that has ended. Of two arrivals at once the one with the lower owner waits for the other one's withdrawal, where both could be refused before. A claim that is withdrawn is withdrawn at silent holders too, once they can be reached. What is asked before a refusal is no longer needed, as the claim comes first. Result: TestDaemonThatHearsNobodyDoesNotSendRepeat, TestTwoArrivalsAreNotBothSent and TestDecide fail with silence taken for consent (tried), and pass; so do TestCallWaitsForMajorityOfHolders and TestOneOfTwoArrivalsAtOnceIsSent. TestFrozenHolderDelaysFewSends keeps its bounds. TestClaimOutlivesItsHolders asks for the verdict in place of two questions; stand-ins refuse connections with the error of a host that does.

--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -105,10 +105,10 @@
 
 // SendClaim says what other daemons know of a call that may run once, by name.
 type SendClaim struct {
-	// Holders hold the claim to the call, Silent did not answer in time, and Unasked were not expected to answer.
+	// Holders hold the claim to the call, Silent did not answer, and Ended do not run.
 	Holders []string `json:"holders,omitempty"`
 	Silent  []string `json:"silent,omitempty"`
-	Unasked []string `json:"unasked,omitempty"`
+	Ended   []string `json:"ended,omitempty"`
 	// RepeatedAt knows another arrival of the request; empty if none does.
 	RepeatedAt string `json:"repeated_at,omitempty"`
 }
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -96,6 +96,9 @@
 	return claimed && other.Owner != c.Owner && now.Before(other.Expires)
 }
 
+// Owner returns the owner of the claim to a request, and zero if there is none.
+func (l *Ledger) Owner(k Key) Owner { return l.claims[k].Owner }
+
 // Claimed reports whether there is a claim to any request with an id.
 func (l *Ledger) Claimed(id string, now time.Time) bool {
 	l.removeExpired(now)
--- a/node/api/disconnect_start_test.go
+++ b/node/api/disconnect_start_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"doorstack.dev/core/decision"
 	"doorstack.dev/core/forward"
 	"doorstack.dev/core/once"
 	"doorstack.dev/core/settings"
@@ -29,13 +28,10 @@
 }
 
 func (p *countingPlacer) Coordinates(string) bool { return true }
-func (p *countingPlacer) BeginSend(context.Context, string, string, once.Claim) (requestcontrol.SendClaim, bool) {
-	return requestcontrol.SendClaim{}, true
+func (p *countingPlacer) ClaimSend(context.Context, string, once.Claim) (requestcontrol.SendClaim, once.Verdict) {
+	return requestcontrol.SendClaim{}, once.Send
 }
-func (p *countingPlacer) SentBefore(context.Context, string, once.Claim) (decision.SendClaim, bool) {
-	return decision.SendClaim{}, false
-}
-func (p *countingPlacer) WithdrawSend(context.Context, requestcontrol.SendClaim) {}
+func (p *countingPlacer) WithdrawSend(requestcontrol.SendClaim) {}
 
 func (p *countingPlacer) ReportPrefillDone(string)                              {}
 func (p *countingPlacer) ReportFinished(requestcontrol.CallEnd)                 {}
--- a/node/blackboard/singlesends.go
+++ b/node/blackboard/singlesends.go
@@ -54,11 +54,15 @@
 	}
 }
 
-// Begin claims a request for another daemon, which is about to send it, and reports whether that is allowed.
-func (t *SingleSendTable) Begin(c once.Claim) bool {
+// Begin claims a request for another daemon, which is about to send it, and reports whether that is allowed. If not, other is the owner
+// of the earlier claim.
+func (t *SingleSendTable) Begin(c once.Claim) (other once.Owner, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.ledger.Begin(c, time.Now())
+	if t.ledger.Begin(c, time.Now()) {
+		return 0, true
+	}
+	return t.ledger.Owner(c.Key), false
 }
 
 // ClaimedByOther reports whether another arrival than that of a claim has claimed the same request.
--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -235,7 +235,8 @@
 		return true
 	case verdict != routing.Place:
 		return !board.SingleSends.ClaimedByOther(*claim)
-	case board.SingleSends.Begin(*claim):
+	}
+	if _, ok := board.SingleSends.Begin(*claim); ok {
 		return true
 	}
 	board.Targets.Finish(call.ticket.Attempt, blackboard.CallCancelled, time.Now())
--- a/node/cluster/placelinks.go
+++ b/node/cluster/placelinks.go
@@ -108,6 +108,13 @@
 	return l.peers.State(name), l.changed
 }
 
+// nextChange returns a channel that is closed when the state of a peer or the members change.
+func (l *placementLinks) nextChange() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
 // answered records an answer to a placement request in time.
 func (l *placementLinks) answered(name string) {
 	l.mu.Lock()
--- a/node/cluster/singlesends.go
+++ b/node/cluster/singlesends.go
@@ -3,20 +3,34 @@
 import (
 	"context"
 	"slices"
+	"sync"
+	"syscall"
 	"time"
 
 	"doorstack.dev/core/decision"
+	"doorstack.dev/core/membership"
 	"doorstack.dev/core/once"
+	"doorstack.dev/node/controller"
 	"doorstack.dev/node/peer"
 	"doorstack.dev/node/requestcontrol"
+	"github.com/go-faster/errors"
 )
 
-// A claim to a call that may run once is held by the daemon that sends it and by the first daemons of the pool's ranking. A repeat
-// asks the first daemons of the ranking as it is then: at least one of them knows the claim unless all of its holders have ended.
+// A claim to a call that may run once is held by the daemon that sends it and by the first daemons of the pool's ranking, its holders.
+// A call is sent once more than half of the holders that run hold its claim, and none of them holds another one (once.Decide). A
+// repeat asks the holders as of then: at least one of them knows the claim while they are the same, or few of them have changed.
 
-// claimHolders is how many daemons of a pool's ranking hold the claim to a call, beside the one that sends it. Two may end at once,
-// with a third that sends the call.
-const claimHolders = 3
+// claimHolders is how many daemons of a ranking hold a claim. A claim that three of four hold is found by a repeat to which one of them
+// does not answer, also if one of the four has been replaced meanwhile.
+const claimHolders = 4
+
+const (
+	// reaskPause is the pause after which a holder is asked again whose link was closed or could not be opened.
+	reaskPause = 50 * time.Millisecond
+	// withdrawTimeout is how long it is tried to withdraw a claim at a holder that does not answer: a daemon that is silent
+	// for longer is dead to the others, and no holder any more.
+	withdrawTimeout = 2 * membership.DeadAfter
+)
 
 // singleSendAction is what a daemon is asked to do about a claim.
 type singleSendAction uint8
@@ -24,7 +38,7 @@
 // The actions.
 const (
 	beginSend    singleSendAction = iota // hold the claim, unless there is another one to the request
-	checkSend                            // tell whether there is another one
+	checkSend                            // tell whether there is another one; asked by earlier versions
 	withdrawSend                         // forget the claim: the request has not run
 )
 
@@ -34,95 +48,222 @@
 	Action singleSendAction `cbor:"2,keyasint,omitempty"`
 }
 
-// singleSendAnswer reports whether another arrival has a claim to the same request.
+// singleSendAnswer reports whether another arrival has a claim to the same request, and its owner; earlier versions do not name it.
 type singleSendAnswer struct {
-	Repeated bool `cbor:"1,keyasint,omitempty"`
+	Repeated bool   `cbor:"1,keyasint,omitempty"`
+	Owner    uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// BeginSend implements requestcontrol.Placer.
-func (p *Placer) BeginSend(ctx context.Context, pool, placedBy string, claim once.Claim) (requestcontrol.SendClaim, bool) {
-	holders, unasked := p.holdersOf(pool)
-	// A coordinator holds the claims to the calls that it places for others.
-	asked := slices.DeleteFunc(slices.Clone(holders), func(name string) bool { return name == placedBy })
-	if placedBy != "" && placedBy != p.cluster.Board.Self.Name && len(asked) == len(holders) {
-		holders = append(holders, placedBy)
-	}
-	silent, repeatedAt := p.askHolders(ctx, asked, beginSend, claim)
-	return requestcontrol.SendClaim{Claim: claim, SendClaim: decision.SendClaim{
-		Holders: holders, Silent: silent, Unasked: unasked, RepeatedAt: repeatedAt,
-	}}, repeatedAt == ""
-}
+// claimRound asks the holders of a claim until it is known whether its call may be sent.
+type claimRound struct {
+	placer *Placer
+	claim  once.Claim
+	// news is sent to when a holder has said something.
+	news chan struct{}
 
-// SentBefore implements requestcontrol.Placer.
-func (p *Placer) SentBefore(ctx context.Context, pool string, claim once.Claim) (decision.SendClaim, bool) {
-	holders, unasked := p.holdersOf(pool)
-	silent, repeatedAt := p.askHolders(ctx, holders, checkSend, claim)
-	return decision.SendClaim{Silent: silent, Unasked: unasked, RepeatedAt: repeatedAt}, repeatedAt != ""
+	mu    sync.Mutex
+	words map[string]once.Word // of the daemons that were asked
 }
 
-// WithdrawSend implements requestcontrol.Placer.
-func (p *Placer) WithdrawSend(ctx context.Context, held requestcontrol.SendClaim) {
-	p.askHolders(ctx, held.Holders, withdrawSend, held.Claim)
+// ClaimSend implements requestcontrol.Placer.
+func (p *Placer) ClaimSend(ctx context.Context, pool string, claim once.Claim) (requestcontrol.SendClaim, once.Verdict) {
+	r := &claimRound{placer: p, claim: claim, news: make(chan struct{}, 1), words: map[string]once.Word{}}
+	askCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		changed := p.links.nextChange()
+		holders, complete := p.claimHoldersOf(pool)
+		r.ask(askCtx, holders)
+		if verdict := r.decide(holders); complete && verdict != once.Undecided || verdict == once.Repeated {
+			return r.outcome(), verdict
+		}
+		var searched <-chan time.Time
+		if !complete {
+			searched = time.After(searchPause)
+		}
+		select {
+		case <-r.news:
+		case <-changed:
+		case <-searched:
+		case <-ctx.Done():
+			return r.outcome(), once.Undecided
+		}
+	}
 }
 
-// holdersOf lists the daemons that hold the claims to a pool's calls, without this one; unasked are those that cannot be reached.
-// Failed links are opened again for later calls.
-func (p *Placer) holdersOf(pool string) (holders, unasked []string) {
+// claimHoldersOf returns the daemons that hold the claims to a pool's calls, which this one may be. It reports false while this
+// daemon still looks for the others.
+func (p *Placer) claimHoldersOf(pool string) (names []string, complete bool) {
 	ranking := p.rankingOf(pool)
 	for _, c := range ranking[:min(claimHolders, len(ranking))] {
+		names = append(names, c.Name)
+	}
+	return names, !p.cluster.openFleet() || p.cluster.discoveryDone()
+}
+
+// ask asks the holders that have not been asked yet.
+func (r *claimRound) ask(ctx context.Context, holders []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range holders {
+		if _, asked := r.words[name]; asked {
+			continue
+		}
 		switch {
-		case c.Name == p.cluster.Board.Self.Name:
-		case p.links.mayAnswer(c.Name):
-			holders = append(holders, c.Name)
+		case name == r.placer.cluster.Board.Self.Name:
+			r.words[name] = once.Agrees // The claim was made here before.
+			continue
+		case r.placer.links.mayAnswer(name):
+			r.words[name] = once.Silent
 		default:
-			unasked = append(unasked, c.Name)
-			p.links.open(c.Name)
+			r.words[name] = once.Late
 		}
+		go r.askHolder(ctx, name)
+	}
+}
+
+// contentions is how often a holder is asked again that holds the claim of another arrival with a higher owner. If that one has not been
+// sent, its daemon withdraws it, within two round trips.
+const contentions = 4
+
+// askHolder asks a holder until it answers or has ended. Two daemons that get a request at once may each have claimed it at some of the
+// holders; the arrival with the lower owner waits for the other one's withdrawal.
+func (r *claimRound) askHolder(ctx context.Context, name string) {
+	p := r.placer
+	timeout := p.links.timeout(name)
+	late := time.AfterFunc(timeout, func() {
+		if r.hear(name, once.Late) && ctx.Err() == nil {
+			p.links.unanswered(name, timeout)
+		}
+	})
+	defer late.Stop()
+	request := singleSendRequest{*wireClaim(&r.claim), beginSend}
+	began := time.Now()
+	answer, err := p.askAboutClaim(ctx, name, request)
+	for roundTrip, n := time.Since(began), 0; err == nil && answer.Repeated && once.Owner(answer.Owner) > r.claim.Owner && n < contentions; n++ {
+		r.hear(name, once.Contends)
+		controller.Sleep(ctx, roundTrip)
+		answer, err = p.askAboutClaim(ctx, name, request)
+	}
+	switch {
+	case errors.Is(err, errHolderEnded):
+		r.hear(name, once.Ended)
+	case err != nil: // The round is over.
+	case answer.Repeated:
+		r.hear(name, once.Objects)
+	default:
+		r.hear(name, once.Agrees)
 	}
-	return holders, unasked
 }
 
-// holderAnswer is what a daemon says of a claim, if it answered.
-type holderAnswer struct {
-	name               string
-	repeated, answered bool
+// hear records what a holder has said, and reports whether that is new. A holder that has answered is not late.
+func (r *claimRound) hear(name string, w once.Word) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w == once.Late && r.words[name] != once.Silent {
+		return false
+	}
+	r.words[name] = w
+	select {
+	case r.news <- struct{}{}:
+	default:
+	}
+	return true
 }
 
-// askHolders sends a request about a claim to some daemons and waits for their answers, each for the timeout of a request to that
-// peer. It returns the daemons that did not answer, and one that has another claim to the same request, if any.
-func (p *Placer) askHolders(ctx context.Context, holders []string, action singleSendAction, claim once.Claim) (silent []string, repeatedAt string) {
-	answers := make(chan holderAnswer, len(holders))
+// decide returns the verdict of the holders as they are now. One that has been replaced may still object.
+func (r *claimRound) decide(holders []string) once.Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	words := make([]once.Word, 0, len(holders))
 	for _, name := range holders {
-		go func() { answers <- p.askHolder(ctx, name, singleSendRequest{*wireClaim(&claim), action}) }()
+		words = append(words, r.words[name])
 	}
-	for range holders {
-		switch a := <-answers; {
-		case !a.answered:
-			silent = append(silent, a.name)
-		case a.repeated:
-			repeatedAt = a.name
+	for name, w := range r.words {
+		if w == once.Objects && !slices.Contains(holders, name) {
+			words = append(words, w)
 		}
 	}
-	return silent, repeatedAt
+	return once.Decide(words)
 }
 
-// askHolder sends a request about a claim to one daemon.
-func (p *Placer) askHolder(ctx context.Context, name string, request singleSendRequest) holderAnswer {
-	timeout := p.links.timeout(name)
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	began := time.Now()
-	var answer singleSendAnswer
-	err := p.cluster.Hub.Call(callCtx, p.links.address(name), peer.KindSingleSend, request, &answer)
-	if err == nil {
-		return holderAnswer{name, answer.Repeated, true}
+// outcome returns what the other daemons have said.
+func (r *claimRound) outcome() requestcontrol.SendClaim {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	said := decision.SendClaim{}
+	for name, w := range r.words {
+		switch {
+		case name == r.placer.cluster.Board.Self.Name:
+		case w == once.Agrees:
+			said.Holders = append(said.Holders, name)
+		case w == once.Objects || w == once.Contends:
+			said.RepeatedAt = name
+		case w == once.Ended:
+			said.Ended = append(said.Ended, name)
+		default:
+			said.Silent = append(said.Silent, name)
+		}
 	}
-	waited := time.Since(began)
-	if ctx.Err() == nil && (waited >= timeout || !p.cluster.Hub.HasLink(name)) { // The caller has not gone.
-		p.links.unanswered(name, waited)
+	slices.Sort(said.Holders)
+	slices.Sort(said.Silent)
+	slices.Sort(said.Ended)
+	return requestcontrol.SendClaim{Claim: r.claim, SendClaim: said}
+}
+
+// WithdrawSend implements requestcontrol.Placer. It waits for the holders that are expected to answer; the others are told once they
+// can be reached.
+func (p *Placer) WithdrawSend(held requestcontrol.SendClaim) {
+	request := singleSendRequest{*wireClaim(&held.Claim), withdrawSend}
+	names := slices.Concat(held.Holders, held.Silent)
+	told, waited, longest := make(chan struct{}, len(names)), 0, time.Duration(0)
+	for _, name := range names {
+		due := p.links.mayAnswer(name)
+		if due {
+			waited++
+			longest = max(longest, p.links.timeout(name))
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+			defer cancel()
+			if _, err := p.askAboutClaim(ctx, name, request); err != nil {
+				p.cluster.Recorder.Log.Debug("the claim to a call that has not run was not withdrawn", "peer", name, "error", err.Error())
+			}
+			if due {
+				told <- struct{}{}
+			}
+		}()
+	}
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	for range waited {
+		select {
+		case <-told:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// errHolderEnded means that no process holds claims at a daemon's address.
+var errHolderEnded = errors.New("no daemon that knows claims runs at the address")
+
+// askAboutClaim sends a request about a claim to a daemon until it answers, has ended, or ctx ends.
+func (p *Placer) askAboutClaim(ctx context.Context, name string, request singleSendRequest) (singleSendAnswer, error) {
+	for {
+		var answer singleSendAnswer
+		err := p.cluster.Hub.Call(ctx, p.links.address(name), peer.KindSingleSend, request, &answer)
+		var unknown *peer.RemoteError
+		switch {
+		case err == nil:
+			return answer, nil
+		case ctx.Err() != nil:
+			return answer, ctx.Err()
+		case errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &unknown):
+			return answer, errors.Wrap(errHolderEnded, err.Error())
+		}
+		controller.Sleep(ctx, reaskPause)
 	}
-	p.cluster.Recorder.Log.Debug("a daemon does not answer about a call that may run once", "peer", name, "error", err.Error())
-	return holderAnswer{name: name}
 }
 
 // serveSingleSend handles another daemon's request about a claim.
@@ -135,6 +276,7 @@
 	case checkSend:
 		return singleSendAnswer{Repeated: sends.ClaimedByOther(claim)}, nil
 	default:
-		return singleSendAnswer{Repeated: !sends.Begin(claim)}, nil
+		other, ok := sends.Begin(claim)
+		return singleSendAnswer{Repeated: !ok, Owner: uint64(other)}, nil
 	}
 }
--- a/node/cluster/singlesends_test.go
+++ b/node/cluster/singlesends_test.go
@@ -10,6 +10,7 @@
 
 	"doorstack.dev/core/coordination"
 	"doorstack.dev/core/once"
+	"doorstack.dev/node/requestcontrol"
 )
 
 // newClaim returns a claim of a request's arrival.
@@ -24,11 +25,22 @@
 	return sender, other, sender.cluster.Placer.rankingOf("svc")
 }
 
+// callTime is how long the callers of the tests wait.
+const callTime = 1500 * time.Millisecond
+
+// claimSend claims a call at a daemon, and returns whether it may be sent and how long that took.
+func (d *placeDaemon) claimSend(c once.Claim) (verdict once.Verdict, held requestcontrol.SendClaim, took time.Duration) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	held, verdict = d.cluster.Placer.ClaimSend(ctx, "svc", c)
+	return verdict, held, time.Since(began)
+}
+
 // beginSend claims a call at a daemon, and returns whether it may be sent and how long that took.
 func (d *placeDaemon) beginSend(c once.Claim) (ok bool, took time.Duration) {
-	began := time.Now()
-	_, ok = d.cluster.Placer.BeginSend(context.Background(), "svc", "", c)
-	return ok, time.Since(began)
+	verdict, _, took := d.claimSend(c)
+	return verdict == once.Send, took
 }
 
 // TestFrozenHolderDelaysFewSends guards against daemons that wait for a frozen holder of claims before each call.
@@ -76,19 +88,16 @@
 				t.Fatal("a first arrival may not be sent")
 			}
 		}
-		held, _ := sender.cluster.Placer.BeginSend(context.Background(), "svc", "", withdrawn)
-		sender.cluster.Placer.WithdrawSend(context.Background(), held)
+		_, held, _ := sender.claimSend(withdrawn)
+		sender.cluster.Placer.WithdrawSend(held)
 		sender.stop()
 		for _, c := range ranking[:claimHolders-1] {
 			f.daemon(c.Name).stop()
 		}
 		for at := range 3 {
 			pass(time.Duration(at) * 200 * time.Millisecond)
-			if _, sent := other.cluster.Placer.SentBefore(context.Background(), "svc", newClaim("kept", 2)); !sent {
-				t.Errorf("%d: nobody knows of the first send", at)
-			}
-			if ok, _ := other.beginSend(newClaim("kept", 2)); ok {
-				t.Errorf("%d: a repeat may be sent while a daemon that holds the claim runs", at)
+			if verdict, _, _ := other.claimSend(newClaim("kept", 2)); verdict != once.Repeated {
+				t.Errorf("%d: verdict on a repeat = %v while a daemon that holds the claim runs, want Repeated", at, verdict)
 			}
 		}
 		if ok, _ := other.beginSend(newClaim("withdrawn", 2)); !ok {
@@ -107,10 +116,92 @@
 		sender.beginSend(newClaim("opens the links", 1))
 		f.daemon(ranking[1].Name).host.Freeze()
 		for i := range 3 {
-			held, _ := sender.cluster.Placer.BeginSend(context.Background(), "svc", "", newClaim(fmt.Sprint("frozen-", i), 1))
-			if named := slices.Concat(held.Silent, held.Unasked); !slices.Equal(named, []string{ranking[1].Name}) {
-				t.Errorf("call %d: daemons that did not answer = %q, want the frozen one, %s", i, named, ranking[1].Name)
+			if _, held, _ := sender.claimSend(newClaim(fmt.Sprint("frozen-", i), 1)); !slices.Equal(held.Silent, []string{ranking[1].Name}) {
+				t.Errorf("call %d: daemons that did not answer = %q, want the frozen one, %s", i, held.Silent, ranking[1].Name)
 			}
 		}
 	})
 }
+
+// TestDaemonThatHearsNobodyDoesNotSendRepeat guards against a repeat that is sent by a daemon which takes the silence of those that hold the
+// claim for their consent, as after it stood still itself.
+func TestDaemonThatHearsNobodyDoesNotSendRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPlaceFleet(t, longLink, func(f *placeFleet) { f.silent.Store(true) })
+		defer f.close()
+		sender, other, _ := f.awaitSenders()
+		for _, id := range []string{"unheard", "heard late"} {
+			if ok, _ := sender.beginSend(newClaim(id, 1)); !ok {
+				t.Fatal("a first arrival may not be sent")
+			}
+		}
+		other.beginSend(newClaim("opens the links", 2))
+		other.host.Freeze()
+		for range 3 {
+			if verdict, held, took := other.claimSend(newClaim("unheard", 2)); verdict != once.Undecided || took != callTime {
+				t.Errorf("verdict of a daemon that hears nobody = %v after %v (%+v), want Undecided at the end of the caller's time, %v", verdict, took, held.SendClaim, callTime)
+			}
+		}
+		thawed := time.AfterFunc(callTime/2, other.host.Thaw)
+		defer thawed.Stop()
+		if verdict, _, _ := other.claimSend(newClaim("heard late", 2)); verdict != once.Repeated {
+			t.Errorf("verdict of a daemon that hears the others again in time = %v, want Repeated", verdict)
+		}
+	})
+}
+
+// TestCallWaitsForMajorityOfHolders guards against calls that fail although enough of the daemons that must agree answer in time, if late.
+func TestCallWaitsForMajorityOfHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPlaceFleet(t, longLink, func(f *placeFleet) { f.silent.Store(true) })
+		defer f.close()
+		sender, other, ranking := f.awaitSenders()
+		sender.beginSend(newClaim("opens the links", 1))
+		other.beginSend(newClaim("opens the links too", 1))
+		const frozenFor = callTime / 3
+		for _, c := range ranking[:claimHolders/2] {
+			f.daemon(c.Name).host.Freeze()
+			defer time.AfterFunc(frozenFor, f.daemon(c.Name).host.Thaw).Stop()
+		}
+		if ok, took := sender.beginSend(newClaim("waits", 1)); !ok || took < frozenFor || took > frozenFor+coordination.MaxTimeout {
+			t.Errorf("call while half of the holders are frozen for %v: may be sent %v after %v, want to be sent soon after they go on", frozenFor, ok, took)
+		}
+		if ok, _ := other.beginSend(newClaim("waits", 2)); ok {
+			t.Error("a repeat may be sent")
+		}
+	})
+}
+
+// TestOneOfTwoArrivalsAtOnceIsSent guards against a request that no daemon sends, because each of two has claimed it at some of the holders.
+func TestOneOfTwoArrivalsAtOnceIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPlaceFleet(t, longLink, func(f *placeFleet) { f.silent.Store(true) })
+		defer f.close()
+		sender, other, ranking := f.awaitSenders()
+		first, second := f.daemon(ranking[0].Name), f.daemon(ranking[1].Name)
+		for i, pair := range [][2]*placeDaemon{{sender, other}, {other, sender}, {first, other}, {sender, second}, {first, second}, {second, first}} {
+			id := fmt.Sprint("twin-", i)
+			sent := make(chan bool, len(pair))
+			for _, d := range pair {
+				go func() { sent <- d.arrive(id) }()
+			}
+			if a, b := <-sent, <-sent; a == b {
+				t.Errorf("%s and %s get the same request at once: sent %v and %v, want that one sends it", pair[0].name, pair[1].name, a, b)
+			}
+		}
+	})
+}
+
+// arrive claims a request of the daemon's callers as a daemon does, and reports whether it may be sent.
+func (d *placeDaemon) arrive(id string) bool {
+	claim, _, ok := d.board.SingleSends.Arrive(once.KeyOf(id), time.Now(), callTime)
+	if !ok {
+		return false
+	}
+	verdict, held, _ := d.claimSend(claim)
+	if verdict != once.Send {
+		d.cluster.Placer.WithdrawSend(held)
+		d.board.SingleSends.End(claim, true)
+	}
+	return verdict == once.Send
+}
--- a/node/internal/slownet/slownet.go
+++ b/node/internal/slownet/slownet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -140,7 +141,7 @@
 	case to.accepted <- newConn(far, to, h):
 		return newConn(near, h, to), nil
 	case <-to.closed:
-		return nil, net.ErrClosed
+		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/node/requestcontrol/attemptend.go
+++ b/node/requestcontrol/attemptend.go
@@ -48,9 +48,8 @@
 	cause     error
 	// answer is how far the target had come with its answer.
 	answer answerProgress
-	// send is how a call that may run once was sent, and claim which other daemons were asked about it; nil for other calls.
-	send  *decision.Send
-	claim *decision.SendClaim
+	// send is how a call that may run once was sent, and nil for other calls.
+	send *decision.Send
 	// notRun reports that the call is known not to have run.
 	notRun bool
 	// callerGone reports that the attempt ended because the caller did.
@@ -63,9 +62,6 @@
 
 func (f *forwarding) attemptEnd(ctx context.Context, p *blackboard.Placement, err error) attemptEnd {
 	end := attemptEnd{attempt: p.Attempt, chosen: p.Decision.Chosen, target: p.Decision.Chosen, relay: f.lastRelay, err: err, answer: f.attemptAnswer, send: f.singleSend}
-	if f.sendClaim != nil {
-		end.claim = &f.sendClaim.SendClaim
-	}
 	if err == nil {
 		return end
 	}
@@ -101,7 +97,7 @@
 	case end.err != nil:
 		d.recordFailedAttempt(r, &end)
 	case end.send != nil:
-		d.record(r, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeComplete, Target: end.target, Attempt: end.attempt, Send: end.send, SendClaim: end.claim})
+		d.record(r, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeComplete, Target: end.target, Attempt: end.attempt, Send: end.send, SendClaim: r.holdersSaid()})
 	}
 	d.recordCrashOrSuccess(r, &end)
 	d.recordPartEnd(r, &end)
@@ -125,7 +121,7 @@
 
 // recordFailedAttempt records why an attempt gave no answer.
 func (d *Director) recordFailedAttempt(r *Request, end *attemptEnd) {
-	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String(), SharedParts: r.SharedParts, EventsReceived: end.answer.events, Send: end.send, SendClaim: end.claim}
+	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String(), SharedParts: r.SharedParts, EventsReceived: end.answer.events, Send: end.send, SendClaim: r.holdersSaid()}
 	switch {
 	case end.cause != nil:
 		rec.Outcome, rec.Reason = decision.OutcomeCancelled, end.cause.Error()
--- a/node/requestcontrol/caller_disconnect_test.go
+++ b/node/requestcontrol/caller_disconnect_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"doorstack.dev/core/decision"
 	"doorstack.dev/core/fault"
 	"doorstack.dev/core/forward"
 	"doorstack.dev/core/once"
@@ -33,13 +32,10 @@
 	return blackboard.Placement{Attempt: t.Attempt, Address: p.address, Decision: routing.Decision{Verdict: routing.Place, Chosen: "t"}}, true
 }
 
-func (p *singleTargetPlacer) BeginSend(context.Context, string, string, once.Claim) (SendClaim, bool) {
-	return SendClaim{}, true
+func (p *singleTargetPlacer) ClaimSend(context.Context, string, once.Claim) (SendClaim, once.Verdict) {
+	return SendClaim{}, once.Send
 }
-func (p *singleTargetPlacer) SentBefore(context.Context, string, once.Claim) (decision.SendClaim, bool) {
-	return decision.SendClaim{}, false
-}
-func (p *singleTargetPlacer) WithdrawSend(context.Context, SendClaim) {}
+func (p *singleTargetPlacer) WithdrawSend(SendClaim) {}
 
 func (p *singleTargetPlacer) ReportPrefillDone(string) {}
 
--- a/node/requestcontrol/collaborators.go
+++ b/node/requestcontrol/collaborators.go
@@ -98,13 +98,12 @@
 	Place(ctx context.Context, t *blackboard.Ticket) (blackboard.Placement, bool)
 	// Coordinates reports whether this daemon coordinates a pool.
 	Coordinates(pool string) bool
-	// BeginSend claims a call that may run once and is about to be sent at the daemons that are asked if its request comes again.
-	// It returns false if one of them knows another arrival of the request. placedBy is the daemon that placed the call.
-	BeginSend(ctx context.Context, pool, placedBy string, claim once.Claim) (SendClaim, bool)
-	// SentBefore reports whether one of these daemons knows another arrival of a request, and which.
-	SentBefore(ctx context.Context, pool string, claim once.Claim) (decision.SendClaim, bool)
+	// ClaimSend claims a call that may run once at the daemons that are asked if its request comes again, and returns whether it
+	// may be sent: once.Repeated if one of them knows another arrival of the request, and once.Undecided if ctx ended before enough
+	// of them had answered. The claim must be withdrawn unless the call is sent.
+	ClaimSend(ctx context.Context, pool string, claim once.Claim) (SendClaim, once.Verdict)
 	// WithdrawSend ends the claim to a call that has not run.
-	WithdrawSend(ctx context.Context, held SendClaim)
+	WithdrawSend(held SendClaim)
 	// ReportPrefillDone and ReportFinished inform the coordinator of a call's progress.
 	ReportPrefillDone(attempt string)
 	ReportFinished(end CallEnd)
--- a/node/requestcontrol/forward.go
+++ b/node/requestcontrol/forward.go
@@ -69,8 +69,6 @@
 	lastFraming target.Framing
 	// singleSend is how the latest attempt was sent if the call may run once, and nil for other calls.
 	singleSend *decision.Send
-	// sendClaim is the claim of a call that may run once, from its first send on.
-	sendClaim *SendClaim
 	// prefilledAttempt is the latest attempt whose target has prefilled the prompt.
 	prefilledAttempt string
 	// silenceWatch watches the current attempt.
@@ -106,9 +104,6 @@
 	if err != nil {
 		execution = f.progress.Execution()
 	}
-	if execution == fault.NotRun {
-		err = f.endUnsent(ctx, err)
-	}
 	f.recordAnswer(err)
 	return err
 }
@@ -206,10 +201,6 @@
 		d.releasePlacement(r, &placement)
 		return errRepeatForbidden
 	}
-	if !f.beginSingleSend(ctx, &placement) {
-		d.releasePlacement(r, &placement)
-		return d.refuseRepeated(r, repeatSeenByHolder, &f.sendClaim.SendClaim)
-	}
 	d.Recorder.MarkStage(blackboard.StagePlaced)
 	f.lastTarget = placement.Decision.Chosen
 	err = f.send(ctx, &placement)
--- a/node/requestcontrol/place.go
+++ b/node/requestcontrol/place.go
@@ -109,7 +109,7 @@
 func (d *Director) checkPlacement(r *Request, ticket *blackboard.Ticket, placement *blackboard.Placement) error {
 	d.recordPlacement(r, ticket, *placement)
 	if placement.Repeated {
-		return d.refuseRepeated(r, repeatSeenByCoordinator, nil)
+		return d.refuseRepeated(r, repeatSeenByCoordinator)
 	}
 	if placement.Decision.Verdict == routing.Refuse {
 		long := r.promptTokens >= r.Route.Pool.Policy.LongPromptTokens
--- a/node/requestcontrol/request.go
+++ b/node/requestcontrol/request.go
@@ -49,8 +49,10 @@
 	// CallerTimeout is how long the caller waits, as it stated; zero if it did not.
 	CallerTimeout time.Duration
 
-	// once is the claim to a forwarded call that may run once, and nil for other calls.
+	// once is the claim to a forwarded call that may run once, and sendClaim where other daemons hold it; nil for other calls,
+	// and where there are no other daemons.
 	once            *once.Claim
+	sendClaim       *SendClaim
 	promptTokens    int64
 	prefixes        []uint64
 	cachedPoisonKey *poison.Key
--- a/node/requestcontrol/singlesend.go
+++ b/node/requestcontrol/singlesend.go
@@ -21,7 +21,7 @@
 
 // claimSingleSend claims a forwarded call that may run once, so that it is sent for one of its arrivals only. If the same request
 // is in progress at this daemon, it waits for its end: that one may turn out not to have run. The claim must be ended with
-// endSingleSend.
+// endSingleSend, unless an error is returned.
 func (d *Director) claimSingleSend(ctx context.Context, r *Request) error {
 	if r.Route.Repeatable || r.ID == "" {
 		return nil
@@ -32,59 +32,60 @@
 		claim, ended, ok := d.Board.SingleSends.Arrive(key, r.Arrived, r.callerWaits())
 		if ok {
 			r.once = &claim
-			return nil
+			return d.claimAtHolders(ctx, r)
 		}
 		if ended == nil {
-			return d.refuseRepeated(r, repeatSeenHere, nil)
+			return d.refuseRepeated(r, repeatSeenHere)
 		}
 		select {
 		case <-ended:
 		case <-ctx.Done():
 			if errors.Is(ctx.Err(), context.Canceled) {
-				return fault.New(fault.Abandoned, "the caller disconnected", "nothing to do").WithExecution(fault.Unknown)
+				return abandonedUnclaimed()
 			}
-			return d.refuseRepeated(r, repeatSeenHere, nil)
+			return d.refuseRepeated(r, repeatSeenHere)
 		}
 	}
 }
 
-// endSingleSend ends the claim of a call. One that has not run may come again.
-func (d *Director) endSingleSend(r *Request, x fault.Execution) {
-	if r.once != nil {
-		d.Board.SingleSends.End(*r.once, x == fault.NotRun)
+// claimAtHolders claims a call at other daemons. If it may not be sent, the claim is withdrawn.
+func (d *Director) claimAtHolders(ctx context.Context, r *Request) error {
+	if d.Placer == nil {
+		return nil
 	}
-}
-
-// beginSingleSend claims a call that may run once at other daemons before its first send, and reports whether none of them knows
-// another arrival of the request.
-func (f *forwarding) beginSingleSend(ctx context.Context, p *blackboard.Placement) bool {
-	d, r := f.director, f.request
-	if r.once == nil || d.Placer == nil || f.sendClaim != nil {
-		return true
+	held, verdict := d.Placer.ClaimSend(ctx, r.Route.Pool.Name, *r.once)
+	r.sendClaim = &held
+	if verdict == once.Send {
+		return nil
+	}
+	defer d.endSingleSend(r, fault.NotRun)
+	switch {
+	case verdict == once.Repeated:
+		return d.refuseRepeated(r, repeatSeenByHolder)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return abandonedUnclaimed()
+	default:
+		return d.refuseUnclaimed(r)
 	}
-	claim, ok := d.Placer.BeginSend(ctx, r.Route.Pool.Name, p.DecidedBy, *r.once)
-	f.sendClaim = &claim
-	return ok
 }
 
-// endUnsent withdraws the claim of a call that has not run. It returns the error for its caller: err, unless that says that the
-// request has not run, and an earlier arrival of it may have.
-func (f *forwarding) endUnsent(ctx context.Context, err error) error {
-	d, r := f.director, f.request
-	if r.once == nil || d.Placer == nil {
-		return err
-	}
-	if f.sendClaim != nil {
-		d.Placer.WithdrawSend(context.WithoutCancel(ctx), *f.sendClaim)
-		return err
+// endSingleSend ends the claim of a call. One that has not run may come again.
+func (d *Director) endSingleSend(r *Request, x fault.Execution) {
+	if r.once == nil {
+		return
 	}
-	if ctx.Err() != nil || fault.From(err).Kind == fault.RepeatedRequest {
-		return err
+	if x == fault.NotRun && r.sendClaim != nil {
+		d.Placer.WithdrawSend(*r.sendClaim)
 	}
-	if asked, sent := d.Placer.SentBefore(ctx, r.Route.Pool.Name, *r.once); sent {
-		return d.refuseRepeated(r, repeatSeenByHolder, &asked)
+	d.Board.SingleSends.End(*r.once, x == fault.NotRun)
+}
+
+// holdersSaid returns what other daemons have said of a call that may run once; nil if none was asked.
+func (r *Request) holdersSaid() *decision.SendClaim {
+	if r.sendClaim == nil {
+		return nil
 	}
-	return err
+	return &r.sendClaim.SendClaim
 }
 
 // callerWaits returns how long the caller waits for the answer, from the arrival of the request.
@@ -92,15 +93,27 @@
 	return max(r.CallerTimeout, r.Deadline.Sub(r.Arrived))
 }
 
-// refuseRepeated returns the error for a request that came before and may have run, and records it. asked says which daemons were
-// asked about it; nil if none was.
-func (d *Director) refuseRepeated(r *Request, seenBy string, asked *decision.SendClaim) error {
+// refuseRepeated returns the error for a request that came before and may have run, and records it.
+func (d *Director) refuseRepeated(r *Request, seenBy string) error {
 	refusal := RepeatedRequestError()
 	d.Recorder.Metrics.RepeatedRequests.WithLabelValues(r.Route.Pool.Name, seenBy).Inc()
-	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error() + "; seen by the " + seenBy + ", caller " + r.CallerAddress, SendClaim: asked})
+	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error() + "; seen by the " + seenBy + ", caller " + r.CallerAddress, SendClaim: r.holdersSaid()})
 	return refusal
 }
 
+// refuseUnclaimed returns the error for a request of which it was not known in time whether it had been sent before, and records it.
+func (d *Director) refuseUnclaimed(r *Request) error {
+	refusal := fault.New(fault.DeadlinePassed, "the daemons that know whether the request was sent before did not answer in time",
+		"check at the service whether an earlier attempt ran; retry later").WithExecution(fault.Unknown)
+	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error(), SendClaim: r.holdersSaid()})
+	return refusal
+}
+
+// abandonedUnclaimed returns the error for a request whose caller left while an earlier arrival of it was looked for.
+func abandonedUnclaimed() error {
+	return fault.New(fault.Abandoned, "the caller disconnected", "nothing to do").WithExecution(fault.Unknown)
+}
+
 // RepeatedRequestError returns the error for a request that came before and may have run.
 func RepeatedRequestError() *fault.Error {
 	return fault.New(fault.RepeatedRequest, "this request was sent to a target before, under the same id",
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -315,7 +315,7 @@
 			slog.Bool("reused", s.Reused), slog.Int("broken", s.Broken), slog.Int64("bytes", s.Bytes), slog.String("execution", string(s.Execution)))
 	}
 	if c := d.SendClaim; c != nil {
-		list = append(list, slog.Any("claim_holders", c.Holders), slog.Any("claim_silent", c.Silent), slog.Any("claim_unasked", c.Unasked), slog.String("repeated_at", c.RepeatedAt))
+		list = append(list, slog.Any("claim_holders", c.Holders), slog.Any("claim_silent", c.Silent), slog.Any("claim_ended", c.Ended), slog.String("repeated_at", c.RepeatedAt))
 	}
 	if v := d.Repeat; v != nil {
 		list = append(list, slog.Int("calls", v.Calls), slog.Int("repeats", v.Repeats), slog.Float64("span_s", v.Span.Seconds()),
