The holders of a claim do not depend on the route's service

A request that came again under its id was executed twice if the configuration had given its route to another service meanwhile. Cause: the daemons that hold a claim were the first of the ranking of the route's pool, and the repeat asked those of the new pool. Class: the place of a record is derived from something that changes while the record is needed. Change: one ranking for all claims. Daemons of earlier versions ask others than this one until all are updated; in that time a repeat may be missed.

--- a/node/api/disconnect_start_test.go
+++ b/node/api/disconnect_start_test.go
@@ -28,7 +28,7 @@
 }
 
 func (p *countingPlacer) Coordinates(string) bool { return true }
-func (p *countingPlacer) ClaimSend(context.Context, string, once.Claim) (requestcontrol.SendClaim, once.Verdict) {
+func (p *countingPlacer) ClaimSend(context.Context, once.Claim) (requestcontrol.SendClaim, once.Verdict) {
 	return requestcontrol.SendClaim{}, once.Send
 }
 func (p *countingPlacer) WithdrawSend(requestcontrol.SendClaim) {}
--- a/node/cluster/singlesends.go
+++ b/node/cluster/singlesends.go
@@ -16,10 +16,14 @@
 	"github.com/go-faster/errors"
 )
 
-// A claim to a call that may run once is held by the daemon that sends it and by the first daemons of the pool's ranking, its holders.
+// A claim to a call that may run once is held by the daemon that sends it and by the first daemons of a ranking, its holders. The ranking is
+// one for all calls, so that new settings do not give a repeat other holders than the first arrival had.
 // A call is sent once more than half of the holders that run hold its claim, and none of them holds another one (once.Decide). A
 // repeat asks the holders as of then: at least one of them knows the claim while they are the same, or few of them have changed.
 
+// claimRanking is the name of the ranking, among those of the pools.
+const claimRanking = "claims to calls that may run once"
+
 // claimHolders is how many daemons of a ranking hold a claim. A claim that three of four hold is found by a repeat to which one of them
 // does not answer, also if one of the four has been replaced meanwhile.
 const claimHolders = 4
@@ -66,13 +70,13 @@
 }
 
 // ClaimSend implements requestcontrol.Placer.
-func (p *Placer) ClaimSend(ctx context.Context, pool string, claim once.Claim) (requestcontrol.SendClaim, once.Verdict) {
+func (p *Placer) ClaimSend(ctx context.Context, claim once.Claim) (requestcontrol.SendClaim, once.Verdict) {
 	r := &claimRound{placer: p, claim: claim, news: make(chan struct{}, 1), words: map[string]once.Word{}}
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for {
 		changed := p.links.nextChange()
-		holders, complete := p.claimHoldersOf(pool)
+		holders, complete := p.currentHolders()
 		r.ask(askCtx, holders)
 		if verdict := r.decide(holders); complete && verdict != once.Undecided || verdict == once.Repeated {
 			return r.outcome(), verdict
@@ -91,10 +95,10 @@
 	}
 }
 
-// claimHoldersOf returns the daemons that hold the claims to a pool's calls, which this one may be. It reports false while this
-// daemon still looks for the others.
-func (p *Placer) claimHoldersOf(pool string) (names []string, complete bool) {
-	ranking := p.rankingOf(pool)
+// currentHolders returns the daemons that hold claims, which this one may be. It reports false while this daemon still looks for the
+// others.
+func (p *Placer) currentHolders() (names []string, complete bool) {
+	ranking := p.rankingOf(claimRanking)
 	for _, c := range ranking[:min(claimHolders, len(ranking))] {
 		names = append(names, c.Name)
 	}
--- a/node/cluster/singlesends_test.go
+++ b/node/cluster/singlesends_test.go
@@ -22,7 +22,7 @@
 func (f *placeFleet) awaitSenders() (sender, other *placeDaemon, ranking []coordination.Candidate) {
 	f.waitUntil(3 * time.Second)
 	sender, other = f.daemons[fleetStrong], f.daemons[fleetStrong+1]
-	return sender, other, sender.cluster.Placer.rankingOf("svc")
+	return sender, other, sender.cluster.Placer.rankingOf(claimRanking)
 }
 
 // callTime is how long the callers of the tests wait.
@@ -33,7 +33,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
-	held, verdict = d.cluster.Placer.ClaimSend(ctx, "svc", c)
+	held, verdict = d.cluster.Placer.ClaimSend(ctx, c)
 	return verdict, held, time.Since(began)
 }
 
--- a/node/onplatform/repeated_requests_test.go
+++ b/node/onplatform/repeated_requests_test.go
@@ -377,6 +377,45 @@
 	}
 }
 
+// TestRepeatAfterItsRouteMovedIsNotSentAgain guards against a call that runs twice because the configuration gives its route to another
+// service before it comes again.
+func TestRepeatAfterItsRouteMovedIsNotSentAgain(t *testing.T) {
+	const daemons = 8
+	f := newFleet(t, daemons, 2)
+	f.awaitMembership()
+	ranking := f.ranking(f.daemons)
+	names := make([]string, len(ranking))
+	for i, d := range ranking {
+		names[i] = d.boot.Name
+	}
+	service := ""
+	for i := 0; service == ""; i++ { // One whose first daemons are the last of the other service.
+		candidate := fmt.Sprint("svc-", i)
+		first := rendezvous.Top("place "+candidate, names, daemons/2)
+		if !slices.ContainsFunc(first, func(name string) bool { return slices.Contains(names[:daemons/2], name) }) {
+			service = candidate
+		}
+	}
+	f.addTarget("t9", service, 6)
+	f.scriptAll(untilDisconnect)
+	a := f.newRequest(unsafePath)
+	a.Daemon = ranking[0].boot.CallerAddress
+	f.sendAndReset(a)
+	moved := testConfig(2)
+	moved.Services = append(moved.Services, standin.Service{Name: service, HealthPath: standin.HealthPath})
+	moved.Routes[1].Service = service
+	f.store.PutConfig(moved)
+	f.eventually("the configuration in force at all daemons", func() bool {
+		return !slices.ContainsFunc(f.daemons, func(d *testDaemon) bool { return f.settingsRevision(d) != int64(moved.Version) })
+	})
+	f.scriptAll(standin.Succeed("ok"))
+	a.Daemon = ranking[daemons-1].boot.CallerAddress
+	got := f.do(a)
+	if n := len(f.callsWithID(a.ID)); n != 1 || meansNotExecuted(got.Status) {
+		t.Errorf("%d executions, status %d, want 1 and a status that does not mean not executed", n, got.Status)
+	}
+}
+
 // publish publishes a configuration and waits until the first daemon has adopted it.
 func (f *fleet) publish(c standin.Config) {
 	f.t.Helper()
--- a/node/requestcontrol/caller_disconnect_test.go
+++ b/node/requestcontrol/caller_disconnect_test.go
@@ -32,7 +32,7 @@
 	return blackboard.Placement{Attempt: t.Attempt, Address: p.address, Decision: routing.Decision{Verdict: routing.Place, Chosen: "t"}}, true
 }
 
-func (p *singleTargetPlacer) ClaimSend(context.Context, string, once.Claim) (SendClaim, once.Verdict) {
+func (p *singleTargetPlacer) ClaimSend(context.Context, once.Claim) (SendClaim, once.Verdict) {
 	return SendClaim{}, once.Send
 }
 func (p *singleTargetPlacer) WithdrawSend(SendClaim) {}
--- a/node/requestcontrol/collaborators.go
+++ b/node/requestcontrol/collaborators.go
@@ -101,7 +101,7 @@
 	// ClaimSend claims a call that may run once at the daemons that are asked if its request comes again, and returns whether it
 	// may be sent: once.Repeated if one of them knows another arrival of the request, and once.Undecided if ctx ended before enough
 	// of them had answered. The claim must be withdrawn unless the call is sent.
-	ClaimSend(ctx context.Context, pool string, claim once.Claim) (SendClaim, once.Verdict)
+	ClaimSend(ctx context.Context, claim once.Claim) (SendClaim, once.Verdict)
 	// WithdrawSend ends the claim to a call that has not run.
 	WithdrawSend(held SendClaim)
 	// ReportPrefillDone and ReportFinished inform the coordinator of a call's progress.
--- a/node/requestcontrol/singlesend.go
+++ b/node/requestcontrol/singlesend.go
@@ -53,7 +53,7 @@
 	if d.Placer == nil {
 		return nil
 	}
-	held, verdict := d.Placer.ClaimSend(ctx, r.Route.Pool.Name, *r.once)
+	held, verdict := d.Placer.ClaimSend(ctx, *r.once)
 	r.sendClaim = &held
 	if verdict == once.Send {
 		return nil
