A claim that arrives after its own withdrawal is not held

Change: a withdrawal without a claim is remembered in the claim's place. Result: TestClaimIsNotMadeAfterItsWithdrawal (new interface, so not run before; without the remembered withdrawal its first two checks fail). TestWithdrawnClaimIsForgottenBySilentHolder passes with and without this change, as nothing overtakes in virtual time.

--- a/core/once/once.go
+++ b/core/once/once.go
@@ -46,6 +46,8 @@
 	Owner Owner
 	// Expires is when no repeat of the request is expected any more.
 	Expires time.Time
+	// withdrawn marks the claim of an owner that has withdrawn it before it was made.
+	withdrawn bool
 }
 
 // A request is remembered for callerTimes of its caller's times, since a repeat of a long call leaves within one and may be held up
@@ -58,7 +60,7 @@
 
 // NewClaim returns the claim of a request that arrived at a time and whose caller waits that long.
 func NewClaim(k Key, o Owner, arrived time.Time, callerWaits time.Duration) Claim {
-	return Claim{k, o, arrived.Add(max(callerTimes*callerWaits, minRetention))}
+	return Claim{Key: k, Owner: o, Expires: arrived.Add(max(callerTimes*callerWaits, minRetention))}
 }
 
 // maxClaims bounds the claims of a ledger: two hundred requests that may run once a second are remembered for minRetention, a
@@ -83,17 +85,26 @@
 	if l.ClaimedByOther(c, now) {
 		return false
 	}
+	if earlier := l.claims[c.Key]; earlier.withdrawn && earlier.Owner == c.Owner {
+		return true // Its owner does not send the request.
+	}
 	l.remove(c.Key)
+	l.add(c)
+	return true
+}
+
+func (l *Ledger) add(c Claim) {
 	l.claims[c.Key] = c
-	l.byID[c.Key.ID]++
 	l.order = append(l.order, c)
-	return true
+	if !c.withdrawn {
+		l.byID[c.Key.ID]++
+	}
 }
 
 // ClaimedByOther reports whether another owner than that of a claim has one to the same request.
 func (l *Ledger) ClaimedByOther(c Claim, now time.Time) bool {
 	other, claimed := l.claims[c.Key]
-	return claimed && other.Owner != c.Owner && now.Before(other.Expires)
+	return claimed && !other.withdrawn && other.Owner != c.Owner && now.Before(other.Expires)
 }
 
 // Owner returns the owner of the claim to a request, and zero if there is none.
@@ -107,19 +118,27 @@
 
 // remove removes the claim to a request, if there is one.
 func (l *Ledger) remove(k Key) {
-	if _, claimed := l.claims[k]; !claimed {
+	c, claimed := l.claims[k]
+	delete(l.claims, k)
+	if !claimed || c.withdrawn {
 		return
 	}
-	delete(l.claims, k)
 	if l.byID[k.ID]--; l.byID[k.ID] == 0 {
 		delete(l.byID, k.ID)
 	}
 }
 
-// Withdraw ends a claim to a request that its owner knows not to have run, so that the request may come again.
-func (l *Ledger) Withdraw(k Key, o Owner) {
-	if l.claims[k].Owner == o {
-		l.remove(k)
+// Withdraw ends a claim to a request that its owner knows not to have run, so that the request may come again. Messages between daemons
+// may overtake each other: a claim that is not there yet is not made later either.
+func (l *Ledger) Withdraw(c Claim, now time.Time) {
+	l.removeExpired(now)
+	current, claimed := l.claims[c.Key]
+	switch {
+	case !claimed:
+		c.withdrawn = true
+		l.add(c)
+	case current.Owner == c.Owner && !current.withdrawn:
+		l.remove(c.Key)
 	}
 }
 
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -47,16 +47,39 @@
 func TestWithdrawnRequestMayComeAgain(t *testing.T) {
 	l := NewLedger()
 	l.Begin(claim("id", 1, start), start)
-	l.Withdraw(claim("id", 2, start).Key, 2)
+	l.Withdraw(claim("id", 2, start), start)
 	if l.Begin(claim("id", 2, start), start) {
 		t.Error("an owner without a claim has withdrawn another's")
 	}
-	l.Withdraw(claim("id", 1, start).Key, 1)
+	l.Withdraw(claim("id", 1, start), start)
 	if !l.Begin(claim("id", 2, start), start) {
 		t.Error("a withdrawn request may not be sent")
 	}
 }
 
+// TestClaimIsNotMadeAfterItsWithdrawal guards against a request that is refused as a repeat for good although it was never sent, because the
+// withdrawal of its claim has overtaken the claim.
+func TestClaimIsNotMadeAfterItsWithdrawal(t *testing.T) {
+	l := NewLedger()
+	first := claim("id", 1, start)
+	l.Withdraw(first, start)
+	l.Begin(first, start)
+	if l.Claimed("id", start) {
+		t.Error("a claim that was withdrawn before it was made is known")
+	}
+	if !l.Begin(claim("id", 2, start), start) {
+		t.Error("another arrival may not be sent")
+	}
+	if l.Begin(claim("id", 3, start), start) {
+		t.Error("a third arrival may be sent beside the second")
+	}
+	l.Withdraw(claim("id", 2, start), start)
+	l.Begin(claim("id", 3, start.Add(minRetention)), start.Add(minRetention))
+	if l.Len() != 1 || len(l.byID) != 1 {
+		t.Errorf("%d claims and %d ids, want those of the last arrival", l.Len(), len(l.byID))
+	}
+}
+
 // TestClaimedIDIsKnownUntilItIsWithdrawn guards against a refusal that says that a request has not run, of a repeat whose body has not
 // been read.
 func TestClaimedIDIsKnownUntilItIsWithdrawn(t *testing.T) {
@@ -65,11 +88,11 @@
 	l.Begin(claim("id", 1, start), start)
 	other := NewClaim(KeyOf("id", []byte("other")), 2, start, time.Second)
 	l.Begin(other, start)
-	l.Withdraw(other.Key, 2)
+	l.Withdraw(other, start)
 	if !l.Claimed("id", start) || l.Claimed("another", start) {
 		t.Error("a claimed id is not known, or another is")
 	}
-	l.Withdraw(claim("id", 1, start).Key, 1)
+	l.Withdraw(claim("id", 1, start), start)
 	if l.Claimed("id", start) {
 		t.Error("an id without claims is known")
 	}
--- a/node/blackboard/singlesends.go
+++ b/node/blackboard/singlesends.go
@@ -46,7 +46,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if notRun {
-		t.ledger.Withdraw(c.Key, c.Owner)
+		t.ledger.Withdraw(c, time.Now())
 	}
 	if a := t.arrivals[c.Key]; a != nil && a.claim == c {
 		delete(t.arrivals, c.Key)
@@ -83,5 +83,5 @@
 func (t *SingleSendTable) Withdraw(c once.Claim) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ledger.Withdraw(c.Key, c.Owner)
+	t.ledger.Withdraw(c, time.Now())
 }
--- a/node/cluster/singlesends_test.go
+++ b/node/cluster/singlesends_test.go
@@ -205,3 +205,33 @@
 	}
 	return verdict == once.Send
 }
+
+// TestWithdrawnClaimIsForgottenBySilentHolder guards against a request that is refused as a repeat although it was never sent, because a holder
+// was frozen when its claim was withdrawn.
+func TestWithdrawnClaimIsForgottenBySilentHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPlaceFleet(t, longLink, func(f *placeFleet) { f.silent.Store(true) })
+		defer f.close()
+		sender, other, ranking := f.awaitSenders()
+		sender.beginSend(newClaim("opens the links", 1))
+		other.beginSend(newClaim("opens the links too", 1))
+		const calls = 40
+		frozen := f.daemon(ranking[1].Name)
+		frozen.host.Freeze()
+		for i := range calls {
+			_, held, _ := sender.claimSend(newClaim(fmt.Sprint("withdrawn-", i), 1))
+			sender.cluster.Placer.WithdrawSend(held)
+		}
+		frozen.host.Thaw()
+		pass(time.Second)
+		refused := 0
+		for i := range calls {
+			if ok, _ := other.beginSend(newClaim(fmt.Sprint("withdrawn-", i), 2)); !ok {
+				refused++
+			}
+		}
+		if refused > 0 {
+			t.Errorf("%d of %d requests that were never sent are refused", refused, calls)
+		}
+	})
+}
