Placements no longer carry claims

And a late report that an attempt has not run withdrew the claim of the attempt that ran by then. Cause: one claim was made in two ways, with the placement and at its holders, and ended in two. Change: it is made and withdrawn at the holders only.

--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -6,7 +6,6 @@
 
 	"doorstack.dev/core/admission"
 	"doorstack.dev/core/engine"
-	"doorstack.dev/core/once"
 	"doorstack.dev/core/routing"
 	"doorstack.dev/core/settings"
 )
@@ -42,8 +41,6 @@
 	Deadline time.Time
 	// Params are the pool's routing parameters when the ticket was created.
 	Params routing.Params
-	// Once is the claim to a request that may run once, and nil for others.
-	Once *once.Claim
 	// placed receives the placement, once.
 	placed chan Placement
 	// waitDecision is a recent decision to wait, with its candidates, and candidatesRecorded
--- a/node/blackboard/target_calls.go
+++ b/node/blackboard/target_calls.go
@@ -44,8 +44,6 @@
 	DecidedAt time.Time
 	// DecidedBy is the daemon that decided, if it was another one.
 	DecidedBy string
-	// Repeated reports that there is no target because the coordinator has placed the same request, which may run once, before.
-	Repeated bool
 	// Helpers are the targets that prefill parts of the prompt.
 	Helpers []TargetAddress
 	// Gone is closed if the target is considered gone while the call runs.
--- a/node/cluster/coordinate.go
+++ b/node/cluster/coordinate.go
@@ -177,7 +177,7 @@
 	params := requestcontrol.RoutingParams(pool, capacity, board.Members.DaemonCount())
 	arrived := now.Add(-in.Waited)
 	return &blackboard.Ticket{
-		Pool: pool, Attempt: in.Attempt, Params: params, Deadline: now.Add(in.UntilDeadline), Once: in.Once.claim(now),
+		Pool: pool, Attempt: in.Attempt, Params: params, Deadline: now.Add(in.UntilDeadline),
 		Request: routing.Request{
 			ID: in.Request, PromptTokens: in.PromptTokens, OutputTokens: in.OutputTokens, DataCentre: in.DataCentre,
 			Exclude: in.Exclude, Homes: in.Homes, Goal: in.Goal, GapGoal: in.GapGoal, Retry: in.Retry, AnswerStarted: in.AnswerStarted, Seed: rendezvous.Score(in.Pool, in.Attempt),
@@ -207,11 +207,6 @@
 	for _, h := range placement.Helpers {
 		answer.Helpers = append(answer.Helpers, placeHelper{h.ID, h.Address})
 	}
-	outcome, reason := string(d.Verdict), "requested by "+call.requester
-	if !p.mayBeSent(call, d.Verdict) {
-		answer = placeAnswer{Attempt: call.ticket.Attempt, Verdict: routing.None, Repeated: true}
-		outcome, reason = decision.OutcomeRefused, reason+"; the request was placed before, under the same id"
-	}
 	p.mu.Lock()
 	call.answer = &answer
 	if answer.Verdict != routing.Place && p.coordinated[call.ticket.Attempt] == call {
@@ -219,31 +214,12 @@
 	}
 	p.mu.Unlock()
 	p.cluster.Recorder.Record(decision.Record{
-		Kind: decision.KindPlace, Outcome: outcome, Request: d.Request.ID, Attempt: call.ticket.Attempt,
-		Pool: call.pool, Target: d.Chosen, Routing: d, Reason: reason,
+		Kind: decision.KindPlace, Outcome: string(d.Verdict), Request: d.Request.ID, Attempt: call.ticket.Attempt,
+		Pool: call.pool, Target: d.Chosen, Routing: d, Reason: "requested by " + call.requester,
 	})
 	return answer
 }
 
-// mayBeSent reports whether no other arrival of a call that may run once has been placed, and claims the call for its requester if
-// it is placed now. A call that may not be sent no longer counts at its target. It is no matter whether there was a target: a
-// refusal would say that the request has not run.
-func (p *Placer) mayBeSent(call *coordinatedCall, verdict routing.Verdict) bool {
-	board, claim := p.cluster.Board, call.ticket.Once
-	switch {
-	case claim == nil:
-		return true
-	case verdict != routing.Place:
-		return !board.SingleSends.ClaimedByOther(*claim)
-	}
-	if _, ok := board.SingleSends.Begin(*claim); ok {
-		return true
-	}
-	board.Targets.Finish(call.ticket.Attempt, blackboard.CallCancelled, time.Now())
-	board.Queues.Wake(call.pool)
-	return false
-}
-
 // answerLater sends the placement of a request that was answered with routing.Wait.
 func (p *Placer) answerLater(ctx context.Context, call *coordinatedCall) {
 	placement, ok := <-call.ticket.Placed()
@@ -265,11 +241,7 @@
 	if in.Ended {
 		p.mu.Lock()
 		p.ended.add(in.Attempt, in.Through, time.Now())
-		call := p.coordinated[in.Attempt]
 		p.mu.Unlock()
-		if in.NotRun && call != nil && call.ticket != nil && call.ticket.Once != nil {
-			p.cluster.Board.SingleSends.Withdraw(*call.ticket.Once)
-		}
 		p.endCall(in.Attempt, in.Result)
 		return empty{}, nil
 	}
--- a/node/cluster/placecall.go
+++ b/node/cluster/placecall.go
@@ -139,7 +139,7 @@
 	case ctx.Err() != nil:
 		// The caller is gone, or the call's time is over.
 		p.links.update(func(peers *coordination.Peers, _ time.Time) { peers.Abandoned(name) })
-		p.notifyEnded(name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled, NotRun: true})
+		p.notifyEnded(name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled})
 		return
 	case errors.Is(err, context.DeadlineExceeded):
 		reason = lostTimeout
--- a/node/cluster/placement.go
+++ b/node/cluster/placement.go
@@ -94,7 +94,7 @@
 		// older state.
 		p.cluster.Recorder.Log.Info("placement is not accepted", "request", t.Request.ID, "peer", c.Name, "target", answer.Target,
 			"reason", "the target or a helper is draining, evacuated, outside the homes, in backoff or unknown here, or the call would exceed the target's rate limit")
-		p.notifyEnded(c.Name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled, NotRun: true})
+		p.notifyEnded(c.Name, callProgress{Attempt: t.Attempt, Result: blackboard.CallCancelled})
 		return blackboard.Placement{}, false
 	}
 	if answer.Verdict == routing.Place {
@@ -138,7 +138,6 @@
 		PromptTokens: t.Request.PromptTokens, OutputTokens: t.Request.OutputTokens, DataCentre: t.Request.DataCentre,
 		Exclude: t.Request.Exclude, Homes: t.Request.Homes, Goal: t.Request.Goal, GapGoal: t.Request.GapGoal,
 		Waited: time.Since(t.Item.Arrived), UntilDeadline: time.Until(t.Deadline), Retry: t.Item.Retry, AnswerStarted: t.Request.AnswerStarted,
-		Once: wireClaim(t.Once),
 	}
 	p.mu.Lock()
 	known := p.informed[t.Pool.Name] == c
@@ -174,7 +173,7 @@
 // placement.
 func (p *Placer) applyPlacement(t *blackboard.Ticket, a *placeAnswer) blackboard.Placement {
 	now := time.Now()
-	placement := blackboard.Placement{Attempt: t.Attempt, Address: a.Address, DecidedAt: now, Repeated: a.Repeated, Decision: routing.Decision{
+	placement := blackboard.Placement{Attempt: t.Attempt, Address: a.Address, DecidedAt: now, Decision: routing.Decision{
 		Request: t.Request, Params: t.Params, Verdict: a.Verdict, Chosen: a.Target, Considered: a.Considered, PrefillTime: a.PrefillTime,
 		Reservations: a.Reservations, RetryAfter: a.RetryAfter,
 	}}
@@ -211,7 +210,7 @@
 	delete(p.elsewhere, end.Attempt)
 	p.mu.Unlock()
 	for _, name := range names {
-		p.notifyEnded(name, callProgress{Attempt: end.Attempt, Result: end.Result, Suspect: end.Suspect, SuspectFor: end.SuspectFor, NotRun: end.NotRun})
+		p.notifyEnded(name, callProgress{Attempt: end.Attempt, Result: end.Result, Suspect: end.Suspect, SuspectFor: end.SuspectFor})
 	}
 }
 
--- a/node/cluster/placewire.go
+++ b/node/cluster/placewire.go
@@ -44,8 +44,7 @@
 	Insist bool `cbor:"20,keyasint,omitempty"`
 	// Number counts the requesting daemon's placement requests, from 1; 0 from a version that does not number them.
 	Number uint64 `cbor:"21,keyasint,omitempty"`
-	// Once is the claim to a request that may run once; nil for others and from a version that makes no claims.
-	Once *onceClaim `cbor:"22,keyasint,omitempty"`
+	// Field 22 held the claim to a request that may run once; see KindSingleSend.
 }
 
 // onceClaim is a once.Claim. Left is the time until it expires.
@@ -56,23 +55,17 @@
 	Left    time.Duration `cbor:"4,keyasint"`
 }
 
-// maxClaimTime bounds the time for which a coordinator keeps a claim: twice that of the longest calls.
+// maxClaimTime bounds the time for which a daemon keeps the claim of another one: twice that of the longest calls.
 const maxClaimTime = 10 * time.Minute
 
-// wireClaim returns the wire form of a claim, and nil for none.
-func wireClaim(c *once.Claim) *onceClaim {
-	if c == nil {
-		return nil
-	}
-	return &onceClaim{ID: c.Key.ID, Content: c.Key.Content, Owner: uint64(c.Owner), Left: time.Until(c.Expires)}
+// wireClaim returns the wire form of a claim.
+func wireClaim(c once.Claim) onceClaim {
+	return onceClaim{ID: c.Key.ID, Content: c.Key.Content, Owner: uint64(c.Owner), Left: time.Until(c.Expires)}
 }
 
-// claim returns the claim as of now, and nil for a request that is not claimed.
-func (c *onceClaim) claim(now time.Time) *once.Claim {
-	if c == nil {
-		return nil
-	}
-	return &once.Claim{Key: once.Key{ID: c.ID, Content: c.Content}, Owner: once.Owner(c.Owner), Expires: now.Add(min(c.Left, maxClaimTime))}
+// claim returns the claim as of now.
+func (c *onceClaim) claim(now time.Time) once.Claim {
+	return once.Claim{Key: once.Key{ID: c.ID, Content: c.Content}, Owner: once.Owner(c.Owner), Expires: now.Add(min(c.Left, maxClaimTime))}
 }
 
 // placeAnswer is a placement, a refusal, a redirect, or routing.Wait for a call that waits.
@@ -100,8 +93,7 @@
 	Coordinator            string `cbor:"12,keyasint,omitempty"`
 	CoordinatorAddress     string `cbor:"13,keyasint,omitempty"`
 	CoordinatorIncarnation int64  `cbor:"14,keyasint,omitempty"`
-	// Repeated is as in blackboard.Placement; Verdict is routing.None then.
-	Repeated bool `cbor:"15,keyasint,omitempty"`
+	// Field 15 reported that the request had been placed before.
 }
 
 // verdictRedirect is the verdict of an answer that names the daemon to be asked. Requests of rank 0 do not get it.
@@ -124,6 +116,5 @@
 	// Through is the number of the last placement request that the requesting daemon sent before the call's end; 0 from
 	// a version that does not number its requests.
 	Through uint64 `cbor:"6,keyasint,omitempty"`
-	// NotRun reports that the call is known not to have run.
-	NotRun bool `cbor:"7,keyasint,omitempty"`
+	// Field 7 reported that the call has not run.
 }
--- a/node/cluster/singlesends.go
+++ b/node/cluster/singlesends.go
@@ -141,7 +141,7 @@
 		}
 	})
 	defer late.Stop()
-	request := singleSendRequest{*wireClaim(&r.claim), beginSend}
+	request := singleSendRequest{wireClaim(r.claim), beginSend}
 	began := time.Now()
 	answer, err := p.askAboutClaim(ctx, name, request)
 	for roundTrip, n := time.Since(began), 0; err == nil && answer.Repeated && once.Owner(answer.Owner) > r.claim.Owner && n < contentions; n++ {
@@ -218,7 +218,7 @@
 // WithdrawSend implements requestcontrol.Placer. It waits for the holders that are expected to answer; the others are told once they
 // can be reached.
 func (p *Placer) WithdrawSend(held requestcontrol.SendClaim) {
-	request := singleSendRequest{*wireClaim(&held.Claim), withdrawSend}
+	request := singleSendRequest{wireClaim(held.Claim), withdrawSend}
 	names := slices.Concat(held.Holders, held.Silent)
 	told, waited, longest := make(chan struct{}, len(names)), 0, time.Duration(0)
 	for _, name := range names {
@@ -272,7 +272,7 @@
 
 // serveSingleSend handles another daemon's request about a claim.
 func (p *Placer) serveSingleSend(_ context.Context, _ string, in singleSendRequest) (singleSendAnswer, error) {
-	sends, claim := p.cluster.Board.SingleSends, *in.Claim.claim(time.Now())
+	sends, claim := p.cluster.Board.SingleSends, in.Claim.claim(time.Now())
 	switch in.Action {
 	case withdrawSend:
 		sends.Withdraw(claim)
--- a/node/requestcontrol/attemptend.go
+++ b/node/requestcontrol/attemptend.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"doorstack.dev/core/decision"
-	"doorstack.dev/core/fault"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/target"
 	"github.com/go-faster/errors"
@@ -50,8 +49,6 @@
 	answer answerProgress
 	// send is how a call that may run once was sent, and nil for other calls.
 	send *decision.Send
-	// notRun reports that the call is known not to have run.
-	notRun bool
 	// callerGone reports that the attempt ended because the caller did.
 	callerGone bool
 	// suspectFor is how long the target gets no calls.
@@ -66,10 +63,6 @@
 		return end
 	}
 	end.target = f.failedTarget(p)
-	end.notRun = target.ExecutionOf(err) == fault.NotRun
-	if end.send != nil {
-		end.notRun = end.send.Execution == fault.NotRun
-	}
 	end.callerGone = ctx.Err() != nil || errors.Is(err, errCallerWrite)
 	end.cancelled = end.callerGone || errors.Is(err, errRejected) || errors.Is(err, errQuarantined)
 	end.cause = ctx.Err()
@@ -103,7 +96,7 @@
 	d.recordPartEnd(r, &end)
 	d.Board.Targets.Finish(end.attempt, result, time.Now())
 	if d.Placer != nil {
-		d.Placer.ReportFinished(CallEnd{Attempt: end.attempt, Result: result, Suspect: suspect, SuspectFor: end.suspectFor, NotRun: end.notRun})
+		d.Placer.ReportFinished(CallEnd{Attempt: end.attempt, Result: result, Suspect: suspect, SuspectFor: end.suspectFor})
 	}
 	d.Board.Queues.Wake(r.Route.Pool.Name)
 }
--- a/node/requestcontrol/collaborators.go
+++ b/node/requestcontrol/collaborators.go
@@ -81,8 +81,6 @@
 	// Suspect is a target that must receive no calls for SuspectFor, if any.
 	Suspect    string
 	SuspectFor time.Duration
-	// NotRun reports that the call is known not to have run.
-	NotRun bool
 }
 
 // SendClaim is a claim to a call that may run once, and what other daemons know of the call.
--- a/node/requestcontrol/place.go
+++ b/node/requestcontrol/place.go
@@ -108,9 +108,6 @@
 // checkPlacement records a placement and returns an error if it has no target.
 func (d *Director) checkPlacement(r *Request, ticket *blackboard.Ticket, placement *blackboard.Placement) error {
 	d.recordPlacement(r, ticket, *placement)
-	if placement.Repeated {
-		return d.refuseRepeated(r, repeatSeenByCoordinator)
-	}
 	if placement.Decision.Verdict == routing.Refuse {
 		long := r.promptTokens >= r.Route.Pool.Policy.LongPromptTokens
 		retry := admission.RefusalRetryAfter(engine.Duration(placement.Decision.RetryAfter), long, time.Until(r.Deadline))
@@ -149,7 +146,6 @@
 		Attempt:  attempt,
 		Deadline: r.Deadline,
 		Params:   params,
-		Once:     r.once,
 		Holders:  d.Board.Prefixes.Lookup(r.prefixes),
 		Request: routing.Request{
 			ID:            r.ID,
--- a/node/requestcontrol/poison.go
+++ b/node/requestcontrol/poison.go
@@ -81,7 +81,7 @@
 func (d *Director) releasePlacement(r *Request, p *blackboard.Placement) {
 	d.Board.Targets.Finish(p.Attempt, blackboard.CallCancelled, time.Now())
 	if d.Placer != nil {
-		d.Placer.ReportFinished(CallEnd{Attempt: p.Attempt, Result: blackboard.CallCancelled, NotRun: true})
+		d.Placer.ReportFinished(CallEnd{Attempt: p.Attempt, Result: blackboard.CallCancelled})
 	}
 	d.Board.Queues.Wake(r.Route.Pool.Name)
 }
--- a/node/requestcontrol/singlesend.go
+++ b/node/requestcontrol/singlesend.go
@@ -14,9 +14,8 @@
 
 // Where it was noticed that a request had been sent before, as labels of the metric.
 const (
-	repeatSeenHere          = "daemon"
-	repeatSeenByCoordinator = "coordinator"
-	repeatSeenByHolder      = "holder" // a daemon that holds the claim to the earlier one
+	repeatSeenHere     = "daemon"
+	repeatSeenByHolder = "holder" // a daemon that holds the claim to the earlier one
 )
 
 // claimSingleSend claims a forwarded call that may run once, so that it is sent for one of its arrivals only. If the same request
