The soak sends duplicates while daemons are suspended

The callers of the soak repeated requests only after a connection had ended without an answer, and its judge excused second executions beside suspended daemons as beside killed ones, so that no run could find what the second report of rule TWICE is about. A suspended daemon excuses none elsewhere either.

--- a/node/internal/soak/caller.go
+++ b/node/internal/soak/caller.go
@@ -19,6 +19,7 @@
 type callLog struct {
 	mu         sync.Mutex
 	calls      []Call
+	duplicates []Duplicate
 	lastNumber int
 }
 
@@ -36,6 +37,19 @@
 	l.calls = append(l.calls, c)
 }
 
+func (l *callLog) addDuplicate(d Duplicate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.duplicates = append(l.duplicates, d)
+}
+
+// listDuplicates returns a copy of the duplicates.
+func (l *callLog) listDuplicates() []Duplicate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Duplicate(nil), l.duplicates...)
+}
+
 // list returns a copy of the calls.
 func (l *callLog) list() []Call {
 	l.mu.Lock()
--- a/node/internal/soak/floods.go
+++ b/node/internal/soak/floods.go
@@ -182,5 +182,5 @@
 		repeats = append(repeats, fmt.Sprintf("%d of %.0f for %s", c.repeats, c.allowed, c.service))
 	}
 	slices.Sort(repeats)
-	return fmt.Sprintf("%d calls of herds judged, flood served %v, %d calls in flight elsewhere at a drain, %d refused and %d held and served at a start, %d rounds; most repeats %v; steps by the plan's end, by daemon: %v", herd, served, waited, refused, held, len(r.Rounds), repeats, r.PlanSteps.Steps)
+	return fmt.Sprintf("%s; %d calls of herds judged, flood served %v, %d calls in flight elsewhere at a drain, %d refused and %d held and served at a start, %d rounds; most repeats %v; steps by the plan's end, by daemon: %v", r.reachedByDuplicates(), herd, served, waited, refused, held, len(r.Rounds), repeats, r.PlanSteps.Steps)
 }
--- a/node/internal/soak/judge.go
+++ b/node/internal/soak/judge.go
@@ -95,6 +95,8 @@
 // Record is what a run recorded, the input of Judge.
 type Record struct {
 	Calls []Call
+	// Duplicates are the requests of playDuplicates, which are no calls.
+	Duplicates []Duplicate
 	// Executions are the executions of each call, by its ID.
 	Executions   map[string][]Execution
 	Disturbances []Disturbance
@@ -163,7 +165,7 @@
 			}
 		}
 	}
-	list = slices.Concat(list, checkConfigOrder(r), checkRepeats(r), checkNotices(r), checkCrashingCalls(r), checkCrashingParts(r), checkUnprovokedRefusals(r), checkHerds(r), checkRateLimits(r), checkEvacuations(r), checkColdTargets(r), checkFloods(r), checkCoordinators(r), checkMemory(r), checkPeakMemory(r))
+	list = slices.Concat(list, checkConfigOrder(r), checkDuplicates(r), checkRepeats(r), checkNotices(r), checkCrashingCalls(r), checkCrashingParts(r), checkUnprovokedRefusals(r), checkHerds(r), checkRateLimits(r), checkEvacuations(r), checkColdTargets(r), checkFloods(r), checkCoordinators(r), checkMemory(r), checkPeakMemory(r))
 	for _, id := range r.UnreleasedReservations {
 		list = append(list, Violation{"LEAK", id, "reservation was neither released nor expired"})
 	}
@@ -192,12 +194,12 @@
 // repeated reports whether the caller sent the request a second time.
 func (c *Call) repeated() bool { return !c.RepeatedAt.IsZero() }
 
-// sendWitnesses is how many daemons at least know that a call which may run once was sent: the first three of the pool's ranking, of
+// sendWitnesses is how many daemons at least know that a call which may run once was sent: three of the four that hold its claim, of
 // which the sender may be one.
 const sendWitnesses = 3
 
-// mayBeForgotten reports whether a call was repeated, and as many daemons as know of its first sending had lost their state or could
-// not be asked meanwhile.
+// mayBeForgotten reports whether a call was repeated, and as many daemons as know of its first sending had lost their state meanwhile. One
+// that is suspended keeps it.
 func (r *Record) mayBeForgotten(c *Call) bool {
 	lost := map[int]bool{}
 	for _, d := range r.Disturbances {
@@ -207,7 +209,7 @@
 		if d.Kind == FleetStart {
 			return c.repeated()
 		}
-		if losesState(d.Kind) {
+		if d.Kind == Term || d.Kind == Kill {
 			lost[d.Daemon] = true
 		}
 	}
--- a/node/internal/soak/judge_test.go
+++ b/node/internal/soak/judge_test.go
@@ -46,6 +46,13 @@
 			r.Disturbances = []Disturbance{{From: c.Sent, To: c.Done, Kind: Kill, Daemon: c.Daemon}, {From: c.Sent, To: c.Done, Kind: Term, Daemon: c.Daemon + 1}, {From: c.Sent, To: c.Done, Kind: Kill, Daemon: c.Daemon + 2}}
 			return []Execution{*e, *e}
 		}, ""},
+		"executed again while three daemons are suspended": {unsafePath, func(r *Record, c *Call, e *Execution) []Execution {
+			c.RepeatedAt = e.Ended
+			for i := range sendWitnesses {
+				r.Disturbances = append(r.Disturbances, Disturbance{From: c.Sent, To: c.Done, Kind: Suspend, Daemon: c.Daemon + i})
+			}
+			return []Execution{*e, *e}
+		}, "TWICE"},
 		"connection closed without a fault, then a failure for the repeat": {unsafePath, func(_ *Record, c *Call, e *Execution) []Execution {
 			c.RepeatedAt, c.Status = e.Ended, 502
 			return []Execution{*e}
--- a/node/internal/soak/soak.go
+++ b/node/internal/soak/soak.go
@@ -41,6 +41,8 @@
 	// recoveryTimeout is the bound that the users of doorstack set for serving every route again
 	// after the last fault.
 	recoveryTimeout = 12 * time.Second
+	// duplicatesShare divides the time of the plan: for so long callers send duplicates after it.
+	duplicatesShare = 2
 )
 
 // RunOnce starts the daemons and stand-ins, executes the plan of o.Seed and judges what was
@@ -63,6 +65,8 @@
 	if o.FailingTargets {
 		tb.runPlan(ctx, newFailingTargetsPlan(o.Seed), failingTime)
 		unrecovered = append(unrecovered, tb.checkRecovery(ctx)...)
+		tb.playDuplicates(ctx, o.Duration/duplicatesShare)
+		unrecovered = append(unrecovered, tb.checkRecovery(ctx)...)
 	}
 	tb.playQuietly(ctx, o.Seed)
 	tb.flood(ctx)
--- a/node/internal/soak/testbed.go
+++ b/node/internal/soak/testbed.go
@@ -225,7 +225,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	r := &Record{
-		Calls: tb.calls.list(), Executions: tb.executions.list(), Disturbances: slices.Clone(tb.disturbances),
+		Calls: tb.calls.list(), Duplicates: tb.calls.listDuplicates(), Executions: tb.executions.list(), Disturbances: slices.Clone(tb.disturbances),
 		Published: slices.Clone(tb.published), ProcessStarts: map[int][]time.Time{}, UnreleasedReservations: tb.unreleasedReservations(),
 		Evacuated: slices.Clone(tb.evacuated), Cold: slices.Clone(tb.cold), Floods: slices.Clone(tb.floods), Drains: slices.Clone(tb.drains), Herds: slices.Clone(tb.herds), PlanSteps: tb.planSteps, Rounds: tb.rounds, UnreleasedMemory: tb.heldMemory, PeakMemoryMB: maps.Clone(tb.peakMemory), TargetCentres: map[string]string{},
 	}
