A repeated rejection is not taken for the answer to a second send

A call that may run once can be answered "not run" while a target runs it, and then run again: the target rejects it, the call comes again (its caller was told that it may, or the targets are few), goes to the same target over the same kept connection, and the target repeats its rejection there before it answers. Cause: an answer belongs to a call if it has its id, and two sends of one call have the same. Class: an identity that is not that of the thing it is asked for. Change: a connection on which a call was rejected does not carry it again.

--- a/node/target/answerend.go
+++ b/node/target/answerend.go
@@ -100,7 +100,7 @@
 
 // openWitness implements asker.
 func (e *Exchanger) openWitness(ctx context.Context, address string) (*persistConn, error) {
-	return e.acquire(ctx, address)
+	return e.acquire(ctx, address, "")
 }
 
 // keepWitness implements asker.
--- a/node/target/answerend_test.go
+++ b/node/target/answerend_test.go
@@ -145,7 +145,7 @@
 			return true
 		})
 		e := NewExchanger(testDialect{}, NewConnector())
-		pc, err := e.acquire(t.Context(), address)
+		pc, err := e.acquire(t.Context(), address, "")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -27,6 +27,8 @@
 	idleTimeout time.Duration
 	// kept reports that the connection was idle before the current call.
 	kept bool
+	// rejected is the id of the latest call if the target has rejected it.
+	rejected string
 	// bytesSent counts the bytes of the current call that the kernel accepted.
 	bytesSent atomic.Int64
 	// writeDone is closed when the write of the call has ended, also where it failed; writeErr
--- a/node/target/exchange.go
+++ b/node/target/exchange.go
@@ -202,7 +202,7 @@
 func (e *Exchanger) Send(ctx context.Context, address string, c *forward.Message) (*Reply, error) {
 	called := process{address, c.To.ID, c.To.Started}
 	for {
-		pc, err := e.acquire(ctx, address)
+		pc, err := e.acquire(ctx, address, c.ID)
 		if err != nil {
 			return nil, &CallError{Execution: fault.NotRun, Err: errors.Wrap(err, "connect to the target")}
 		}
@@ -323,18 +323,22 @@
 	if r.resp.Request.Method == http.MethodHead {
 		return false // The end of a second answer to it, which has no body, could not be found.
 	}
-	r.conn.idleTimeout = idleTimeoutFrom(r.Header)
+	r.conn.idleTimeout, r.conn.rejected = idleTimeoutFrom(r.Header), ""
+	if r.Classify() == forward.Rejected {
+		r.conn.rejected = r.RequestID
+	}
 	return true
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (e *Exchanger) acquire(ctx context.Context, address string) (*persistConn, error) {
+// acquire returns an idle connection that is still usable, or a new one, for a call with an id, which is empty for control requests. A
+// target may repeat an answer where the next one is expected: a repeated rejection of the same call would be taken for the answer.
+func (e *Exchanger) acquire(ctx context.Context, address, id string) (*persistConn, error) {
 	for {
 		pc := e.popIdle(address)
 		if pc == nil {
 			return e.Connect.open(ctx, address)
 		}
-		if pc.usable(time.Now()) && e.Connect.preferred(pc) {
+		if pc.usable(time.Now()) && e.Connect.preferred(pc) && (id == "" || pc.rejected != id) {
 			pc.reuse()
 			return pc, nil
 		}
--- a/node/target/exchange_test.go
+++ b/node/target/exchange_test.go
@@ -155,6 +155,34 @@
 	}
 }
 
+// TestRepeatedRejectionIsNoAnswerToSecondSend guards against a call that counts as not executed although it is: the target rejects it, and
+// repeats the rejection when the call is sent again.
+func TestRepeatedRejectionIsNoAnswerToSecondSend(t *testing.T) {
+	const rejection = "HTTP/1.1 421 Misdirected Request\r\nId: x\r\nContent-Length: 0\r\n\r\n"
+	address, received := startScriptedServer(t, func(conn net.Conn, r *http.Request, connection, call int) bool {
+		drainBody(r)
+		switch {
+		case connection == 0 && call <= 1:
+			_, _ = io.WriteString(conn, rejection)
+		default:
+			writeAnswer(conn, "x", "executed")
+		}
+		return true
+	})
+	e := NewExchanger(testDialect{}, NewConnector())
+	var answers []string
+	for range 2 {
+		answer, err := sendAndRead(t, e, address, testMessage("x", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		answers = append(answers, answer)
+	}
+	if answers[0] != "" || answers[1] != "executed" || received.Load() != 2 {
+		t.Errorf("answers = %q to %d calls, want the rejection and then the answer to the second call", answers, received.Load())
+	}
+}
+
 // TestConnectionWithUnreadBytesIsNotReused covers a connection whose answer was not read to its
 // end, and one on which bytes followed the answer.
 func TestConnectionWithUnreadBytesIsNotReused(t *testing.T) {
