Claims to calls that may run once: usual names for votes, one function less long

Read as a newcomer: votes in place of words, one function for the contest of two arrivals, the package comment of once as it is now. No change of behaviour; core/once and cluster pass.

--- a/core/once/once.go
+++ b/core/once/once.go
@@ -2,10 +2,9 @@
 // sent a second time: the library of a caller, or a proxy before the daemons, may send a request again, under its id, if the
 // connection ends before the answer.
 //
-// Each daemon keeps a Ledger of what it sends itself and of what other daemons send that have claimed it there: the first daemons in
-// the ranking of the call's pool. A repeat asks those that are the first then, so that it is found at whichever daemon it arrives
-// while one of them is left. A ledger is a guard and no proof: it is lost with its process, and a daemon that cannot reach the others
-// asks none.
+// Each daemon keeps a Ledger of the claims to what it sends itself, and to what other daemons send that have asked it to hold a claim. Decide
+// tells from the answers of these holders whether a request may be sent. A ledger is lost with its process, so that a repeat
+// is sent after all holders of the claim to the first have ended.
 //
 // The package does no I/O and reads no clock.
 package once
--- a/core/once/quorum_test.go
+++ b/core/once/quorum_test.go
@@ -8,32 +8,32 @@
 
 func TestDecide(t *testing.T) {
 	for name, c := range map[string]struct {
-		words []Word
+		votes []Vote
 		want  Verdict
 	}{
 		"no other daemon":                      {nil, Send},
-		"all agree":                            {[]Word{Agrees, Agrees, Agrees}, Send},
-		"an answer is due":                     {[]Word{Agrees, Agrees, Silent}, Undecided},
-		"one is late":                          {[]Word{Agrees, Agrees, Late}, Send},
-		"one of two is late":                   {[]Word{Agrees, Late}, Undecided},
-		"two of three are late":                {[]Word{Agrees, Late, Late}, Undecided},
-		"two of four are late":                 {[]Word{Agrees, Agrees, Late, Late}, Undecided},
-		"all are late":                         {[]Word{Late, Late, Late}, Undecided},
-		"one objects, an answer is due":        {[]Word{Objects, Silent, Agrees}, Repeated},
-		"one objects, the others agree":        {[]Word{Agrees, Objects, Agrees}, Repeated},
-		"one contends":                         {[]Word{Contends, Agrees, Agrees, Agrees}, Undecided},
-		"one contends, an answer is due":       {[]Word{Contends, Silent, Contends}, Undecided},
-		"one contends, one objects":            {[]Word{Contends, Agrees, Objects}, Repeated},
-		"all contend":                          {[]Word{Contends, Contends, Late, Ended}, Repeated},
-		"all have ended":                       {[]Word{Ended, Ended, Ended}, Send},
-		"the only one that runs agrees":        {[]Word{Ended, Agrees, Ended}, Send},
-		"the only one that runs is late":       {[]Word{Ended, Late, Ended}, Undecided},
-		"one has ended, one of two is late":    {[]Word{Ended, Agrees, Late}, Undecided},
-		"one has ended, one of three is late":  {[]Word{Ended, Agrees, Agrees, Late}, Send},
-		"one has ended, and an answer is due":  {[]Word{Ended, Silent, Agrees}, Undecided},
-		"one has ended and the others are due": {[]Word{Ended, Silent, Silent}, Undecided},
+		"all agree":                            {[]Vote{Granted, Granted, Granted}, Send},
+		"an answer is due":                     {[]Vote{Granted, Granted, Pending}, Undecided},
+		"one is late":                          {[]Vote{Granted, Granted, Late}, Send},
+		"one of two is late":                   {[]Vote{Granted, Late}, Undecided},
+		"two of three are late":                {[]Vote{Granted, Late, Late}, Undecided},
+		"two of four are late":                 {[]Vote{Granted, Granted, Late, Late}, Undecided},
+		"all are late":                         {[]Vote{Late, Late, Late}, Undecided},
+		"one objects, an answer is due":        {[]Vote{Denied, Pending, Granted}, Repeated},
+		"one objects, the others agree":        {[]Vote{Granted, Denied, Granted}, Repeated},
+		"one contends":                         {[]Vote{Contested, Granted, Granted, Granted}, Undecided},
+		"one contends, an answer is due":       {[]Vote{Contested, Pending, Contested}, Undecided},
+		"one contends, one objects":            {[]Vote{Contested, Granted, Denied}, Repeated},
+		"all contend":                          {[]Vote{Contested, Contested, Late, Absent}, Repeated},
+		"all have ended":                       {[]Vote{Absent, Absent, Absent}, Send},
+		"the only one that runs agrees":        {[]Vote{Absent, Granted, Absent}, Send},
+		"the only one that runs is late":       {[]Vote{Absent, Late, Absent}, Undecided},
+		"one has ended, one of two is late":    {[]Vote{Absent, Granted, Late}, Undecided},
+		"one has ended, one of three is late":  {[]Vote{Absent, Granted, Granted, Late}, Send},
+		"one has ended, and an answer is due":  {[]Vote{Absent, Pending, Granted}, Undecided},
+		"one has ended and the others are due": {[]Vote{Absent, Pending, Pending}, Undecided},
 	} {
-		if got := Decide(c.words); got != c.want {
+		if got := Decide(c.votes); got != c.want {
 			t.Errorf("%s: Decide = %v, want %v", name, got, c.want)
 		}
 	}
@@ -47,29 +47,29 @@
 		for i := range holders {
 			holders[i] = NewLedger()
 		}
-		words := map[Owner][]Word{1: make([]Word, len(holders)), 2: make([]Word, len(holders))}
+		votes := map[Owner][]Vote{1: make([]Vote, len(holders)), 2: make([]Vote, len(holders))}
 		sent := 0
 		for _, at := range rapid.Permutation(indices(2*len(holders))).Draw(t, "order") {
 			owner, holder := Owner(1+at%2), at/2
-			word := Late
+			vote := Late
 			if reached := rapid.Bool().Draw(t, "reached"); reached {
-				word = Objects
+				vote = Denied
 				if holders[holder].Begin(claim("id", owner, start), start) {
-					word = Agrees
+					vote = Granted
 				}
 				if rapid.Bool().Draw(t, "answer lost") {
-					word = Late
+					vote = Late
 				}
 			}
-			words[owner][holder] = word
+			votes[owner][holder] = vote
 		}
-		for _, w := range words {
+		for _, w := range votes {
 			if Decide(w) == Send {
 				sent++
 			}
 		}
 		if sent > 1 {
-			t.Fatalf("both arrivals are sent: %v", words)
+			t.Fatalf("both arrivals are sent: %v", votes)
 		}
 	})
 }
--- a/node/cluster/singlesends.go
+++ b/node/cluster/singlesends.go
@@ -17,9 +17,8 @@
 )
 
 // A claim to a call that may run once is held by the daemon that sends it and by the first daemons of a ranking, its holders. The ranking is
-// one for all calls, so that new settings do not give a repeat other holders than the first arrival had.
-// A call is sent once more than half of the holders that run hold its claim, and none of them holds another one (once.Decide). A
-// repeat asks the holders as of then: at least one of them knows the claim while they are the same, or few of them have changed.
+// one for all calls, so that new settings do not give a repeat other holders than the first arrival had. A call is sent if more than
+// half of the holders that run hold its claim, and none of them holds another one (once.Decide).
 
 // claimRanking is the name of the ranking, among those of the pools.
 const claimRanking = "claims to calls that may run once"
@@ -62,16 +61,16 @@
 type claimRound struct {
 	placer *Placer
 	claim  once.Claim
-	// news is sent to when a holder has said something.
-	news chan struct{}
+	// updated receives a value when a vote has changed.
+	updated chan struct{}
 
 	mu    sync.Mutex
-	words map[string]once.Word // of the daemons that were asked
+	votes map[string]once.Vote // of the daemons that were asked
 }
 
 // ClaimSend implements requestcontrol.Placer.
 func (p *Placer) ClaimSend(ctx context.Context, claim once.Claim) (requestcontrol.SendClaim, once.Verdict) {
-	r := &claimRound{placer: p, claim: claim, news: make(chan struct{}, 1), words: map[string]once.Word{}}
+	r := &claimRound{placer: p, claim: claim, updated: make(chan struct{}, 1), votes: map[string]once.Vote{}}
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for {
@@ -86,7 +85,7 @@
 			searched = time.After(searchPause)
 		}
 		select {
-		case <-r.news:
+		case <-r.updated:
 		case <-changed:
 		case <-searched:
 		case <-ctx.Done():
@@ -110,66 +109,76 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, name := range holders {
-		if _, asked := r.words[name]; asked {
+		if _, asked := r.votes[name]; asked {
 			continue
 		}
 		switch {
 		case name == r.placer.cluster.Board.Self.Name:
-			r.words[name] = once.Agrees // The claim was made here before.
+			r.votes[name] = once.Granted // The claim was made here before.
 			continue
 		case r.placer.links.mayAnswer(name):
-			r.words[name] = once.Silent
+			r.votes[name] = once.Pending
 		default:
-			r.words[name] = once.Late
+			r.votes[name] = once.Late
 		}
 		go r.askHolder(ctx, name)
 	}
 }
 
-// contentions is how often a holder is asked again that holds the claim of another arrival with a higher owner. If that one has not been
+// maxContests is how often a holder is asked again that holds the claim of another arrival with a higher owner. If that one has not been
 // sent, its daemon withdraws it, within two round trips.
-const contentions = 4
+const maxContests = 4
 
-// askHolder asks a holder until it answers or has ended. Two daemons that get a request at once may each have claimed it at some of the
-// holders; the arrival with the lower owner waits for the other one's withdrawal.
+// askHolder asks a holder until it answers or has ended, and records its votes.
 func (r *claimRound) askHolder(ctx context.Context, name string) {
 	p := r.placer
 	timeout := p.links.timeout(name)
 	late := time.AfterFunc(timeout, func() {
-		if r.hear(name, once.Late) && ctx.Err() == nil {
+		if r.recordVote(name, once.Late) && ctx.Err() == nil {
 			p.links.unanswered(name, timeout)
 		}
 	})
 	defer late.Stop()
-	request := singleSendRequest{wireClaim(r.claim), beginSend}
-	began := time.Now()
-	answer, err := p.askAboutClaim(ctx, name, request)
-	for roundTrip, n := time.Since(began), 0; err == nil && answer.Repeated && once.Owner(answer.Owner) > r.claim.Owner && n < contentions; n++ {
-		r.hear(name, once.Contends)
-		controller.Sleep(ctx, roundTrip)
-		answer, err = p.askAboutClaim(ctx, name, request)
-	}
+	answer, err := r.claimAt(ctx, name)
 	switch {
-	case errors.Is(err, errHolderEnded):
-		r.hear(name, once.Ended)
+	case errors.Is(err, errHolderAbsent):
+		r.recordVote(name, once.Absent)
 	case err != nil: // The round is over.
 	case answer.Repeated:
-		r.hear(name, once.Objects)
+		r.recordVote(name, once.Denied)
 	default:
-		r.hear(name, once.Agrees)
+		r.recordVote(name, once.Granted)
+	}
+}
+
+// claimAt claims the call at a holder. Two daemons that get a request at once may each have claimed it at some of the holders; the arrival
+// with the lower owner waits for the other one's withdrawal.
+func (r *claimRound) claimAt(ctx context.Context, name string) (singleSendAnswer, error) {
+	request := singleSendRequest{wireClaim(r.claim), beginSend}
+	began := time.Now()
+	answer, err := r.placer.askAboutClaim(ctx, name, request)
+	roundTrip := time.Since(began)
+	for range maxContests {
+		if err != nil || !answer.Repeated || once.Owner(answer.Owner) <= r.claim.Owner {
+			break
+		}
+		r.recordVote(name, once.Contested)
+		controller.Sleep(ctx, roundTrip)
+		answer, err = r.placer.askAboutClaim(ctx, name, request)
 	}
+	return answer, err
 }
 
-// hear records what a holder has said, and reports whether that is new. A holder that has answered is not late.
-func (r *claimRound) hear(name string, w once.Word) bool {
+// recordVote records a vote and reports whether it is new. A holder that has answered is not late.
+func (r *claimRound) recordVote(name string, v once.Vote) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w == once.Late && r.words[name] != once.Silent {
+	if v == once.Late && r.votes[name] != once.Pending {
 		return false
 	}
-	r.words[name] = w
+	r.votes[name] = v
 	select {
-	case r.news <- struct{}{}:
+	case r.updated <- struct{}{}:
 	default:
 	}
 	return true
@@ -179,40 +188,40 @@
 func (r *claimRound) decide(holders []string) once.Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	words := make([]once.Word, 0, len(holders))
+	votes := make([]once.Vote, 0, len(holders))
 	for _, name := range holders {
-		words = append(words, r.words[name])
+		votes = append(votes, r.votes[name])
 	}
-	for name, w := range r.words {
-		if w == once.Objects && !slices.Contains(holders, name) {
-			words = append(words, w)
+	for name, v := range r.votes {
+		if v == once.Denied && !slices.Contains(holders, name) {
+			votes = append(votes, v)
 		}
 	}
-	return once.Decide(words)
+	return once.Decide(votes)
 }
 
-// outcome returns what the other daemons have said.
+// outcome returns what the other daemons have answered.
 func (r *claimRound) outcome() requestcontrol.SendClaim {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	said := decision.SendClaim{}
-	for name, w := range r.words {
+	outcome := decision.SendClaim{}
+	for name, v := range r.votes {
 		switch {
 		case name == r.placer.cluster.Board.Self.Name:
-		case w == once.Agrees:
-			said.Holders = append(said.Holders, name)
-		case w == once.Objects || w == once.Contends:
-			said.RepeatedAt = name
-		case w == once.Ended:
-			said.Ended = append(said.Ended, name)
+		case v == once.Granted:
+			outcome.Holders = append(outcome.Holders, name)
+		case v == once.Denied || v == once.Contested:
+			outcome.RepeatedAt = name
+		case v == once.Absent:
+			outcome.Ended = append(outcome.Ended, name)
 		default:
-			said.Silent = append(said.Silent, name)
+			outcome.Silent = append(outcome.Silent, name)
 		}
 	}
-	slices.Sort(said.Holders)
-	slices.Sort(said.Silent)
-	slices.Sort(said.Ended)
-	return requestcontrol.SendClaim{Claim: r.claim, SendClaim: said}
+	slices.Sort(outcome.Holders)
+	slices.Sort(outcome.Silent)
+	slices.Sort(outcome.Ended)
+	return requestcontrol.SendClaim{Claim: r.claim, SendClaim: outcome}
 }
 
 // WithdrawSend implements requestcontrol.Placer. It waits for the holders that are expected to answer; the others are told once they
@@ -249,8 +258,8 @@
 	}
 }
 
-// errHolderEnded means that no process holds claims at a daemon's address.
-var errHolderEnded = errors.New("no daemon that knows claims runs at the address")
+// errHolderAbsent means that no process holds claims at a daemon's address.
+var errHolderAbsent = errors.New("no daemon that knows claims runs at the address")
 
 // askAboutClaim sends a request about a claim to a daemon until it answers, has ended, or ctx ends.
 func (p *Placer) askAboutClaim(ctx context.Context, name string, request singleSendRequest) (singleSendAnswer, error) {
@@ -264,7 +273,7 @@
 		case ctx.Err() != nil:
 			return answer, ctx.Err()
 		case errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &unknown):
-			return answer, errors.Wrap(errHolderEnded, err.Error())
+			return answer, errors.Wrap(errHolderAbsent, err.Error())
 		}
 		controller.Sleep(ctx, reaskPause)
 	}
--- a/node/requestcontrol/attemptend.go
+++ b/node/requestcontrol/attemptend.go
@@ -90,7 +90,7 @@
 	case end.err != nil:
 		d.recordFailedAttempt(r, &end)
 	case end.send != nil:
-		d.record(r, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeComplete, Target: end.target, Attempt: end.attempt, Send: end.send, SendClaim: r.holdersSaid()})
+		d.record(r, decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeComplete, Target: end.target, Attempt: end.attempt, Send: end.send, SendClaim: r.claimOutcome()})
 	}
 	d.recordCrashOrSuccess(r, &end)
 	d.recordPartEnd(r, &end)
@@ -114,7 +114,7 @@
 
 // recordFailedAttempt records why an attempt gave no answer.
 func (d *Director) recordFailedAttempt(r *Request, end *attemptEnd) {
-	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String(), SharedParts: r.SharedParts, EventsReceived: end.answer.events, Send: end.send, SendClaim: r.holdersSaid()}
+	rec := decision.Record{Kind: decision.KindAttempt, Outcome: decision.OutcomeFailed, Target: end.target, Attempt: end.attempt, Reason: end.err.Error(), CallKey: r.poisonKey().String(), SharedParts: r.SharedParts, EventsReceived: end.answer.events, Send: end.send, SendClaim: r.claimOutcome()}
 	switch {
 	case end.cause != nil:
 		rec.Outcome, rec.Reason = decision.OutcomeCancelled, end.cause.Error()
--- a/node/requestcontrol/singlesend.go
+++ b/node/requestcontrol/singlesend.go
@@ -79,8 +79,8 @@
 	d.Board.SingleSends.End(*r.once, x == fault.NotRun)
 }
 
-// holdersSaid returns what other daemons have said of a call that may run once; nil if none was asked.
-func (r *Request) holdersSaid() *decision.SendClaim {
+// claimOutcome returns what other daemons have answered about a call that may run once; nil if none was asked.
+func (r *Request) claimOutcome() *decision.SendClaim {
 	if r.sendClaim == nil {
 		return nil
 	}
@@ -96,7 +96,7 @@
 func (d *Director) refuseRepeated(r *Request, seenBy string) error {
 	refusal := RepeatedRequestError()
 	d.Recorder.Metrics.RepeatedRequests.WithLabelValues(r.Route.Pool.Name, seenBy).Inc()
-	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error() + "; seen by the " + seenBy + ", caller " + r.CallerAddress, SendClaim: r.holdersSaid()})
+	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error() + "; seen by the " + seenBy + ", caller " + r.CallerAddress, SendClaim: r.claimOutcome()})
 	return refusal
 }
 
@@ -104,7 +104,7 @@
 func (d *Director) refuseUnclaimed(r *Request) error {
 	refusal := fault.New(fault.DeadlinePassed, "the daemons that know whether the request was sent before did not answer in time",
 		"check at the service whether an earlier attempt ran; retry later").WithExecution(fault.Unknown)
-	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error(), SendClaim: r.holdersSaid()})
+	d.record(r, decision.Record{Kind: decision.KindAdmit, Outcome: decision.OutcomeRefused, Reason: refusal.Error(), SendClaim: r.claimOutcome()})
 	return refusal
 }
 
