Test: the line about adopted settings is waited for

Cause: the daemon adopts settings and then writes the line; the test waits for the first and reads the second. With 50 ms between the two (a trial) it fails at both daemons, 5 of 5 times. Change: it waits for the line too, and compares the same list. Passes 5 of 5 times with the 50 ms.

--- a/node/onplatform/fleet_test.go
+++ b/node/onplatform/fleet_test.go
@@ -49,9 +49,13 @@
 	last := testConfig(11)
 	f.store.PutConfig(last)
 	for _, d := range f.daemons {
-		f.eventually("version 11 at "+d.boot.Name, func() bool { return f.settingsRevision(d) == 11 })
-		if got, want := adoptedRevisions(t, d.log.String()), []int64{1, 7, 11}; !slices.Equal(got, want) {
-			t.Errorf("%s adopted versions %v, want %v", d.boot.Name, got, want)
+		var adopted []int64
+		f.eventually("version 11 at "+d.boot.Name+", and its line", func() bool {
+			adopted = adoptedRevisions(t, d.log.String()) // The line follows the adoption.
+			return f.settingsRevision(d) == 11 && slices.Contains(adopted, 11)
+		})
+		if want := []int64{1, 7, 11}; !slices.Equal(adopted, want) {
+			t.Errorf("%s adopted versions %v, want %v", d.boot.Name, adopted, want)
 		}
 	}
 	if got := f.do(f.newRequest(safePath)); got.Status != 200 {
