Comments of Decide and ExcludePause in the terms of their code

Cause: read as a newcomer, the comment spoke of holders that agree and object where the votes are granted and denied. Change: comments only. Result: core/once and core/membership pass.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -314,7 +314,7 @@
 	}
 }
 
-// ExcludePause leaves a pause of this daemon's process, which has just ended, out of the silence of all members: what they sent
+// ExcludePause extends the DeadAfter period of all members by a pause of this daemon's process that has just ended: what they sent
 // meanwhile has not been read yet.
 func (t *Table) ExcludePause(pause time.Duration, now time.Time) {
 	for _, m := range t.members {
--- a/core/once/quorum.go
+++ b/core/once/quorum.go
@@ -29,10 +29,10 @@
 	Repeated
 )
 
-// Decide returns the verdict that follows from the votes of a claim's holders. A request may be sent if none of them objects and
-// more than half of those that run hold its claim, so that two requests with the same holders have one in common: silence is no
-// consent. An answer that is due is waited for also where the others would do, since two daemons may not see the same holders. Where
-// no holder agrees, an earlier arrival has been claimed by all, and was not one of two at once.
+// Decide returns the verdict that follows from the votes of a claim's holders. A request may be sent if none of them denies it and
+// more than half of those that run grant it, so that two requests with the same holders have one in common. An answer that is due is
+// waited for also where the others would do, since two daemons may not see the same holders. Where none grants a contested
+// request, all hold the claim of an earlier arrival, which was not one of two at once.
 func Decide(votes []Vote) Verdict {
 	count := [Absent + 1]int{}
 	for _, v := range votes {
