Clients' connections are bounded before a handler runs, at every listener

What callers saw: a daemon ended for lack of memory, with all of its calls, as clients sent heads over the limit or without end; with connections that send nothing it had no descriptors left for ordinary callers, targets and the store.

Cause: what a client makes the process hold before a handler runs had no bound that follows the settings or the host. Of the four limits in the users' settings two were read; a head could take net/http's megabyte and, decoded, a multiple of it, on as many connections as there are descriptors; listeners other than the callers' had no idle time; a body that no handler reads, and answers that nobody reads, held a connection and two goroutines for as long as the client liked.

Change: package connguard, under the server of each listener. Per connection: the size of a head and its time from the first byte (from the settings for callers), the idle time, a deadline for each write without one, and one for the rest of unread bodies. Over all connections: their number, from the descriptors and the memory of the host, of which parts stay free for targets, links and the store; and the memory of heads, by bytes and lines, from the budget of bodies and answers, for the heads of all listeners. If either is exhausted, the connection that has waited longest for its client gives way, so that a client that sends its request at once is served. Refusals say what holds: 431, 408 and 503 before any request was run. Decisions are in core/clientlimit. Ways not taken: net/http's own MaxHeaderBytes and timeouts cannot follow settings that change, and limits per address do not hold behind the platform's forwarding.

--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -37,6 +37,10 @@
 	IdleTimeout strictyaml.Duration `yaml:"idle_timeout"`
 	// MaxBody is the largest request body in bytes; zero means the default.
 	MaxBody int64 `yaml:"max_body"`
+	// MaxHead is the largest head of a request in bytes; zero means the default.
+	MaxHead int64 `yaml:"max_head"`
+	// HeadTimeout is the longest time from the first byte of a head to its last; zero means the default.
+	HeadTimeout strictyaml.Duration `yaml:"head_timeout"`
 }
 
 // TargetProtocol is the protocol that the targets of a kind speak.
--- /dev/null
+++ b/node/connguard/listener.go
@@ -0,0 +1,272 @@
+// Package connguard bounds what clients can make a daemon hold before a handler runs, on one connection and on all connections
+// of a listener together: descriptors, heads of requests, and the time for which a connection waits for its client.
+//
+// A Listener wraps a net.Listener for a server of net/http, which needs its hooks too. The limits for one connection apply as
+// bytes arrive. Where all connections together take too much, those that have waited longest for their clients are closed, so
+// that a client that sends its request at once is served however many others hold connections.
+package connguard
+
+import (
+	"container/list"
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"doorstack.dev/node/callmemory"
+	"doorstack.dev/node/telemetry"
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Limits are the limits on a client's connection.
+type Limits struct {
+	// MaxHead is the largest head of a request in bytes, as clientlimit.Head counts it.
+	MaxHead int64
+	// HeadTimeout is the longest time from the first byte of a head to its last, and for the rest of a body that no handler
+	// has read.
+	HeadTimeout time.Duration
+	// IdleTimeout is the longest time without a request.
+	IdleTimeout time.Duration
+	// WriteTimeout limits each write for which the server sets no deadline.
+	WriteTimeout time.Duration
+}
+
+// Config is what a Listener needs.
+type Config struct {
+	// Name is the listener's name in logs and metrics.
+	Name string
+	// Limits returns the current limits on a connection, and MaxConnections is the limit on all of them.
+	Limits         func() Limits
+	MaxConnections int
+	// Memory is the budget from which heads of unusual size are reserved, and Group the listeners that share it.
+	Memory  *callmemory.Budget
+	Group   *Group
+	Metrics *telemetry.Metrics
+	Log     *slog.Logger
+}
+
+// Listener is a net.Listener that accepts a bounded number of connections and returns them as *Conn.
+type Listener struct {
+	net.Listener
+	Config
+
+	// mu guards the fields below and the phase of the connections. It may be taken while the group's lock is held.
+	mu   sync.Mutex
+	open int
+	// waiting are the connections that may be closed for others, those that have waited longest first.
+	waiting list.List
+	log     endLog
+	gauge   prometheus.Gauge // of open
+}
+
+// NewListener returns a listener that accepts the connections of inner.
+func NewListener(inner net.Listener, config Config) *Listener {
+	l := &Listener{Listener: inner, Config: config, gauge: config.Metrics.ClientConnections.WithLabelValues(config.Name)}
+	config.Group.add(l)
+	return l
+}
+
+// socket is the interface of a TCP connection that net/http and package sock use.
+type socket interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+	SetLinger(seconds int) error
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := inner.(socket)
+		if !ok {
+			_ = inner.Close()
+			return nil, errors.Errorf("connections of type %T are not supported", inner)
+		}
+		if c := l.admit(tcp); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// admit returns the guarded connection. If there are too many, it closes the one that has waited longest for its client; if all
+// are busy with requests, it refuses the new one and returns nil.
+func (l *Listener) admit(tcp socket) *Conn {
+	c := &Conn{socket: tcp, listener: l}
+	l.mu.Lock()
+	var evicted *Conn
+	if l.open >= l.MaxConnections {
+		if evicted = l.longestWaiting(func(*Conn) bool { return true }); evicted == nil {
+			l.mu.Unlock()
+			l.countEnd(endTooMany)
+			tryWrite(tcp, tooManyAnswer)
+			_ = tcp.Close()
+			return nil
+		}
+		evicted.evicted = true
+		l.forget(evicted)
+	}
+	l.open++
+	l.awaitHead(c)
+	l.mu.Unlock()
+	l.gauge.Inc()
+	if evicted != nil {
+		evicted.closeForOthers(endEvicted)
+	}
+	return c
+}
+
+// longestWaiting returns the connection for which match holds that has waited longest, or nil if there is none. The lock is
+// held.
+func (l *Listener) longestWaiting(match func(*Conn) bool) *Conn {
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Conn); match(c) {
+			return c
+		}
+	}
+	return nil
+}
+
+// awaitHead lets a connection wait for the head of a request. The lock is held.
+func (l *Listener) awaitHead(c *Conn) {
+	c.leaveQueue()
+	c.phase, c.since = waiting, time.Now()
+	c.element = l.waiting.PushBack(c)
+}
+
+// forget no longer counts a connection. The lock is held.
+func (l *Listener) forget(c *Conn) {
+	if c.phase == uncounted {
+		return
+	}
+	c.leaveQueue()
+	c.phase = uncounted
+	l.open--
+	l.gauge.Dec()
+}
+
+// longestWaitingHead returns the connection other than except that has waited longest for the rest of a head for which memory is
+// reserved, and since when it waits; nil if there is none.
+func (l *Listener) longestWaitingHead(except *Conn) (*Conn, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.longestWaiting(func(c *Conn) bool { return c != except && c.reserved > 0 })
+	if c == nil {
+		return nil, time.Time{}
+	}
+	return c, c.since
+}
+
+// evict closes a connection for others, unless it no longer waits for its client.
+func (l *Listener) evict(c *Conn, reason string) {
+	l.mu.Lock()
+	waits := c.element != nil
+	if waits {
+		c.evicted = true
+		l.forget(c)
+	}
+	l.mu.Unlock()
+	if waits {
+		c.closeForOthers(reason)
+	}
+}
+
+// Group is the listeners that reserve memory for heads from the same budget.
+type Group struct {
+	mu        sync.Mutex
+	listeners []*Listener
+}
+
+func (g *Group) add(l *Listener) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listeners = append(g.listeners, l)
+}
+
+// evictHead closes the connection, of all listeners, that has waited longest for the rest of a head for which memory is
+// reserved, other than except, and reports whether there was one.
+func (g *Group) evictHead(except *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var longest *Conn
+	var since time.Time
+	for _, l := range g.listeners {
+		if c, at := l.longestWaitingHead(except); c != nil && (longest == nil || at.Before(since)) {
+			longest, since = c, at
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	longest.listener.evict(longest, endHeadMemory)
+	return true
+}
+
+// TrackState is the http.Server.ConnState hook of the listener's server.
+func TrackState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.awaitNext()
+	case http.StateHijacked:
+		c.setHijacked()
+	default:
+	}
+}
+
+// connKey is the context key of a connection.
+type connKey struct{}
+
+// WithConn is the http.Server.ConnContext hook of the listener's server.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// connOf returns the guarded connection of a request, or nil.
+func connOf(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// Handler returns the handler of the listener's server. It keeps connections with a request from being closed for others, and
+// limits how long a body is awaited that next does not read; a handler that reads the body sets read deadlines of its own. The
+// server reads the rest of a body before it writes the answer, or after that.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r.Context())
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c.setBusy()
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c.limitUnreadBody()
+		next.ServeHTTP(w, r)
+		c.limitUnreadBody()
+	})
+}
+
+// Trust no longer counts the connection of a request, whose client has proved to be a daemon, among those of the listener.
+func Trust(ctx context.Context) {
+	c := connOf(ctx)
+	if c == nil {
+		return
+	}
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forget(c)
+}
--- a/node/daemon/accept_test.go
+++ b/node/daemon/accept_test.go
@@ -8,7 +8,10 @@
 	"syscall"
 	"testing"
 
+	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/connguard"
 	"doorstack.dev/node/internal/testaddr"
+	"doorstack.dev/node/telemetry"
 )
 
 // failingListener fails to accept a number of times before it accepts connections.
@@ -31,10 +34,11 @@
 func TestFailedAcceptDoesNotEndTheServer(t *testing.T) {
 	for _, cause := range []error{syscall.ENOMEM, syscall.ENOBUFS, syscall.EPERM, syscall.EPROTO, syscall.EMFILE} {
 		t.Run(cause.Error(), func(t *testing.T) {
-			d := &Daemon{Log: slog.New(slog.DiscardHandler)}
+			d := &Daemon{Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics(), Board: blackboard.New(blackboard.Identity{}, blackboard.DefaultLimits())}
+			limits := connguard.Config{Name: "listen", Limits: d.callerLimits, MaxConnections: 10, Group: &connguard.Group{}, Metrics: d.Metrics, Log: d.Log}
 			address := testaddr.Free(t)
 			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-			server, err := d.newServer("listen", &address, handler, func(l net.Listener) net.Listener {
+			server, err := d.newServer(limits, &address, handler, func(l net.Listener) net.Listener {
 				failing := &failingListener{Listener: l, cause: cause}
 				failing.failures.Store(2)
 				return failing
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -83,6 +83,8 @@
 	Cores float64
 	// MemoryMB is the memory of the host, above which the platform kills the process; zero if it is not known.
 	MemoryMB int64
+	// MaxDescriptors is how many descriptors the platform lets the process have open; zero if it is not known.
+	MaxDescriptors int64
 	// StoreSettleTime is the time after a disruption of the platform's store within which all
 	// daemons must know what it has published. It is zero if the platform sets none.
 	StoreSettleTime time.Duration
--- a/node/daemon/servers.go
+++ b/node/daemon/servers.go
@@ -1,25 +1,24 @@
 package daemon
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
-	"time"
 
 	"doorstack.dev/node/admin"
 	"doorstack.dev/node/api"
+	"doorstack.dev/node/connguard"
 	"github.com/go-faster/errors"
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
-// readHeaderTimeout limits how long a client may take to send the headers of a request.
-const readHeaderTimeout = 10 * time.Second
-
 // provisionServers opens the listeners for callers, operators, peers and, on a platform, readiness
 // checks.
 func (d *Daemon) provisionServers() error {
@@ -34,10 +33,11 @@
 	if d.adapter != nil {
 		handler = callers.PathHandler(d.adapter.Dialect)
 	}
-	if d.callerServer, err = d.newServer("listen", &d.Config.Listen, api.RequireAnswer(handler), api.ExplainBadRequests); err != nil {
+	guards := d.connectionLimits()
+	if d.callerServer, err = d.newServer(guards.callers, &d.Config.Listen, api.RequireAnswer(handler), api.ExplainBadRequests); err != nil {
 		return err
 	}
-	adminServer, err := d.newServer("admin", &d.Config.Admin, d.rejectCalls(operators.Handler()))
+	adminServer, err := d.newServer(guards.admin, &d.Config.Admin, d.rejectCalls(operators.Handler()))
 	if err != nil {
 		return err
 	}
@@ -45,20 +45,20 @@
 	if d.Config.PeerListen != "" {
 		peerAddress = &d.Config.PeerListen
 	}
-	peerServer, err := d.newServer("peer", peerAddress, d.rejectCalls(d.relays.Handler(d.hub.Handler())))
+	peerServer, err := d.newServer(guards.peers, peerAddress, d.rejectCalls(d.relays.Handler(d.hub.Handler())))
 	if err != nil {
 		return err
 	}
 	servers := []transport.Server{d.callerServer, adminServer, peerServer}
 	if d.adapter != nil {
-		ready, err := d.newServer("ready", &d.adapter.ReadyAddress, d.rejectCalls(operators.ReadyHandler()))
+		ready, err := d.newServer(guards.ready, &d.adapter.ReadyAddress, d.rejectCalls(operators.ReadyHandler()))
 		if err != nil {
 			return err
 		}
 		servers = append(servers, ready)
-		idle := &api.IdleConns{Board: d.Board}
-		d.callerServer.ConnState = idle.Track
-		d.callerServer.ConnContext = api.WithCallerConn
+		d.callerServer.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			return api.WithCallerConn(connguard.WithConn(ctx, conn), conn)
+		}
 	}
 	d.app = kratos.New(
 		kratos.Name("doorstackd"),
@@ -80,18 +80,19 @@
 	return api.RejectCalls(d.adapter.Dialect, next)
 }
 
-// newServer opens a listener for the config key and stores the actual address in *address, as its
-// port may be 0. The server accepts connections through the listeners that wrap returns. The request
-// timeout of Kratos, one second, is disabled, as requests have their own deadlines.
-func (d *Daemon) newServer(key string, address *string, handler http.Handler, wrap ...func(net.Listener) net.Listener) (*khttp.Server, error) {
+// newServer opens a listener with limits on its clients and stores the actual address in *address, as its port may be 0. The
+// server accepts connections through the listeners that wrap returns. The request timeout of Kratos, one second, is disabled, as
+// requests have their own deadlines.
+func (d *Daemon) newServer(limits connguard.Config, address *string, handler http.Handler, wrap ...func(net.Listener) net.Listener) (*khttp.Server, error) {
 	listener, err := net.Listen("tcp", *address)
 	if err != nil {
-		return nil, errors.Wrap(err, fmt.Sprintf("open the address of %q; free the port or change the file", key))
+		return nil, errors.Wrap(err, fmt.Sprintf("open the address of %q; free the port or change the file", limits.Name))
 	}
 	*address = listener.Addr().String()
 	for _, w := range wrap {
 		listener = w(listener)
 	}
+	listener = connguard.NewListener(listener, limits)
 	server := khttp.NewServer(
 		khttp.Listener(retryingListener{listener}),
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
@@ -99,8 +100,10 @@
 		khttp.StrictSlash(false),
 	)
 	// Bypass the router of Kratos, which would redirect some paths to a cleaned form.
-	server.Handler = handler
-	server.ReadHeaderTimeout = readHeaderTimeout
-	server.ErrorLog = slog.NewLogLogger(d.Log.With("server", key).Handler(), slog.LevelError)
+	server.Handler = connguard.Handler(handler)
+	server.ConnState, server.ConnContext = connguard.TrackState, connguard.WithConn
+	// The listener has limits of its own, which may change while the server runs.
+	server.MaxHeaderBytes = math.MaxInt32
+	server.ErrorLog = slog.NewLogLogger(d.Log.With("server", limits.Name).Handler(), slog.LevelError)
 	return server, nil
 }
--- a/node/onplatform/onplatform.go
+++ b/node/onplatform/onplatform.go
@@ -146,7 +146,7 @@
 	return &daemon.Adapter{
 		Settings: feed, Targets: feed, Parse: parser.Parse, Dialect: platform.Headers{},
 		ReadyAddress: boot.ReadyAddress, Seeds: boot.Seeds, ShutdownGrace: boot.Bounds.ShutdownGrace,
-		RepeatLimit: repeatLimitOf(boot), Cores: boot.Cores, MemoryMB: boot.MemoryMB, StoreSettleTime: boot.Bounds.StoreSettleTime,
+		RepeatLimit: repeatLimitOf(boot), Cores: boot.Cores, MemoryMB: boot.MemoryMB, MaxDescriptors: boot.MaxDescriptors, StoreSettleTime: boot.Bounds.StoreSettleTime,
 	}
 }
 
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"doorstack.dev/node/connguard"
 	"doorstack.dev/node/telemetry"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -111,6 +112,7 @@
 			_ = conn.CloseNow()
 			return
 		}
+		connguard.Trust(r.Context())
 		l := newLink(h, name, conn)
 		h.addLink(l)
 		l.run(h.ctx)
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"doorstack.dev/node/blackboard"
+	"doorstack.dev/node/connguard"
 	"doorstack.dev/node/peer"
 	"doorstack.dev/node/target"
 	"doorstack.dev/node/telemetry"
@@ -129,7 +130,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		s.serveTicket(w, ticket, chooseProtocol(r.Header.Get("Upgrade")))
+		s.serveTicket(w, r, ticket, chooseProtocol(r.Header.Get("Upgrade")))
 	})
 }
 
@@ -143,7 +144,7 @@
 	return plainProtocol
 }
 
-func (s *Server) serveTicket(w http.ResponseWriter, ticket, protocol string) {
+func (s *Server) serveTicket(w http.ResponseWriter, r *http.Request, ticket, protocol string) {
 	conn := s.takeTicket(ticket)
 	if conn == nil {
 		http.Error(w, "unknown ticket", http.StatusNotFound)
@@ -156,6 +157,7 @@
 		return
 	}
 	defer func() { _ = caller.Close() }()
+	connguard.Trust(r.Context())
 	_ = caller.SetDeadline(time.Time{})
 	if _, err := io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err != nil {
 		return
