Messages before a peer's proof are bounded by the size of a handshake

What callers saw: nothing yet; a client of the peers' listener that is no daemon can make it run out of memory. Cause: until a client has proved to be a daemon, its messages could be as large as a settings tree, 8 MB, and were held whole. Change: 4 KB until the handshake is done, on both sides.

--- a/node/peer/handshake.go
+++ b/node/peer/handshake.go
@@ -12,6 +12,9 @@
 // handshakeTimeout bounds the handshake, including the dialing on the client's side.
 const handshakeTimeout = 2 * time.Second
 
+// maxHandshakeSize bounds a message of a handshake, in bytes: its sender has proved nothing yet.
+const maxHandshakeSize = 4 << 10
+
 // acceptHandshake is the server's side of the handshake. It returns the client's name, once the
 // client has proved that it knows one of the keys.
 func (h *Hub) acceptHandshake(conn *websocket.Conn) (string, error) {
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -101,7 +101,7 @@
 			h.countRefused("not_a_websocket")
 			return
 		}
-		conn.SetReadLimit(MaxFrameSize)
+		conn.SetReadLimit(maxHandshakeSize)
 		name, err := h.acceptHandshake(conn)
 		if err != nil {
 			h.countRefused("bad_proof")
@@ -112,6 +112,7 @@
 			_ = conn.CloseNow()
 			return
 		}
+		conn.SetReadLimit(MaxFrameSize)
 		connguard.Trust(r.Context())
 		l := newLink(h, name, conn)
 		h.addLink(l)
@@ -207,13 +208,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial "+to.Name+" at "+to.Address)
 	}
-	conn.SetReadLimit(MaxFrameSize)
+	conn.SetReadLimit(maxHandshakeSize)
 	name, err := h.dialHandshake(ctx, conn, to.Name)
 	if err != nil {
 		h.countRefused("bad_proof")
 		_ = conn.CloseNow()
 		return nil, errors.Wrap(err, "handshake with "+to.Name+" at "+to.Address)
 	}
+	conn.SetReadLimit(MaxFrameSize)
 	l := newLink(h, name, conn)
 	h.addLink(l)
 	go l.run(h.ctx)
