Memory for bodies is reserved before they are read, and bodies end with their call

What callers saw: nothing yet; 1,500 clients that send all but the last byte of a body of 60 KB take 120 MB of a machine with 96, although the budget for bodies is 12. Cause: a body was read in chunks of 64 KB, which were reserved only once they were full, and for as long as its client sent a chunk every 10 s, whatever the time of the call. Change: chunks from 4 to 64 KB, as large as what has arrived, are reserved before they are read; the body of a forwarded call is read until the call's deadline, which gets 504, not run.

Left: a body of the project's own API has no deadline before its route is known; it may take 10 s for each chunk.

--- a/node/api/body.go
+++ b/node/api/body.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"doorstack.dev/core/fault"
@@ -28,11 +29,12 @@
 	b.data = nil
 }
 
-// Bodies are read and reserved in chunks, so that a caller that announces a large body and sends
-// little reserves little memory. Twice the body's size is reserved, for the body and for the text
+// Bodies are read in chunks for which memory is reserved first, so that a caller that announces a large body and sends little
+// takes little memory. The chunks grow with what has arrived. Twice the body's size is reserved, for the body and for the text
 // decoded from it.
 const (
-	bodyChunkSize    = 64 << 10
+	minBodyChunk     = 4 << 10
+	maxBodyChunk     = 64 << 10
 	bodyMemoryFactor = 2
 )
 
@@ -43,8 +45,8 @@
 }
 
 // readBodyWithLimit is like readBody, for a body of at most limit bytes that may use a share of the
-// memory budget. The end of ctx ends it at the next chunk; who needs it to end sooner sets a read
-// deadline after that.
+// memory budget. It fails once the deadline of ctx has passed. Another end of ctx ends it at the next chunk; who needs it to end
+// sooner sets a read deadline after that.
 func (s *Server) readBodyWithLimit(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, share float64) (*requestBody, error) {
 	b, err := s.readBodyChunks(ctx, w, r, limit, share)
 	if err != nil {
@@ -63,50 +65,82 @@
 	if r.ContentLength > limit {
 		return nil, tooLargeError(limit)
 	}
-	control := http.NewResponseController(w)
 	b := &requestBody{memory: s.limits.Memory, share: share}
-	buffer := make([]byte, bodyChunkSize)
 	for {
-		// Extend the deadline only while the caller makes progress.
-		_ = control.SetReadDeadline(time.Now().Add(s.limits.ReadProgressTimeout))
-		if ctx.Err() != nil {
-			b.release()
-			return nil, fault.New(fault.Abandoned, "the call ended while its body was read", "nothing to do")
+		whole, err := s.readChunk(ctx, w, r, b, limit)
+		if whole && !b.reserve(int64(bodyMemoryFactor*len(b.data))) {
+			err = memoryExhaustedError()
 		}
-		n, err := io.ReadFull(r.Body, buffer)
-		if growErr := b.appendData(buffer[:n], limit); growErr != nil {
+		if err != nil {
 			b.release()
-			return nil, growErr
+			return nil, err
 		}
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-			if r.ContentLength >= 0 && int64(len(b.data)) < r.ContentLength {
-				b.release()
-				return nil, fault.New(fault.BadRequest, "the request body is shorter than its Content-Length", "send as many bytes as Content-Length announces")
-			}
-			_ = control.SetReadDeadline(time.Time{})
+		if whole {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 			return b, nil
 		}
-		if err != nil {
-			b.release()
-			return nil, fault.New(fault.BadRequest,
-				fmt.Sprintf("cannot read the request body: %v", err),
-				fmt.Sprintf("send at least %d bytes every %v", bodyChunkSize, s.limits.ReadProgressTimeout))
+	}
+}
+
+// readChunk reads the next chunk of a body and reports whether it was the last.
+func (s *Server) readChunk(ctx context.Context, w http.ResponseWriter, r *http.Request, b *requestBody, limit int64) (whole bool, err error) {
+	size := chunkSize(len(b.data), r.ContentLength, limit)
+	if !b.reserve(int64(bodyMemoryFactor*len(b.data) + size)) {
+		return false, memoryExhaustedError()
+	}
+	// Extend the deadline only while the caller makes progress.
+	deadline := time.Now().Add(s.limits.ReadProgressTimeout)
+	if callEnds, timed := ctx.Deadline(); timed && callEnds.Before(deadline) {
+		deadline = callEnds
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	if ctx.Err() != nil {
+		return false, fault.New(fault.Abandoned, "the call ended while its body was read", "nothing to do")
+	}
+	have := len(b.data)
+	b.data = slices.Grow(b.data, size)
+	n, err := io.ReadFull(r.Body, b.data[have:have+size])
+	b.data = b.data[:have+n]
+	switch {
+	case int64(len(b.data)) > limit:
+		return false, tooLargeError(limit)
+	case err == nil:
+		return false, nil
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		if r.ContentLength >= 0 && int64(len(b.data)) < r.ContentLength {
+			return false, fault.New(fault.BadRequest, "the request body is shorter than its Content-Length", "send as many bytes as Content-Length announces")
 		}
+		return true, nil
+	}
+	if callEnds, timed := ctx.Deadline(); timed && !time.Now().Before(callEnds) {
+		return false, fault.New(fault.DeadlinePassed, "the request body did not arrive within the time of the call", "send the body faster, or allow more time")
+	}
+	return false, fault.New(fault.BadRequest,
+		fmt.Sprintf("cannot read the request body: %v", err),
+		fmt.Sprintf("send at least %d bytes every %v", size, s.limits.ReadProgressTimeout))
+}
+
+// chunkSize returns the size of the next chunk of a body of which some bytes have arrived. announced is negative if the length of
+// the body is not known. One byte more than announced or allowed is read to find the end of the body.
+func chunkSize(arrived int, announced, limit int64) int {
+	size := int64(min(maxBodyChunk, max(minBodyChunk, arrived)))
+	if announced >= 0 {
+		limit = min(limit, announced)
 	}
+	return int(min(size, limit+1-int64(arrived)))
 }
 
-// appendData appends data to the body after reserving memory for it.
-func (b *requestBody) appendData(data []byte, limit int64) error {
-	if int64(len(b.data)+len(data)) > limit {
-		return tooLargeError(limit)
+// reserve reserves size bytes in all, and reports whether there are enough.
+func (b *requestBody) reserve(size int64) bool {
+	missing := size - b.reservedBytes
+	if missing > 0 && !b.memory.TryReserve(missing, b.share) {
+		return false
 	}
-	cost := int64(len(data)) * bodyMemoryFactor
-	if !b.memory.TryReserve(cost, b.share) {
-		return memoryExhaustedError()
+	if missing < 0 {
+		b.memory.Release(-missing)
 	}
-	b.reservedBytes += cost
-	b.data = append(b.data, data...)
-	return nil
+	b.reservedBytes += missing
+	return true
 }
 
 // memoryExhaustedError is the error for a request that finds no room in the memory budget.
--- a/node/api/body_test.go
+++ b/node/api/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -111,3 +112,25 @@
 		}
 	})
 }
+
+// TestBodyThatOutlastsItsCallIsRefused guards against a body that is read for as long as its caller sends a little, beyond the time of
+// the call.
+func TestBodyThatOutlastsItsCallIsRefused(t *testing.T) {
+	memory := callmemory.New(1 << 20)
+	s := NewServer(blackboard.New(blackboard.Identity{Name: "d"}, blackboard.DefaultLimits()), nil, telemetry.NewMetrics(),
+		Limits{MaxBody: 1 << 20, Memory: memory, ReadProgressTimeout: time.Minute})
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := s.readBodyWithLimit(ctx, w, r, s.limits.MaxBody, 1)
+		_, _ = fmt.Fprint(w, fault.From(err).Kind)
+	}))
+	t.Cleanup(h.Close)
+	got := sendRaw(t, strings.TrimPrefix(h.URL, "http://"), postRequest("/", 1<<20, "only this"))
+	if got != string(fault.DeadlinePassed) {
+		t.Errorf("answer = %q, want %q", got, fault.DeadlinePassed)
+	}
+	if memory.InUse() != 0 {
+		t.Errorf("%d bytes reserved after the request, want 0", memory.InUse())
+	}
+}
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -116,7 +116,9 @@
 func (s *pathServer) readBodyOf(c *pathCall, level int) (err error) {
 	limit := s.maxBody(c.view)
 	if c.body == nil {
-		c.body, err = s.readBodyWithLimit(c.r.Context(), c.w, c.r, limit, admission.MemoryShare(level))
+		ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline())
+		defer cancel()
+		c.body, err = s.readBodyWithLimit(ctx, c.w, c.r, limit, admission.MemoryShare(level))
 		return err
 	}
 	if int64(len(c.body.data)) > limit {
@@ -225,20 +227,24 @@
 	return nil
 }
 
-// newRequest returns the director's request. Its deadline is the earlier of the caller's and
-// the path's.
-func (c *pathCall) newRequest(route *settings.ResolvedRoute, body []byte) *requestcontrol.Request {
+// deadline returns the earlier of the caller's deadline and the path's.
+func (c *pathCall) deadline() time.Time {
 	allowed := c.path.Timeout
 	if c.Timeout > 0 {
 		allowed = min(allowed, c.Timeout)
 	}
+	return c.arrivedAt.Add(allowed)
+}
+
+// newRequest returns the director's request.
+func (c *pathCall) newRequest(route *settings.ResolvedRoute, body []byte) *requestcontrol.Request {
 	req := &requestcontrol.Request{
 		ID:          c.ID,
 		Account:     c.account,
 		Route:       route,
 		Revision:    c.view.Revision,
 		Arrived:     c.arrivedAt,
-		Deadline:    c.arrivedAt.Add(allowed),
+		Deadline:    c.deadline(),
 		MaxTokens:   c.OutputTokens,
 		Path:        c.path,
 		LastEventID: c.LastEventID, CallerAddress: c.r.RemoteAddr, CallerTimeout: c.Timeout,
