What a client's id adds to logs, records and messages between daemons is bounded

What callers saw: nothing; the log grew by 88 and 96 MB in 8 s with ids of 9 KB, and where nobody reads the log the lines that wait took 146 MB of a machine with 96. Cause: the request id, which clients choose, stands whole in each decision's line, in the records for explanations and in the messages that place a call; the queue of lines was bounded by their number alone. Change: daemons name a request by its local id, which is the caller's if that has at most 128 bytes of valid text, and a prefix with a hash otherwise; doorstack explain takes either. The queue of lines holds 2 MB at most. The id is forwarded and answered as it came.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -11,6 +11,7 @@
 
 	"doorstack.dev/core/decision"
 	"doorstack.dev/core/fault"
+	"doorstack.dev/core/forward"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/relay"
@@ -258,7 +259,7 @@
 // serveExplain answers with the records of this daemon or, unless local is set, of the daemon that
 // has them. With replay set, each decision is computed again from its record.
 func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
-	request := r.PathValue("request")
+	request := forward.LocalID(r.PathValue("request"))
 	e := s.Explain(request)
 	if len(e.Records) == 0 && s.Fleet != nil && r.URL.Query().Get("local") == "" {
 		e = s.Fleet.Explain(request)
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -70,7 +70,7 @@
 
 // correctRefusal replaces a refusal that says that a call has not run, if the same request has come before and may have run.
 func (s *pathServer) correctRefusal(c *pathCall, e *fault.Error) *fault.Error {
-	if e.Execution != fault.NotRun || e.Kind == fault.Misdirected || c.ID == "" || !s.board.SingleSends.Claimed(c.ID) {
+	if e.Execution != fault.NotRun || e.Kind == fault.Misdirected || c.ID == "" || !s.board.SingleSends.Claimed(forward.LocalID(c.ID)) {
 		return e
 	}
 	return requestcontrol.RepeatedRequestError()
@@ -147,7 +147,7 @@
 		ctx: c.r.Context(), cancel: func() {}, progressed: make(chan struct{}, 1),
 		draining: func() bool { return s.board.Phase() == blackboard.Draining },
 		notReading: func(queued int64) {
-			s.director.Recorder.Log.Info("the caller does not read its answer; the call is ended", "request", c.ID,
+			s.director.Recorder.Log.Info("the caller does not read its answer; the call is ended", "request", forward.LocalID(c.ID),
 				"queued_bytes", queued, "after", s.limits.WriteProgressTimeout.String())
 		},
 	}
@@ -202,7 +202,7 @@
 
 // record records an admission decision.
 func (s *pathServer) record(c *pathCall, outcome, reason string) {
-	s.director.Recorder.Record(decision.Record{Kind: decision.KindAdmit, Request: c.ID, Outcome: outcome, Reason: reason})
+	s.director.Recorder.Record(decision.Record{Kind: decision.KindAdmit, Request: forward.LocalID(c.ID), Outcome: outcome, Reason: reason})
 }
 
 // resolve sets the path and the account of a call. On an open path, a call without a valid API
@@ -239,7 +239,7 @@
 // newRequest returns the director's request.
 func (c *pathCall) newRequest(route *settings.ResolvedRoute, body []byte) *requestcontrol.Request {
 	req := &requestcontrol.Request{
-		ID:          c.ID,
+		ID:          forward.LocalID(c.ID),
 		Account:     c.account,
 		Route:       route,
 		Revision:    c.view.Revision,
@@ -291,6 +291,6 @@
 	s.dialect.WriteFailure(header, c.ID, e.Retryable && e.Execution == fault.NotRun, e.RetryAfter)
 	c.w.WriteHeader(e.Status())
 	if err := json.NewEncoder(c.w).Encode(errorBody(e, c.ID)); err != nil {
-		s.director.Recorder.Log.Debug("cannot write an error answer to the caller", "request", c.ID, "error", err.Error())
+		s.director.Recorder.Log.Debug("cannot write an error answer to the caller", "request", forward.LocalID(c.ID), "error", err.Error())
 	}
 }
--- a/node/telemetry/output.go
+++ b/node/telemetry/output.go
@@ -14,6 +14,7 @@
 // and counted.
 type Output struct {
 	lines   chan []byte
+	waiting atomic.Int64 // bytes of the lines that wait
 	dropped atomic.Int64
 	done    chan struct{}
 
@@ -22,8 +23,11 @@
 	closed bool
 }
 
-// outputQueueSize bounds the lines that wait: some seconds of a busy daemon's log, about 1 MB.
-const outputQueueSize = 2048
+// outputQueueSize and outputQueueBytes bound the lines that wait: some seconds of a busy daemon's log.
+const (
+	outputQueueSize  = 2048
+	outputQueueBytes = 2 << 20
+)
 
 // NewOutput returns an Output that writes to w until Close.
 func NewOutput(w io.Writer) *Output {
@@ -31,6 +35,7 @@
 	go func() {
 		defer close(o.done)
 		for line := range o.lines {
+			o.waiting.Add(-int64(len(line)))
 			if _, err := w.Write(line); err != nil {
 				o.dropped.Add(1)
 			}
@@ -42,16 +47,22 @@
 // Write implements io.Writer. It queues or drops the line and never returns an error. After Close it drops the line: calls
 // may still log while the process ends.
 func (o *Output) Write(p []byte) (int, error) {
-	line := append([]byte(nil), p...)
+	size := int64(len(p))
 	o.mu.RLock()
 	defer o.mu.RUnlock()
 	if o.closed {
 		o.dropped.Add(1)
 		return len(p), nil
 	}
+	if o.waiting.Add(size) > outputQueueBytes {
+		o.waiting.Add(-size)
+		o.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
-	case o.lines <- line:
+	case o.lines <- append([]byte(nil), p...):
 	default:
+		o.waiting.Add(-size)
 		o.dropped.Add(1)
 	}
 	return len(p), nil
--- a/node/telemetry/output_test.go
+++ b/node/telemetry/output_test.go
@@ -30,6 +30,30 @@
 	o.Close()
 }
 
+// TestLongLinesStayWithinTheQueue checks that a stalled reader of the log makes the daemon hold a bounded number of bytes, however
+// long the lines are, and that lines are written again afterwards.
+func TestLongLinesStayWithinTheQueue(t *testing.T) {
+	reader, writer := io.Pipe()
+	o := NewOutput(writer)
+	line := bytes.Repeat([]byte("x"), 64<<10)
+	for range outputQueueSize {
+		if _, err := o.Write(line); err != nil {
+			t.Fatal(err)
+		}
+		if held := o.waiting.Load(); held > outputQueueBytes {
+			t.Fatalf("%d bytes wait, want at most %d", held, outputQueueBytes)
+		}
+	}
+	if want := int64(outputQueueSize - outputQueueBytes/len(line) - 1); o.Dropped() < want {
+		t.Errorf("Dropped() = %d, want at least %d", o.Dropped(), want)
+	}
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	o.Close()
+	if held := o.waiting.Load(); held != 0 {
+		t.Errorf("%d bytes wait after the end, want 0", held)
+	}
+}
+
 // TestFailuresAreAlwaysLogged checks that only the lines about successful requests are limited.
 func TestFailuresAreAlwaysLogged(t *testing.T) {
 	var log bytes.Buffer
