A connection whose client has not sent the whole body gives way to others

What callers saw: nothing yet; clients that send bodies slowly, within the limits, hold all connections of a listener or all memory for bodies until their calls' deadlines, and ordinary callers are refused meanwhile. Cause: a connection counts as busy from the end of the head, although its handler only waits for the client. Change: while a handler reads a body the connection stays in the queue of those that wait for their clients. It is closed for a new connection as others are, and for the memory of another body if its own has been read for longer than a head may take. The handler learns at the end of the body whether that has happened, before the request is placed, so that the 503 which the client may have got is true.

--- a/node/api/body.go
+++ b/node/api/body.go
@@ -10,6 +10,7 @@
 
 	"doorstack.dev/core/fault"
 	"doorstack.dev/node/callmemory"
+	"doorstack.dev/node/connguard"
 	"github.com/go-faster/errors"
 )
 
@@ -66,18 +67,28 @@
 		return nil, tooLargeError(limit)
 	}
 	b := &requestBody{memory: s.limits.Memory, share: share}
+	connguard.BeginBody(ctx)
+	err := s.readAll(ctx, w, r, b, limit)
+	if !connguard.EndBody(ctx) {
+		err = fault.New(fault.Abandoned, "the body arrived too slowly, and its connection was closed for others", "nothing to do")
+	}
+	if err != nil {
+		b.release()
+		return nil, err
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return b, nil
+}
+
+// readAll reads a body to its end.
+func (s *Server) readAll(ctx context.Context, w http.ResponseWriter, r *http.Request, b *requestBody, limit int64) error {
 	for {
 		whole, err := s.readChunk(ctx, w, r, b, limit)
-		if whole && !b.reserve(int64(bodyMemoryFactor*len(b.data))) {
-			err = memoryExhaustedError()
-		}
 		if err != nil {
-			b.release()
-			return nil, err
+			return err
 		}
 		if whole {
-			_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-			return b, nil
+			return b.reserve(ctx, int64(bodyMemoryFactor*len(b.data)))
 		}
 	}
 }
@@ -85,8 +96,8 @@
 // readChunk reads the next chunk of a body and reports whether it was the last.
 func (s *Server) readChunk(ctx context.Context, w http.ResponseWriter, r *http.Request, b *requestBody, limit int64) (whole bool, err error) {
 	size := chunkSize(len(b.data), r.ContentLength, limit)
-	if !b.reserve(int64(bodyMemoryFactor*len(b.data) + size)) {
-		return false, memoryExhaustedError()
+	if err := b.reserve(ctx, int64(bodyMemoryFactor*len(b.data)+size)); err != nil {
+		return false, err
 	}
 	// Extend the deadline only while the caller makes progress.
 	deadline := time.Now().Add(s.limits.ReadProgressTimeout)
@@ -130,17 +141,39 @@
 	return int(min(size, limit+1-int64(arrived)))
 }
 
-// reserve reserves size bytes in all, and reports whether there are enough.
-func (b *requestBody) reserve(size int64) bool {
+// reserve reserves size bytes in all. If there are not enough, bodies that have been awaited for too long give way.
+func (b *requestBody) reserve(ctx context.Context, size int64) error {
 	missing := size - b.reservedBytes
-	if missing > 0 && !b.memory.TryReserve(missing, b.share) {
+	if missing <= 0 {
+		b.memory.Release(-missing)
+		b.reservedBytes = size
+		return nil
+	}
+	for {
+		freed := b.memory.Freed()
+		if b.memory.TryReserve(missing, b.share) {
+			b.reservedBytes = size
+			return nil
+		}
+		if !connguard.EvictSlowBody(ctx) || !awaitMemory(ctx, freed) {
+			return memoryExhaustedError()
+		}
+	}
+}
+
+// awaitMemory waits for memory that a closed connection releases, and reports whether the body may be read on. Meanwhile the body
+// does not give way: it would not notice, and two of them could wait for each other.
+func awaitMemory(ctx context.Context, freed <-chan struct{}) bool {
+	if !connguard.EndBody(ctx) {
 		return false
 	}
-	if missing < 0 {
-		b.memory.Release(-missing)
+	defer connguard.BeginBody(ctx)
+	select {
+	case <-freed:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	b.reservedBytes += missing
-	return true
 }
 
 // memoryExhaustedError is the error for a request that finds no room in the memory budget.
--- a/node/connguard/conn.go
+++ b/node/connguard/conn.go
@@ -22,6 +22,8 @@
 	waiting phase = iota
 	// busy connections have a request with a handler.
 	busy
+	// sendingBody connections have a request whose handler reads the body.
+	sendingBody
 	// hijacked connections are those of handlers that speak another protocol; their client has proved nothing yet.
 	hijacked
 	// uncounted connections are closed, or trusted.
@@ -33,7 +35,7 @@
 	socket
 	listener *Listener
 
-	// The listener's lock guards these. since is the start of the phase waiting or hijacked.
+	// The listener's lock guards these. since is the start of a phase in which the connection may be closed for others.
 	phase   phase
 	since   time.Time
 	element *list.Element
@@ -71,7 +73,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.phase != uncounted {
-		l.awaitHead(c)
+		l.enqueue(c, waiting)
 	}
 }
 
@@ -91,11 +93,31 @@
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.phase == uncounted {
-		return
+	if c.phase != uncounted {
+		l.enqueue(c, hijacked)
 	}
-	l.awaitHead(c)
-	c.phase = hijacked
+}
+
+// beginBody lets the connection be closed for others while a handler reads the body.
+func (c *Conn) beginBody() {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.phase == busy {
+		l.enqueue(c, sendingBody)
+	}
+}
+
+// endBody ends that, and reports false if the connection has been closed.
+func (c *Conn) endBody() bool {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.phase == sendingBody {
+		c.leaveQueue()
+		c.phase = busy
+	}
+	return !c.evicted
 }
 
 // currentPhase returns the phase and its start.
@@ -250,16 +272,13 @@
 	}
 }
 
-// closeForOthers closes a connection that the listener has forgotten. A client that has sent a part of a request is told that it
-// has not run.
-func (c *Conn) closeForOthers(reason string) {
+// closeForOthers closes a connection that the listener has forgotten. A client that has sent a part of a request, as far as that is
+// known, is told that it has not run.
+func (c *Conn) closeForOthers(reason string, sentPart bool) {
 	c.listener.countEnd(reason)
-	c.listener.mu.Lock()
-	started := c.reserved > 0
-	c.listener.mu.Unlock()
 	c.releaseHead()
-	if started {
-		tryWrite(c.socket, headMemoryExhausted.answer)
+	if sentPart {
+		tryWrite(c.socket, gaveWayAnswer)
 	}
 	_ = c.socket.Close()
 }
@@ -274,7 +293,7 @@
 
 // Write implements net.Conn. It sets a deadline, unless the server or a handler has set one.
 func (c *Conn) Write(p []byte) (int, error) {
-	if current, _ := c.currentPhase(); current == waiting || current == busy {
+	if current, _ := c.currentPhase(); current != hijacked && current != uncounted {
 		c.limitWrite()
 	}
 	return c.socket.Write(p)
--- a/node/connguard/listener.go
+++ b/node/connguard/listener.go
@@ -99,45 +99,52 @@
 // admit returns the guarded connection. If there are too many, it closes the one that has waited longest for its client; if all
 // are busy with requests, it refuses the new one and returns nil.
 func (l *Listener) admit(tcp socket) *Conn {
-	c := &Conn{socket: tcp, listener: l}
-	l.mu.Lock()
-	var evicted *Conn
-	if l.open >= l.MaxConnections {
-		if evicted = l.longestWaiting(func(*Conn) bool { return true }); evicted == nil {
-			l.mu.Unlock()
+	for {
+		if c := l.tryAdmit(tcp); c != nil {
+			return c
+		}
+		longest, _ := l.longestWaiting(func(*Conn) bool { return true })
+		if longest == nil {
 			l.countEnd(endTooMany)
 			tryWrite(tcp, tooManyAnswer)
 			_ = tcp.Close()
 			return nil
 		}
-		evicted.evicted = true
-		l.forget(evicted)
+		l.evict(longest, endEvicted)
+	}
+}
+
+// tryAdmit returns the guarded connection, or nil if there are too many.
+func (l *Listener) tryAdmit(tcp socket) *Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.MaxConnections {
+		return nil
 	}
+	c := &Conn{socket: tcp, listener: l}
 	l.open++
-	l.awaitHead(c)
-	l.mu.Unlock()
 	l.gauge.Inc()
-	if evicted != nil {
-		evicted.closeForOthers(endEvicted)
-	}
+	l.enqueue(c, waiting)
 	return c
 }
 
-// longestWaiting returns the connection for which match holds that has waited longest, or nil if there is none. The lock is
-// held.
-func (l *Listener) longestWaiting(match func(*Conn) bool) *Conn {
+// longestWaiting returns the connection for which match holds that has waited longest for its client, and since when; nil if there
+// is none.
+func (l *Listener) longestWaiting(match func(*Conn) bool) (*Conn, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for e := l.waiting.Front(); e != nil; e = e.Next() {
 		if c := e.Value.(*Conn); match(c) {
-			return c
+			return c, c.since
 		}
 	}
-	return nil
+	return nil, time.Time{}
 }
 
-// awaitHead lets a connection wait for the head of a request. The lock is held.
-func (l *Listener) awaitHead(c *Conn) {
+// enqueue lets a connection be closed for others from now on. The lock is held.
+func (l *Listener) enqueue(c *Conn, p phase) {
 	c.leaveQueue()
-	c.phase, c.since = waiting, time.Now()
+	c.phase, c.since = p, time.Now()
 	c.element = l.waiting.PushBack(c)
 }
 
@@ -152,33 +159,21 @@
 	l.gauge.Dec()
 }
 
-// longestWaitingHead returns the connection other than except that has waited longest for the rest of a head for which memory is
-// reserved, and since when it waits; nil if there is none.
-func (l *Listener) longestWaitingHead(except *Conn) (*Conn, time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.longestWaiting(func(c *Conn) bool { return c != except && c.reserved > 0 })
-	if c == nil {
-		return nil, time.Time{}
-	}
-	return c, c.since
-}
-
 // evict closes a connection for others, unless it no longer waits for its client.
 func (l *Listener) evict(c *Conn, reason string) {
 	l.mu.Lock()
-	waits := c.element != nil
+	waits, sentPart := c.element != nil, c.reserved > 0 || c.phase == sendingBody
 	if waits {
 		c.evicted = true
 		l.forget(c)
 	}
 	l.mu.Unlock()
 	if waits {
-		c.closeForOthers(reason)
+		c.closeForOthers(reason, sentPart)
 	}
 }
 
-// Group is the listeners that reserve memory for heads from the same budget.
+// Group is the listeners whose clients share the budget of memory.
 type Group struct {
 	mu        sync.Mutex
 	listeners []*Listener
@@ -190,25 +185,38 @@
 	g.listeners = append(g.listeners, l)
 }
 
-// evictHead closes the connection, of all listeners, that has waited longest for the rest of a head for which memory is
-// reserved, other than except, and reports whether there was one.
-func (g *Group) evictHead(except *Conn) bool {
+// evict closes the connection, of all listeners, that has waited longest for its client among those for which match holds, and
+// reports whether there was one.
+func (g *Group) evict(reason string, match func(*Conn) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var longest *Conn
 	var since time.Time
 	for _, l := range g.listeners {
-		if c, at := l.longestWaitingHead(except); c != nil && (longest == nil || at.Before(since)) {
+		if c, at := l.longestWaiting(match); c != nil && (longest == nil || at.Before(since)) {
 			longest, since = c, at
 		}
 	}
 	if longest == nil {
 		return false
 	}
-	longest.listener.evict(longest, endHeadMemory)
+	longest.listener.evict(longest, reason)
 	return true
 }
 
+// evictHead closes a connection with an unfinished head for which memory is reserved, other than except.
+func (g *Group) evictHead(except *Conn) bool {
+	return g.evict(endHeadMemory, func(c *Conn) bool { return c != except && c.phase == waiting && c.reserved > 0 })
+}
+
+// evictSlowBody closes a connection, other than except, whose client takes longer for the body of a request than it may take for a
+// head.
+func (g *Group) evictSlowBody(except *Conn) bool {
+	return g.evict(endSlowBody, func(c *Conn) bool {
+		return c != except && c.phase == sendingBody && time.Since(c.since) > c.listener.Limits().HeadTimeout
+	})
+}
+
 // TrackState is the http.Server.ConnState hook of the listener's server.
 func TrackState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*Conn)
@@ -259,6 +267,27 @@
 	})
 }
 
+// BeginBody lets the connection of a request be closed for others while its handler reads the body. It must be followed by EndBody.
+func BeginBody(ctx context.Context) {
+	if c := connOf(ctx); c != nil {
+		c.beginBody()
+	}
+}
+
+// EndBody reports whether the request may be run. If not, the connection has been closed and its client may have been told that the
+// request has not run.
+func EndBody(ctx context.Context) bool {
+	c := connOf(ctx)
+	return c == nil || c.endBody()
+}
+
+// EvictSlowBody closes the connection of another request whose body has been awaited for longest, if that is longer than a head
+// may take, and reports whether there was one. The memory for that body is released soon after.
+func EvictSlowBody(ctx context.Context) bool {
+	c := connOf(ctx)
+	return c != nil && c.listener.Group.evictSlowBody(c)
+}
+
 // Trust no longer counts the connection of a request, whose client has proved to be a daemon, among those of the listener.
 func Trust(ctx context.Context) {
 	c := connOf(ctx)
--- a/node/connguard/listener_test.go
+++ b/node/connguard/listener_test.go
@@ -36,13 +36,19 @@
 		}
 	}
 	limits.MaxHead = max(limits.MaxHead, 64<<10)
+	return startServerWith(t, &limits, maxConnections, handler)
+}
+
+// startServerWith is like startServer with the limits as they are.
+func startServerWith(t *testing.T, limits *Limits, maxConnections int, handler http.HandlerFunc) *server {
+	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &server{t: t, address: inner.Addr().String(), metrics: telemetry.NewMetrics(), memory: callmemory.New(1 << 20)}
 	listener := NewListener(inner, Config{
-		Name: "test", Limits: func() Limits { return limits }, MaxConnections: maxConnections,
+		Name: "test", Limits: func() Limits { return *limits }, MaxConnections: maxConnections,
 		Memory: s.memory, Group: &Group{}, Metrics: s.metrics, Log: slog.New(slog.DiscardHandler),
 	})
 	httpServer := &http.Server{Handler: Handler(handler), ConnState: TrackState, ConnContext: WithConn, MaxHeaderBytes: 1 << 30}
@@ -238,3 +244,83 @@
 	c.send(fmt.Sprintf("GET / HTTP/1.1\r\nHost: h\r\nPadding: %s\r\n\r\n", strings.Repeat("p", 64<<10)))
 	c.wantStatus(http.StatusRequestHeaderFieldsTooLarge)
 }
+
+// readBody returns a handler that reads bodies as those of package api do, and reports in run which requests it runs. It sends to
+// reading once it reads a body.
+func readBody(reading chan<- struct{}, run chan<- string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		BeginBody(r.Context())
+		reading <- struct{}{}
+		_, err := io.ReadAll(r.Body)
+		if !EndBody(r.Context()) || err != nil {
+			run <- ""
+			return
+		}
+		run <- r.URL.Path
+		answerOK(w, r)
+	}
+}
+
+// TestUnfinishedBodyGivesWayToNewConnection checks that a client that holds the only connection with a part of a body is told that
+// its request has not run, that it does not run, and that the new client is served.
+func TestUnfinishedBodyGivesWayToNewConnection(t *testing.T) {
+	reading, run := make(chan struct{}, 2), make(chan string, 2)
+	s := startServer(t, Limits{}, 1, readBody(reading, run))
+	slow := s.dial()
+	slow.send("POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+	<-reading
+	quick := s.dial()
+	quick.send("POST /quick HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	quick.wantStatus(http.StatusOK)
+	if resp := slow.answer(); resp != nil && resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("the slow client got %v, want 503 or the end of its connection", resp)
+	}
+	if first, second := <-run, <-run; first != "" || second != "/quick" {
+		t.Errorf("ran %q and %q, want only /quick", first, second)
+	}
+}
+
+// TestSlowBodyGivesWayWhereMemoryIsShort checks that only bodies which take longer than a head may are closed for others, and never
+// the one that needs the memory.
+func TestSlowBodyGivesWayWhereMemoryIsShort(t *testing.T) {
+	for name, c := range map[string]struct {
+		headTimeout time.Duration
+		evicts      bool
+	}{"slow": {0, true}, "in time": {testTimeout, false}} {
+		t.Run(name, func(t *testing.T) {
+			reading, evicted := make(chan struct{}), make(chan bool, 1)
+			limits := Limits{MaxHead: 1 << 10, HeadTimeout: c.headTimeout, IdleTimeout: testTimeout, WriteTimeout: testTimeout}
+			s := startServerWith(t, &limits, 10, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/evict" {
+					BeginBody(r.Context())
+					evicted <- EvictSlowBody(r.Context())
+					if !EndBody(r.Context()) {
+						t.Error("the request that needs the memory was closed")
+					}
+					answerOK(w, r)
+					return
+				}
+				BeginBody(r.Context())
+				// The server's limit on bodies that are not read does not apply to this one.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(testTimeout))
+				close(reading)
+				_, _ = io.ReadAll(r.Body)
+				if EndBody(r.Context()) == c.evicts {
+					t.Errorf("the body was closed: %v, want %v", !c.evicts, c.evicts)
+				}
+			})
+			slow, other := s.dial(), s.dial()
+			slow.send("POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+			<-reading
+			other.send("GET /evict HTTP/1.1\r\nHost: h\r\n\r\n")
+			other.wantStatus(http.StatusOK)
+			if got := <-evicted; got != c.evicts {
+				t.Errorf("a body was closed: %v, want %v", got, c.evicts)
+			}
+			if !c.evicts {
+				slow.send("dy")
+			}
+			_ = slow.answer()
+		})
+	}
+}
--- a/node/connguard/refusal.go
+++ b/node/connguard/refusal.go
@@ -17,6 +17,7 @@
 	endHeadMemory   = "head_memory"
 	endEvicted      = "too_many_waiting"
 	endTooMany      = "too_many_busy"
+	endSlowBody     = "slow_body"
 )
 
 // refusal is an answer that a connection gives by itself, before the server has read a request.
@@ -45,6 +46,8 @@
 		"the head of the request did not arrive in time; the request was not run\n")
 	headMemoryExhausted = newRefusal(endHeadMemory, http.StatusServiceUnavailable,
 		"the daemon's memory for requests is exhausted; the request was not run; retry it\n")
+	gaveWayAnswer = newRefusal(endEvicted, http.StatusServiceUnavailable,
+		"the request did not arrive before the daemon needed the room for others; it was not run; retry it\n").answer
 	tooManyAnswer = newRefusal(endTooMany, http.StatusServiceUnavailable,
 		"the daemon has too many connections; no request was run; retry it\n").answer
 )
