Idempotency keys have at most 255 bytes

What callers saw: nothing; a key may be as long as a head and is held by all witnesses of its claim for minutes, so that a client inside the limits on heads makes several daemons hold a multiple of them. Cause: the key of a claim is the caller's text. Change: longer keys get 400 with the remedy. Result: TestOverlongIdempotencyKeyIsRejected got 503 from the claim before, 400 now.

--- a/node/api/server.go
+++ b/node/api/server.go
@@ -190,6 +190,9 @@
 		"use POST /v1/chat/completions, POST /v1/completions, GET /v1/models or /v1/services/{route}"))
 }
 
+// maxIdempotencyKey is the longest idempotency key, in bytes: several daemons remember each key.
+const maxIdempotencyKey = 255
+
 // newRequest returns the director's request for a route of the account. Its deadline is the
 // earlier of the route's and the caller's.
 func (x *exchange) newRequest(name string, protocol settings.TargetProtocol) (*requestcontrol.Request, error) {
@@ -200,6 +203,9 @@
 			"GET /v1/models lists the routes of the account")
 	}
 	x.route = name
+	if len(x.r.Header.Get(HeaderIdempotencyKey)) > maxIdempotencyKey {
+		return nil, fault.New(fault.BadRequest, fmt.Sprintf("%s is longer than %d bytes", HeaderIdempotencyKey, maxIdempotencyKey), "use a UUIDv7")
+	}
 	allowed := route.Rules.Deadline
 	if text := x.r.Header.Get(HeaderDeadline); text != "" {
 		wanted, err := time.ParseDuration(text)
--- a/node/internal/fleet/once_test.go
+++ b/node/internal/fleet/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -198,3 +199,12 @@
 		}
 	}
 }
+
+// TestOverlongIdempotencyKeyIsRejected guards against keys of any length, which all witnesses of a claim would hold.
+func TestOverlongIdempotencyKeyIsRejected(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, claraOptions(1, 1))
+	if r := confirm(t, f.Daemons[0], strings.Repeat("k", 256)); r.status != http.StatusBadRequest {
+		t.Errorf("a key of 256 bytes: got %s, want 400", describe(r))
+	}
+}
