--- a/node/connguard/listener_test.go
+++ b/node/connguard/listener_test.go
@@ -13,6 +13,7 @@
 
 	"doorstack.dev/node/callmemory"
 	"doorstack.dev/node/telemetry"
+	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 )
 
@@ -54,7 +55,12 @@
 	httpServer := &http.Server{Handler: Handler(handler), ConnState: TrackState, ConnContext: WithConn, MaxHeaderBytes: 1 << 30}
 	ended := make(chan error, 1)
 	go func() { ended <- httpServer.Serve(listener) }()
-	t.Cleanup(func() { _ = httpServer.Close(); <-ended })
+	t.Cleanup(func() {
+		_ = httpServer.Close()
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	})
 	return s
 }
 
