--- a/core/clientlimit/connections.go
+++ b/core/clientlimit/connections.go
@@ -20,8 +20,8 @@
 // each caller in progress may need one, to links with other daemons and to the platform's store.
 const (
 	callersShare = 0.3
-	peersShare   = 0.1
-	otherShare   = 0.03
+	peersShare   = 0.15
+	otherShare   = 0.02
 )
 
 // callersMemoryShare is the share of the host's memory that callers' connections may take.
