A target's reservation ends with the wait of the request that it is for

Cause: once a long prompt has waited two ageing steps, a target is reserved for it. If the same dispatch tells it to run on a group of targets, nothing else may wait, and no further dispatch ends the reservation; the group leaves out targets that are reserved and waits for itself. Only hosts so busy that the prompt waits that long in the queue show it: the records of a failed run read "waited 10.146s", "the engines have no room", and the table one empty target with ReservedFor set to the prompt itself. A caller that leaves while its request has a reservation left it behind in the same way. Change: the dispatch looks at the reservation again after it has placed requests, and the removal of the request leads to a dispatch.

--- a/node/blackboard/queues.go
+++ b/node/blackboard/queues.go
@@ -96,9 +96,9 @@
 	throttleInterval  = 8 * time.Millisecond
 )
 
-// queueWakeup queues a pool for the workers, unless it is queued, throttled or empty; the lock is held.
+// queueWakeup queues a pool for the workers, unless it is queued, throttled or has nothing to do; the lock is held.
 func (t *QueueTable) queueWakeup(name string, p *poolQueue) {
-	if p.wakeupQueued || p.throttled || p.queue.Len() == 0 {
+	if p.wakeupQueued || p.throttled || p.queue.Len() == 0 && p.reservedFor == "" {
 		return
 	}
 	if left := time.Until(p.nextDispatch); left > 0 {
@@ -149,7 +149,12 @@
 func (t *QueueTable) Remove(ticket *Ticket) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.pool(ticket.Pool.Name).queue.Remove(ticket.Item)
+	p := t.pool(ticket.Pool.Name)
+	removed := p.queue.Remove(ticket.Item)
+	if removed && p.reservedFor == ticket.Item.ID {
+		t.queueWakeup(ticket.Pool.Name, p) // The next dispatch ends the reservation.
+	}
+	return removed
 }
 
 // Waiting returns the number of waiting requests of an account and the number of tokens queued ahead of a priority level.
@@ -249,6 +254,10 @@
 		return false
 	})
 	p.refuseRateLimited(targets.AllRateLimited(pool, at), at)
+	if p.reservedFor != "" {
+		// The request may have been placed. A group that it runs on needs all targets, and there may be no further dispatch.
+		t.reserveTargetForOldest(p, pool, targets, at)
+	}
 	return placed
 }
 
