No channel is made for each body that is read

Cause: the wait for memory prepared its channel before memory was known to be short, for each chunk of each body. Change: it is made once a reservation has failed; the connection that is then closed releases its memory after that, so no release is missed.

--- a/node/api/body.go
+++ b/node/api/body.go
@@ -149,16 +149,14 @@
 		b.reservedBytes = size
 		return nil
 	}
-	for {
+	for !b.memory.TryReserve(missing, b.share) {
 		freed := b.memory.Freed()
-		if b.memory.TryReserve(missing, b.share) {
-			b.reservedBytes = size
-			return nil
-		}
 		if !connguard.EvictSlowBody(ctx) || !awaitMemory(ctx, freed) {
 			return memoryExhaustedError()
 		}
 	}
+	b.reservedBytes = size
+	return nil
 }
 
 // awaitMemory waits for memory that a closed connection releases, and reports whether the body may be read on. Meanwhile the body
