--- a/test.sh
+++ b/test.sh
@@ -39,5 +39,13 @@
 	skip=(-skip "^($(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|'))\$")
 fi
 
+# The tests of processes measure what a daemon takes beside crowds of clients, so they run apart
+# from the others, one after another.
+processes=./node/internal/processes
+mapfile -t others < <(go list ./core/... ./examples/... ./node/... ./platform/... | grep -v "${processes#.}\$")
+
 echo "== tests"
-go test -race -count=1 -timeout 20m "${skip[@]}" ./core/... ./examples/... ./node/... ./platform/...
+go test -race -count=1 -timeout 20m "${skip[@]}" "${others[@]}"
+
+echo "== tests of processes"
+go test -race -count=1 -timeout 20m "${skip[@]}" "$processes"
