--- a/review/stand2/lib.go
+++ b/review/stand2/lib.go
@@ -53,9 +53,10 @@
 	changed  chan struct{}
 	server   *http.Server
 	address  string
-	// cut is closed to cut the watches that wait. With headFirst, the head of a watch's answer is sent when the watch begins to wait.
-	cut       chan struct{}
-	headFirst bool
+	// cut is closed when refuses has changed.
+	cut chan struct{}
+	// refuses reports whether the store turns a caller away, by the address of the caller's end of the channel; nil serves all.
+	refuses func(remote string) bool
 }
 
 func newStore(address string) *store {
@@ -105,6 +106,10 @@
 	prefix := q.Get("prefix")
 	w.Header().Set("Store-Era", "1")
 	time.Sleep(4 * time.Millisecond)
+	if s.turnsAway(r) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/kv-range":
 		s.mu.Lock()
@@ -130,10 +135,6 @@
 func (s *store) watch(w http.ResponseWriter, r *http.Request, prefix string, after int64, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	if s.headFirst {
-		w.Header().Set("Content-Type", "application/json")
-		_ = http.NewResponseController(w).Flush()
-	}
 	s.mu.Lock()
 	cut := s.cut
 	s.mu.Unlock()
@@ -153,7 +154,13 @@
 		}
 		select {
 		case <-cut:
-			panic(http.ErrAbortHandler) // It closes the channel.
+			if s.turnsAway(r) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			s.mu.Lock()
+			cut = s.cut
+			s.mu.Unlock()
 		case <-changed:
 		case <-timer.C:
 			expired = true
@@ -163,14 +170,23 @@
 	}
 }
 
-// cutWatches closes the channels of all watches that wait.
-func (s *store) cutWatches() {
+// refuse makes the store turn away the callers for which f holds, also those whose watches wait; nil serves all again.
+func (s *store) refuse(f func(remote string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refuses = f
 	close(s.cut)
 	s.cut = make(chan struct{})
 }
 
+// turnsAway reports whether the store turns the caller of a request away.
+func (s *store) turnsAway(r *http.Request) bool {
+	s.mu.Lock()
+	refuses := s.refuses
+	s.mu.Unlock()
+	return refuses != nil && refuses(r.RemoteAddr)
+}
+
 func reply(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	data, err := json.Marshal(v)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -9,6 +9,7 @@
 	cases := map[string]func(program, recordPath string){
 		"watchers-lost":         watchersLost,
 		"store-channels-silent": storeChannelsSilent,
+		"readers-turned-away":   readersTurnedAway,
 		"rank-of-ten":           rankOfTen,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -21,11 +24,12 @@
 	network string // the first three bytes of the daemons' loopback addresses
 }
 
-// The bounds of the settings file: drain_ms, config_apply_ms and stable_window_ms.
+// The bounds of the settings file: drain_ms, config_apply_ms, stable_window_ms and max_stretch_ms.
 const (
 	drain       = 2000 * time.Millisecond
 	configApply = 2000 * time.Millisecond
 	stable      = 3000 * time.Millisecond
+	maxStretch  = 5000 * time.Millisecond
 )
 
 // newWorld creates a store and daemons, one for each zone that is named; it starts none of them.
@@ -116,6 +120,34 @@
 	return readers, others
 }
 
+// ownerOf returns the daemon that has the other end of a channel, by that end's address, or nil. All daemons' channels come from the
+// same loopback address, so the process is looked up by its descriptors.
+func (w *world) ownerOf(remote string) *daemon {
+	_, port, err := net.SplitHostPort(remote)
+	check(err)
+	number, err := strconv.Atoi(port)
+	check(err)
+	table, err := os.ReadFile("/proc/net/tcp")
+	check(err)
+	suffix := fmt.Sprintf(":%04X", number)
+	for _, line := range strings.Split(string(table), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 10 || !strings.HasSuffix(fields[1], suffix) || fields[9] == "0" {
+			continue
+		}
+		for _, d := range w.daemons {
+			dir := fmt.Sprintf("/proc/%d/fd", d.cmd.Process.Pid)
+			descriptors, _ := os.ReadDir(dir)
+			for _, fd := range descriptors {
+				if link, err := os.Readlink(filepath.Join(dir, fd.Name())); err == nil && link == "socket:["+fields[9]+"]" {
+					return d
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // names returns the names of daemons.
 func names(daemons []*daemon) string {
 	list := []string{}
