--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/stand store-channels-silent target/doorstackd review/5/record.txt
+exec target/review-2/stand rank-of-ten target/doorstackd review/5/record.txt
