--- a/review/stand2/watchers.go
+++ b/review/stand2/watchers.go
@@ -90,7 +90,15 @@
 	w.record.add("the store has accepted version 12, without the key of hule930")
 	drainAck := w.store.put(servers[0].key(), servers[0].entry("draining"))
 	w.record.add("the store has accepted that %s is draining", servers[0].id)
-	time.Sleep(6 * time.Second)
+	time.Sleep(4800 * time.Millisecond)
+	if w.trouble {
+		for _, d := range readers {
+			<-d.done
+			d.start(w.program)
+		}
+		w.record.add("the processes that were killed have started again, after 5s")
+	}
+	time.Sleep(1200 * time.Millisecond)
 	close(stop)
 	clients.Wait()
 	w.judgeWatchersLost(requests, servers, configAck, drainAck)
