A daemon whose neighbour does not answer reads the store itself

Cause: who reads the store for the others followed from the members that count as alive, and a daemon that has ended counts as alive for 3 s. The others had no evidence of whether anybody read the store.

Daemons that no change reaches have, as a group, a link to a neighbour that does not answer; otherwise the group would be linked to a watcher. So a daemon whose neighbour does not answer a heartbeat within twice its usual round-trip time (0.25 to 0.5 s) reads the store, until the neighbour answers or another one knows of a watcher's read since. Heartbeats carry the age of that read.

--- a/node/blackboard/blackboard.go
+++ b/node/blackboard/blackboard.go
@@ -69,6 +69,8 @@
 	SingleSends *SingleSendTable
 	// AnswerTimes are the times that calls take.
 	AnswerTimes *AnswerTimeTable
+	// StoreReads decides whether this daemon reads the platform's store.
+	StoreReads *StoreReadTable
 	// Shutdown is the end of the calls of a draining daemon.
 	Shutdown *Shutdown
 
@@ -115,6 +117,7 @@
 		Poison:       newPoisonTable(),
 		SingleSends:  newSingleSendTable(),
 		AnswerTimes:  newAnswerTimeTable(),
+		StoreReads:   newStoreReadTable(),
 		Shutdown:     newShutdown(),
 		processStart: time.Now(),
 		started:      make(chan struct{}),
--- a/node/blackboard/rank.go
+++ b/node/blackboard/rank.go
@@ -25,6 +25,7 @@
 	RankPoison
 	RankSingleSends
 	RankAnswerTimes
+	RankStoreReads
 )
 
 // Mutex is a mutex with a rank in the lock order.
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -9,6 +9,7 @@
 	"doorstack.dev/core/claim"
 	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/membership"
+	"doorstack.dev/core/watch"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/peer"
 )
@@ -34,6 +35,9 @@
 	TargetsPosition hostlist.Position `cbor:"9,keyasint,omitempty"`
 	// VerdictsDigest is a digest of the sender's verdicts on requests that crash targets.
 	VerdictsDigest uint64 `cbor:"8,keyasint,omitempty"`
+	// WatcherReadAge is how long ago a daemon that watches the store is known to have read it; zero if no
+	// read is known.
+	WatcherReadAge time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Intervals and timeouts of the heartbeat loop.
@@ -45,6 +49,13 @@
 	// compareTimeout is how long a starting daemon waits for neighbours that do not answer
 	// before it serves with the settings and targets that it has read itself.
 	compareTimeout = 5 * time.Second
+	// A neighbour that has not answered a heartbeat within unansweredRoundTrips times the time in which it
+	// answers as a rule, but at least minUnansweredTime, counts as not answering. A host that is short of
+	// processor time answers that late now and then. Added to the interval between heartbeats, the
+	// maximum leaves half a second of 2 s for reading the store and passing on what has changed.
+	unansweredRoundTrips = 2
+	minUnansweredTime    = membership.HeartbeatInterval / 4
+	maxUnansweredTime    = membership.HeartbeatInterval / 2
 )
 
 // Run sends heartbeats, renews leases and fetches newer settings and targets from peers
@@ -135,20 +146,48 @@
 	if c.openFleet() {
 		h.TargetsPosition = c.Board.Directory.Revision()
 	}
-	h.VerdictsDigest = c.Board.Poison.Digest(time.Now())
+	now := time.Now()
+	h.VerdictsDigest = c.Board.Poison.Digest(now)
+	c.Board.StoreReads.WithCoverage(now, func(coverage *watch.Coverage) { h.WatcherReadAge = coverage.WatcherReadAge(now) })
 	return h
 }
 
 // sendHeartbeat sends a heartbeat to one neighbour and handles the answer.
 func (c *Cluster) sendHeartbeat(ctx context.Context, name string, h heartbeat) {
 	var answer heartbeat
-	if err := c.call(ctx, name, peer.KindHeartbeat, h, &answer, heartbeatTimeout); err != nil {
+	sent := time.Now()
+	late := time.AfterFunc(c.unansweredTime(name), func() { c.recordUnanswered(ctx, name) })
+	err := c.call(ctx, name, peer.KindHeartbeat, h, &answer, heartbeatTimeout)
+	late.Stop()
+	if err != nil {
+		c.recordUnanswered(ctx, name)
 		c.recordNoAnswer(name) // Tick detects silent members.
 		return
 	}
+	c.Board.StoreReads.WithCoverage(time.Now(), func(coverage *watch.Coverage) { coverage.RecordAnswer(name, sent, answer.WatcherReadAge) })
 	c.receiveHeartbeat(ctx, name, answer)
 }
 
+// unansweredTime returns the time after which a heartbeat to a neighbour counts as not answered.
+func (c *Cluster) unansweredTime(name string) time.Duration {
+	return min(max(unansweredRoundTrips*c.Placer.links.timeout(name), minUnansweredTime), maxUnansweredTime)
+}
+
+// recordUnanswered records that a neighbour that should be running does not answer, so that this daemon may not
+// learn of changes through it.
+func (c *Cluster) recordUnanswered(ctx context.Context, name string) {
+	expected := false
+	c.Board.Members.WithLock(func(t *membership.Table) {
+		m, known := t.Member(name)
+		expected = known && m.State == membership.Alive
+	})
+	if !expected || ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	c.Board.StoreReads.WithCoverage(now, func(coverage *watch.Coverage) { coverage.RecordUnanswered(name, now) })
+}
+
 // recordNoAnswer lets a starting daemon of an open fleet stop waiting for a neighbour. The
 // platform's store is never behind what a silent neighbour could report. After a loss of
 // power of several hosts, waiting for those that are still down would delay the start by
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -27,8 +27,8 @@
 	Board    *blackboard.Blackboard
 	Source   TargetSource
 	Recorder *telemetry.Recorder
-	// ShouldWatch reports whether this daemon is one of the few that watch the store; the
-	// others learn of changes from their peers.
+	// ShouldWatch reports whether this daemon has to watch the store. Only a few do; the others learn of
+	// changes from their peers, and watch only while they cannot rely on those few.
 	ShouldWatch func() bool
 	// OnChange is called after each change of the list, so that the peers are told at once.
 	OnChange func()
@@ -76,12 +76,13 @@
 )
 
 // Run reads and watches the store until ctx ends. A daemon that does not watch reads the store
-// until it has the list of targets, and then once every fallbackReadInterval.
+// until it has the list of targets, and then once every fallbackReadInterval. When it begins to watch, the
+// first call does not wait: its connection may have been lost since the last one.
 func (c *Directory) Run(ctx context.Context) {
 	go c.confirmRemovals(ctx)
 	pause := storeBackoffInitial
 	lastRead := time.Time{}
-	failed := false
+	failed, idle := false, false
 	fullReadDelay := minFullReadDelay + rand.N(maxFullReadDelay-minFullReadDelay)
 	for ctx.Err() == nil {
 		if !c.ShouldWatch() && c.Board.Members.HasHosts() {
@@ -89,13 +90,19 @@
 				Sleep(ctx, incompleteCheckInterval)
 				continue
 			} else if !incomplete && time.Since(lastRead) < fallbackReadInterval {
-				Sleep(ctx, idleCheckInterval)
+				idle = true
+				c.Board.StoreReads.Wait(ctx, idleCheckInterval)
 				continue
 			}
 		}
 		first := lastRead.IsZero()
+		hold := randomHold(c.MaxHold)
+		if idle {
+			c.Recorder.Log.Info("begins to read the store", "watches", c.Board.WatchesStore(), "last_read", time.Since(lastRead).String())
+			idle, hold = false, outageHold
+		}
 		lastRead = time.Now()
-		if c.readStore(ctx, randomHold(c.MaxHold)) {
+		if c.readStore(ctx, hold) {
 			pause, failed = storeBackoffInitial, false
 			if first && c.knowsNoPeer() && !c.Board.Directory.Incomplete() {
 				Sleep(ctx, peerDiscoveryDelay)
@@ -151,6 +158,7 @@
 	}
 	c.Recorder.Metrics.PlatformReads.WithLabelValues("hosts", "read").Inc()
 	c.Recorder.MarkStage(blackboard.StageStore)
+	c.Board.RecordStoreRead(now)
 	returned := false
 	c.Board.Directory.WithLock(func(t *hostlist.Table) { returned = t.MarkStoreUp(now) })
 	if returned {
--- a/node/controller/settings.go
+++ b/node/controller/settings.go
@@ -37,8 +37,10 @@
 	// MaxHold is the longest time for which a watch waits for a change; zero means
 	// defaultHold.
 	MaxHold time.Duration
-	// ShouldWatch reports whether this daemon is one of the few that watch the service.
+	// ShouldWatch reports whether this daemon has to watch the service (see Directory.ShouldWatch).
 	ShouldWatch func() bool
+	// OnRead is called after each answer of the service; nil where Source does not call one.
+	OnRead func(at time.Time)
 	// OnAdopt is called after a revision has come into force.
 	OnAdopt func(*blackboard.SettingsView)
 
@@ -72,7 +74,7 @@
 	lastRead := time.Time{}
 	for ctx.Err() == nil {
 		if !c.ShouldWatch() && time.Since(lastRead) < fallbackReadInterval && c.Board.Settings.Current() != nil {
-			Sleep(ctx, idleCheckInterval)
+			c.Board.StoreReads.Wait(ctx, idleCheckInterval)
 			continue
 		}
 		err := c.read(ctx)
@@ -120,6 +122,9 @@
 		return err
 	}
 	c.Recorder.Metrics.PlatformReads.WithLabelValues("configuration", "read").Inc()
+	if c.OnRead != nil {
+		c.OnRead(time.Now())
+	}
 	err = c.Apply(changes, "configuration service")
 	if errors.Is(err, settings.ErrRevisionGap) {
 		return c.readFull(ctx)
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"doorstack.dev/core/admission"
-	"doorstack.dev/core/membership"
 	"doorstack.dev/core/reach"
 	"doorstack.dev/core/settings"
 	"doorstack.dev/core/watch"
@@ -41,22 +40,20 @@
 	Metrics *telemetry.Metrics
 	Log     *slog.Logger
 
-	adapter      *Adapter // nil if the daemon uses the project's own protocols
-	confClient   *confservice.Client
-	recorder     *telemetry.Recorder
-	director     *requestcontrol.Director
-	connector    *target.Connector
-	settings     *controller.Settings
-	targets      *target.Client
-	hub          *peer.Hub
-	cluster      *cluster.Cluster
-	relays       *relay.Server
-	callerServer *khttp.Server
-	app          *kratos.App
-	loops        []func(context.Context)
-	drained      chan struct{}
-	// watchDecision is the last decision of shouldWatch.
-	watchDecision atomic.Pointer[watchDecision]
+	adapter       *Adapter // nil if the daemon uses the project's own protocols
+	confClient    *confservice.Client
+	recorder      *telemetry.Recorder
+	director      *requestcontrol.Director
+	connector     *target.Connector
+	settings      *controller.Settings
+	targets       *target.Client
+	hub           *peer.Hub
+	cluster       *cluster.Cluster
+	relays        *relay.Server
+	callerServer  *khttp.Server
+	app           *kratos.App
+	loops         []func(context.Context)
+	drained       chan struct{}
 	shutdownGrace atomic.Int64 // from the termination signal until the process is killed, in nanoseconds
 	drainOnce     sync.Once
 }
@@ -150,7 +147,7 @@
 		Source:      source,
 		Recorder:    d.recorder,
 		Parse:       parse,
-		ShouldWatch: d.shouldWatch,
+		ShouldWatch: d.Board.MustReadStore,
 		OnAdopt:     func(*blackboard.SettingsView) { d.onAdopt() },
 	}
 	d.hub = peer.NewHub(d.Config.Name, d.Config.PeerKeys, d.Metrics)
@@ -166,6 +163,7 @@
 		d.provisionAdapter()
 		return
 	}
+	d.settings.OnRead = d.Board.RecordStoreRead
 	reports := &controller.LoadPoller{Board: d.Board, Client: client, Recorder: d.recorder, PollsPerSecond: d.Config.ReportPollsPerSecond}
 	hosts := &controller.HostList{Board: d.Board, Source: d.confClient, Recorder: d.recorder, Interval: controller.HostListInterval}
 	d.loops = append(d.loops, hosts.Run, reports.Run)
@@ -194,7 +192,7 @@
 // the daemon's lag.
 func (d *Daemon) provisionAdapter() {
 	d.settings.MaxHold = feedMaxHold
-	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Recorder: d.recorder, ShouldWatch: d.shouldWatch, OnChange: d.cluster.HeartbeatNow, MaxHold: watch.HoldTime(d.adapter.StoreSettleTime)}
+	directory := &controller.Directory{Board: d.Board, Source: d.adapter.Targets, Recorder: d.recorder, ShouldWatch: d.Board.MustReadStore, OnChange: d.cluster.HeartbeatNow, MaxHold: watch.HoldTime(d.adapter.StoreSettleTime)}
 	d.cluster.Directory = directory
 	d.UpdatePlatformSettings(d.adapter.Seeds, d.adapter.RepeatLimit, d.adapter.ShutdownGrace)
 	d.Board.Members.OpenFleet()
@@ -215,44 +213,6 @@
 	d.cluster.HeartbeatNow()
 }
 
-// shouldWatch reports whether this daemon is one of the few that watch the source of settings and
-// targets, given the live members that it knows. Members on hosts with much processor capacity
-// (strong ones) are preferred.
-func (d *Daemon) shouldWatch() bool {
-	view := d.Board.Members.View()
-	if last := d.watchDecision.Load(); last != nil && last.view == view {
-		return last.watches
-	}
-	next := &watchDecision{view, decideWatch(d.Config.Name, view.Members)}
-	d.watchDecision.Store(next)
-	return next.watches
-}
-
-// watchDecision is whether this daemon watches, as of a view of the members.
-type watchDecision struct {
-	view    *blackboard.MembersView
-	watches bool
-}
-
-// decideWatch reports whether the daemon self is one of those that watch.
-func decideWatch(self string, members []membership.Member) bool {
-	var living []membership.Member
-	for _, m := range members {
-		if m.State == membership.Alive || m.Name == self {
-			living = append(living, m)
-		}
-	}
-	strong := map[string]bool{}
-	for _, m := range membership.StrongMembers(living) {
-		strong[m.Name] = true
-	}
-	watchers := make([]watch.Member, 0, len(living))
-	for _, m := range living {
-		watchers = append(watchers, watch.Member{Name: m.Name, DataCentre: m.DataCentre, Strong: strong[m.Name]})
-	}
-	return watch.ShouldWatch(self, watchers)
-}
-
 // UpdatePlatformSettings applies those values of an Adapter that may change while the daemon
 // runs.
 func (d *Daemon) UpdatePlatformSettings(seeds []string, repeats admission.RepeatLimit, grace time.Duration) {
--- /dev/null
+++ b/node/onplatform/store_readers_test.go
@@ -0,0 +1,169 @@
+package onplatform
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"doorstack.dev/core/hostlist"
+)
+
+// applyLimit is the time within which a change that the store has accepted has to be known to all daemons.
+const applyLimit = 2 * time.Second
+
+// simStore is a store in virtual time that holds the entries of targets. Its endpoints serve the daemons of
+// a simFleet.
+type simStore struct {
+	mu      sync.Mutex
+	hosts   []hostlist.Host // by revision, which is the index plus one
+	changed chan struct{}
+}
+
+func newSimStore() *simStore { return &simStore{changed: make(chan struct{})} }
+
+// publish writes the entry of a new target and returns its position.
+func (s *simStore) publish() hostlist.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	position := hostlist.Position(len(s.hosts) + 1)
+	s.hosts = append(s.hosts, hostlist.Host{
+		ID: fmt.Sprint("t", position), Role: hostlist.RoleTarget, Address: fmt.Sprint("10.1.0.1:", position), Pool: "svc",
+		State: hostlist.Live, Revision: position,
+	})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return position
+}
+
+// after returns the entries after a position and a channel that is closed with the next one.
+func (s *simStore) after(position hostlist.Position) ([]hostlist.Host, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts[position:], s.changed
+}
+
+// simEndpoint is a daemon's access to a simStore. It implements controller.TargetSource.
+type simEndpoint struct {
+	store *simStore
+	read  hostlist.Position
+	full  bool
+	calls int
+
+	mu  sync.Mutex
+	err error         // of each call, if not nil
+	cut chan struct{} // closed when calls begin to fail or to wait for good
+}
+
+// refuse makes waiting and later calls fail; serve ends that.
+func (e *simEndpoint) refuse(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.err = err
+	close(e.cut)
+}
+
+// Targets implements controller.TargetSource.
+func (e *simEndpoint) Targets(ctx context.Context, wait, _ time.Duration) (hostlist.Update, error) {
+	e.calls++
+	passTime(4 * time.Millisecond)
+	timeout := time.After(wait)
+	for {
+		e.mu.Lock()
+		err, cut := e.err, e.cut
+		e.mu.Unlock()
+		if err != nil {
+			return hostlist.Update{}, err
+		}
+		hosts, changed := e.store.after(e.read)
+		if !e.full || len(hosts) > 0 {
+			update := hostlist.Update{Full: !e.full, AsOf: e.read + hostlist.Position(len(hosts)), Hosts: hosts}
+			e.full, e.read = true, update.AsOf
+			return update, nil
+		}
+		select {
+		case <-changed:
+		case <-cut:
+		case <-timeout:
+			return hostlist.Update{AsOf: e.read}, nil
+		case <-ctx.Done():
+			return hostlist.Update{}, ctx.Err()
+		}
+	}
+}
+
+// readStore makes all daemons read a store as they do on the platform, and returns their endpoints and what stops the reading.
+func (f *simFleet) readStore(store *simStore, hold time.Duration) (endpoints map[*simDaemon]*simEndpoint, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	endpoints = map[*simDaemon]*simEndpoint{}
+	for _, d := range f.daemons {
+		e := &simEndpoint{store: store, cut: make(chan struct{})}
+		endpoints[d] = e
+		d.directory.Source, d.directory.ShouldWatch, d.directory.MaxHold = e, d.board.MustReadStore, hold
+		running.Go(func() { d.directory.Run(ctx) })
+	}
+	return endpoints, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// watchers returns the daemons that watch the store, and the others.
+func (f *simFleet) watchers() (watchers, others []*simDaemon) {
+	for _, d := range f.daemons {
+		if d.board.WatchesStore() {
+			watchers = append(watchers, d)
+		} else {
+			others = append(others, d)
+		}
+	}
+	return watchers, others
+}
+
+// awaitPosition returns how long it takes until the given daemons know all changes up to a position.
+func awaitPosition(daemons []*simDaemon, position hostlist.Position) time.Duration {
+	began := time.Now()
+	for _, d := range daemons {
+		for d.board.Directory.Revision() < position && time.Since(began) < 2*waitTimeout {
+			passTime(5 * time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
+
+// Guards against changes that were known 3 to 4 s late at the hosts that were left, because all daemons that read the
+// store for the others had ended at once and nobody else read it until they were declared dead.
+func TestChangeIsKnownInTimeAfterAllWatchersAreLost(t *testing.T) {
+	const daemons, hold = 12, 1800 * time.Millisecond
+	for phase := range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			f := startSimFleet(t, 0, daemons, time.Second)
+			defer f.close()
+			passTime(2 * time.Second)
+			store := newSimStore()
+			endpoints, stop := f.readStore(store, hold)
+			defer stop()
+			awaitPosition(f.daemons, store.publish())
+			passTime(5*time.Second + time.Duration(phase)*200*time.Millisecond)
+			watchers, others := f.watchers()
+			if len(others) == 0 {
+				t.Fatal("all daemons watch the store, want some that do not")
+			}
+			for _, d := range watchers {
+				d.netHost.Freeze()
+				endpoints[d].refuse(context.DeadlineExceeded)
+			}
+			if took := awaitPosition(others, store.publish()); took > applyLimit {
+				t.Errorf("phase %d: a change after the loss of %d daemons that watch is known to the others after %v, want %v at most", phase, len(watchers), took, applyLimit)
+			} else {
+				t.Logf("phase %d: known after %v", phase, took)
+			}
+			for _, d := range watchers {
+				d.netHost.Thaw()
+			}
+		})
+	}
+}
