One entry that cannot be used no longer keeps a version out of force

Cause: the checker refuses a revision for any problem in it, and took a level above 9 for one. The store accepts only valid configurations and its page names no largest rank; what a daemon cannot use is its own limit and must not decide on the other entries.

Ranks beyond the ten levels are mapped to levels in their order. In a platform's configuration an entry with a problem is left out with what refers to it, and logged; a path that is left out still matches, so that its calls get 503 instead of going to the service of a shorter prefix. A version without a usable path is refused as before, and so is the project's own settings file with a problem.

--- a/core/settings/check.go
+++ b/core/settings/check.go
@@ -19,21 +19,34 @@
 	keyOwner map[string]string // key path of the account's node, by raw key hash
 	// previous is an earlier valid tree with the same pools, or nil.
 	previous *Tree
+	// leftOut are the problems of the entries that are left out of the document, and leftOutPaths the paths among these.
+	leftOut      strictyaml.Problems
+	leftOutPaths map[string]*PathRoute
 }
 
 func (c *checker) check() {
-	c.keyOwner = map[string]string{}
+	c.keyOwner, c.leftOutPaths, c.leftOut = map[string]string{}, map[string]*PathRoute{}, c.document.Undecoded
+	// What refers to an entry is checked after it, so that it is left out with the entry.
 	for _, name := range slices.Sorted(maps.Keys(c.document.EngineKinds)) {
-		c.checkEngineKind(c.document.EngineKinds[name], "engine_kinds."+name)
+		c.checkEntry(func() { c.checkEngineKind(c.document.EngineKinds[name], "engine_kinds."+name) },
+			func() { delete(c.document.EngineKinds, name) })
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.document.Pools)) {
-		c.checkPool(c.document.Pools[name], "pools."+name)
+		c.checkEntry(func() { c.checkPool(c.document.Pools[name], "pools."+name) },
+			func() { delete(c.document.Pools, name) })
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.document.Priorities)) {
 		c.checkPriority(c.document.Priorities[name], "priorities."+name)
 	}
 	for _, name := range c.changedPaths() {
-		c.checkPath(c.document.Paths[name], "paths."+name)
+		r := c.document.Paths[name]
+		c.checkEntry(func() { c.checkPath(r, "paths."+name) }, func() {
+			c.leftOutPaths[name] = r
+			delete(c.document.Paths, name)
+		})
+	}
+	if len(c.leftOutPaths) > 0 && len(c.document.Paths) == 0 {
+		c.problems = append(c.problems, c.leftOut...) // Nothing could be served.
 	}
 	if c.document.Tree == nil {
 		c.problems.Add(c.document.At, "tree", "the tree is missing", "add a key \"tree\" with the root node")
@@ -42,6 +55,19 @@
 	c.checkNode(c.document.Tree, "tree")
 }
 
+// checkEntry checks an entry of the document. If it has problems and entries may be left out, remove is called to
+// remove it from the document.
+func (c *checker) checkEntry(check, remove func()) {
+	before := len(c.problems)
+	check()
+	if !c.document.PartlyUsable || len(c.problems) == before {
+		return
+	}
+	c.leftOut = append(c.leftOut, c.problems[before:]...)
+	c.problems = c.problems[:before]
+	remove()
+}
+
 func (c *checker) checkEngineKind(k *EngineKind, path string) {
 	if k.Protocol != ProtocolEngine && k.Protocol != ProtocolService {
 		c.problems.Add(k.KeyPosition("protocol"), path+".protocol", fmt.Sprintf("%q is not a protocol", k.Protocol), "write engine or service")
@@ -82,7 +108,7 @@
 }
 
 func (c *checker) checkPriority(p *Priority, path string) {
-	if p.Level < 0 || p.Level > maxLevel {
+	if c.levelOutOfRange(p.Level) {
 		c.problems.Add(p.KeyPosition("level"), path+".level", "is out of range", fmt.Sprintf("write 0 (first) to %d (last)", maxLevel))
 	}
 }
@@ -90,6 +116,11 @@
 // maxLevel is the highest level number, which is served last.
 const maxLevel = 9
 
+// levelOutOfRange reports whether a level or, in a PartlyUsable document, a rank is none.
+func (c *checker) levelOutOfRange(level int) bool {
+	return level < 0 || level > maxLevel && !c.document.PartlyUsable
+}
+
 func (c *checker) checkNode(n *Node, path string) {
 	if n == nil {
 		c.problems.Add(c.document.KeyPosition("tree"), path, "the node is empty", "add keys to the node, or remove it")
@@ -103,10 +134,12 @@
 		c.checkAccount(n.Account, path)
 	}
 	for _, name := range slices.Sorted(maps.Keys(n.Children)) {
-		if strings.Contains(name, "/") || name == "" {
-			c.problems.Add(n.KeyPosition("children"), path+".children", fmt.Sprintf("%q is not a node name", name), "use a name without a slash")
-		}
-		c.checkNode(n.Children[name], path+".children."+name)
+		c.checkEntry(func() {
+			if strings.Contains(name, "/") || name == "" {
+				c.problems.Add(n.KeyPosition("children"), path+".children", fmt.Sprintf("%q is not a node name", name), "use a name without a slash")
+			}
+			c.checkNode(n.Children[name], path+".children."+name)
+		}, func() { delete(n.Children, name) })
 	}
 }
 
@@ -148,7 +181,12 @@
 			continue
 		}
 		if owner, taken := c.keyOwner[string(raw)]; taken {
-			c.problems.Add(a.KeyPosition("key_hashes"), where, "is also a key of "+owner, "use different keys for each account")
+			problems := &c.problems
+			if c.document.PartlyUsable {
+				problems = &c.leftOut // The key stays with the first account; the other keys are sound.
+			}
+			problems.Add(a.KeyPosition("key_hashes"), where, "is also a key of "+owner, "use different keys for each account")
+			continue
 		}
 		c.keyOwner[string(raw)] = path
 	}
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -28,6 +28,12 @@
 	Tree *Node `yaml:"tree"`
 	// KeysUnused means that callers have no API keys, so that all paths are open. The settings file cannot set it.
 	KeysUnused bool `yaml:"-"`
+	// PartlyUsable means that entries with problems are left out instead of refusing the document: whoever
+	// published it has checked it already. The levels in it are ranks, which have no maximum; they are mapped to
+	// levels in their order. The settings file cannot set it.
+	PartlyUsable bool `yaml:"-"`
+	// Undecoded are the problems of entries that are missing because they cannot be decoded.
+	Undecoded strictyaml.Problems `yaml:"-"`
 }
 
 // CallerLimits limit the connections of callers of path routes.
--- a/core/settings/paths.go
+++ b/core/settings/paths.go
@@ -57,6 +57,8 @@
 	// Homes are the regions whose targets may run the calls; an empty list allows all regions. The
 	// homes of the account apply as well.
 	Homes []string `yaml:"homes"`
+	// Undecoded says why the rest of the route could not be decoded; empty if it was.
+	Undecoded string `yaml:"-"`
 }
 
 // ResolvedPath is a path route with its pools resolved.
@@ -69,6 +71,9 @@
 	MaxAttempts, Level     int
 	// Homes are the route's own, without those of the account.
 	Homes Homes
+	// LeftOut means that the route cannot be used because of a problem in it. It is matched all the same, so that
+	// its calls do not go to the pools of a route with a shorter prefix.
+	LeftOut bool
 
 	weightedRoutes []weightedRoute
 }
@@ -150,7 +155,7 @@
 	t.pathsByName = make(map[string]*ResolvedPath, len(t.document.Paths))
 	for name, r := range t.document.Paths {
 		var p *ResolvedPath
-		if previous != nil && previous.document.Paths[name] == r {
+		if previous != nil && previous.document.Paths[name] == r && previous.levelOf(r.Level) == t.levelOf(r.Level) {
 			p = previous.pathsByName[name]
 		} else {
 			p = t.resolvePath(name, r)
@@ -159,6 +164,14 @@
 		t.indexPath(pathKey{p.Host, p.Prefix}, p)
 		t.indexPath(pathKey{p.Host, escapedPath(p.Prefix)}, p) // Callers escape what the settings may spell out.
 	}
+	for name, r := range t.leftOutPaths {
+		p := &ResolvedPath{Name: name, Host: strings.ToLower(r.Host), Prefix: "/" + strings.Trim(r.Prefix, "/") + "/", LeftOut: true}
+		if p.Prefix == "//" {
+			p.Prefix = "/"
+		}
+		t.indexPath(pathKey{p.Host, p.Prefix}, p)
+		t.indexPath(pathKey{p.Host, escapedPath(p.Prefix)}, p)
+	}
 }
 
 // NeedsKey reports whether calls of a path need an API key.
@@ -198,7 +211,7 @@
 		Name: name, Host: strings.ToLower(r.Host), Prefix: r.Prefix,
 		Kind: r.Kind, Resumable: r.Resumable, Open: r.Open,
 		Timeout: time.Duration(r.Timeout), Goal: time.Duration(r.Goal), GapGoal: time.Duration(r.GapGoal),
-		MaxAttempts: r.MaxAttempts, Level: r.Level, Homes: homesOf(r.Homes),
+		MaxAttempts: r.MaxAttempts, Level: t.levelOf(r.Level), Homes: homesOf(r.Homes),
 	}
 	sum := 0.0
 	for _, pool := range slices.Sorted(maps.Keys(r.Pools)) {
@@ -223,6 +236,10 @@
 
 // checkPath validates a path route.
 func (c *checker) checkPath(r *PathRoute, path string) {
+	if r.Undecoded != "" {
+		c.problems.Add(r.At, path, r.Undecoded, "correct the entry")
+		return
+	}
 	if r.Host == "" {
 		c.problems.Add(r.KeyPosition("host"), path+".host", "is missing", "write the host name that callers use")
 	}
@@ -238,7 +255,7 @@
 	if r.MaxAttempts < 1 {
 		c.problems.Add(r.KeyPosition("max_attempts"), path+".max_attempts", "is below one", "write 1 for calls that must not be sent twice")
 	}
-	if r.Level < 0 || r.Level > maxLevel {
+	if c.levelOutOfRange(r.Level) {
 		c.problems.Add(r.KeyPosition("level"), path+".level", "is out of range", fmt.Sprintf("write 0 (first) to %d (last)", maxLevel))
 	}
 	c.checkHomes(r.Homes, func(message, remedy string) { c.problems.Add(r.KeyPosition("homes"), path+".homes", message, remedy) })
--- a/core/settings/revision.go
+++ b/core/settings/revision.go
@@ -216,7 +216,7 @@
 		c.problems.Sort()
 		return nil, c.problems
 	}
-	return resolve(document, previous), nil
+	return resolve(document, previous, c), nil
 }
 
 // samePools reports whether two documents declare the same pools and engine kinds, so that
--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -29,6 +29,11 @@
 	pathsByPrefix map[pathKey]*ResolvedPath
 	// pathsByName holds the resolved path routes by name.
 	pathsByName map[string]*ResolvedPath
+	// leftOut are the problems of the entries that were left out, and leftOutPaths the paths among these.
+	leftOut      strictyaml.Problems
+	leftOutPaths map[string]*PathRoute
+	// levels maps ranks to levels; nil where all levels are in range.
+	levels map[int]int
 
 	anonymous *ClientAccount
 }
@@ -105,12 +110,15 @@
 	return checkAndResolve(document, strictyaml.Decode(data, document), nil)
 }
 
-func resolve(document *Document, previous *Tree) *Tree {
+func resolve(document *Document, previous *Tree, checked *checker) *Tree {
 	t := &Tree{
 		document:      document,
 		accounts:      map[string]*ClientAccount{},
 		accountsByKey: map[KeyHash]*ClientAccount{},
 		pools:         map[string]*ResolvedPool{},
+		leftOut:       checked.leftOut,
+		leftOutPaths:  checked.leftOutPaths,
+		levels:        levelsOfRanks(document),
 	}
 	if previous != nil {
 		t.pools = previous.pools
@@ -170,8 +178,8 @@
 	if n.Account != nil {
 		t.addAccount(n, path, values, routes)
 	}
-	for name, child := range n.Children {
-		t.resolveNode(child, childPath(path, name), values, routes)
+	for _, name := range slices.Sorted(maps.Keys(n.Children)) {
+		t.resolveNode(n.Children[name], childPath(path, name), values, routes)
 	}
 }
 
@@ -201,6 +209,9 @@
 		if _, err := hex.Decode(hash[:], []byte(text)); err != nil {
 			continue // The checker has already refused malformed hashes.
 		}
+		if t.accountsByKey[hash] != nil {
+			continue // The checker has reported that an earlier account has the key.
+		}
 		account.keyHashes = append(account.keyHashes, hash)
 		t.accountsByKey[hash] = account
 	}
@@ -245,7 +256,7 @@
 
 func (t *Tree) level(priority string) int {
 	if p := t.document.Priorities[priority]; p != nil {
-		return p.Level
+		return t.levelOf(p.Level)
 	}
 	return defaultLevel
 }
--- a/node/api/paths.go
+++ b/node/api/paths.go
@@ -220,6 +220,9 @@
 	if c.path == nil {
 		return fault.New(fault.NoRoute, "no configured path matches this host name and path", "use a path of the settings")
 	}
+	if c.path.LeftOut {
+		return s.refuse(c, fault.New(fault.NoTarget, "the settings' entry of this path cannot be used", "have the entry corrected; the log of the daemon names it"))
+	}
 	if !c.view.Tree.NeedsKey(c.path) {
 		c.account = c.view.Tree.Anonymous()
 		if account, err := c.view.Tree.Authenticate(c.APIKey); err == nil {
--- a/node/controller/settings.go
+++ b/node/controller/settings.go
@@ -14,6 +14,7 @@
 
 	"doorstack.dev/core/decision"
 	"doorstack.dev/core/settings"
+	"doorstack.dev/core/strictyaml"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/telemetry"
 	"github.com/go-faster/errors"
@@ -186,6 +187,7 @@
 	c.Recorder.Record(decision.Record{Kind: decision.KindSettings, Outcome: "adopted", Revision: next.Revision,
 		Reason: fmt.Sprintf("from %s, %d parts, %d accounts, checked in %v", from, len(next.Parts), len(tree.Accounts()), time.Since(start).Round(time.Millisecond))})
 	c.warnOfUnreachablePaths(tree)
+	c.warnOfLeftOut(next.Revision, tree.LeftOut())
 	c.OnAdopt(view)
 	return nil
 }
@@ -201,6 +203,19 @@
 	c.unreachable = paths
 }
 
+// maxLoggedProblems bounds the entries in a line of the log.
+const maxLoggedProblems = 20
+
+// warnOfLeftOut logs which entries of a revision are not in force.
+func (c *Settings) warnOfLeftOut(revision int64, problems strictyaml.Problems) {
+	c.Recorder.Metrics.SettingsLeftOut.Set(float64(len(problems)))
+	if len(problems) == 0 {
+		return
+	}
+	c.Recorder.Log.Warn("settings are in force without some of their entries", "revision", revision, "problems", len(problems),
+		"first", problems[:min(len(problems), maxLoggedProblems)].Error(), "remedy", "correct the entries")
+}
+
 // reject records why a revision was not put in force, once for each revision.
 func (c *Settings) reject(revision int64, from string, err error) {
 	if c.Board.Settings.Rejected().Revision == revision {
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -49,8 +49,10 @@
 	PeerUnwantedBytes                  *prometheus.CounterVec
 	PeerWait                           *prometheus.HistogramVec
 	SettingsRevision                   prometheus.Gauge
-	SettingsParse                      prometheus.Histogram
-	PlatformReads                      *prometheus.CounterVec
+	// SettingsLeftOut is the number of problems for which entries of the revision in force are left out.
+	SettingsLeftOut prometheus.Gauge
+	SettingsParse   prometheus.Histogram
+	PlatformReads   *prometheus.CounterVec
 	// Pauses counts the pauses of the process that made load reports, leases and permits invalid.
 	Pauses               prometheus.Counter
 	ReservationsReleased prometheus.Counter
@@ -157,6 +159,7 @@
 		PeerUnwantedBytes:      counter("peer_unwanted_bytes_total", "Bytes of answers that came when nobody waited for them any more, by kind.", "kind"),
 		PeerWait:               histogram("peer_wait_seconds", "Time until a frame for a peer was written, behind others on its link, by kind.", "kind", prometheus.ExponentialBuckets(0.004, 4, 6)),
 		SettingsRevision:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "settings_revision", Help: "Revision of the settings in force."}),
+		SettingsLeftOut:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "settings_left_out", Help: "Problems for which entries of the settings in force are left out."}),
 		SettingsParse:          prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "settings_parse_seconds", Help: "Time to check and adopt a revision.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
 		PlatformReads:          counter("platform_reads_total", "Reads of the platform, by what and result.", "what", "result"),
 		Pauses:                 prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "pauses_total", Help: "Pauses of the process that voided its beliefs."}),
@@ -184,7 +187,7 @@
 		LogLinesOmitted:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that went well, left out above the bound."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Tokens, m.Retries, m.SilentTargets, m.SingleSends, m.RepeatedRequests, m.SkippedEvents, m.AnswerEndChecks, m.Decisions, m.QueuedRequests, m.WaitingByKind, m.DispatchedByKind, m.LargestAccountShare, m.Claims,
-		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
+		m.PeerFrames, m.PeerBytes, m.PeerRefused, m.PeerUnwantedBytes, m.PeerWait, m.SettingsRevision, m.SettingsLeftOut, m.SettingsParse, m.PlatformReads, m.Pauses, m.ReservationsReleased,
 		m.Orders, m.LogLinesOmitted, m.Lag, m.CoordinatorLost, m.TargetConnects, m.UnreachedTargets, m.LostPaths, m.RelayRequests, m.Introductions, m.CoordinationSteps, m.Quarantines, m.Crashes, m.TargetNotices, m.UnknownHeaders, m.StartStages, m.StartHolds, m.StartRefusals, m.ClientConnections, m.ClientConnectionsEnded, m.EvacuatedDataCentres, m.StoreRestores, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.traffic = prometheus.NewRegistry()
 	m.traffic.MustRegister(m.PeerFrames, m.PeerBytes)
