Daemons notice that nobody reads the store, and one of them does

Cause: who reads the store followed from who is alive. A watcher that the store refuses told nobody, and the others had no notion of how old the last read was.

Heartbeats now carry how long ago any daemon has read the store, and whether the sender's own reads fail. A daemon reads the store itself where a neighbour's reads fail for 2 s and nobody has read it since, or where the last known read is older than a watch may take. Daemons take turns, so that an outage is not met by all at once, and end with a watcher's first read. A daemon that does not watch no longer takes the store for unavailable after a failed read until its own next one, 5 minutes later: a read by another daemon ends that.

TestChangeIsKnownInTimeWhileTheStoreRefusesAllWatchers failed before (not known after 20 s, bound 7 s; 2.2 to 4.8 s now).

--- a/node/blackboard/blackboard.go
+++ b/node/blackboard/blackboard.go
@@ -117,7 +117,7 @@
 		Poison:       newPoisonTable(),
 		SingleSends:  newSingleSendTable(),
 		AnswerTimes:  newAnswerTimeTable(),
-		StoreReads:   newStoreReadTable(),
+		StoreReads:   newStoreReadTable(self.Name),
 		Shutdown:     newShutdown(),
 		processStart: time.Now(),
 		started:      make(chan struct{}),
--- a/node/blackboard/storereads.go
+++ b/node/blackboard/storereads.go
@@ -13,9 +13,9 @@
 // the daemons that watch it, and whether the others can rely on those.
 type StoreReadTable struct {
 	mu       Mutex
-	coverage watch.Coverage
-	// due is closed, and replaced, when the coverage changes so that the store has to be read.
-	due chan struct{}
+	coverage *watch.Coverage
+	// dueEarlier is closed, and replaced, when the store has to be read earlier than was known before.
+	dueEarlier chan struct{}
 	// choice is the last result of Blackboard.WatchesStore.
 	choice atomic.Pointer[watchChoice]
 }
@@ -26,41 +26,51 @@
 	watches bool
 }
 
-func newStoreReadTable() *StoreReadTable {
-	return &StoreReadTable{mu: NewMutex(RankStoreReads), due: make(chan struct{})}
+func newStoreReadTable(self string) *StoreReadTable {
+	return &StoreReadTable{
+		mu: NewMutex(RankStoreReads), coverage: watch.NewCoverage(self, watch.DefaultHold), dueEarlier: make(chan struct{}),
+	}
 }
 
 // WithCoverage calls f with the coverage under the table's lock, and wakes Wait if the store has to be read
-// from then on. f must not retain the coverage.
+// earlier than before. f must not retain the coverage.
 func (t *StoreReadTable) WithCoverage(now time.Time, f func(*watch.Coverage)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.coverage.MustRead(now)
-	f(&t.coverage)
-	if !before && t.coverage.MustRead(now) {
-		close(t.due)
-		t.due = make(chan struct{})
+	before := t.coverage.Due(now)
+	f(t.coverage)
+	if t.coverage.Due(now).Before(before) {
+		close(t.dueEarlier)
+		t.dueEarlier = make(chan struct{})
 	}
 }
 
-// Wait waits until the time d has passed, ctx ends, or the store begins to have to be read in place of the daemons
-// that watch it.
+// Wait waits until ctx ends, the time d has passed or the store has to be read in place of the daemons that watch it. It may
+// return earlier.
 func (t *StoreReadTable) Wait(ctx context.Context, d time.Duration) {
+	now := time.Now()
 	t.mu.Lock()
-	due, mustRead := t.due, t.coverage.MustRead(time.Now())
+	earlier, due := t.dueEarlier, t.coverage.Due(now)
 	t.mu.Unlock()
-	if mustRead {
-		return
-	}
-	timer := time.NewTimer(d)
+	timer := time.NewTimer(min(d, max(due.Sub(now), minWait)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-due:
+	case <-earlier:
 	}
 }
 
+// minWait is the shortest wait, so that a caller that does not read although it is due does not loop without a pause.
+const minWait = 10 * time.Millisecond
+
+// LastRead returns the latest time at which any daemon is known to have read the store.
+func (t *StoreReadTable) LastRead() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.coverage.ReadAt()
+}
+
 // WatchesStore reports whether this daemon is one of the few that watch the store, given the live
 // members that it knows.
 func (b *Blackboard) WatchesStore() bool {
@@ -69,6 +79,7 @@
 		return last.watches
 	}
 	next := &watchChoice{view, chosenToWatch(b.Self.Name, view.Members)}
+	b.StoreReads.WithCoverage(time.Now(), func(c *watch.Coverage) { c.SetDaemons(view.Alive) })
 	b.StoreReads.choice.Store(next)
 	return next.watches
 }
@@ -84,11 +95,23 @@
 	return mustRead
 }
 
-// RecordStoreRead records that this daemon has read the store.
-func (b *Blackboard) RecordStoreRead(at time.Time) {
-	if b.WatchesStore() {
-		b.StoreReads.WithCoverage(at, func(c *watch.Coverage) { c.RecordWatcherRead(at) })
-	}
+// RecordStoreRead records that this daemon has read the store, or could not.
+func (b *Blackboard) RecordStoreRead(at time.Time, ok bool) {
+	watches := b.WatchesStore()
+	b.StoreReads.WithCoverage(at, func(c *watch.Coverage) {
+		if ok {
+			c.RecordRead(at, watches)
+		} else {
+			c.RecordFailure(at)
+		}
+	})
+}
+
+// StoreReadAges returns what to tell other daemons of reads of the store.
+func (b *Blackboard) StoreReadAges(now time.Time) (ages watch.ReadAges) {
+	watches := b.WatchesStore()
+	b.StoreReads.WithCoverage(now, func(c *watch.Coverage) { ages = c.Ages(now, watches) })
+	return ages
 }
 
 // chosenToWatch reports whether the daemon self is one of those that watch. Members on hosts with much processor
--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -35,9 +35,15 @@
 	TargetsPosition hostlist.Position `cbor:"9,keyasint,omitempty"`
 	// VerdictsDigest is a digest of the sender's verdicts on requests that crash targets.
 	VerdictsDigest uint64 `cbor:"8,keyasint,omitempty"`
-	// WatcherReadAge is how long ago a daemon that watches the store is known to have read it; zero if no
-	// read is known.
+	// WatcherReadAge and ReadAge are how long ago a daemon that watches the store, and any daemon, is known to have
+	// read it; zero if no read is known. ReadsFail reports that the sender's own reads fail.
 	WatcherReadAge time.Duration `cbor:"10,keyasint,omitempty"`
+	ReadAge        time.Duration `cbor:"11,keyasint,omitempty"`
+	ReadsFail      bool          `cbor:"12,keyasint,omitempty"`
+}
+
+func (h *heartbeat) storeReads() watch.ReadAges {
+	return watch.ReadAges{Watcher: h.WatcherReadAge, Any: h.ReadAge, Fails: h.ReadsFail}
 }
 
 // Intervals and timeouts of the heartbeat loop.
@@ -148,7 +154,8 @@
 	}
 	now := time.Now()
 	h.VerdictsDigest = c.Board.Poison.Digest(now)
-	c.Board.StoreReads.WithCoverage(now, func(coverage *watch.Coverage) { h.WatcherReadAge = coverage.WatcherReadAge(now) })
+	reads := c.Board.StoreReadAges(now)
+	h.WatcherReadAge, h.ReadAge, h.ReadsFail = reads.Watcher, reads.Any, reads.Fails
 	return h
 }
 
@@ -164,7 +171,7 @@
 		c.recordNoAnswer(name) // Tick detects silent members.
 		return
 	}
-	c.Board.StoreReads.WithCoverage(time.Now(), func(coverage *watch.Coverage) { coverage.RecordAnswer(name, sent, answer.WatcherReadAge) })
+	c.Board.StoreReads.WithCoverage(time.Now(), func(coverage *watch.Coverage) { coverage.RecordAnswer(name, sent, answer.storeReads()) })
 	c.receiveHeartbeat(ctx, name, answer)
 }
 
@@ -226,6 +233,8 @@
 		}
 	})
 	c.Recorder.MarkStage(blackboard.StagePeer)
+	now := time.Now()
+	c.Board.StoreReads.WithCoverage(now, func(coverage *watch.Coverage) { coverage.RecordReport(from, h.storeReads(), now) })
 	c.spreadRumors(ctx, rumors, from)
 	c.reconcile(ctx, from, h.MembersDigest)
 	c.syncVerdicts(from, h.VerdictsDigest)
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -39,6 +39,8 @@
 	consecutiveChanges int
 	// consecutiveEarly counts the answers in a row that came early and without a change.
 	consecutiveEarly int
+	// lastFailure is when a call last failed.
+	lastFailure time.Time
 	// era is the highest era that the store has reported; the store starts a new era when it is
 	// restored from a backup.
 	era int64
@@ -91,6 +93,7 @@
 				continue
 			} else if !incomplete && time.Since(lastRead) < fallbackReadInterval {
 				idle = true
+				c.noticeReturnByPeers()
 				c.Board.StoreReads.Wait(ctx, idleCheckInterval)
 				continue
 			}
@@ -116,6 +119,10 @@
 			failed = true
 			continue
 		}
+		c.Board.RecordStoreRead(time.Now(), false)
+		if pause == storeBackoffInitial {
+			c.OnChange() // Others may have to read the store in place of this daemon.
+		}
 		Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, storeBackoffMax)
 	}
@@ -158,7 +165,7 @@
 	}
 	c.Recorder.Metrics.PlatformReads.WithLabelValues("hosts", "read").Inc()
 	c.Recorder.MarkStage(blackboard.StageStore)
-	c.Board.RecordStoreRead(now)
+	c.Board.RecordStoreRead(now, true)
 	returned := false
 	c.Board.Directory.WithLock(func(t *hostlist.Table) { returned = t.MarkStoreUp(now) })
 	if returned {
@@ -232,11 +239,26 @@
 	return min(delay, maxCoalesceDelay)
 }
 
+// noticeReturnByPeers marks the store as up again at a daemon that no longer reads it, once another daemon has
+// read it since this one could not.
+func (c *Directory) noticeReturnByPeers() {
+	readAt := c.Board.StoreReads.LastRead()
+	if !readAt.After(c.lastFailure) {
+		return
+	}
+	returned := false
+	c.Board.Directory.WithLock(func(t *hostlist.Table) { returned = t.MarkStoreUp(readAt) })
+	if returned {
+		c.Recorder.Log.Info("dependency is back", "dependency", "store", "read_by", "another daemon")
+	}
+}
+
 // recordReadFailure counts a failed call, marks the store as down, and logs the first failure of an
 // outage.
 func (c *Directory) recordReadFailure(err error) {
 	c.Recorder.Metrics.PlatformReads.WithLabelValues("hosts", "failed").Inc()
 	alreadyDown := false
+	c.lastFailure = time.Now()
 	c.Board.Directory.WithLock(func(t *hostlist.Table) {
 		alreadyDown = t.StoreDown()
 		t.MarkStoreDown()
--- a/node/controller/settings.go
+++ b/node/controller/settings.go
@@ -36,12 +36,12 @@
 	// Parse checks all parts of a revision together and resolves them.
 	Parse func(parts map[string][]byte) (*settings.Tree, error)
 	// MaxHold is the longest time for which a watch waits for a change; zero means
-	// defaultHold.
+	// DefaultSettingsHold.
 	MaxHold time.Duration
 	// ShouldWatch reports whether this daemon has to watch the service (see Directory.ShouldWatch).
 	ShouldWatch func() bool
-	// OnRead is called after each answer of the service; nil where Source does not call one.
-	OnRead func(at time.Time)
+	// OnRead is called after each call of the service, and whether it was answered; nil where Source does not call one.
+	OnRead func(at time.Time, ok bool)
 	// OnAdopt is called after a revision has come into force.
 	OnAdopt func(*blackboard.SettingsView)
 
@@ -51,8 +51,8 @@
 }
 
 const (
-	// defaultHold is the time for which a watch waits for a change where MaxHold is zero.
-	defaultHold = 30 * time.Second
+	// DefaultSettingsHold is the time for which a watch waits for a change where MaxHold is zero.
+	DefaultSettingsHold = 30 * time.Second
 	// readTimeout bounds a read, beyond the time for which a watch waits.
 	readTimeout = 5 * time.Second
 	// The retry delay after a failure is random, up to a bound that doubles from backoffInitial to
@@ -108,7 +108,7 @@
 	if view := c.Board.Settings.Current(); view != nil {
 		since = view.Revision
 		if c.ShouldWatch() {
-			wait = defaultHold
+			wait = DefaultSettingsHold
 			if c.MaxHold > 0 {
 				wait = randomHold(c.MaxHold)
 			}
@@ -120,12 +120,13 @@
 	changes, err := c.Source.Config(ctx, since, wait)
 	if err != nil {
 		c.Recorder.Metrics.PlatformReads.WithLabelValues("configuration", "failed").Inc()
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.recordRead(false)
+		}
 		return err
 	}
 	c.Recorder.Metrics.PlatformReads.WithLabelValues("configuration", "read").Inc()
-	if c.OnRead != nil {
-		c.OnRead(time.Now())
-	}
+	c.recordRead(true)
 	err = c.Apply(changes, "configuration service")
 	if errors.Is(err, settings.ErrRevisionGap) {
 		return c.readFull(ctx)
@@ -141,6 +142,13 @@
 	return err
 }
 
+// recordRead reports whether the service has answered a call.
+func (c *Settings) recordRead(ok bool) {
+	if c.OnRead != nil {
+		c.OnRead(time.Now(), ok)
+	}
+}
+
 // delayAfterStaleAnswer waits if the answer to a call that began at a time holds no newer revision, so
 // that a service that answers at once without a change, as a stale replica does, is not called in a
 // tight loop. After a watch that was held there is no delay: a change would be read that much later.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -164,6 +164,7 @@
 		return
 	}
 	d.settings.OnRead = d.Board.RecordStoreRead
+	d.Board.StoreReads.WithCoverage(time.Now(), func(c *watch.Coverage) { c.SetHold(controller.DefaultSettingsHold) })
 	reports := &controller.LoadPoller{Board: d.Board, Client: client, Recorder: d.recorder, PollsPerSecond: d.Config.ReportPollsPerSecond}
 	hosts := &controller.HostList{Board: d.Board, Source: d.confClient, Recorder: d.recorder, Interval: controller.HostListInterval}
 	d.loops = append(d.loops, hosts.Run, reports.Run)
@@ -196,6 +197,7 @@
 	d.cluster.Directory = directory
 	d.UpdatePlatformSettings(d.adapter.Seeds, d.adapter.RepeatLimit, d.adapter.ShutdownGrace)
 	d.Board.Members.OpenFleet()
+	d.Board.StoreReads.WithCoverage(time.Now(), func(c *watch.Coverage) { c.SetHold(directory.MaxHold) })
 	d.director.Placer = d.cluster.Placer
 	d.cluster.DisableLeases = true
 	d.director.Exchanger = target.NewExchanger(d.adapter.Dialect, d.connector)
--- a/node/onplatform/store_readers_test.go
+++ b/node/onplatform/store_readers_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"doorstack.dev/core/hostlist"
+	"github.com/go-faster/errors"
 )
 
 // applyLimit is the time within which a change that the store has accepted has to be known to all daemons.
@@ -65,6 +66,12 @@
 	close(e.cut)
 }
 
+func (e *simEndpoint) serve() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.err, e.cut = nil, make(chan struct{})
+}
+
 // Targets implements controller.TargetSource.
 func (e *simEndpoint) Targets(ctx context.Context, wait, _ time.Duration) (hostlist.Update, error) {
 	e.calls++
@@ -124,10 +131,14 @@
 }
 
 // awaitPosition returns how long it takes until the given daemons know all changes up to a position.
-func awaitPosition(daemons []*simDaemon, position hostlist.Position) time.Duration {
+func (f *simFleet) awaitPosition(daemons []*simDaemon, position hostlist.Position) time.Duration {
+	f.t.Helper()
 	began := time.Now()
 	for _, d := range daemons {
-		for d.board.Directory.Revision() < position && time.Since(began) < 2*waitTimeout {
+		for d.board.Directory.Revision() < position {
+			if time.Since(began) > waitTimeout {
+				f.t.Fatalf("%s knows the changes up to %v, want %v", d.name, d.board.Directory.Revision(), position)
+			}
 			passTime(5 * time.Millisecond)
 		}
 	}
@@ -146,7 +157,7 @@
 			store := newSimStore()
 			endpoints, stop := f.readStore(store, hold)
 			defer stop()
-			awaitPosition(f.daemons, store.publish())
+			f.awaitPosition(f.daemons, store.publish())
 			passTime(5*time.Second + time.Duration(phase)*200*time.Millisecond)
 			watchers, others := f.watchers()
 			if len(others) == 0 {
@@ -156,7 +167,7 @@
 				d.netHost.Freeze()
 				endpoints[d].refuse(context.DeadlineExceeded)
 			}
-			if took := awaitPosition(others, store.publish()); took > applyLimit {
+			if took := f.awaitPosition(others, store.publish()); took > applyLimit {
 				t.Errorf("phase %d: a change after the loss of %d daemons that watch is known to the others after %v, want %v at most", phase, len(watchers), took, applyLimit)
 			} else {
 				t.Logf("phase %d: known after %v", phase, took)
@@ -167,3 +178,92 @@
 		})
 	}
 }
+
+// Guards against changes that were known only minutes later, at hosts that the store serves, because it refused all daemons that
+// read it for the others. Some of the others are refused as well.
+func TestChangeIsKnownInTimeWhileTheStoreRefusesAllWatchers(t *testing.T) {
+	// The bound while the store refuses some hosts is the usual one and the time that the store's users allow on top.
+	const daemons, hold, limit = 18, 1800 * time.Millisecond, applyLimit + 5*time.Second
+	for alsoRefused := range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			f := startSimFleet(t, 0, daemons, time.Second)
+			defer f.close()
+			passTime(2 * time.Second)
+			store := newSimStore()
+			endpoints, stop := f.readStore(store, hold)
+			defer stop()
+			f.awaitPosition(f.daemons, store.publish())
+			passTime(5 * time.Second)
+			watchers, others := f.watchers()
+			for _, d := range append(watchers, others[:4*alsoRefused]...) {
+				endpoints[d].refuse(errors.New("the store refuses this host"))
+			}
+			for i := range 4 {
+				if took := f.awaitPosition(f.daemons, store.publish()); took > limit {
+					t.Fatalf("%d refused: change %d is known after %v, want %v at most", len(watchers)+4*alsoRefused, i, took, limit)
+				} else {
+					t.Logf("%d refused: change %d is known after %v", len(watchers)+4*alsoRefused, i, took)
+				}
+				passTime(3 * time.Second)
+			}
+			for _, d := range f.daemons {
+				endpoints[d].serve()
+			}
+			passTime(10 * time.Second) // The watchers read again, and prove it.
+			before := endpointCalls(endpoints, others)
+			passTime(20 * time.Second)
+			if calls := endpointCalls(endpoints, others) - before; calls != 0 {
+				t.Errorf("%d calls of daemons that do not watch, after the store serves all again, want 0", calls)
+			}
+		})
+	}
+}
+
+// endpointCalls returns the calls that the given daemons have made.
+func endpointCalls(endpoints map[*simDaemon]*simEndpoint, daemons []*simDaemon) int {
+	sum := 0
+	for _, d := range daemons {
+		sum += endpoints[d].calls
+	}
+	return sum
+}
+
+// TestOutageOfTheStoreAddsFewCalls checks that few calls are added to those of the watchers while the store refuses all, and
+// none after its return; and that a daemon that was refused does not go on to take the store for unavailable.
+func TestOutageOfTheStoreAddsFewCalls(t *testing.T) {
+	const daemons, hold, outage, most = 30, 1800 * time.Millisecond, 9 * time.Second, 90
+	synctest.Test(t, func(t *testing.T) {
+		f := startSimFleet(t, 0, daemons, time.Second)
+		defer f.close()
+		passTime(2 * time.Second)
+		store := newSimStore()
+		endpoints, stop := f.readStore(store, hold)
+		defer stop()
+		f.awaitPosition(f.daemons, store.publish())
+		passTime(5 * time.Second)
+		_, others := f.watchers()
+		before := endpointCalls(endpoints, others)
+		for _, e := range endpoints {
+			e.refuse(errors.New("the store is unavailable"))
+		}
+		passTime(outage)
+		during := endpointCalls(endpoints, others)
+		if added := during - before; added > most {
+			t.Errorf("%d calls of %d daemons that do not watch during an outage of %v, want %d at most", added, len(others), outage, most)
+		}
+		for _, e := range endpoints {
+			e.serve()
+		}
+		passTime(applyLimit)
+		f.awaitPosition(f.daemons, store.publish())
+		passTime(applyLimit)
+		for _, d := range f.daemons {
+			down := false
+			d.board.Directory.WithLock(func(t *hostlist.Table) { down = t.StoreDown() })
+			if down {
+				t.Errorf("%s takes the store for unavailable after its return", d.name)
+			}
+		}
+		t.Logf("%d calls during the outage, %d after it", during-before, endpointCalls(endpoints, others)-during)
+	})
+}
