The store is unavailable only if a call over a new connection fails

Cause: any failed call counted as an outage of the store and the next answer as its return. After an outage removals stay unconfirmed for 2.5 s, as entries of living targets may have expired. The store had been there all the time: only a connection was lost.

A call that fails over a connection that has delivered an answer before says that the connection was lost. It is repeated at once over a new one; only if that fails too, or the store itself refuses, is the store unavailable. Log and metric tell a lost connection from an outage.

--- a/core/storeread/storeread.go
+++ b/core/storeread/storeread.go
@@ -20,8 +20,14 @@
 	"time"
 
 	"doorstack.dev/core/hostlist"
+	"github.com/go-faster/errors"
 )
 
+// ErrConnectionLost means that a call failed over a connection that had worked before. It says nothing of the store:
+// a connection may stop delivering, or be cut, while new ones work. The call has to be repeated over a new one, and only
+// if that fails too is the store unavailable.
+var ErrConnectionLost = errors.New("the connection to the store was lost")
+
 // SettleTime is how long after a restore an era takes to settle: until then lost writes may still
 // be made again, and the leases of entries that only the copy has may still run.
 const SettleTime = 5 * time.Second
--- a/node/controller/directory.go
+++ b/node/controller/directory.go
@@ -8,13 +8,16 @@
 
 	"doorstack.dev/core/hostlist"
 	"doorstack.dev/core/membership"
+	"doorstack.dev/core/storeread"
 	"doorstack.dev/node/blackboard"
 	"doorstack.dev/node/telemetry"
+	"github.com/go-faster/errors"
 )
 
 // TargetSource reads the platform's store, which publishes an entry for each target.
 type TargetSource interface {
-	// Targets returns all entries, or the changes since the previous call. An answer with changes
+	// Targets returns all entries, or the changes since the previous call. The error is a storeread.ErrConnectionLost if
+	// a call over a new connection may succeed. An answer with changes
 	// may be delayed by the duration wait, until there is a change; its timeout beyond wait is
 	// the source's own. An answer with all entries has to begin within timeout; zero selects the
 	// source's default.
@@ -114,8 +117,7 @@
 		}
 		if !failed {
 			// The first failure is retried at once: the store may be up and the watch's connection
-			// dropped silently. A delay of 0.1 to 0.3 s would postpone the changes that the watch
-			// missed by as much.
+			// lost. A delay of 0.1 to 0.3 s would postpone the changes that the watch missed by as much.
 			failed = true
 			continue
 		}
@@ -159,6 +161,11 @@
 		return true
 	}
 	now := time.Now()
+	if errors.Is(err, storeread.ErrConnectionLost) {
+		c.Recorder.Metrics.PlatformReads.WithLabelValues("hosts", "connection_lost").Inc()
+		c.Recorder.Log.Info("connection is lost", "dependency", "store", "error", err.Error())
+		return false
+	}
 	if err != nil {
 		c.recordReadFailure(err)
 		return false
