A silent link is told from a peer that has ended by a new link

Cause: a silent link was closed after 2 s and opened again with a later heartbeat, and a neighbour counts as dead after 3 s. The loss of a connection was taken for the end of the peer.

Once a heartbeat is not answered in time, a new link is opened beside the silent one. If the neighbour accepts it and is still silent on the old one, that is closed; the heartbeat is repeated over the new one. A link that a newer one has replaced is closed once it is idle: the hub had forgotten it.

--- a/node/cluster/members.go
+++ b/node/cluster/members.go
@@ -163,7 +163,11 @@
 func (c *Cluster) sendHeartbeat(ctx context.Context, name string, h heartbeat) {
 	var answer heartbeat
 	sent := time.Now()
-	late := time.AfterFunc(c.unansweredTime(name), func() { c.recordUnanswered(ctx, name) })
+	late := time.AfterFunc(c.unansweredTime(name), func() {
+		if c.recordUnanswered(ctx, name) && c.Hub.Renew(ctx, c.address(name), sent) {
+			c.sendHeartbeat(ctx, name, c.newHeartbeat(false))
+		}
+	})
 	err := c.call(ctx, name, peer.KindHeartbeat, h, &answer, heartbeatTimeout)
 	late.Stop()
 	if err != nil {
@@ -180,19 +184,20 @@
 	return min(max(unansweredRoundTrips*c.Placer.links.timeout(name), minUnansweredTime), maxUnansweredTime)
 }
 
-// recordUnanswered records that a neighbour that should be running does not answer, so that this daemon may not
-// learn of changes through it.
-func (c *Cluster) recordUnanswered(ctx context.Context, name string) {
+// recordUnanswered records that a neighbour does not answer, so that this daemon may not learn of changes through
+// it. It reports whether the neighbour should be running.
+func (c *Cluster) recordUnanswered(ctx context.Context, name string) bool {
 	expected := false
 	c.Board.Members.WithLock(func(t *membership.Table) {
 		m, known := t.Member(name)
 		expected = known && m.State == membership.Alive
 	})
 	if !expected || ctx.Err() != nil {
-		return
+		return false
 	}
 	now := time.Now()
 	c.Board.StoreReads.WithCoverage(now, func(coverage *watch.Coverage) { coverage.RecordUnanswered(name, now) })
+	return true
 }
 
 // recordNoAnswer lets a starting daemon of an open fleet stop waiting for a neighbour. The
--- a/node/internal/slownet/slownet.go
+++ b/node/internal/slownet/slownet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,8 +27,13 @@
 
 	mu    sync.Mutex
 	hosts map[string]*Host
+	// silenced counts the calls of SilenceConnections.
+	silenced atomic.Int64
 }
 
+// SilenceConnections makes all open connections deliver nothing more, not even their end. New ones work.
+func (n *Network) SilenceConnections() { n.silenced.Add(1) }
+
 // Host is a host on the network with its link. It implements net.Listener.
 type Host struct {
 	network  *Network
@@ -115,9 +121,12 @@
 
 // Client returns an HTTP client whose connections use the host's link.
 func (h *Host) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: h.dial}}
+	return &http.Client{Transport: &http.Transport{DialContext: h.dial, IdleConnTimeout: idleTimeout}}
 }
 
+// idleTimeout ends connections that a client has opened and does not use.
+const idleTimeout = 10 * time.Second
+
 func (h *Host) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	h.network.mu.Lock()
 	to := h.network.hosts[address]
@@ -194,6 +203,7 @@
 	onTheWay chan segment
 	closed   chan struct{} // no more writes
 	failed   chan struct{} // the other side reads no more
+	silenced int64         // the network's count when the connection was opened
 	start    sync.Once     // of deliver
 	close    sync.Once
 }
@@ -205,7 +215,7 @@
 }
 
 func newConn(pipe net.Conn, from, to *Host) *conn {
-	return &conn{Conn: pipe, from: from, to: to, onTheWay: make(chan segment, maxInFlight), closed: make(chan struct{}), failed: make(chan struct{})}
+	return &conn{Conn: pipe, from: from, to: to, onTheWay: make(chan segment, maxInFlight), closed: make(chan struct{}), failed: make(chan struct{}), silenced: from.network.silenced.Load()}
 }
 
 // Write sends over both hosts' links, a segment at a time, and returns when the last one has been sent.
@@ -236,7 +246,11 @@
 
 // deliver passes segments to the other side as they arrive. After Close it delivers those that are on the way.
 func (c *conn) deliver() {
-	defer func() { _ = c.Conn.Close() }()
+	defer func() {
+		if !c.silent() {
+			_ = c.Conn.Close()
+		}
+	}()
 	defer close(c.failed)
 	for {
 		var s segment
@@ -253,6 +267,9 @@
 		for thawed := c.to.frozen(); thawed != nil; thawed = c.to.frozen() {
 			<-thawed
 		}
+		if c.silent() {
+			continue
+		}
 		select {
 		case <-c.closed:
 			c.boundWrite()
@@ -264,6 +281,9 @@
 	}
 }
 
+// silent reports whether the connection delivers nothing more.
+func (c *conn) silent() bool { return c.from.network.silenced.Load() > c.silenced }
+
 // closeTimeout bounds how long data on the way to a host that reads no more outlives a closed connection.
 const closeTimeout = time.Second
 
--- a/node/onplatform/store_readers_test.go
+++ b/node/onplatform/store_readers_test.go
@@ -267,3 +267,32 @@
 		t.Logf("%d calls during the outage, %d after it", during-before, endpointCalls(endpoints, others)-during)
 	})
 }
+
+// Guards against changes that are known late, and daemons that are declared dead, after the connections between the daemons
+// have fallen silent for good while new ones work.
+func TestChangeIsKnownInTimeAfterAllLinksFellSilent(t *testing.T) {
+	// The time for which the platform's users count hosts as disturbed after a connection was lost.
+	const daemons, hold, disturbed = 18, 1800 * time.Millisecond, 3 * time.Second
+	for phase := range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			f := startSimFleet(t, 0, daemons, time.Second)
+			defer f.close()
+			passTime(2 * time.Second)
+			store := newSimStore()
+			_, stop := f.readStore(store, hold)
+			defer stop()
+			f.awaitPosition(f.daemons, store.publish())
+			passTime(5*time.Second + time.Duration(phase)*200*time.Millisecond)
+			f.network.SilenceConnections()
+			for i := range 10 {
+				if took := f.awaitPosition(f.daemons, store.publish()); took > applyLimit {
+					t.Errorf("phase %d: change %d after the loss of all links is known after %v, want %v at most", phase, i, took, applyLimit)
+				}
+				passTime(disturbed / 10)
+			}
+			if f.deathCounter.deaths > 0 {
+				t.Errorf("phase %d: running daemons were declared dead %d times, want 0", phase, f.deathCounter.deaths)
+			}
+		})
+	}
+}
--- a/node/peer/hub.go
+++ b/node/peer/hub.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,11 +32,14 @@
 	observer Observer
 
 	mu      sync.Mutex
-	links   map[string]*link
+	links   map[string]*link // the newest link of each peer
+	open    map[*link]bool   // all links, those that newer ones have replaced included
 	dialing map[string]chan struct{}
-	blocked map[string]bool
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// renewing holds the peers to which Renew opens a link.
+	renewing map[string]bool
+	blocked  map[string]bool
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // NewHub returns a hub without links for the daemon self. The first key signs the daemon's own
@@ -42,7 +47,7 @@
 func NewHub(self string, keys []string, metrics *telemetry.Metrics) *Hub {
 	h := &Hub{
 		self: self, metrics: metrics, log: slog.New(slog.DiscardHandler), handlers: map[Kind]Handler{}, links: map[string]*link{},
-		dialing: map[string]chan struct{}{}, blocked: map[string]bool{},
+		open: map[*link]bool{}, dialing: map[string]chan struct{}{}, renewing: map[string]bool{}, blocked: map[string]bool{},
 	}
 	for _, k := range keys {
 		h.keys = append(h.keys, []byte(k))
@@ -126,6 +131,7 @@
 	// previous link. Two daemons may dial each other at the same time; both links
 	// work, and one is used.
 	h.links[l.peer] = l
+	h.open[l] = true
 	h.mu.Unlock()
 	h.observeLink(l.peer)
 }
@@ -136,6 +142,7 @@
 	if current {
 		delete(h.links, l.peer)
 	}
+	delete(h.open, l)
 	h.mu.Unlock()
 	if current {
 		h.observeLink(l.peer)
@@ -178,6 +185,35 @@
 	}
 }
 
+// Renew opens a new link to a peer that has sent nothing over the open one since a time, to tell a lost connection from a
+// peer that is gone or slow. It reports whether the peer accepts the new link, which is used from then on. If the peer is still
+// silent on the old one, that is closed.
+func (h *Hub) Renew(ctx context.Context, to Address, since time.Time) bool {
+	h.mu.Lock()
+	old := h.links[to.Name]
+	busy := old == nil || h.blocked[to.Name] || h.renewing[to.Name] || old.lastReadAt().After(since)
+	if !busy {
+		h.renewing[to.Name] = true
+	}
+	h.mu.Unlock()
+	if busy {
+		return false
+	}
+	defer func() {
+		h.mu.Lock()
+		delete(h.renewing, to.Name)
+		h.mu.Unlock()
+	}()
+	if _, err := h.connect(ctx, to); err != nil {
+		return false
+	}
+	if !old.lastReadAt().After(since) {
+		h.countRefused("silent")
+		old.close(websocket.StatusGoingAway, "silent")
+	}
+	return true
+}
+
 // HasLink reports whether there is an open link to a peer.
 func (h *Hub) HasLink(name string) bool {
 	h.mu.Lock()
@@ -236,8 +272,12 @@
 // linkIdleTimeout is how long a link is kept after the last call over it.
 const linkIdleTimeout = 5 * time.Minute
 
+// replacedIdleTimeout is how long a link that a newer one has replaced is kept after the last call over it and the last data from
+// it. Calls that began before may still be answered.
+const replacedIdleTimeout = 10 * time.Second
+
 // CloseIdle closes the links over which no call was made for linkIdleTimeout, except links to peers for
-// which wanted returns true.
+// which wanted returns true, and idle links that newer ones have replaced.
 func (h *Hub) CloseIdle(wanted func(name string) bool) {
 	h.mu.Lock()
 	var idle []*link
@@ -246,20 +286,26 @@
 			idle = append(idle, l)
 		}
 	}
+	for l := range h.open {
+		age := time.Since(l.opened)
+		if h.links[l.peer] != l && age-time.Duration(max(l.lastCall.Load(), l.lastRead.Load())) > replacedIdleTimeout {
+			idle = append(idle, l)
+		}
+	}
 	h.mu.Unlock()
 	for _, l := range idle {
 		l.close(websocket.StatusNormalClosure, "idle")
 	}
 }
 
-// Block closes the link to a peer and refuses new ones while blocked is true, like a network
+// Block closes the links to a peer and refuses new ones while blocked is true, like a network
 // partition. It exists for tests.
 func (h *Hub) Block(name string, blocked bool) {
 	h.mu.Lock()
 	h.blocked[name] = blocked
-	l := h.links[name]
+	links := slices.DeleteFunc(slices.Collect(maps.Keys(h.open)), func(l *link) bool { return !blocked || l.peer != name })
 	h.mu.Unlock()
-	if blocked && l != nil {
+	for _, l := range links {
 		l.close(websocket.StatusGoingAway, "blocked")
 	}
 }
@@ -273,10 +319,7 @@
 // Close closes all links.
 func (h *Hub) Close() {
 	h.mu.Lock()
-	links := make([]*link, 0, len(h.links))
-	for _, l := range h.links {
-		links = append(links, l)
-	}
+	links := slices.Collect(maps.Keys(h.open))
 	h.mu.Unlock()
 	for _, l := range links {
 		l.close(websocket.StatusGoingAway, "this daemon stops")
