A test of disturbances of the store's readers in series

What it guards: daemons that are never disturbed know each change in time while those that read the store are cut off, refused by the store, or get no answers from it, one after the other and at once, in fleets of 3, 6, 12 and 18 daemons.

--- a/node/onplatform/store_readers_test.go
+++ b/node/onplatform/store_readers_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -53,11 +55,15 @@
 	full  bool
 	calls int
 
-	mu  sync.Mutex
-	err error         // of each call, if not nil
-	cut chan struct{} // closed when calls begin to fail or to wait for good
+	mu     sync.Mutex
+	err    error         // of each call, if not nil
+	silent bool          // calls fail only after silentTimeout
+	cut    chan struct{} // closed when calls begin to fail
 }
 
+// silentTimeout is the time after which a call to a store that does not answer fails.
+const silentTimeout = 800 * time.Millisecond
+
 // refuse makes waiting and later calls fail; serve ends that.
 func (e *simEndpoint) refuse(err error) {
 	e.mu.Lock()
@@ -66,10 +72,18 @@
 	close(e.cut)
 }
 
+// silence makes waiting and later calls fail after silentTimeout; serve ends that.
+func (e *simEndpoint) silence() {
+	e.mu.Lock()
+	e.silent = true
+	e.mu.Unlock()
+	e.refuse(context.DeadlineExceeded)
+}
+
 func (e *simEndpoint) serve() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.err, e.cut = nil, make(chan struct{})
+	e.err, e.silent, e.cut = nil, false, make(chan struct{})
 }
 
 // Targets implements controller.TargetSource.
@@ -79,8 +93,12 @@
 	timeout := time.After(wait)
 	for {
 		e.mu.Lock()
-		err, cut := e.err, e.cut
+		err, silent, cut := e.err, e.silent, e.cut
 		e.mu.Unlock()
+		if silent {
+			<-timeout // The watch waits to its end first.
+			passTime(silentTimeout)
+		}
 		if err != nil {
 			return hostlist.Update{}, err
 		}
@@ -296,3 +314,94 @@
 		})
 	}
 }
+
+// disturbance is something that keeps a daemon from reading the store for others.
+type disturbance int
+
+const (
+	cutOff disturbance = iota
+	refusedByStore
+	silentStore
+	disturbances // their number
+)
+
+func (k disturbance) String() string {
+	return [...]string{"cut off", "refused by the store", "without answers of the store"}[k]
+}
+
+// begin starts a disturbance of a daemon, and end ends it.
+func (k disturbance) begin(d *simDaemon, e *simEndpoint) {
+	switch k {
+	case cutOff:
+		d.netHost.Freeze()
+		e.silence()
+	case refusedByStore:
+		e.refuse(errors.New("the store refuses this host"))
+	case silentStore:
+		e.silence()
+	}
+}
+
+func (k disturbance) end(d *simDaemon, e *simEndpoint) {
+	if k == cutOff {
+		d.netHost.Thaw()
+	}
+	e.serve()
+}
+
+// TestReadersDisturbedInSeries plays disturbances of the daemons that read the store, one after the other or at the same time, in
+// fleets of several sizes, while changes are written. Daemons that are never disturbed know each change in time.
+func TestReadersDisturbedInSeries(t *testing.T) {
+	const seeds, rounds, hold, interval = 2, 3, 1800 * time.Millisecond, 300 * time.Millisecond
+	for _, daemons := range []int{3, 6, 12, 18} {
+		for seed := range uint64(seeds) {
+			random := rand.New(rand.NewPCG(seed, uint64(daemons)))
+			synctest.Test(t, func(t *testing.T) {
+				f := startSimFleet(t, 0, daemons, time.Second)
+				defer f.close()
+				passTime(2 * time.Second)
+				store := newSimStore()
+				endpoints, stop := f.readStore(store, hold)
+				defer stop()
+				f.awaitPosition(f.daemons, store.publish())
+				passTime(5 * time.Second)
+				calm := slices.Clone(f.daemons)
+				limit := applyLimit
+				var plan []string
+				var playing sync.WaitGroup
+				for range rounds {
+					kind, length := disturbance(random.IntN(int(disturbances))), time.Second+time.Duration(random.Int64N(int64(8*time.Second)))
+					if kind != cutOff {
+						limit = applyLimit + 5*time.Second // While the store is impaired for some.
+					}
+					var hit []*simDaemon
+					most := (len(calm) + 1) / 2
+					calm = slices.DeleteFunc(calm, func(d *simDaemon) bool {
+						disturbed := d.board.WatchesStore() && len(hit) < most
+						if disturbed {
+							hit = append(hit, d)
+						}
+						return disturbed
+					})
+					plan = append(plan, fmt.Sprintf("%d daemons %v for %v", len(hit), kind, length.Round(time.Millisecond)))
+					playing.Go(func() {
+						for _, d := range hit {
+							kind.begin(d, endpoints[d])
+						}
+						passTime(length)
+						for _, d := range hit {
+							kind.end(d, endpoints[d])
+						}
+					})
+					for until := time.Now().Add(time.Duration(random.Int64N(int64(6 * time.Second)))); time.Now().Before(until); passTime(interval) {
+						if took := f.awaitPosition(calm, store.publish()); took > limit {
+							t.Errorf("%d daemons, seed %d, %v: a change is known to %d undisturbed daemons after %v, want %v at most", daemons, seed, plan, len(calm), took, limit)
+						}
+					}
+				}
+				playing.Wait()
+				f.awaitPosition(f.daemons, store.publish())
+			})
+		}
+	}
+}
