--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -7,6 +7,7 @@
 // while its peers still reach that watcher and rely on it, so each watcher's hold is as short
 // as if it were the only one. Every daemon derives the watchers from the living members alone,
 // so no message is needed, and another daemon replaces a watcher that is known to be dead.
+// Coverage covers the time until then, and stores that serve other daemons than the watchers.
 package watch
 
 import (
