A daemon runs on few processors before other packages are initialised

Cause: main lowers the number of processors, but a garbage collection may come while packages are initialised, and starts a thread for each processor. The traces of aborted starts are in gcStart, called from promhttp.init, regexp/syntax and others. Ruled out: threads of other programs (the user's limit is 96,548); threads after main begins (none of the traces). Change: the package node/processors lowers the number when it is initialised, and imports only runtime and math, so it is initialised among the first. Open, as before: with 256 processors the runtime starts a collection before any package.

--- a/node/cmd/doorstackd/main.go
+++ b/node/cmd/doorstackd/main.go
@@ -14,6 +14,7 @@
 	"doorstack.dev/node/config"
 	"doorstack.dev/node/daemon"
 	"doorstack.dev/node/onplatform"
+	"doorstack.dev/node/processors"
 	"doorstack.dev/node/telemetry"
 	"github.com/alecthomas/kong"
 )
@@ -33,7 +34,6 @@
 const version = "0.1.0"
 
 func main() {
-	processors := onplatform.StartOnFewProcessors()
 	signals := registerSignals()
 	var c cli
 	kong.Parse(&c,
@@ -42,7 +42,7 @@
 		kong.Vars{"version": version},
 		kong.UsageOnError(),
 	)
-	if err := run(&c, signals, processors); err != nil {
+	if err := run(&c, signals); err != nil {
 		fmt.Fprintln(os.Stderr, "doorstackd:", err)
 		os.Exit(1)
 	}
@@ -65,12 +65,12 @@
 }
 
 // run loads the configuration and serves, or only checks the configuration.
-func run(c *cli, s *signalChannels, processors onplatform.Processors) error {
+func run(c *cli, s *signalChannels) error {
 	output := telemetry.NewOutput(os.Stdout)
 	defer output.Close()
 	log := slog.New(slog.NewJSONHandler(output, &slog.HandlerOptions{Level: c.LogLevel}))
 	if c.Platform {
-		return runOnPlatform(c, output, log, s, processors)
+		return runOnPlatform(c, output, log, s)
 	}
 	processors.UseAll()
 	signal.Reset(syscall.SIGHUP) // Settings come from the configuration service.
@@ -96,7 +96,7 @@
 const gcPercent = 30
 
 // runOnPlatform serves on the users' platform, whose settings file configures the daemon.
-func runOnPlatform(c *cli, output *telemetry.Output, log *slog.Logger, s *signalChannels, processors onplatform.Processors) error {
+func runOnPlatform(c *cli, output *telemetry.Output, log *slog.Logger, s *signalChannels) error {
 	boot, err := onplatform.Load()
 	if err != nil {
 		return err
--- a/node/internal/processes/endless_answers_test.go
+++ b/node/internal/processes/endless_answers_test.go
@@ -285,3 +285,18 @@
 		t.Errorf("the daemon has %d threads, %v, want at most %d", n, err, maxThreads)
 	}
 }
+
+// TestGarbageCollectionBeforeMain guards against a daemon that runs on all processors of a large machine until main begins: a
+// garbage collection while packages are initialised starts a thread for each, and the process aborts when it can start no more.
+// GOGC makes a collection likely then, but none before packages are initialised at all.
+func TestGarbageCollectionBeforeMain(t *testing.T) {
+	const starts = 10
+	w := buildPrograms(t)
+	for range starts {
+		cmd := machine{processors: 128, dataMB: memoryLimitMB}.command(filepath.Join(w.dir, "doorstackd"), "--version")
+		cmd.Env = append(cmd.Env, "GOGC=80")
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Fatalf("doorstackd --version: %v, %.200s", err, out)
+		}
+	}
+}
--- a/node/onplatform/processors_test.go
+++ b/node/processors/processors_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package processors
 
 import "testing"
 
@@ -11,8 +11,8 @@
 	}{
 		{0, 64, 64}, {0.4, 64, 2}, {0.4, 1, 1}, {1, 8, 2}, {2, 8, 2}, {2.1, 8, 3}, {16, 8, 8},
 	} {
-		if got := processorsFor(c.cores, c.available); got != c.want {
-			t.Errorf("processorsFor(%v, %d) = %d, want %d", c.cores, c.available, got, c.want)
+		if got := forShare(c.cores, c.available); got != c.want {
+			t.Errorf("forShare(%v, %d) = %d, want %d", c.cores, c.available, got, c.want)
 		}
 	}
 }
