--- a/node/onplatform/cold_targets_test.go
+++ b/node/onplatform/fleetsim/cold_targets_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package fleetsim
 
 import (
 	"context"
@@ -61,6 +61,7 @@
 // several sizes under far more load, while the daemons learn of it one after the other and lose one
 // coordinator after the other, and that the targets are used meanwhile.
 func TestColdTargetsBearTheWholeFleet(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		strong, weak, targets int
 		perSecond             float64
--- a/node/onplatform/config_propagation_test.go
+++ b/node/onplatform/fleetsim/config_propagation_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package fleetsim
 
 import (
 	"bytes"
@@ -303,6 +303,7 @@
 // revision without changes. With each of the six revisions, a target begins to drain, which must
 // become known within the same limit.
 func TestLargeConfigurationChangePropagatesInTime(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := startSimFleet(t, strongHosts, weakHosts, 0)
 		defer f.close()
--- a/node/onplatform/disconnect_count_test.go
+++ b/node/onplatform/fleetsim/disconnect_count_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package fleetsim
 
 import (
 	"context"
--- a/node/onplatform/fleet_restart_test.go
+++ b/node/onplatform/fleetsim/fleet_restart_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package fleetsim
 
 import (
 	"testing"
@@ -94,6 +94,7 @@
 // compared with their neighbours at the next heartbeat, the last one served after 1.4 s; when each
 // rumor had its own frame, a daemon sent 806 frames.
 func TestWholeFleetRestartServesSoon(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		what    string
 		answers func(i int) bool
--- a/node/onplatform/idle_traffic_test.go
+++ b/node/onplatform/fleetsim/idle_traffic_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package fleetsim
 
 import (
 	"cmp"
@@ -40,6 +40,7 @@
 // TestIdleTrafficDoesNotGrowWithFleet checks that while nothing changes, a daemon's traffic with its
 // peers does not grow with the size of the fleet. The environment variable FLEETS overrides the sizes.
 func TestIdleTrafficDoesNotGrowWithFleet(t *testing.T) {
+	t.Parallel()
 	sizes := cmp.Or(os.Getenv("FLEETS"), "20 60")
 	smallest := 0.0 // the average of the smallest fleet's runs
 	for _, field := range strings.Fields(sizes) {
--- a/node/onplatform/limit_simulation_test.go
+++ b/node/onplatform/fleetsim/limit_simulation_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package fleetsim
 
 import (
 	"context"
@@ -243,6 +243,7 @@
 // declared limits allow, in fleets of two sizes whose coordinators stop one after the other, with some
 // or all of the targets declaring a limit.
 func TestTargetLimitHoldsAcrossCoordinatorChanges(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		strong, weak, targets, limited int
 		perSecond                      float64
--- a/node/onplatform/quarantine_propagation_test.go
+++ b/node/onplatform/fleetsim/quarantine_propagation_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package fleetsim
 
 import (
 	"cmp"
@@ -39,6 +39,7 @@
 // daemons quarantine the ten calls within quarantineTimeLimit, and none of the sound ones. The
 // environment variable FLEETS overrides the sizes of the fleets.
 func TestQuarantineReachesWholeFleetInTime(t *testing.T) {
+	t.Parallel()
 	for _, field := range strings.Fields(cmp.Or(os.Getenv("FLEETS"), "6 59")) {
 		size, err := strconv.Atoi(field)
 		if err != nil {
--- a/node/onplatform/store_readers_test.go
+++ b/node/onplatform/fleetsim/store_readers_test.go
@@ -1,4 +1,4 @@
-package onplatform
+package fleetsim
 
 import (
 	"context"
@@ -166,6 +166,7 @@
 // Guards against changes that were known 3 to 4 s late at the hosts that were left, because all daemons that read the
 // store for the others had ended at once and nobody else read it until they were declared dead.
 func TestChangeIsKnownInTimeAfterAllWatchersAreLost(t *testing.T) {
+	t.Parallel()
 	const daemons, hold = 12, 1800 * time.Millisecond
 	for phase := range 5 {
 		synctest.Test(t, func(t *testing.T) {
@@ -200,6 +201,7 @@
 // Guards against changes that were known only minutes later, at hosts that the store serves, because it refused all daemons that
 // read it for the others. Some of the others are refused as well.
 func TestChangeIsKnownInTimeWhileTheStoreRefusesAllWatchers(t *testing.T) {
+	t.Parallel()
 	// The bound while the store refuses some hosts is the usual one and the time that the store's users allow on top.
 	const daemons, hold, limit = 18, 1800 * time.Millisecond, applyLimit + 5*time.Second
 	for alsoRefused := range 3 {
@@ -249,6 +251,7 @@
 // TestOutageOfTheStoreAddsFewCalls checks that few calls are added to those of the watchers while the store refuses all, and
 // none after its return; and that a daemon that was refused does not go on to take the store for unavailable.
 func TestOutageOfTheStoreAddsFewCalls(t *testing.T) {
+	t.Parallel()
 	const daemons, hold, outage, most = 30, 1800 * time.Millisecond, 9 * time.Second, 90
 	synctest.Test(t, func(t *testing.T) {
 		f := startSimFleet(t, 0, daemons, time.Second)
@@ -289,6 +292,7 @@
 // Guards against changes that are known late, and daemons that are declared dead, after the connections between the daemons
 // have fallen silent for good while new ones work.
 func TestChangeIsKnownInTimeAfterAllLinksFellSilent(t *testing.T) {
+	t.Parallel()
 	// The time for which the platform's users count hosts as disturbed after a connection was lost.
 	const daemons, hold, disturbed = 18, 1800 * time.Millisecond, 3 * time.Second
 	for phase := range 5 {
@@ -352,6 +356,7 @@
 // TestReadersDisturbedInSeries plays disturbances of the daemons that read the store, one after the other or at the same time, in
 // fleets of several sizes, while changes are written. Daemons that are never disturbed know each change in time.
 func TestReadersDisturbedInSeries(t *testing.T) {
+	t.Parallel()
 	const seeds, rounds, hold, interval = 2, 3, 1800 * time.Millisecond, 300 * time.Millisecond
 	for _, daemons := range []int{3, 6, 12, 18} {
 		for seed := range uint64(seeds) {
--- a/node/onplatform/harness_test.go
+++ b/node/onplatform/harness_test.go
@@ -59,6 +59,9 @@
 	plainService     = "svc"
 	engineService    = "llm"
 	waitTimeout      = 20 * time.Second
+
+	// applyLimit is the time within which a change that the store has accepted has to be in force at all daemons.
+	applyLimit = 2 * time.Second
 )
 
 // testConfig returns the test configuration in a version.
